Set down the workspace and one path from caller to backend server

Cause: the project starts here and needs the folders, the core types and one path built from end to end in its shape before the parts are filled.

Change: a workspace of twelve packages whose direction is checked by import-linter; frozen messages, the closed list of error kinds with its answers, registries; the fold of the log into a configuration; a first health book, dispatcher, token bucket and freshness rule; a daemon of plain twisted.web and Agent with klein for administration; stand-ins; a demo.

Before: nothing.

Conclusion: the path is thin but whole; the decisions are first versions behind the interfaces that stay.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+SOURCES := $(wildcard packages/*/src)
+EMPTY :=
+SPACE := $(EMPTY) $(EMPTY)
+export PYTHONPATH := $(subst $(SPACE),:,$(strip $(abspath $(SOURCES))))
+
+.PHONY: environment check format test demo bench measure measure-state soak codec
+
+$(BIN)/.stamp: requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,$(wildcard packages/*/pyproject.toml),--editable ./$(dir $(p)))
+	touch $@
+
+environment: $(BIN)/.stamp
+
+check: environment
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+	$(BIN)/mypy
+
+format: environment
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: environment
+	$(BIN)/python -m pytest
+
+demo: environment
+	$(BIN)/python -m wagtailpaddle_standins.demo
+
+codec: environment
+	cd packages/peer/src && $(abspath $(BIN))/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --plugin=protoc-gen-grpclib_python=$(abspath $(BIN))/protoc-gen-grpclib_python --grpclib_python_out=. wagtailpaddle_peer/peer.proto
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/config/src/wagtailpaddle_config/model.py
@@ -0,0 +1,140 @@
+"""The configuration in force, as frozen objects."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from wagtailpaddle_core import (
+    AccountId,
+    KeyId,
+    Offset,
+    RouteId,
+    ServerId,
+    ServiceId,
+    ZoneId,
+)
+
+SERVER_SLOTS = 4
+SERVER_CONNECTIONS = 300
+ROUTE_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClientAccount:
+    """A caller's account with its fleet-wide rate (requests/s) and burst."""
+
+    id: AccountId
+    rate: float
+    burst: float
+    active: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Sends requests of a host, path prefix and methods to one service.
+
+    An ``open`` route asks for no key. ``accounts`` limits the client accounts
+    that may use the route; empty means all. ``idempotent`` says whether a
+    request may run twice without harm; ``timeout_s`` bounds one request whose
+    caller states no deadline.
+    """
+
+    id: RouteId
+    service: ServiceId
+    path: str
+    host: str = ""
+    methods: tuple[str, ...] = ()
+    open: bool = False
+    accounts: tuple[AccountId, ...] = ()
+    idempotent: bool = False
+    timeout_s: float = ROUTE_TIMEOUT_S
+
+    def matches(self, host: str, path: str, method: str) -> bool:
+        """Return whether a request line falls under this route."""
+        if self.host and self.host != host:
+            return False
+        if self.methods and method not in self.methods:
+            return False
+        prefix = self.path.rstrip("/")
+        return path == prefix or path.startswith(prefix + "/")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Server:
+    """A backend server of a service; ``leaving`` ones get no new work."""
+
+    id: ServerId
+    address: str
+    port: int
+    zone: ZoneId
+    slots: int = SERVER_SLOTS
+    connections: int = SERVER_CONNECTIONS
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """Backend servers that answer the same requests.
+
+    ``floor`` is the fraction of the configured servers that ejection must
+    leave healthy. ``sensitivity`` in (0, 1] trades false ejections (low)
+    against detection time (high).
+    """
+
+    id: ServiceId
+    servers: tuple[Server, ...] = ()
+    floor: float = 0.5
+    sensitivity: float = 0.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Key:
+    """A caller's key; only the SHA-256 of its high-entropy secret is kept."""
+
+    id: KeyId
+    account: AccountId
+    secret_hash: str
+    withdrawn: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """Everything in force at one revision of the log.
+
+    ``revision`` is the number of log records folded into it; it never falls.
+    """
+
+    revision: Offset = 0
+    accounts: Mapping[AccountId, ClientAccount] = field(default_factory=dict)
+    routes: Mapping[RouteId, Route] = field(default_factory=dict)
+    services: Mapping[ServiceId, Service] = field(default_factory=dict)
+    keys: Mapping[KeyId, Key] = field(default_factory=dict)
+    key_by_hash: Mapping[str, KeyId] = field(default_factory=dict)
+    routes_by_path: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
+
+    def account_for(self, secret_hash: str) -> ClientAccount | None:
+        """Return the active account whose live key has ``secret_hash``."""
+        key_id = self.key_by_hash.get(secret_hash)
+        if key_id is None:
+            return None
+        key = self.keys[key_id]
+        if key.withdrawn:
+            return None
+        account = self.accounts.get(key.account)
+        if account is None or not account.active:
+            return None
+        return account
+
+    def route_for(self, host: str, path: str, method: str) -> Route | None:
+        """Return the route with the longest matching path prefix.
+
+        A route that names the host goes before one that does not. The cost
+        grows with the depth of the path, not with the number of routes.
+        """
+        prefix = path.rstrip("/")
+        while True:
+            for route in self.routes_by_path.get(prefix, ()):
+                if route.matches(host, path, method):
+                    return route
+            if not prefix:
+                return None
+            prefix = prefix.rpartition("/")[0]
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy daemon."""
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/logclient.py
@@ -0,0 +1,104 @@
+"""Clients of the platform's log service, behind one narrow interface."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import treq
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent, HTTPConnectionPool
+from wagtailpaddle_core import Offset, Registry
+
+READ_TIMEOUT_S = 2.0
+APPEND_TIMEOUT_S = 2.0
+MAX_READ_RECORDS = 500
+
+
+class LogError(Exception):
+    """The log service did not answer, or answered with an error."""
+
+
+class LogTrimmed(LogError):
+    """Records before ``first`` are gone."""
+
+    def __init__(self, first: Offset):
+        super().__init__(f"the log starts at offset {first}")
+        self.first = first
+
+
+@dataclass(frozen=True, slots=True)
+class LogRead:
+    """Records from an offset on; ``head`` is the offset of the next append."""
+
+    first: Offset
+    head: Offset
+    records: tuple[tuple[Offset, bytes], ...]
+
+
+class LogClient(Protocol):
+    """What the daemon asks of a log service.
+
+    Both methods raise ``LogError``; an append that failed may have taken
+    effect all the same.
+    """
+
+    def read(self, stream: str, start: Offset) -> Deferred[LogRead]:
+        """Return records of ``stream`` from offset ``start`` on."""
+
+    def append(self, stream: str, data: bytes) -> Deferred[Offset]:
+        """Append one record and return its offset."""
+
+
+LOG_ADAPTERS: Registry[Callable[..., LogClient]] = Registry("log adapter")
+
+
+@LOG_ADAPTERS.register("http")
+class HttpLogClient:
+    """A log service that speaks HTTP and JSON."""
+
+    def __init__(self, reactor: Any, url: str):
+        self._url = url
+        pool = HTTPConnectionPool(reactor)
+        pool.retryAutomatically = False
+        self._http = treq.client.HTTPClient(Agent(reactor, pool=pool))
+
+    async def _read(self, stream: str, start: Offset) -> LogRead:
+        params = {"from": str(start), "limit": str(MAX_READ_RECORDS)}
+        url = f"{self._url}/streams/{stream}"
+        answer = await self._http.get(url, params=params, timeout=READ_TIMEOUT_S)
+        body = await answer.json()
+        if answer.code == 410:
+            raise LogTrimmed(int(body["first"]))
+        if answer.code != 200:
+            raise LogError(f"log answered {answer.code} to a read of {stream!r}")
+        records = tuple(
+            (int(item["offset"]), item["data"].encode()) for item in body["records"]
+        )
+        return LogRead(int(body["first"]), int(body["head"]), records)
+
+    async def _append(self, stream: str, data: bytes) -> Offset:
+        answer = await self._http.post(
+            f"{self._url}/streams/{stream}", data=data, timeout=APPEND_TIMEOUT_S
+        )
+        body = await answer.json()
+        if answer.code != 200:
+            raise LogError(f"log answered {answer.code} to an append to {stream!r}")
+        return int(body["offset"])
+
+    def read(self, stream: str, start: Offset) -> Deferred[LogRead]:
+        """Return records of ``stream`` from offset ``start`` on."""
+        return Deferred.fromCoroutine(_typed(self._read(stream, start)))
+
+    def append(self, stream: str, data: bytes) -> Deferred[Offset]:
+        """Append one record and return its offset."""
+        return Deferred.fromCoroutine(_typed(self._append(stream, data)))
+
+
+async def _typed(coroutine: Any) -> Any:
+    """Await ``coroutine``; whatever it raises comes out as ``LogError``."""
+    try:
+        return await coroutine
+    except LogError:
+        raise
+    except Exception as exc:
+        raise LogError(f"log service: {exc!r}") from exc
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/main.py
@@ -0,0 +1,67 @@
+"""Entry point of ``wagtailpaddled``."""
+
+import signal
+from collections.abc import Sequence
+from typing import Any
+
+from twisted.internet import asyncioreactor
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from wagtailpaddle_daemon.logs import get_logger, setup_logs
+from wagtailpaddle_daemon.settings import Settings, parse
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the daemon; return its exit status."""
+    cfg, only_check = parse(argv)
+    if only_check:
+        print("wagtailpaddled: the settings are valid")
+        return 0
+    setup_logs(format=cfg.log_format, level=cfg.log_level)
+    return run(cfg)
+
+
+def run(cfg: Settings) -> int:
+    """Run a daemon until SIGTERM or SIGINT; a second signal ends at once."""
+    asyncioreactor.install()
+    from twisted.internet import reactor as installed
+
+    from wagtailpaddle_daemon.service import Daemon
+
+    reactor: Any = installed
+    log = get_logger("daemon")
+    daemon = Daemon(reactor, cfg)
+    n_signals = 0
+    exit_status = 0
+
+    def fail(failure: Failure) -> None:
+        nonlocal exit_status
+        exit_status = 1
+        log.error("Failed.", error=failure.getErrorMessage())
+        reactor.stop()
+
+    def on_signal(*_: Any) -> None:
+        nonlocal n_signals
+        n_signals += 1
+        if n_signals > 1:
+            reactor.callFromThread(reactor.stop)
+            return
+        reactor.callFromThread(begin_stop)
+
+    def begin_stop() -> None:
+        stopping = Deferred.fromCoroutine(daemon.stop())
+        stopping.addCallbacks(lambda _: reactor.stop(), fail)
+
+    def begin() -> None:
+        Deferred.fromCoroutine(daemon.start()).addErrback(fail)
+
+    reactor.callWhenRunning(begin)
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    reactor.run(installSignalHandlers=False)
+    return exit_status
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/packages/once/src/wagtailpaddle_once/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for idempotency keys."""
--- /dev/null
+++ b/packages/peer/src/wagtailpaddle_peer/__init__.py
@@ -0,0 +1,17 @@
+"""Codec of log records and the gRPC service between daemons."""
+
+from wagtailpaddle_peer.codec import Acknowledged, Failed, MessageError
+from wagtailpaddle_peer.records import RecordError, decode_record, encode_record
+from wagtailpaddle_peer.service import PeerClient, PeerError, PeerServer
+
+__all__ = [
+    "Acknowledged",
+    "Failed",
+    "MessageError",
+    "PeerClient",
+    "PeerError",
+    "PeerServer",
+    "RecordError",
+    "decode_record",
+    "encode_record",
+]
--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/bucket.py
@@ -0,0 +1,43 @@
+"""A token bucket whose time is an argument."""
+
+from wagtailpaddle_core import ensure
+
+
+class TokenBucket:
+    """Tokens that refill at ``rate`` a second up to ``burst``.
+
+    >>> bucket = TokenBucket(rate=2.0, burst=1.0, tokens=1.0, now=0.0)
+    >>> bucket.take(0.0), bucket.take(0.0), bucket.take(0.5)
+    (True, False, True)
+    """
+
+    def __init__(self, *, rate: float, burst: float, tokens: float, now: float):
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(tokens, burst)
+        self._filled_at = now
+
+    def tokens(self, now: float) -> float:
+        """Return the tokens at hand at ``now``."""
+        self._refill(now)
+        return self._tokens
+
+    def take(self, now: float, amount: float = 1.0) -> bool:
+        """Take ``amount`` tokens, or none and return False."""
+        self._refill(now)
+        if self._tokens < amount:
+            return False
+        self._tokens -= amount
+        ensure(self._tokens >= 0, "bucket-not-negative", tokens=self._tokens)
+        return True
+
+    def wait(self, now: float, amount: float = 1.0) -> float:
+        """Return the seconds until ``amount`` tokens are at hand."""
+        self._refill(now)
+        missing = amount - self._tokens
+        return max(0.0, missing / self.rate)
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._filled_at)
+        self._tokens = min(self.burst, self._tokens + elapsed * self.rate)
+        self._filled_at = max(self._filled_at, now)
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/client.py
@@ -0,0 +1,66 @@
+"""A small blocking HTTP client for the demo and for tests of processes."""
+
+import http.client
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+REQUEST_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer as it came over the wire."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+class Client:
+    """One kept connection to an address."""
+
+    def __init__(self, address: str, *, token: str = ""):
+        self._conn = http.client.HTTPConnection(address, timeout=REQUEST_TIMEOUT_S)
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Send one request and return the whole answer."""
+        merged = {**self._headers, **(headers or {})}
+        self._conn.request(method, path, body=body, headers=merged)
+        answer = self._conn.getresponse()
+        lowered = {name.lower(): value for name, value in answer.getheaders()}
+        return Reply(answer.status, lowered, answer.read())
+
+    def send(self, method: str, path: str, value: object) -> Reply:
+        """Send ``value`` as JSON."""
+        return self.request(method, path, json.dumps(value).encode())
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._conn.close()
+
+
+def wait_for(condition: Callable[[], bool], *, timeout_s: float = 15.0) -> bool:
+    """Ask ``condition`` until it is true or time is up; return which."""
+    give_up_at = time.monotonic() + timeout_s
+    while time.monotonic() < give_up_at:
+        try:
+            if condition():
+                return True
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    return False
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/system.py
@@ -0,0 +1,147 @@
+"""A small whole system on loopback: platform, backend servers and daemons."""
+
+from functools import partial
+from typing import Any
+
+from wagtailpaddle_standins.client import Client, wait_for
+from wagtailpaddle_standins.processes import (
+    OPERATOR_TOKEN,
+    DaemonAddress,
+    Processes,
+    free_ports,
+)
+
+ZONES = ("a", "b", "c")
+N_BOOKING = 12
+N_INVENTORY = 10
+
+
+class System:
+    """Separate processes that make up a deployment; use it in a ``with``."""
+
+    def __init__(self, *, n_daemons: int = 3):
+        self.processes = Processes()
+        ports = free_ports(1 + N_BOOKING + N_INVENTORY + 3 * n_daemons)
+        self.log_port = ports.pop()
+        self.servers = {
+            f"booking-{index:02}": ports.pop() for index in range(N_BOOKING)
+        }
+        self.servers.update(
+            {f"inventory-{index:02}": ports.pop() for index in range(N_INVENTORY)}
+        )
+        self.daemons = [
+            DaemonAddress(
+                ZONES[index % len(ZONES)],
+                *(f"127.0.0.1:{ports.pop()}" for _ in range(3)),
+            )
+            for index in range(n_daemons)
+        ]
+
+    def __enter__(self) -> "System":
+        try:
+            self._start()
+        except BaseException:
+            self.processes.stop_all()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.processes.stop_all()
+
+    def _start(self) -> None:
+        self.processes.start(
+            "log", "wagtailpaddle_standins.logservice", [f"--port={self.log_port}"]
+        )
+        servers = [f"--server={name}={port}" for name, port in self.servers.items()]
+        self.processes.start("backends", "wagtailpaddle_standins.backend", servers)
+        self._await(lambda: Client(f"127.0.0.1:{self.log_port}").request("GET", "/vms"))
+        for index, address in enumerate(self.daemons):
+            self.processes.start_daemon(
+                f"daemon-{index}",
+                address,
+                self.log_port,
+                [f"--n-vms={len(self.daemons)}"],
+            )
+        for index in range(len(self.daemons)):
+            self._await(partial(self._probe, index))
+
+    def _probe(self, index: int) -> object:
+        return self.operator(index).request("GET", "/v1/status")
+
+    def _await(self, ask: Any) -> None:
+        if not wait_for(lambda: ask() is not None):
+            raise RuntimeError("a process of the system did not start in time")
+
+    def operator(self, index: int) -> Client:
+        """Return a connection to a daemon's administration API."""
+        return Client(self.daemons[index].admin, token=OPERATOR_TOKEN)
+
+    def caller(self, index: int, secret: str = "") -> Client:
+        """Return a caller's connection to a daemon."""
+        return Client(self.daemons[index].caller, token=secret)
+
+    def revision(self, index: int) -> int:
+        """Return the revision that a daemon has folded."""
+        return self.operator(index).request("GET", "/v1/status").json()["revision"]
+
+    def publish(self, document: dict[str, Any]) -> None:
+        """Publish a base document and wait until every daemon has it."""
+        reply = self.operator(0).send("PUT", "/v1/base", document)
+        if reply.status != 200:
+            raise RuntimeError(f"publish failed: {reply.body!r}")
+        revision = reply.json()["revision"] + 1
+        for index in range(len(self.daemons)):
+            self.wait_for_revision(index, revision)
+
+    def wait_for_revision(self, index: int, revision: int) -> None:
+        """Wait until a daemon has folded up to ``revision``."""
+        if not wait_for(lambda: self.revision(index) >= revision):
+            raise RuntimeError(f"daemon {index} did not reach {revision}")
+
+    def base_document(self) -> dict[str, Any]:
+        """Return the base document of a small deployment."""
+        accounts = {
+            f"account-{index}": {"rate": 300.0, "burst": 300.0} for index in range(8)
+        }
+        return {
+            "accounts": accounts,
+            "services": {
+                name: {"servers": self._server_tables(name)}
+                for name in ("booking", "inventory")
+            },
+            "routes": {
+                "catalogue": {
+                    "path": "/catalogue",
+                    "service": "booking",
+                    "methods": ["GET"],
+                    "idempotent": True,
+                },
+                "book": {
+                    "path": "/deliveries",
+                    "service": "booking",
+                    "methods": ["POST"],
+                },
+                "inventory": {
+                    "path": "/inventory",
+                    "service": "inventory",
+                    "methods": ["GET"],
+                    "idempotent": True,
+                },
+                "claims": {
+                    "path": "/claims",
+                    "service": "inventory",
+                    "methods": ["POST"],
+                },
+            },
+        }
+
+    def _server_tables(self, service: str) -> dict[str, Any]:
+        return {
+            name: {
+                "address": "127.0.0.1",
+                "port": port,
+                "zone": ZONES[index % len(ZONES)],
+            }
+            for index, (name, port) in enumerate(sorted(self.servers.items()))
+            if name.startswith(service)
+        }
