--- a/packages/standins/src/wagtailpaddle_standins/backend.py
+++ b/packages/standins/src/wagtailpaddle_standins/backend.py
@@ -14,15 +14,18 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, name: str, *, delay_s: float = 0.0):
+    def __init__(self, name: str, *, delay_s: float = 0.0, answer_bytes: int = 0):
         super().__init__()
         self._name = name
         self._delay_s = delay_s
+        self._answer = b"x" * answer_bytes
         self._n_served = 0
 
     def render(self, request: Any) -> Any:
         """Answer after the delay."""
         self._n_served += 1
+        if self._answer:
+            return self._answer
         seen = {
             "server": self._name,
             "method": request.method.decode(),
@@ -39,11 +42,11 @@
         if not self._delay_s:
             return body
         loop: Any = reactor
-        call = loop.callLater(self._delay_s, self._answer, request, body)
+        call = loop.callLater(self._delay_s, self._finish, request, body)
         request.notifyFinish().addErrback(lambda _: call.active() and call.cancel())
         return NOT_DONE_YET
 
-    def _answer(self, request: Any, body: bytes) -> None:
+    def _finish(self, request: Any, body: bytes) -> None:
         request.write(body)
         request.finish()
 
@@ -53,11 +56,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--server", action="append", metavar="NAME=PORT")
     parser.add_argument("--delay", type=float, default=0.0, help="seconds")
+    parser.add_argument(
+        "--answer-bytes", type=int, default=0, help="answer so many bytes at once"
+    )
     args = parser.parse_args()
     loop: Any = reactor
     for entry in args.server:
         name, _, port = entry.partition("=")
-        site = Site(Backend(name, delay_s=args.delay))
+        site = Site(Backend(name, delay_s=args.delay, answer_bytes=args.answer_bytes))
         loop.listenTCP(int(port), site, interface="127.0.0.1")
     loop.run()
 
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/forwarders.py
@@ -0,0 +1,65 @@
+"""Bare forwarders, the yardsticks of the bench: no feature, one backend server."""
+
+import argparse
+from collections.abc import Callable
+from typing import Any
+
+import treq
+from klein import Klein
+from twisted.internet import reactor
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+from wagtailpaddle_core import Registry
+
+FORWARDERS: Registry[Callable[[str], Resource]] = Registry("forwarder")
+
+
+@FORWARDERS.register("klein")
+def klein_forwarder(target: str) -> Resource:
+    """Return a klein application that forwards through treq."""
+    app = Klein()
+    pool = HTTPConnectionPool(reactor)
+    client = treq.client.HTTPClient(Agent(reactor, pool=pool))
+
+    @app.route("/", branch=True)
+    async def forward(request: Any) -> bytes:
+        answer = await client.get(target + request.uri.decode())
+        request.setResponseCode(answer.code)
+        return await answer.content()
+
+    return app.resource()
+
+
+@FORWARDERS.register("web")
+def web_forwarder(target: str) -> Resource:
+    """Return a plain resource that forwards through a pooled agent."""
+    agent = Agent(reactor, pool=HTTPConnectionPool(reactor))
+
+    class Forward(Resource):
+        isLeaf = True  # noqa: N815
+
+        def render_GET(self, request: Any) -> Any:  # noqa: N802
+            sent = agent.request(b"GET", target.encode() + request.uri)
+            sent.addCallback(readBody)
+            sent.addCallback(lambda body: (request.write(body), request.finish()))
+            return NOT_DONE_YET
+
+    return Forward()
+
+
+def main() -> None:
+    """Serve until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--kind", choices=FORWARDERS.names(), required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--target", required=True, help="base URL")
+    args = parser.parse_args()
+    loop: Any = reactor
+    site = Site(FORWARDERS[args.kind](args.target))
+    loop.listenTCP(args.port, site, interface="127.0.0.1")
+    loop.run()
+
+
+if __name__ == "__main__":
+    main()
