--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -0,0 +1,203 @@
+"""Records, peer messages, actions and decisions of the rate limits.
+
+A ``VmId`` in this package names one incarnation of a process: a restarted
+process has another one. Tokens are requests; times are seconds.
+"""
+
+from dataclasses import dataclass
+
+from wagtailpaddle_core import AccountId, Offset, VmId
+
+NEVER: Offset = -1
+"""The revision of a share that no record has changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """The rate (requests/s) and burst (requests) of a client account.
+
+    ``changed_at`` is when this VM learned the limit on its own clock.
+    ``previous_burst`` is the burst before a change that some fresh VM may not
+    know yet, and None once every fresh VM knows the present one.
+    """
+
+    rate: float
+    burst: float
+    changed_at: float = float("-inf")
+    previous_burst: float | None = None
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ShareId:
+    """One of the equal parts of the allowance of a group of accounts."""
+
+    group: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShareChange:
+    """Give a share to ``holder``; an empty holder releases it.
+
+    Void unless ``expected`` is the offset of the share's last change.
+    """
+
+    share: ShareId
+    expected: Offset
+    holder: VmId
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeShares:
+    """Record of the ``shares`` stream: several changes, each judged alone."""
+
+    id: str
+    vm: VmId
+    changes: tuple[ShareChange, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ShareEntry:
+    """Who holds a share, and the offset of its last change."""
+
+    share: ShareId
+    holder: VmId
+    revision: Offset
+
+
+@dataclass(frozen=True, slots=True)
+class ShareSnapshot:
+    """Record of the ``shares`` stream: a part of the state at one offset.
+
+    The state holds every record before ``next_offset``.
+    """
+
+    id: str
+    next_offset: Offset
+    part: int
+    n_parts: int
+    entries: tuple[ShareEntry, ...]
+
+
+ShareRecord = ChangeShares | ShareSnapshot
+
+
+@dataclass(frozen=True, slots=True)
+class Borrow:
+    """Ask a holder for tokens, renew those held, or give some back.
+
+    ``held`` is what the sender still holds of the lender's tokens, without
+    ``returned``, which the sender has already debited. ``sequence`` rises with
+    each message of one sender; the sender ignores answers to older ones.
+    """
+
+    account: AccountId
+    sequence: int
+    held: float
+    returned: float
+    wanted: float
+
+
+@dataclass(frozen=True, slots=True)
+class Lent:
+    """Answer to ``Borrow``: ``granted`` tokens, already debited.
+
+    ``renewed`` says that the tokens held may be kept for another term.
+    """
+
+    account: AccountId
+    sequence: int
+    granted: float
+    renewed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BucketState:
+    """The tokens of one client account in a share, and those lent out."""
+
+    account: AccountId
+    tokens: float
+    lent: float
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Pass a share on to ``receiver``; the sender has stopped using it.
+
+    Accounts not in ``buckets`` start empty. ``hop`` counts hand-overs since
+    the last record, so a repeated message is told from a new one.
+    """
+
+    share: ShareId
+    receiver: VmId
+    revision: Offset
+    hop: int
+    buckets: tuple[BucketState, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverTaken:
+    """Answer to ``HandOver``; ``taken`` is False if the receiver declined."""
+
+    share: ShareId
+    taken: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AskFolded:
+    """Ask how far the receiver has folded the ``shares`` stream."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Folded:
+    """Answer to ``AskFolded``: every record before ``next_offset`` is folded."""
+
+    sequence: int
+    next_offset: Offset
+
+
+QuotaMessage = Borrow | HandOver | AskFolded
+QuotaReply = Lent | HandOverTaken | Folded
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRecord:
+    """Append ``record`` to ``stream`` of the log."""
+
+    stream: str
+    record: ShareRecord
+
+
+@dataclass(frozen=True, slots=True)
+class SendPeer:
+    """Call ``vm`` with ``message`` and report its reply or the failure."""
+
+    vm: VmId
+    message: QuotaMessage
+
+
+QuotaAction = AppendRecord | SendPeer
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """One token was taken: the request may run."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitUntil:
+    """No token yet: call ``take`` again at ``at``."""
+
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """No token in time; the caller may try again after ``retry_after_s``."""
+
+    retry_after_s: float
+
+
+Decision = Granted | WaitUntil | Refused
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure_state/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the state that the fleet keeps together."""
