health: set down messages, book signatures and the measure registry

Cause: other packages need the public interface of the health package before its decisions are written. Change: messages for opinions, events, overdue attempts; HealthBook signatures with the present consecutive-failures decision behind them; registry and command of the measures.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 codec: environment
 	cd packages/peer/src && $(abspath $(BIN))/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --plugin=protoc-gen-grpclib_python=$(abspath $(BIN))/protoc-gen-grpclib_python --grpclib_python_out=. wagtailpaddle_peer/peer.proto
+
+measure: environment
+	$(BIN)/python -m wagtailpaddle_standins.measure
--- a/packages/health/src/wagtailpaddle_health/__init__.py
+++ b/packages/health/src/wagtailpaddle_health/__init__.py
@@ -3,7 +3,10 @@
 from wagtailpaddle_health.book import HealthBook
 from wagtailpaddle_health.messages import (
     HealthDigest,
+    HealthEvent,
+    HealthEventKind,
     Observation,
+    Opinion,
     Pool,
     PoolServer,
     ServerDigest,
@@ -11,15 +14,20 @@
     ServerState,
     Verdict,
 )
+from wagtailpaddle_health.watchers import watchers
 
 __all__ = [
     "HealthBook",
     "HealthDigest",
+    "HealthEvent",
+    "HealthEventKind",
     "Observation",
+    "Opinion",
     "Pool",
     "PoolServer",
     "ServerDigest",
     "ServerHealth",
     "ServerState",
     "Verdict",
+    "watchers",
 ]
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -14,6 +14,7 @@
     RequestId,
     ServerId,
     ServiceId,
+    VmId,
     WagtailError,
 )
 from wagtailpaddle_fleet import Freshness
@@ -62,7 +63,7 @@
     def __init__(self, *, site: str, n_vms: int = 1, seed: int = 0):
         self.fold = ConfigFold(site=site)
         self.freshness = Freshness()
-        self.health = HealthBook()
+        self.health = HealthBook(VmId(f"{site}-vm"), seed=seed)
         self.dispatcher = Dispatcher(seed=seed)
         self.draining = False
         self._n_vms = n_vms
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/__main__.py
@@ -0,0 +1,41 @@
+"""Runs registered measures and prints their reports."""
+
+import argparse
+import importlib
+import pkgutil
+import time
+from collections.abc import Sequence
+
+import wagtailpaddle_standins.measure as package
+from wagtailpaddle_standins.measure.registry import MEASURES
+
+
+def load_measures() -> None:
+    """Import every module of this package, so that each files its measures."""
+    for module in pkgutil.iter_modules(package.__path__):
+        if module.name != "__main__":
+            importlib.import_module(f"{package.__name__}.{module.name}")
+
+
+def parse(argv: Sequence[str] | None) -> argparse.Namespace:
+    """Return the names and the seed of the command line."""
+    parser = argparse.ArgumentParser(prog="wagtailpaddle_standins.measure")
+    parser.add_argument("names", nargs="*", help="measures to run; default all")
+    parser.add_argument("--seed", type=int, default=1, help="seed of every measure")
+    return parser.parse_args(argv)
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Run the measures that the command line names."""
+    load_measures()
+    args = parse(argv)
+    for name in args.names or MEASURES.names():
+        started_at = time.monotonic()
+        print(f"== {name} (seed {args.seed})", flush=True)
+        for line in MEASURES[name](args.seed):
+            print(line, flush=True)
+        print(f"-- {name} took {time.monotonic() - started_at:.1f} s", flush=True)
+
+
+if __name__ == "__main__":
+    main()
