--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/histogram.py
@@ -0,0 +1,137 @@
+"""Latency histograms of fixed size."""
+
+import struct
+from array import array
+from bisect import bisect_left
+from collections import Counter
+from dataclasses import dataclass
+from itertools import accumulate
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 100
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 1
+HIGHEST_COUNT = 64
+US_PER_S = 1_000_000
+MAX_RECENT = 256
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """What a histogram holds, in the unit of its values (seconds or counts).
+
+    Quantiles carry the error of the histogram's buckets, at most 1/16.
+    """
+
+    n: int
+    mean: float
+    p50: float
+    p90: float
+    p99: float
+    max: float
+
+
+class Histogram:
+    """Counts of values in buckets of about 6 % width, in a few KB.
+
+    New values wait in a short array and move to the HdrHistogram in batches,
+    grouped by bucket, which costs less per value.
+
+    >>> histogram = Histogram.of_seconds()
+    >>> histogram.record(0.02)
+    >>> histogram.summary().n
+    1
+    """
+
+    __slots__ = ("_hdr", "_highest", "_recent", "_scale", "_total")
+
+    def __init__(self, lowest: int, highest: int, scale: int):
+        self._hdr = HdrHistogram(lowest, highest, SIGNIFICANT_DIGITS)
+        self._highest = highest
+        self._scale = scale
+        self._recent = array("d")
+        self._total = 0.0
+
+    @classmethod
+    def of_seconds(cls) -> "Histogram":
+        """Return a histogram of seconds from 0.1 ms to 60 s."""
+        return cls(LOWEST_US, HIGHEST_US, US_PER_S)
+
+    @classmethod
+    def of_counts(cls) -> "Histogram":
+        """Return a histogram of whole numbers from 0 to 64."""
+        return cls(1, HIGHEST_COUNT, 1)
+
+    @property
+    def n(self) -> int:
+        """How many values were recorded."""
+        return self._hdr.total_count + len(self._recent)
+
+    @property
+    def total(self) -> float:
+        """The sum of the values."""
+        return self._total + sum(self._recent)
+
+    def record(self, value: float) -> None:
+        """Count ``value``; one beyond the range counts at its end."""
+        self._recent.append(value)
+        if len(self._recent) >= MAX_RECENT:
+            self._drain()
+
+    def add(self, other: "Histogram") -> None:
+        """Count the values of a histogram of the same kind as well."""
+        self._drain()
+        other._drain()
+        self._hdr.add(other._hdr)
+        self._total += other._total
+
+    def counts_up_to(self, bounds: tuple[float, ...]) -> list[int]:
+        """Return for each rising bound how many values lie at or below it."""
+        running = self._running()
+        scaled = (min(int(bound * self._scale), self._highest) for bound in bounds)
+        return [running[self._hdr.get_counts_array_index(value)] for value in scaled]
+
+    def summary(self) -> Summary:
+        """Return count, mean and quantiles; zeros if nothing was recorded."""
+        n = self.n
+        if not n:
+            return Summary(0, 0.0, 0.0, 0.0, 0.0, 0.0)
+        running = self._running()
+        return Summary(
+            n,
+            self.total / n,
+            self._quantile(running, 0.5),
+            self._quantile(running, 0.9),
+            self._quantile(running, 0.99),
+            self._hdr.get_max_value() / self._scale,
+        )
+
+    def _drain(self) -> None:
+        scaled = [value * self._scale for value in self._recent]
+        for bucket, count in Counter(_buckets(scaled)).items():
+            value = min(max(0.0, _lower_bound(bucket)), self._highest)
+            self._hdr.record_value(int(value), count)
+        self._total += sum(self._recent)
+        del self._recent[:]
+
+    def _running(self) -> list[int]:
+        self._drain()
+        return list(accumulate(self._hdr.counts))
+
+    def _quantile(self, running: list[int], fraction: float) -> float:
+        index = bisect_left(running, fraction * running[-1])
+        lowest = self._hdr.get_value_from_index(index)
+        value = self._hdr.get_highest_equivalent_value(lowest)
+        return min(value, self._hdr.get_max_value()) / self._scale
+
+
+def _buckets(values: list[float]) -> tuple[int, ...]:
+    """Return the upper 16 bits of each value, which hold 16 steps per octave."""
+    packed = struct.pack(f"<{len(values)}d", *values)
+    return struct.unpack(f"<{4 * len(values)}H", packed)[3::4]
+
+
+def _lower_bound(bucket: int) -> float:
+    bound: float = struct.unpack("<d", struct.pack("<Q", bucket << 48))[0]
+    return bound
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/metrics.py
@@ -0,0 +1,261 @@
+"""Histograms and counters of one daemon, in bounded memory."""
+
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Generic, NamedTuple, TypeVar
+
+from wagtailpaddle_core import AccountId, ErrorKind, RouteId, ServerId, ServiceId
+from wagtailpaddle_routing import AttemptOutcome
+
+from wagtailpaddle_daemon.histogram import Histogram, Summary
+
+MAX_ACCOUNTS = 128
+MAX_ROUTES = 128
+MAX_SERVERS = 256
+MAX_PENDING = 512
+OTHER = "(other)"
+NO_NAME = "(none)"
+ANSWERED = "answered"
+
+
+class Series:
+    """What is kept of one client account or route."""
+
+    __slots__ = ("attempts", "latency", "outcomes", "queue_wait")
+
+    def __init__(self) -> None:
+        self.latency = Histogram.of_seconds()
+        self.queue_wait = Histogram.of_seconds()
+        self.attempts = Histogram.of_counts()
+        self.outcomes: Counter[str] = Counter()
+
+    def add(self, other: "Series") -> None:
+        """Add what another series holds."""
+        self.latency.add(other.latency)
+        self.queue_wait.add(other.queue_wait)
+        self.attempts.add(other.attempts)
+        self.outcomes.update(other.outcomes)
+
+
+class ServerSeries:
+    """What is kept of one backend server."""
+
+    __slots__ = ("latency", "outcomes")
+
+    def __init__(self) -> None:
+        self.latency = Histogram.of_seconds()
+        self.outcomes: Counter[str] = Counter()
+
+    def add(self, other: "ServerSeries") -> None:
+        """Add what another series holds."""
+        self.latency.add(other.latency)
+        self.outcomes.update(other.outcomes)
+
+
+S = TypeVar("S", Series, ServerSeries)
+
+
+class SeriesTable(Generic[S]):
+    """Series by name; the least recently used is folded into ``(other)``."""
+
+    def __init__(self, make: Callable[[], S], *, max_series: int):
+        self._make = make
+        self._max_series = max_series
+        self._series: OrderedDict[str, S] = OrderedDict()
+        self._other: S | None = None
+
+    def __len__(self) -> int:
+        return len(self._series)
+
+    def get(self, name: str) -> S:
+        """Return the series called ``name``, a new one if need be."""
+        series = self._series.get(name)
+        if series is not None:
+            self._series.move_to_end(name)
+            return series
+        if len(self._series) >= self._max_series:
+            _, oldest = self._series.popitem(last=False)
+            self._fold(oldest)
+        series = self._series[name] = self._make()
+        return series
+
+    def items(self) -> Iterator[tuple[str, S]]:
+        """Yield names and series in order of name, ``(other)`` last."""
+        yield from sorted(self._series.items())
+        if self._other is not None:
+            yield OTHER, self._other
+
+    def _fold(self, series: S) -> None:
+        if self._other is None:
+            self._other = self._make()
+        self._other.add(series)
+
+
+@dataclass(frozen=True, slots=True)
+class SeriesView:
+    """A series at one moment; latencies and waits in seconds."""
+
+    name: str
+    latency: Summary
+    queue_wait: Summary
+    attempts: Summary
+    outcomes: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerView:
+    """The series of a server at one moment; latencies in seconds."""
+
+    name: str
+    latency: Summary
+    outcomes: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsView:
+    """Everything that a daemon counted since its start."""
+
+    accounts: tuple[SeriesView, ...]
+    routes: tuple[SeriesView, ...]
+    servers: tuple[ServerView, ...]
+    refusals: dict[str, int]
+
+
+class _Request(NamedTuple):
+    account: str
+    route: str
+    latency_s: float
+    outcome: ErrorKind | None
+    n_attempts: int
+
+
+class _Wait(NamedTuple):
+    account: str
+    route: str
+    wait_s: float
+
+
+class _Attempt(NamedTuple):
+    service: ServiceId
+    server: ServerId
+    latency_s: float
+    outcome: AttemptOutcome
+
+
+class Metrics:
+    """Takes in what the gateway measures.
+
+    Samples wait in a short list, because counting them takes longer than a
+    request should wait for; ``flush`` counts them. It is meant for the tick
+    and runs by itself when the list is full.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_accounts: int = MAX_ACCOUNTS,
+        max_routes: int = MAX_ROUTES,
+        max_servers: int = MAX_SERVERS,
+    ):
+        self.accounts = SeriesTable(Series, max_series=max_accounts)
+        self.routes = SeriesTable(Series, max_series=max_routes)
+        self.servers = SeriesTable(ServerSeries, max_series=max_servers)
+        self.refusals: Counter[str] = Counter()
+        self._pending: list[_Request | _Wait | _Attempt] = []
+
+    def request_done(
+        self,
+        now: float,
+        account: AccountId | None,
+        route: RouteId | None,
+        latency_s: float,
+        outcome: ErrorKind | None,
+        *,
+        n_attempts: int = 1,
+    ) -> None:
+        """A request was answered (``outcome`` None) or refused.
+
+        ``account`` and ``route`` are None where none was found.
+        """
+        self._take(
+            _Request(
+                account or NO_NAME, route or NO_NAME, latency_s, outcome, n_attempts
+            )
+        )
+
+    def queue_wait(
+        self, now: float, account: AccountId, route: RouteId, wait_s: float
+    ) -> None:
+        """A request left the queue after ``wait_s`` seconds."""
+        self._take(_Wait(account, route, wait_s))
+
+    def attempt_done(
+        self,
+        now: float,
+        service: ServiceId,
+        server: ServerId,
+        latency_s: float,
+        outcome: AttemptOutcome,
+    ) -> None:
+        """An attempt at a backend server ended."""
+        self._take(_Attempt(service, server, latency_s, outcome))
+
+    def flush(self) -> None:
+        """Count every sample that waits."""
+        pending, self._pending = self._pending, []
+        for sample in pending:
+            match sample:
+                case _Request():
+                    self._count_request(sample)
+                case _Wait():
+                    self.accounts.get(sample.account).queue_wait.record(sample.wait_s)
+                    self.routes.get(sample.route).queue_wait.record(sample.wait_s)
+                case _Attempt():
+                    self._count_attempt(sample)
+
+    def view(self) -> MetricsView:
+        """Return everything that was counted, as frozen objects."""
+        self.flush()
+        return MetricsView(
+            tuple(_view(name, series) for name, series in self.accounts.items()),
+            tuple(_view(name, series) for name, series in self.routes.items()),
+            tuple(
+                ServerView(name, series.latency.summary(), dict(series.outcomes))
+                for name, series in self.servers.items()
+            ),
+            dict(self.refusals),
+        )
+
+    def _take(self, sample: _Request | _Wait | _Attempt) -> None:
+        self._pending.append(sample)
+        if len(self._pending) >= MAX_PENDING:
+            self.flush()
+
+    def _count_request(self, sample: _Request) -> None:
+        name = ANSWERED if sample.outcome is None else sample.outcome.value
+        if sample.outcome is not None:
+            self.refusals[name] += 1
+        for series in (
+            self.accounts.get(sample.account),
+            self.routes.get(sample.route),
+        ):
+            series.outcomes[name] += 1
+            if sample.outcome is None:
+                series.latency.record(sample.latency_s)
+                series.attempts.record(sample.n_attempts)
+
+    def _count_attempt(self, sample: _Attempt) -> None:
+        series = self.servers.get(f"{sample.service}/{sample.server}")
+        series.latency.record(sample.latency_s)
+        series.outcomes[sample.outcome.value] += 1
+
+
+def _view(name: str, series: Series) -> SeriesView:
+    return SeriesView(
+        name,
+        series.latency.summary(),
+        series.queue_wait.summary(),
+        series.attempts.summary(),
+        dict(series.outcomes),
+    )
