Make the data path hold against bad callers and bad servers

Cause: the first path passed on a server's header bomb whole, could not close a caller's connection within a cut answer (it called a method that the channel does not have), looked for the key in one encoding only, and ran its timers by the wall clock. The tests of this commit showed the first two; the others came from reading.

Change: keys are found plain, percent-encoded, in base64 at any alignment and in hexadecimal, and refused where they cannot be cut out; answers with another request's id, surplus bytes or oversized headers end the connection to the server; large answers are paced by the caller; bodies, connections and the time in which a request arrives are bounded; time comes from CLOCK_BOOTTIME. Stand-in servers get faults by name, for a server or for one request.

Ruled out: scrubbing a key from a body, since the server would then run a request that nobody sent; such a request is refused.

Conclusion: kept; a server's second answer that arrives late, without a request id, can still not be told apart, which HTTP/1.1 does not allow for.

--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -1,10 +1,11 @@
 """The gateway: carries out the node's actions on callers and servers."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
+from twisted.web.http import NO_BODY_CODES
 from wagtailpaddle_core import ErrorKind, RequestId
 from wagtailpaddle_node import Node, RequestHead
 from wagtailpaddle_routing import (
@@ -17,18 +18,21 @@
     Refuse,
 )
 
-from wagtailpaddle_daemon.headers import forwardable
+from wagtailpaddle_daemon.headers import end_to_end
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.upstream import (
     AnswerHead,
     BodyReader,
     Outgoing,
     Upstream,
-    answer_headers,
     classify,
+    is_oversized,
+    list_headers,
+    read_head,
 )
 
 ANSWER_BUFFER_BYTES = 65536
+REQUEST_ID_HEADER = b"X-Request-Id"
 
 log = get_logger("gateway")
 
@@ -39,6 +43,9 @@
     def begin(self, head: AnswerHead) -> None:
         """Send the status line and the headers."""
 
+    def follow(self, producer: Any) -> None:
+        """Pace ``producer`` by what the caller takes."""
+
     def write(self, data: bytes) -> None:
         """Send a piece of the body."""
 
@@ -146,14 +153,15 @@
         )
         if exchange is not None:
             exchange.reader = reader
-            exchange.head = AnswerHead(
-                response.code,
-                response.phrase,
-                tuple(forwardable(answer_headers(response.headers), None)),
-            )
+            headers = tuple(end_to_end(list_headers(response.headers)))
+            exchange.head = read_head(response, headers)
         response.deliverBody(reader)
         if exchange is None:
             reader.abort()
+        elif is_crossed(exchange.out, response.headers) or is_oversized(headers):
+            log.warning("Answer is crossed or oversized.", request=request)
+            reader.abort()
+            self._finish(request, exchange, AttemptOutcome.FAILED)
 
     def _body(self, request: RequestId, attempt: int, data: bytes) -> None:
         exchange = self._current(request, attempt)
@@ -171,6 +179,8 @@
         assert exchange.head is not None
         exchange.committed = True
         exchange.caller.begin(exchange.head)
+        if exchange.reader is not None and exchange.reader.transport is not None:
+            exchange.caller.follow(exchange.reader.transport)
         exchange.caller.write(b"".join(exchange.buffer))
         exchange.buffer = []
 
@@ -224,8 +234,14 @@
         exchange = self._drop(request)
         if not exchange.committed:
             assert exchange.head is not None
-            exchange.caller.begin(exchange.head)
-            exchange.caller.write(b"".join(exchange.buffer))
+            body = b"".join(exchange.buffer)
+            head = exchange.head
+            if head.status in NO_BODY_CODES:
+                head = replace(head, length=None)
+            elif exchange.out.method != b"HEAD":
+                head = replace(head, length=len(body))
+            exchange.caller.begin(head)
+            exchange.caller.write(body)
         exchange.caller.end()
 
     def _refuse(self, action: Refuse) -> None:
@@ -257,3 +273,12 @@
 
     def _drop(self, request: RequestId) -> _Exchange:
         return self._exchanges.pop(request)
+
+
+def is_crossed(out: Outgoing, headers: Any) -> bool:
+    """Return whether an answer names another request than the one sent."""
+    echoed = headers.getRawHeaders(REQUEST_ID_HEADER)
+    if not echoed:
+        return False
+    sent = [value for name, value in out.headers if name == REQUEST_ID_HEADER]
+    return bool(sent) and echoed[0] != sent[0]
--- a/packages/daemon/src/wagtailpaddle_daemon/headers.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/headers.py
@@ -1,7 +1,8 @@
 """Headers between caller and backend server: what is passed on."""
 
 from collections.abc import Iterable, Iterator
-from urllib.parse import unquote_to_bytes
+
+from wagtailpaddle_daemon.secrets import KeyFilter
 
 HOP_BY_HOP = frozenset(
     {
@@ -16,6 +17,7 @@
         b"upgrade",
     }
 )
+AUTHORIZATION = b"authorization"
 
 Header = tuple[bytes, bytes]
 
@@ -30,31 +32,36 @@
     return key.strip()
 
 
-def forwardable(headers: Iterable[Header], key: bytes | None) -> Iterator[Header]:
-    """Yield the headers to pass on: no hop-by-hop ones, none with the key."""
+def end_to_end(headers: Iterable[Header]) -> Iterator[Header]:
+    """Yield the headers that are not for the next hop only."""
     listed = list(headers)
-    dropped = set(HOP_BY_HOP)
+    dropped = HOP_BY_HOP
     for name, value in listed:
         if name.lower() == b"connection":
-            dropped.update(part.strip().lower() for part in value.split(b","))
+            named = {part.strip().lower() for part in value.split(b",")}
+            dropped = dropped | named
     for name, value in listed:
-        lowered = name.lower()
-        if lowered in dropped or lowered == b"authorization":
-            continue
-        if key is not None and holds_key(value, key):
+        if name.lower() not in dropped:
+            yield name, value
+
+
+def without_key(headers: Iterable[Header], keys: KeyFilter) -> Iterator[Header]:
+    """Yield the headers that carry no key; a cookie loses only the parts that do."""
+    for name, value in headers:
+        if name.lower() == AUTHORIZATION or keys.found_in(name):
             continue
-        yield name, value
+        if not keys.found_in(value):
+            yield name, value
+        elif name.lower() == b"cookie":
+            kept = keys.without(value, b";").strip()
+            if kept:
+                yield name, kept
 
 
-def strip_query(uri: bytes, key: bytes | None) -> bytes:
-    """Return ``uri`` without the query fields that hold the key."""
+def query_without_key(uri: bytes, keys: KeyFilter) -> bytes:
+    """Return ``uri`` without the query fields that carry a key."""
     path, mark, query = uri.partition(b"?")
-    if not mark or key is None:
+    if not mark or not keys.found_in(query):
         return uri
-    kept = [field for field in query.split(b"&") if not holds_key(field, key)]
-    return path + b"?" + b"&".join(kept) if kept else path
-
-
-def holds_key(value: bytes, key: bytes) -> bool:
-    """Return whether ``value`` holds the key, plain or percent-encoded."""
-    return key in value or key in unquote_to_bytes(value)
+    kept = keys.without(query, b"&")
+    return path + b"?" + kept if kept else path
--- a/packages/daemon/src/wagtailpaddle_daemon/loop.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/loop.py
@@ -11,6 +11,8 @@
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 from twisted.internet.main import installReactor
 
+from wagtailpaddle_daemon.clock import now
+
 
 class Flusher:
     """Collects the transports that were written to within one read event."""
@@ -94,6 +96,10 @@
         super().__init__()
         self.flusher = Flusher()
 
+    def seconds(self) -> float:
+        """Return the daemon's time; the wall clock would jump when it is set."""
+        return now()
+
     def listenTCP(  # noqa: N802
         self, port: int, factory: Any, backlog: int = 50, interface: str = ""
     ) -> Any:
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/secrets.py
@@ -0,0 +1,77 @@
+"""Detection of callers' keys in bytes on their way to a backend server."""
+
+import re
+from base64 import b64encode
+from urllib.parse import unquote_to_bytes
+
+KEY_PATTERN = re.compile(rb"wp_[A-Za-z0-9_-]{43}")
+MAX_UNQUOTE_ROUNDS = 3
+
+
+class KeyFilter:
+    """Finds the key of one request, plain or encoded.
+
+    Looks for the key itself, for percent-encoded, base64 and hexadecimal forms
+    of it, and for anything that has the form of an issued key.
+
+    >>> KeyFilter(b"secret").found_in(b"a=sec%72et")
+    True
+    """
+
+    __slots__ = ("_folded", "_forms")
+
+    def __init__(self, key: bytes | None):
+        self._forms: tuple[bytes, ...] = ()
+        self._folded: tuple[bytes, ...] = ()
+        if key is not None:
+            self._forms = (key, *base64_cores(key))
+            self._folded = (key.hex().encode(),)
+
+    def found_in(self, data: bytes) -> bool:
+        """Return whether ``data`` carries a key."""
+        if self._plain(data):
+            return True
+        for _ in range(MAX_UNQUOTE_ROUNDS):
+            if b"%" not in data:
+                return False
+            data = unquote_to_bytes(data)
+            if self._plain(data):
+                return True
+        return False
+
+    def without(self, data: bytes, separator: bytes) -> bytes:
+        """Return ``data`` without the parts between separators that carry a key.
+
+        Empty if a key runs across separators.
+        """
+        parts = data.split(separator)
+        kept = separator.join(part for part in parts if not self.found_in(part))
+        return b"" if self.found_in(kept) else kept
+
+    def _plain(self, data: bytes) -> bool:
+        for form in self._forms:
+            if form in data:
+                return True
+        if b"wp_" in data and KEY_PATTERN.search(data):
+            return True
+        if not self._folded or len(data) < len(self._folded[0]):
+            return False
+        lowered = data.lower()
+        return any(form in lowered for form in self._folded)
+
+
+def base64_cores(key: bytes) -> tuple[bytes, ...]:
+    """Return the text that base64 of anything around ``key`` must contain.
+
+    There are three alignments and two alphabets. The characters at both ends
+    depend on the neighbours of the key and are left out.
+    """
+    cores = set()
+    for n_before in range(3):
+        encoded = b64encode(b"\0" * n_before + key).rstrip(b"=")
+        begin = -(-8 * n_before // 6)
+        end = 8 * (n_before + len(key)) // 6
+        core = encoded[begin:end]
+        cores.add(core)
+        cores.add(core.translate(bytes.maketrans(b"+/", b"-_")))
+    return tuple(sorted(core for core in cores if len(core) >= 8))
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -1,6 +1,7 @@
 """The daemon: wires the node to the network and the clock."""
 
 import asyncio
+import json
 from typing import Any
 from uuid import uuid4
 
@@ -19,7 +20,7 @@
 )
 
 from wagtailpaddle_daemon.admin import Admin
-from wagtailpaddle_daemon.front import FrontFactory
+from wagtailpaddle_daemon.front import FrontFactory, Limits
 from wagtailpaddle_daemon.gateway import Gateway
 from wagtailpaddle_daemon.logclient import LOG_ADAPTERS, LogError
 from wagtailpaddle_daemon.logs import get_logger
@@ -50,8 +51,11 @@
 
     async def start(self) -> None:
         """Listen and begin to follow the log."""
-        front = FrontFactory(self.gateway, max_body_bytes=self.cfg.max_body_bytes)
-        await self._listen(self.cfg.caller_address, front)
+        limits = Limits(body_bytes=self.cfg.max_body_bytes)
+        self._front = FrontFactory(
+            self._reactor, self.gateway, self._directory, limits=limits
+        )
+        await self._listen(self.cfg.caller_address, self._front)
         await self._listen(self.cfg.admin_address, Site(Admin(self).app.resource()))
         host, port = split_address(self.cfg.peer_address)
         await as_deferred(self._peers.start(host, port))
@@ -63,6 +67,8 @@
         """Finish what is in flight, then close everything."""
         log.info("Draining.", in_flight=self.gateway.n_in_flight)
         self.node.draining = True
+        self._front.draining = True
+        self._front.close_idle()
         give_up_at = self._reactor.seconds() + self.cfg.drain_s
         while self.gateway.n_in_flight and self._reactor.seconds() < give_up_at:
             await sleep(self._reactor, DRAIN_POLL_S)
@@ -88,7 +94,13 @@
         )
 
     def _tick(self) -> None:
-        self.gateway.carry_out(self.node.on_tick(self._reactor.seconds()))
+        now = self._reactor.seconds()
+        self.gateway.carry_out(self.node.on_tick(now))
+        self._front.close_slow(now)
+
+    def _directory(self, key_hash: str | None, zone: str | None) -> bytes:
+        document = {"addresses": [self.cfg.caller_address], "keep_s": 10.0}
+        return json.dumps(document).encode()
 
     def _poll_log(self) -> Deferred[None]:
         return Deferred.fromCoroutine(self.catch_up())
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -9,28 +9,32 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
+from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
 from twisted.web.client import (
     Agent,
     HTTPConnectionPool,
     RequestNotSent,
     ResponseDone,
+    _HTTP11ClientFactory,
 )
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory
+from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory
 from wagtailpaddle_routing import AttemptOutcome
 from zope.interface import implementer
 
 from wagtailpaddle_daemon.headers import Header
 
 CONNECT_TIMEOUT_S = 1.0
-IDLE_CONNECTIONS = 8
-IDLE_S = 30.0
+IDLE_CONNECTIONS = 16
+SAFE_IDLE_S = 30.0
+UNSAFE_IDLE_S = 1.0
+MAX_ANSWER_HEAD_BYTES = 65536
+MAX_ANSWER_HEADERS = 100
+SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
 NOT_SENT_ERRORS = (
     error.ConnectError,
-    error.ConnectionRefusedError,
-    error.TCPTimedOutError,
-    error.NoRouteError,
+    error.TimeoutError,
     error.DNSLookupError,
     RequestNotSent,
 )
@@ -48,24 +52,28 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and headers of a backend server's answer."""
+    """Status and headers of a backend server's answer.
+
+    ``length`` is the number of bytes of the body that were announced, or None.
+    """
 
     status: int
     phrase: bytes
     headers: tuple[Header, ...]
+    length: int | None
 
 
 class Upstream:
-    """Sends attempts over pooled connections that are never retried unseen."""
+    """Sends attempts over pooled connections that are never retried unseen.
+
+    Requests that must not run twice use connections that were idle for a short
+    time only, so that they seldom meet one that the server is just closing.
+    """
 
     def __init__(self, reactor: Any):
-        pool = HTTPConnectionPool(reactor)
-        pool.retryAutomatically = False
-        pool.maxPersistentPerHost = IDLE_CONNECTIONS
-        pool.cachedConnectionTimeout = IDLE_S
-        self._agent = Agent.usingEndpointFactory(
-            reactor, _EndpointFactory(reactor), pool=pool
-        )
+        endpoints = _EndpointFactory(reactor)
+        self._safe = make_agent(reactor, endpoints, idle_s=SAFE_IDLE_S)
+        self._unsafe = make_agent(reactor, endpoints, idle_s=UNSAFE_IDLE_S)
 
     def send(self, address: str, port: int, out: Outgoing) -> Deferred[Any]:
         """Return the response to ``out``; cancelling closes the connection."""
@@ -74,7 +82,52 @@
             headers.addRawHeader(name, value)
         uri = b"http://%s:%d%s" % (address.encode(), port, out.uri)
         producer = _Body(out.body) if out.body else None
-        return self._agent.request(out.method, uri, headers, producer)
+        agent = self._safe if out.method in SAFE_METHODS else self._unsafe
+        return agent.request(out.method, uri, headers, producer)
+
+
+def make_agent(reactor: Any, endpoints: "_EndpointFactory", *, idle_s: float) -> Agent:
+    """Return an agent that keeps idle connections for ``idle_s`` seconds."""
+    pool = HTTPConnectionPool(reactor)
+    pool._factory = _ClientFactory
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = IDLE_CONNECTIONS
+    pool.cachedConnectionTimeout = idle_s
+    return Agent.usingEndpointFactory(reactor, endpoints, pool=pool)
+
+
+class _ClientProtocol(HTTP11ClientProtocol):
+    """A connection that bounds headers and trusts no surplus bytes.
+
+    It is not used again if more than one answer came.
+    """
+
+    _n_head_bytes = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        super().dataReceived(data)
+        if self._parser is None or self._parser.state not in (STATUS, HEADER):
+            self._n_head_bytes = 0
+            return
+        self._n_head_bytes += len(data)
+        if self._n_head_bytes > MAX_ANSWER_HEAD_BYTES:
+            self._giveUp(Failure(OversizedHeadError("the answer's headers")))
+
+    def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
+        if rest and self._currentRequest is not None:
+            self._currentRequest.persistent = False
+        super()._finishResponse_WAITING(rest)
+
+    _finishResponse_TRANSMITTING = _finishResponse_WAITING  # noqa: N815
+
+
+class OversizedHeadError(Exception):
+    """The headers of a backend server's answer exceed the limit."""
+
+
+class _ClientFactory(_HTTP11ClientFactory):
+    def buildProtocol(self, addr: Any) -> _ClientProtocol:  # noqa: N802
+        return _ClientProtocol(self._quiescentCallback)
 
 
 @implementer(IAgentEndpointFactory)
@@ -136,13 +189,25 @@
             self.transport.abortConnection()
 
 
-def answer_headers(headers: Headers) -> Iterable[Header]:
-    """Return the headers of an answer one by one."""
+def read_head(response: Any, headers: tuple[Header, ...]) -> AnswerHead:
+    """Return the head of a response, with ``headers`` in place of its own."""
+    length = None if response.length is UNKNOWN_LENGTH else response.length
+    return AnswerHead(response.code, response.phrase, headers, length)
+
+
+def list_headers(headers: Headers) -> Iterable[Header]:
+    """Return headers one by one."""
     for name, values in headers.getAllRawHeaders():
         for value in values:
             yield name, value
 
 
+def is_oversized(headers: tuple[Header, ...]) -> bool:
+    """Return whether an answer has more headers than are passed on."""
+    n_bytes = sum(len(name) + len(value) for name, value in headers)
+    return len(headers) > MAX_ANSWER_HEADERS or n_bytes > MAX_ANSWER_HEAD_BYTES
+
+
 def classify(failure: Failure) -> AttemptOutcome:
     """Return what a failed attempt means: not sent, or perhaps run."""
     if failure.check(CancelledError):
--- a/packages/standins/src/wagtailpaddle_standins/backend.py
+++ b/packages/standins/src/wagtailpaddle_standins/backend.py
@@ -1,61 +1,113 @@
-"""A stand-in backend server with faults."""
+"""A stand-in backend server with faults.
+
+What it does to a request is set per server over its control path, or for one
+request by the path itself: ``/anything/fault/NAME/PARAMETER``.
+"""
 
 import argparse
 import json
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from random import Random
 from typing import Any
 
 from twisted.internet import reactor
 from twisted.web import resource
 from twisted.web.server import NOT_DONE_YET, Site
 
+from wagtailpaddle_standins.faults import FAULTS, answer
+
+CONTROL_PATH = "/_control"
+SEEN_PATH = "/_seen"
+FAULT_MARK = "fault"
+
+
+@dataclass(frozen=True, slots=True)
+class Mode:
+    """How a server treats its work; ``fraction`` of it meets the fault."""
+
+    fault: str = ""
+    fraction: float = 1.0
+    parameter: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A request that a server began to run."""
+
+    server: str
+    method: str
+    uri: str
+    headers: tuple[tuple[str, str], ...]
+    body: str
+
 
 class Backend(resource.Resource):
     """Answers every request with what it saw of it."""
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, name: str, *, delay_s: float = 0.0, answer_bytes: int = 0):
+    def __init__(self, name: str, *, answer_bytes: int = 0, keep: bool = True):
         super().__init__()
         self._name = name
-        self._delay_s = delay_s
         self._answer = b"x" * answer_bytes
-        self._n_served = 0
+        self._mode = Mode()
+        self._random = Random(name)
+        self._keep = keep
+        self._seen: list[Seen] = []
 
     def render(self, request: Any) -> Any:
-        """Answer after the delay."""
-        self._n_served += 1
+        """Run a request or a control command."""
+        path = request.path.decode("latin-1")
+        if path == CONTROL_PATH:
+            self._mode = Mode(**json.loads(request.content.read()))
+            return b"{}"
+        if path == SEEN_PATH:
+            return json.dumps([asdict(seen) for seen in self._seen]).encode()
         if self._answer:
             return self._answer
-        seen = {
-            "server": self._name,
-            "method": request.method.decode(),
-            "uri": request.uri.decode("latin-1"),
-            "headers": [
-                [name.decode("latin-1"), value.decode("latin-1")]
-                for name, values in request.requestHeaders.getAllRawHeaders()
-                for value in values
-            ],
-            "body": request.content.read().decode("latin-1"),
-        }
-        body = json.dumps(seen).encode()
+        seen = self._see(request)
+        body = json.dumps(asdict(seen)).encode()
         request.setHeader(b"content-type", b"application/json")
-        if not self._delay_s:
-            return body
-        loop: Any = reactor
-        call = loop.callLater(self._delay_s, self._finish, request, body)
-        request.notifyFinish().addErrback(lambda _: call.active() and call.cancel())
+        mode = self._mode_of(path)
+        if mode.fault != "shed" and self._keep:
+            self._seen.append(seen)
+        if mode.fault:
+            FAULTS[mode.fault](request, body, mode.parameter)
+        else:
+            answer(request, body)
         return NOT_DONE_YET
 
-    def _finish(self, request: Any, body: bytes) -> None:
-        request.write(body)
-        request.finish()
+    def _mode_of(self, path: str) -> Mode:
+        parts = path.split("/")
+        if FAULT_MARK in parts:
+            at = parts.index(FAULT_MARK)
+            parameter = float(parts[at + 2]) if len(parts) > at + 2 else 0.0
+            return Mode(parts[at + 1], 1.0, parameter)
+        if self._mode.fault and self._random.random() < self._mode.fraction:
+            return self._mode
+        return Mode()
+
+    def _see(self, request: Any) -> Seen:
+        return Seen(
+            server=self._name,
+            method=request.method.decode(),
+            uri=request.uri.decode("latin-1"),
+            headers=tuple(_headers(request)),
+            body=request.content.read().decode("latin-1"),
+        )
+
+
+def _headers(request: Any) -> Iterator[tuple[str, str]]:
+    for name, values in request.requestHeaders.getAllRawHeaders():
+        for value in values:
+            yield name.decode("latin-1"), value.decode("latin-1")
 
 
 def main() -> None:
-    """Serve until ended; the first port belongs to the first name."""
+    """Serve until ended."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--server", action="append", metavar="NAME=PORT")
-    parser.add_argument("--delay", type=float, default=0.0, help="seconds")
     parser.add_argument(
         "--answer-bytes", type=int, default=0, help="answer so many bytes at once"
     )
@@ -63,7 +115,7 @@
     loop: Any = reactor
     for entry in args.server:
         name, _, port = entry.partition("=")
-        site = Site(Backend(name, delay_s=args.delay, answer_bytes=args.answer_bytes))
+        site = Site(Backend(name, answer_bytes=args.answer_bytes))
         loop.listenTCP(int(port), site, interface="127.0.0.1")
     loop.run()
 
--- a/packages/standins/src/wagtailpaddle_standins/client.py
+++ b/packages/standins/src/wagtailpaddle_standins/client.py
@@ -36,8 +36,14 @@
         path: str,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        *,
+        timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> Reply:
-        """Send one request and return the whole answer."""
+        """Send one request and return the whole answer.
+
+        Raises ``OSError`` or ``http.client.HTTPException``.
+        """
+        self._conn.timeout = timeout_s
         merged = {**self._headers, **(headers or {})}
         self._conn.request(method, path, body=body, headers=merged)
         answer = self._conn.getresponse()
--- a/packages/standins/src/wagtailpaddle_standins/system.py
+++ b/packages/standins/src/wagtailpaddle_standins/system.py
@@ -3,6 +3,7 @@
 from functools import partial
 from typing import Any
 
+from wagtailpaddle_standins.backend import CONTROL_PATH, SEEN_PATH
 from wagtailpaddle_standins.client import Client, wait_for
 from wagtailpaddle_standins.processes import (
     OPERATOR_TOKEN,
@@ -80,6 +81,20 @@
         """Return a caller's connection to a daemon."""
         return Client(self.daemons[index].caller, token=secret)
 
+    def set_fault(
+        self, server: str, fault: str, *, fraction: float = 1.0, parameter: float = 0.0
+    ) -> None:
+        """Make a backend server treat its work badly; "" mends it."""
+        mode = {"fault": fault, "fraction": fraction, "parameter": parameter}
+        Client(f"127.0.0.1:{self.servers[server]}").send("PUT", CONTROL_PATH, mode)
+
+    def seen(self) -> list[dict[str, Any]]:
+        """Return every request that some backend server began to run."""
+        found = []
+        for port in self.servers.values():
+            found += Client(f"127.0.0.1:{port}").request("GET", SEEN_PATH).json()
+        return found
+
     def revision(self, index: int) -> int:
         """Return the revision that a daemon has folded."""
         return self.operator(index).request("GET", "/v1/status").json()["revision"]
