Abort a server's connection within an answer's body

Cause: cancelling an attempt whose body was being read called abortConnection on Twisted's proxy of the transport, which has no such method; the exception left the request in flight for ever.

Ruled out: the early writes of the reactor (the same trace with them off); the stand-in server, which also was wrong: it closed a transport that had a paused producer, so the cut never came. Both are mended.

--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -185,8 +185,11 @@
 
     def abort(self) -> None:
         """Close the connection to the server."""
-        if self.transport is not None:
-            self.transport.abortConnection()
+        if self.transport is None:
+            return
+        connection = getattr(self.transport, "_producer", None)
+        if connection is not None:
+            connection.abortConnection()
 
 
 def read_head(response: Any, headers: tuple[Header, ...]) -> AnswerHead:
--- a/packages/standins/src/wagtailpaddle_standins/faults.py
+++ b/packages/standins/src/wagtailpaddle_standins/faults.py
@@ -58,7 +58,7 @@
     """Announce a whole answer, send a part of it and close."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(body) + 100)
     request.channel.transport.write(head + body[:10])
-    request.channel.transport.loseConnection()
+    request.channel.loseConnection()
 
 
 @FAULTS.register("cut-late")
@@ -66,7 +66,7 @@
     """Close after ``n_bytes`` of an answer that should be one byte longer."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (n_bytes + 1)
     request.channel.transport.write(head + b"x" * int(n_bytes))
-    request.channel.transport.loseConnection()
+    request.channel.loseConnection()
 
 
 @FAULTS.register("double")
@@ -89,7 +89,7 @@
 def garbage(request: Any, body: bytes, _: float) -> None:
     """Send bytes that are no answer."""
     request.channel.transport.write(b"\x00\x01 nonsense\r\n\r\n")
-    request.channel.transport.loseConnection()
+    request.channel.loseConnection()
 
 
 @FAULTS.register("bomb")
