health: judge servers by a sequential test against their pool

Cause: five failures in a row on one VM take long to see a gray failure when 36 VMs share the requests, and eject during incidents. Change: per-second evidence windows, likelihood ratios over windows of 1 to 60 s against the better two thirds of the pool, digests to three watchers per service, ejection when two of them agree, an automat life cycle, the floor asserted at each change, suspects tested with idempotent requests; fakes for the measures.

--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -0,0 +1,126 @@
+"""The life cycle of one backend server between trusted and ejected."""
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+from wagtailpaddle_core import ServerId
+
+from wagtailpaddle_health.evidence import Evidence
+from wagtailpaddle_health.messages import ServerState
+from wagtailpaddle_health.scan import NOTHING, Judgement
+
+EJECTION_S = 10.0
+MAX_EJECTION_S = 300.0
+FORGIVE_S = 300.0
+PROBATION_S = 4.0
+MAX_PROBATION_S = 24.0
+RAMP_S = 10.0
+COLD_RAMP_S = 30.0
+
+
+class Admission(Protocol):
+    """Inputs of the life cycle."""
+
+    def state(self) -> ServerState:
+        """Return the present state."""
+
+    def doubt(self) -> None:
+        """Evidence speaks against a working server."""
+
+    def trust(self) -> None:
+        """The evidence against a server is gone."""
+
+    def eject(self) -> None:
+        """The fleet's evidence is conclusive."""
+
+    def avoid(self) -> None:
+        """This VM's own evidence is conclusive, the fleet's is not."""
+
+    def test(self) -> None:
+        """The ejection time is over."""
+
+    def ramp(self) -> None:
+        """Let the server's share grow."""
+
+    def keep(self) -> None:
+        """Bring an ejected server back because it is needed."""
+
+
+@dataclass(slots=True)
+class Track:
+    """All that a VM keeps on one server with evidence or a past.
+
+    ``until`` ends the present ejection, ``since`` began the present state,
+    ``severity`` ranks ejected servers, ``n_ejections`` sets the next ejection's
+    length and is forgiven over time. ``kept`` says that the floor alone keeps
+    the server working; ``cold`` that it is new and may be slow at first.
+    ``pooled`` is this VM's judgement of all evidence told to it, ``fleet`` what
+    the watchers agree on.
+    """
+
+    server: ServerId
+    evidence: Evidence = field(default_factory=Evidence)
+    since: float = 0.0
+    until: float = 0.0
+    severity: float = 0.0
+    n_ejections: int = 0
+    last_ejected_at: float = 0.0
+    reason: str = ""
+    kept: bool = False
+    cold: bool = False
+    local: Judgement = NOTHING
+    fleet: Judgement = NOTHING
+    pooled: Judgement = NOTHING
+    admission: Admission = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.admission = _AdmissionMachine(self)
+
+    @property
+    def state(self) -> ServerState:
+        """Where the server stands."""
+        return self.admission.state()
+
+    @property
+    def is_out(self) -> bool:
+        """Whether the server is ejected or avoided."""
+        return self.state in (ServerState.EJECTED, ServerState.AVOIDED)
+
+    @property
+    def ramp_s(self) -> float:
+        """How long the server's share grows, in seconds."""
+        return COLD_RAMP_S if self.cold else RAMP_S
+
+    def lengthen(self, now: float) -> float:
+        """Count an ejection that starts now; return its length in seconds."""
+        n_forgiven = int((now - self.last_ejected_at) / FORGIVE_S)
+        self.n_ejections = max(0, self.n_ejections - n_forgiven) + 1
+        self.last_ejected_at = now
+        return min(MAX_EJECTION_S, EJECTION_S * 2.0 ** (self.n_ejections - 1))
+
+
+def _build_machine() -> TypeMachineBuilder[Admission, Track]:
+    builder = TypeMachineBuilder(Admission, Track)
+    names = {state: builder.state(state.value) for state in ServerState}
+    healthy, suspect = names[ServerState.HEALTHY], names[ServerState.SUSPECT]
+    ejected, avoided = names[ServerState.EJECTED], names[ServerState.AVOIDED]
+    probation, ramping = names[ServerState.PROBATION], names[ServerState.RAMPING]
+    for kind, state in names.items():
+        state.upon(Admission.state).loop().returns(kind)
+    healthy.upon(Admission.doubt).to(suspect).returns(None)
+    suspect.upon(Admission.trust).to(healthy).returns(None)
+    ramping.upon(Admission.trust).to(healthy).returns(None)
+    for working in (healthy, suspect, probation, ramping):
+        working.upon(Admission.eject).to(ejected).returns(None)
+        working.upon(Admission.avoid).to(avoided).returns(None)
+    avoided.upon(Admission.eject).to(ejected).returns(None)
+    for out in (ejected, avoided):
+        out.upon(Admission.test).to(probation).returns(None)
+        out.upon(Admission.keep).to(suspect).returns(None)
+    probation.upon(Admission.ramp).to(ramping).returns(None)
+    healthy.upon(Admission.ramp).to(ramping).returns(None)
+    return builder
+
+
+_AdmissionMachine = _build_machine().build()
--- a/packages/health/src/wagtailpaddle_health/book.py
+++ b/packages/health/src/wagtailpaddle_health/book.py
@@ -1,100 +1,176 @@
 """The health book: evidence in, standing of backend servers out."""
 
+from collections import Counter
+
 from wagtailpaddle_core import ServerId, ServiceId, VmId
 
+from wagtailpaddle_health.exchange import is_amount
+from wagtailpaddle_health.latency import UNKNOWN_LIMIT_S
 from wagtailpaddle_health.messages import (
     HealthDigest,
     HealthEvent,
     Observation,
     Pool,
     ServerHealth,
-    ServerState,
-    Verdict,
 )
-
-CONSECUTIVE_FAILURES = 5
-EJECTION_S = 10.0
+from wagtailpaddle_health.policies import POLICIES
+from wagtailpaddle_health.poolbook import PoolBook
+from wagtailpaddle_health.window import WINDOW_S
 
 
 class HealthBook:
-    """Judges the backend servers of every service from real work."""
+    """Judges the backend servers of every service from real work.
 
-    def __init__(self, vm: VmId, *, policy: str = "consecutive", seed: int = 0) -> None:
-        self.vm = vm
-        self._pools: dict[ServiceId, Pool] = {}
-        self._failures: dict[ServerId, int] = {}
-        self._ejected_until: dict[ServerId, float] = {}
+    All times are seconds of one monotonic clock. ``policy`` names an entry of
+    ``POLICIES``. Work per tick grows with the servers that are not simply
+    healthy and with the services that got traffic, not with all configured.
 
-    def set_pool(self, now: float, pool: Pool) -> None:
-        """Replace the configured servers of a service."""
-        self._pools[pool.service] = pool
+    >>> book = HealthBook(VmId("vm-1"))
+    >>> book.tick(0.0)
+    frozenset()
+    """
+
+    def __init__(self, vm: VmId, *, policy: str = "scan", seed: int = 0) -> None:
+        self.vm = vm
+        self._policy = POLICIES[policy]()
+        self._pools: dict[ServiceId, PoolBook] = {}
+        self._watching: dict[ServiceId, None] = {}
+        self._telling: dict[ServiceId, None] = {}
+        self._active: dict[ServiceId, None] = {}
+        self._changed: set[ServiceId] = set()
+        self._ignored: Counter[str] = Counter()
+
+    def set_pool(self, now: float, pool: Pool) -> bool:
+        """Replace the configured servers of a service; return whether it differs.
+
+        Servers that a known service gains start slowly. Ejected servers come
+        back as needed if the pool shrinks.
+        """
+        known = self._pools.get(pool.service)
+        if known is None:
+            self._pools[pool.service] = PoolBook(now, self.vm, self._policy, pool)
+            self._changed.add(pool.service)
+            return True
+        changed = known.set_pool(now, pool)
+        self._note(pool.service, known, changed)
+        return changed
 
     def remove_pool(self, now: float, service: ServiceId) -> None:
-        """Forget a service."""
+        """Forget a service; unknown ones are no error."""
         self._pools.pop(service, None)
+        for table in (self._watching, self._telling, self._active):
+            table.pop(service, None)
+        self._changed.discard(service)
 
     def observe(self, now: float, observation: Observation) -> bool:
-        """Take in evidence; return whether some standing may have changed."""
-        server = observation.server
-        if observation.verdict is Verdict.SUCCESS:
-            self._failures.pop(server, None)
-            return False
-        if observation.verdict not in (Verdict.FAILURE, Verdict.UNREACHABLE):
-            return False
-        self._failures[server] = self._failures.get(server, 0) + 1
-        pool = self._pools[observation.service]
-        if self._failures[server] < CONSECUTIVE_FAILURES:
+        """Take in an attempt; return whether some standing may have changed."""
+        pool = self._pools.get(observation.service)
+        if pool is None:
+            self._ignored["unknown service"] += 1
             return False
-        if not self._may_eject(now, pool):
-            return False
-        self._failures.pop(server)
-        self._ejected_until[server] = now + EJECTION_S
-        return True
+        changed = pool.add_own(now, observation)
+        self._note(observation.service, pool, changed)
+        return changed
 
     def report_load(
         self, now: float, service: ServiceId, server: ServerId, load: float
     ) -> None:
         """Note a server's own report of its load in [0, 1], a hint only."""
+        pool = self._pools.get(service)
+        if pool is None:
+            self._ignored["unknown service"] += 1
+        elif not is_amount(load, 1.0):
+            self._ignored["bad load"] += 1
+        else:
+            pool.report_load(now, server, load)
 
     def overdue_after(self, now: float, service: ServiceId) -> float:
         """Return after how many seconds a running attempt is overdue."""
-        return 2.0
+        pool = self._pools.get(service)
+        return UNKNOWN_LIMIT_S if pool is None else pool.limit.limit_s
 
     def digests(self, now: float) -> tuple[HealthDigest, ...]:
-        """Return what to tell other VMs since the last call."""
-        return ()
+        """Return what to tell other VMs now; call it some times a second.
+
+        Bad news goes at once, good news at most each half second. A digest
+        without ``to`` goes to the service's ``watchers``.
+        """
+        digests: list[HealthDigest] = []
+        for service in list(self._telling):
+            pool = self._pools[service]
+            digests.extend(pool.take_digests(now))
+            if not pool.has_pending and not pool.is_watching:
+                del self._telling[service]
+        return tuple(digests)
 
     def merge(self, now: float, digest: HealthDigest) -> frozenset[ServiceId]:
-        """Take in what another VM tells; return services that may have changed."""
-        return frozenset()
+        """Take in what another VM tells; return services that may have changed.
+
+        What cannot be true is ignored and counted in ``n_ignored``.
+        """
+        pool = self._pools.get(digest.service)
+        if pool is None:
+            self._ignored["unknown service"] += 1
+            return frozenset()
+        changed = pool.merge(now, digest)
+        self._note(digest.service, pool, changed)
+        return frozenset([digest.service]) if changed else frozenset()
 
     def tick(self, now: float) -> frozenset[ServiceId]:
-        """Act on the passing of time; return services whose standing changed."""
-        return frozenset()
+        """Act on the passing of time; return services whose standing changed.
+
+        Changes from observations and digests since the last tick are included.
+        """
+        for service in list(self._watching):
+            pool = self._pools[service]
+            if pool.tick(now):
+                self._changed.add(service)
+            if not pool.is_watching:
+                del self._watching[service]
+        self._sweep(now)
+        changed = frozenset(self._changed)
+        self._changed.clear()
+        return changed
+
+    def standing(self, now: float, service: ServiceId) -> tuple[ServerHealth, ...]:
+        """Return the standing of every server of ``service``; none if unknown."""
+        pool = self._pools.get(service)
+        return () if pool is None else pool.standing(now)
 
     def events(self) -> tuple[HealthEvent, ...]:
         """Return the events since the last call, oldest first."""
-        return ()
+        found = [event for pool in self._pools.values() for event in pool.take_events()]
+        return tuple(sorted(found, key=lambda event: event.at))
 
     @property
     def n_ignored(self) -> dict[str, int]:
         """How many inputs were ignored, by reason."""
-        return {}
+        total = self._ignored.copy()
+        for pool in self._pools.values():
+            total.update(pool.ignored)
+        return {reason: n for reason, n in sorted(total.items()) if n}
 
-    def _may_eject(self, now: float, pool: Pool) -> bool:
-        n_healthy = sum(
-            not server.leaving and self._ejected_until.get(server.id, 0) <= now
-            for server in pool.servers
-        )
-        return n_healthy - 1 >= pool.floor * len(pool.servers)
-
-    def standing(self, now: float, service: ServiceId) -> tuple[ServerHealth, ...]:
-        """Return the standing of every server of ``service``."""
-        return tuple(
-            self._judge(now, server.id) for server in self._pools[service].servers
-        )
-
-    def _judge(self, now: float, server: ServerId) -> ServerHealth:
-        if self._ejected_until.get(server, 0) > now:
-            return ServerHealth(server, ServerState.EJECTED, 0.0, "failures in a row")
-        return ServerHealth(server, ServerState.HEALTHY, 1.0)
+    @property
+    def n_tracks(self) -> int:
+        """How many servers have state on this VM."""
+        return sum(pool.n_tracks for pool in self._pools.values())
+
+    def _note(self, service: ServiceId, pool: PoolBook, changed: bool) -> None:
+        if changed:
+            self._changed.add(service)
+        if pool.is_watching:
+            self._watching[service] = None
+            self._telling[service] = None
+        elif pool.has_pending:
+            self._telling[service] = None
+        self._active.pop(service, None)
+        self._active[service] = None
+
+    def _sweep(self, now: float) -> None:
+        while self._active:
+            service = next(iter(self._active))
+            pool = self._pools[service]
+            if now - pool.last_evidence_at <= WINDOW_S:
+                return
+            del self._active[service]
+            pool.sweep(now)
--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/evidence.py
@@ -0,0 +1,113 @@
+"""What a VM knows of one server: its own evidence and that of others."""
+
+from wagtailpaddle_core import ServerId, VmId
+
+from wagtailpaddle_health.messages import ServerDigest
+from wagtailpaddle_health.window import Counts, Window
+
+MAX_ORIGINS = 64
+
+
+class Evidence:
+    """Evidence on one server, split by who saw it.
+
+    ``own`` is from this VM. ``pooled`` holds the evidence of all VMs that
+    reported here; it is a second window only once another VM reported.
+    ``origins`` holds failures and slow attempts by VM. ``streak`` counts own
+    failures in a row.
+    """
+
+    __slots__ = ("_pooled", "last_own_at", "origins", "own", "streak")
+
+    def __init__(self) -> None:
+        self.own = Window()
+        self.origins: dict[VmId, Window] = {}
+        self.streak = 0
+        self.last_own_at = float("-inf")
+        self._pooled: Window | None = None
+
+    @property
+    def pooled(self) -> Window:
+        """The evidence of all VMs."""
+        return self.own if self._pooled is None else self._pooled
+
+    def add_own(self, now: float, vm: VmId, counts: Counts) -> None:
+        """Count attempts of this VM."""
+        second = int(now)
+        self.own.add(second, counts)
+        if self._pooled is not None:
+            self._pooled.add(second, counts)
+        self._attribute(second, vm, counts)
+
+    def add_other(self, now: float, vm: VmId, counts: Counts) -> None:
+        """Count attempts that another VM reported."""
+        if self._pooled is None:
+            self._pooled = self.own.copy()
+        second = int(now)
+        self._pooled.add(second, counts)
+        self._attribute(second, vm, counts)
+
+    def forget(self) -> None:
+        """Drop the windows: what they say is out of date."""
+        self.own = Window()
+        self.origins = {}
+        self.streak = 0
+        self._pooled = None
+
+    def _attribute(self, second: int, vm: VmId, counts: Counts) -> None:
+        n_bad = max(counts[1:])
+        if not n_bad:
+            return
+        if vm not in self.origins and len(self.origins) >= MAX_ORIGINS:
+            self._drop_idle_origins(second)
+        if vm in self.origins or len(self.origins) < MAX_ORIGINS:
+            window = self.origins.setdefault(vm, Window())
+            window.add(second, Counts(n_bad, *counts[1:]))
+
+    def _drop_idle_origins(self, second: int) -> None:
+        idle = [vm for vm, win in self.origins.items() if not win.total(second)]
+        for vm in idle:
+            del self.origins[vm]
+
+
+class Pending:
+    """Own evidence that no digest has told yet."""
+
+    __slots__ = ("latency_s", "n_failure", "n_slow", "n_success", "n_unreachable")
+
+    def __init__(self) -> None:
+        self.n_success = 0
+        self.n_failure = 0
+        self.n_unreachable = 0
+        self.n_slow = 0
+        self.latency_s = 0.0
+
+    def add(self, counts: Counts, latency_s: float) -> None:
+        """Count attempts; an overdue one that fails later turns to a failure."""
+        n_success = self.n_success + counts.n_attempts - counts.n_failure
+        self.n_success = max(0, n_success)
+        self.n_failure += counts.n_failure
+        self.n_unreachable += counts.n_unreachable
+        self.n_slow += counts.n_slow
+        if not counts.n_failure:
+            self.latency_s += latency_s
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether it holds something bad."""
+        return self.n_failure + self.n_slow > 0
+
+    def __bool__(self) -> bool:
+        return self.n_success + self.n_failure + self.n_slow > 0
+
+    def digest(self, server: ServerId) -> ServerDigest:
+        """Return the message for these counts."""
+        mean_s = self.latency_s / self.n_success if self.n_success else 0.0
+        return ServerDigest(
+            server,
+            self.n_success,
+            self.n_failure,
+            mean_s,
+            self.n_unreachable,
+            self.n_slow,
+        )
--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/exchange.py
@@ -0,0 +1,217 @@
+"""Evidence and opinions that VMs tell each other about one service."""
+
+import math
+from collections.abc import Container, Iterable, Iterator
+from dataclasses import dataclass
+
+from wagtailpaddle_core import ServerId, ServiceId, VmId
+
+from wagtailpaddle_health.evidence import Pending
+from wagtailpaddle_health.messages import HealthDigest, Opinion, ServerDigest
+from wagtailpaddle_health.scan import NOTHING, Judgement
+from wagtailpaddle_health.window import Counts
+
+DIGEST_INTERVAL_S = 0.5
+OPINION_INTERVAL_S = 1.0
+OPINION_LIFE_S = 3.0
+OPINION_STEP = 0.1
+SENDER_LIFE_S = 10.0
+MAX_SENDERS = 64
+MAX_OPINIONS = 8
+MAX_DIGEST_SERVERS = 64
+MAX_DIGEST_ATTEMPTS = 100_000
+MAX_SHARE = 1000.0
+QUORUM = 2
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    at: float
+    opinion: Opinion
+
+
+@dataclass(frozen=True, slots=True)
+class _Sender:
+    at: float
+    sequence: int
+
+
+class Exchange:
+    """What one VM heard and told about the servers of one service.
+
+    ``senders`` are the VMs whose evidence came here lately: they take this VM
+    for a watcher of the service and get its opinions.
+    """
+
+    def __init__(self, vm: VmId, service: ServiceId) -> None:
+        self.vm = vm
+        self.service = service
+        self.last_sent_at = float("-inf")
+        self._sequence = 0
+        self._senders: dict[VmId, _Sender] = {}
+        self._opinions: dict[ServerId, dict[VmId, _Heard]] = {}
+        self._told: dict[ServerId, _Heard] = {}
+
+    def admit(self, now: float, digest: HealthDigest) -> str:
+        """Note the sender of a digest; return why it is ignored, or nothing."""
+        if digest.vm == self.vm:
+            return "own digest"
+        if len(digest.servers) + len(digest.opinions) > 2 * MAX_DIGEST_SERVERS:
+            return "oversized digest"
+        if not is_count(digest.sequence):
+            return "bad sequence"
+        known = self._senders.get(digest.vm)
+        if known and known.at > now - SENDER_LIFE_S:
+            if digest.sequence <= known.sequence:
+                return "repeated digest"
+        elif len(self._senders) >= MAX_SENDERS:
+            self._drop_senders(now)
+            if len(self._senders) >= MAX_SENDERS:
+                return "too many senders"
+        if digest.servers or known:
+            self._senders[digest.vm] = _Sender(now, digest.sequence)
+        return ""
+
+    def hear(self, now: float, vm: VmId, opinion: Opinion) -> None:
+        """Keep the latest opinion of ``vm`` on a server."""
+        by_vm = self._opinions.setdefault(opinion.server, {})
+        self._drop_opinions(now, by_vm)
+        if vm in by_vm or len(by_vm) < MAX_OPINIONS:
+            by_vm[vm] = _Heard(now, opinion)
+
+    def verdict(self, now: float, server: ServerId, own: Judgement) -> Judgement:
+        """Return the fleet's judgement: the second highest score of all.
+
+        So one VM alone, lying or mistaken, can raise suspicion but not eject.
+        """
+        by_vm = self._opinions.get(server)
+        if by_vm is not None:
+            self._drop_opinions(now, by_vm)
+            if not by_vm:
+                del self._opinions[server]
+        if not by_vm:
+            return Judgement(suspicion=own.suspicion)
+        heard = [entry.opinion for entry in by_vm.values()]
+        ranked = [(item.score, item.reason) for item in heard]
+        if own is not NOTHING:
+            ranked.append((own.score, own.reason))
+        ranked.sort(reverse=True)
+        suspicion = max(own.suspicion, *(item.suspicion for item in heard), 0.0)
+        if len(ranked) < QUORUM:
+            return Judgement(suspicion=suspicion)
+        score, reason = ranked[QUORUM - 1]
+        return Judgement(suspicion, score, reason, own.n_failed, own.n_attempts)
+
+    def forget(self, server: ServerId) -> None:
+        """Drop what was heard and told about a server."""
+        self._opinions.pop(server, None)
+        self._told.pop(server, None)
+
+    def audience(self, now: float) -> tuple[VmId, ...]:
+        """Return the VMs that want this VM's opinions."""
+        oldest = now - SENDER_LIFE_S
+        return tuple(vm for vm, item in self._senders.items() if item.at > oldest)
+
+    def take_evidence(
+        self,
+        now: float,
+        pending: dict[ServerId, Pending],
+        watched: Container[ServerId],
+    ) -> tuple[ServerDigest, ...]:
+        """Take the lines of the next digest out of ``pending``.
+
+        Evidence on servers that failed or are watched goes at once, all other
+        once per interval.
+        """
+        is_due = now - self.last_sent_at >= DIGEST_INTERVAL_S
+        urgent = [s for s, item in pending.items() if item.is_urgent or s in watched]
+        if not urgent and not is_due:
+            return ()
+        if is_due:
+            self.last_sent_at = now
+            urgent += [server for server in pending if server not in urgent]
+        chosen = urgent[:MAX_DIGEST_SERVERS]
+        return tuple(pending.pop(server).digest(server) for server in chosen)
+
+    def next_opinions(self, now: float, held: Iterable[Opinion]) -> tuple[Opinion, ...]:
+        """Return the opinions that changed or were told too long ago.
+
+        An opinion that is no longer held is told once more as cleared.
+        """
+        current = {item.server: item for item in held}
+        news = [item for item in current.values() if self._is_news(now, item)]
+        cleared = [
+            Opinion(server, 0.0, 0.0) for server in self._told if server not in current
+        ]
+        for item in cleared:
+            del self._told[item.server]
+        for item in news:
+            self._told[item.server] = _Heard(now, item)
+        return (*news, *cleared)
+
+    def digest(
+        self,
+        servers: tuple[ServerDigest, ...],
+        opinions: tuple[Opinion, ...] = (),
+        to: tuple[VmId, ...] = (),
+    ) -> HealthDigest:
+        """Return the next digest."""
+        self._sequence += 1
+        return HealthDigest(
+            self.vm, self.service, servers, opinions, self._sequence, to
+        )
+
+    def _is_news(self, now: float, opinion: Opinion) -> bool:
+        told = self._told.get(opinion.server)
+        if told is None or now - told.at >= OPINION_INTERVAL_S:
+            return True
+        was = told.opinion
+        step = max(
+            abs(was.score - opinion.score), abs(was.suspicion - opinion.suspicion)
+        )
+        return step >= OPINION_STEP and min(was.score, opinion.score) < 1
+
+    def _drop_senders(self, now: float) -> None:
+        oldest = now - SENDER_LIFE_S
+        idle = [vm for vm, item in self._senders.items() if item.at <= oldest]
+        for vm in idle:
+            del self._senders[vm]
+
+    def _drop_opinions(self, now: float, by_vm: dict[VmId, _Heard]) -> None:
+        oldest = now - OPINION_LIFE_S
+        stale = [vm for vm, item in by_vm.items() if item.at <= oldest]
+        for vm in stale:
+            del by_vm[vm]
+
+
+def is_count(value: object) -> bool:
+    """Return whether ``value`` is a whole number that a digest may carry."""
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    return is_whole and 0 <= value <= 2**63  # type: ignore[operator]
+
+
+def is_amount(value: object, most: float = math.inf) -> bool:
+    """Return whether ``value`` is a finite number in [0, ``most``]."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return math.isfinite(value) and 0 <= value <= most
+
+
+def counts_of(item: ServerDigest) -> Counts | None:
+    """Return the counts of a digest's line, or None if they can't be true."""
+    values = (item.n_success, item.n_failure, item.n_unreachable, item.n_slow)
+    if not all(is_count(value) for value in values):
+        return None
+    n_attempts = item.n_success + item.n_failure
+    if n_attempts > MAX_DIGEST_ATTEMPTS or item.n_slow > n_attempts:
+        return None
+    if item.n_unreachable > item.n_failure or not is_amount(item.latency_s):
+        return None
+    return Counts(n_attempts, *values[1:])
+
+
+def valid_opinions(opinions: Iterable[Opinion]) -> Iterator[Opinion]:
+    """Yield the opinions whose numbers can be true."""
+    for item in opinions:
+        if is_amount(item.score, MAX_SHARE) and is_amount(item.suspicion, MAX_SHARE):
+            yield item
--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/floor.py
@@ -0,0 +1,41 @@
+"""The floor: how many servers ejection has to leave."""
+
+import math
+from collections.abc import Iterable
+
+from wagtailpaddle_health.admission import Track
+from wagtailpaddle_health.messages import Pool, PoolServer, ServerState
+
+MAX_SEVERITY = 1.5
+
+
+def n_required(pool: Pool) -> int:
+    """Return how many servers have to stay healthy, at least one of any.
+
+
+    >>> from wagtailpaddle_core import ServiceId
+    >>> n_required(Pool(ServiceId("booking"), (), floor=0.5, sensitivity=0.5))
+    0
+    """
+    least = 1 if pool.servers else 0
+    return max(least, math.ceil(pool.floor * len(pool.servers) - 1e-9))
+
+
+def takes_work(server: PoolServer) -> bool:
+    """Return whether a configured server may get new work at all."""
+    return not (server.leaving or server.draining)
+
+
+def urgency(track: Track) -> tuple[bool, float, str]:
+    """Return the order in which servers are ejected when not all can be.
+
+    The fleet's verdicts go before this VM's own, the worse before the better.
+    It depends on the evidence alone, so equal evidence gives equal sets.
+    """
+    is_fleet = track.state is ServerState.EJECTED
+    return (is_fleet, track.severity, track.server)
+
+
+def least_urgent(tracks: Iterable[Track]) -> Track | None:
+    """Return the ejected server that comes back first when one is needed."""
+    return min(tracks, key=urgency, default=None)
--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/policies.py
@@ -0,0 +1,130 @@
+"""Policies that judge servers, filed by name."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from wagtailpaddle_core import Registry
+
+from wagtailpaddle_health.evidence import Evidence
+from wagtailpaddle_health.scan import (
+    FAILURE,
+    NOTHING,
+    SLOW,
+    UNREACHABLE,
+    Judgement,
+    judge,
+)
+
+CONSECUTIVE_FAILURES = 5
+LEAST_THRESHOLD = 9.0
+THRESHOLD_RANGE = 11.0
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One server to be judged in the second ``second``.
+
+    ``others`` is the evidence on the other servers of its pool. A ``cold``
+    server is new and may be slow.
+    """
+
+    second: int
+    evidence: Evidence
+    others: tuple[Evidence, ...]
+    sensitivity: float
+    cold: bool = False
+
+
+class Policy(Protocol):
+    """Turns evidence into judgements; holds no state of its own."""
+
+    @property
+    def verifies(self) -> bool:
+        """Whether suspects are asked for work that can be repeated."""
+
+    def local(self, case: Case) -> Judgement:
+        """Judge a server by this VM's own evidence."""
+
+    def fleet(self, case: Case) -> Judgement:
+        """Judge a server by the evidence of all VMs that reported here."""
+
+
+POLICIES: Registry[type[Policy]] = Registry("health policy")
+
+
+def threshold(sensitivity: float) -> float:
+    """Return the log likelihood ratio, in nats, at which a server is ejected."""
+    return LEAST_THRESHOLD + THRESHOLD_RANGE * (1 - sensitivity)
+
+
+@POLICIES.register("none")
+@dataclass(frozen=True, slots=True)
+class NoEjection:
+    """Ejects nobody."""
+
+    verifies: bool = False
+
+    def local(self, case: Case) -> Judgement:
+        """Find nothing."""
+        return NOTHING
+
+    def fleet(self, case: Case) -> Judgement:
+        """Find nothing."""
+        return NOTHING
+
+
+@POLICIES.register("consecutive")
+@dataclass(frozen=True, slots=True)
+class Consecutive:
+    """Avoids a server after some failures in a row on this VM."""
+
+    verifies: bool = False
+
+    def local(self, case: Case) -> Judgement:
+        """Judge by the streak of own failures."""
+        streak = case.evidence.streak
+        if streak < CONSECUTIVE_FAILURES:
+            return NOTHING
+        return Judgement(1.0, 1.0, "in a row", streak, streak)
+
+    def fleet(self, case: Case) -> Judgement:
+        """Find nothing."""
+        return NOTHING
+
+
+class _Scan:
+    def local(self, case: Case) -> Judgement:
+        """Judge by own evidence, whoever else saw it."""
+        second = case.second
+        scan = case.evidence.own.scan(second)
+        others = [other.own.scan(second) for other in case.others]
+        return judge(scan, others, (), threshold(case.sensitivity), _channels(case))
+
+    def fleet(self, case: Case) -> Judgement:
+        """Judge by all evidence, less the VM that saw most of the failures."""
+        second = case.second
+        scan = case.evidence.pooled.scan(second)
+        others = [other.pooled.scan(second) for other in case.others]
+        origins = [window.scan(second) for window in case.evidence.origins.values()]
+        bar = threshold(case.sensitivity)
+        return judge(scan, others, origins, bar, _channels(case))
+
+
+@POLICIES.register("previous")
+@dataclass(frozen=True, slots=True)
+class PassiveScan(_Scan):
+    """Waits for evidence as traffic brings it."""
+
+    verifies: bool = False
+
+
+@POLICIES.register("scan")
+@dataclass(frozen=True, slots=True)
+class VerifyingScan(_Scan):
+    """Asks for idempotent work on suspects, so that evidence comes sooner."""
+
+    verifies: bool = True
+
+
+def _channels(case: Case) -> tuple[int, ...]:
+    return (FAILURE, UNREACHABLE) if case.cold else (FAILURE, UNREACHABLE, SLOW)
--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/standing.py
@@ -0,0 +1,80 @@
+"""From the state of a track to the standing that routing works by."""
+
+from collections.abc import Iterable
+
+from wagtailpaddle_core import VmId, score
+
+from wagtailpaddle_health.admission import PROBATION_S, Track
+from wagtailpaddle_health.messages import ServerHealth, ServerState
+
+SUSPECT_WEIGHT = 0.2
+KEPT_WEIGHT = 0.3
+PROBATION_WEIGHT = 0.05
+RAMP_START_WEIGHT = 0.1
+RESTRICT_SCORE = 0.5
+VERIFY_INTERVAL_S = 0.5
+
+
+def weight(now: float, track: Track) -> float:
+    """Return the share in [0, 1] of its usual work that a server gets."""
+    state = track.state
+    if track.is_out:
+        return 0.0
+    if state is ServerState.PROBATION:
+        return PROBATION_WEIGHT
+    if state is ServerState.RAMPING:
+        grown = min(1.0, max(0.0, (now - track.since) / track.ramp_s))
+        return RAMP_START_WEIGHT + (1 - RAMP_START_WEIGHT) * grown
+    if track.kept:
+        return KEPT_WEIGHT
+    if state is ServerState.SUSPECT:
+        return max(SUSPECT_WEIGHT, 1 - max(track.fleet.score, track.local.score))
+    return 1.0
+
+
+def wants_verification(now: float, track: Track, vm: VmId) -> bool:
+    """Return whether this VM should send a repeatable request now."""
+    if track.state is ServerState.SUSPECT:
+        idle_s = now - track.evidence.last_own_at
+        return not track.kept and idle_s >= VERIFY_INTERVAL_S
+    if track.state is ServerState.PROBATION:
+        phase = score(track.server, vm) / 2**64
+        is_due = now >= track.since + phase * PROBATION_S
+        return is_due and track.evidence.last_own_at < track.since
+    return False
+
+
+def restricted(tracks: Iterable[Track], n_spare: int) -> frozenset[str]:
+    """Return the servers that only get idempotent requests, ``n_spare`` at most.
+
+    Servers on probation go first, then suspects from the worst down, so that
+    enough servers stay open to every request.
+    """
+    ranked = []
+    for track in tracks:
+        score_ = max(track.fleet.score, track.local.score)
+        if track.state is ServerState.PROBATION:
+            ranked.append((0, 0.0, track.server))
+        elif track.state is ServerState.SUSPECT and score_ >= RESTRICT_SCORE:
+            ranked.append((1, -score_, track.server))
+    return frozenset(server for _, _, server in sorted(ranked)[: max(0, n_spare)])
+
+
+def health(
+    now: float,
+    track: Track,
+    *,
+    idempotent_only: bool,
+    verify: bool,
+    load: float | None,
+) -> ServerHealth:
+    """Return the standing of one tracked server."""
+    return ServerHealth(
+        id=track.server,
+        state=track.state,
+        weight=weight(now, track),
+        reason=track.reason,
+        idempotent_only=idempotent_only,
+        verify=verify,
+        load=load,
+    )
--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/window.py
@@ -0,0 +1,106 @@
+"""Sliding windows of counts in one-second buckets with a running total."""
+
+from collections import deque
+from typing import NamedTuple
+
+WINDOW_S = 60
+SCAN_S = (1, 2, 4, 8, 16, 32, WINDOW_S)
+"""Lengths in seconds of the windows, all ending now, that are judged."""
+
+
+class Counts(NamedTuple):
+    """Attempts, and those of them that failed, were never sent, were slow."""
+
+    n_attempts: int = 0
+    n_failure: int = 0
+    n_unreachable: int = 0
+    n_slow: int = 0
+
+    def __bool__(self) -> bool:
+        return any(self)
+
+
+NO_COUNTS = Counts()
+
+
+class Window:
+    """Counts of the last ``WINDOW_S`` seconds in bounded memory.
+
+    Memory and the cost of one ``add`` do not depend on the request rate: each
+    second with traffic has one bucket. ``total`` is kept as buckets come and
+    go. Times are whole seconds that never run backwards; an earlier one counts
+    as the latest.
+
+    >>> window = Window()
+    >>> window.add(0, Counts(10, 1))
+    >>> window.add(59, Counts(10, 0))
+    >>> window.total(59)
+    Counts(n_attempts=20, n_failure=1, n_unreachable=0, n_slow=0)
+    >>> window.total(60).n_attempts
+    10
+    """
+
+    __slots__ = ("_buckets", "_scan", "_scan_second", "_total")
+
+    def __init__(self) -> None:
+        self._buckets: deque[list[int]] = deque()
+        self._total = [0, 0, 0, 0]
+        self._scan: tuple[Counts, ...] | None = None
+        self._scan_second = 0
+
+    def __len__(self) -> int:
+        return len(self._buckets)
+
+    def add(self, second: int, counts: Counts) -> None:
+        """Count attempts in the bucket of ``second``."""
+        buckets = self._buckets
+        if not buckets or second > buckets[-1][0]:
+            self._trim(second)
+            buckets.append([second, 0, 0, 0, 0])
+        bucket = buckets[-1]
+        total = self._total
+        for index in range(4):
+            bucket[index + 1] += counts[index]
+            total[index] += counts[index]
+        self._scan = None
+
+    def total(self, second: int) -> Counts:
+        """Return the counts of the whole window that ends at ``second``."""
+        self._trim(second)
+        return Counts(*self._total)
+
+    def scan(self, second: int) -> tuple[Counts, ...]:
+        """Return the counts of each window of ``SCAN_S`` ending at ``second``."""
+        if self._scan is None or self._scan_second != second:
+            self._scan = self._compute_scan(second)
+            self._scan_second = second
+        return self._scan
+
+    def copy(self) -> "Window":
+        """Return a window with the same counts."""
+        twin = Window()
+        twin._buckets = deque(list(bucket) for bucket in self._buckets)
+        twin._total = list(self._total)
+        return twin
+
+    def _compute_scan(self, second: int) -> tuple[Counts, ...]:
+        self._trim(second)
+        sums = [0, 0, 0, 0]
+        scan: list[Counts] = []
+        for bucket in reversed(self._buckets):
+            age = second - bucket[0]
+            while age >= SCAN_S[len(scan)]:
+                scan.append(Counts(*sums))
+            for index in range(4):
+                sums[index] += bucket[index + 1]
+        while len(scan) < len(SCAN_S):
+            scan.append(Counts(*sums))
+        return tuple(scan)
+
+    def _trim(self, second: int) -> None:
+        oldest = second - WINDOW_S
+        buckets = self._buckets
+        while buckets and buckets[0][0] <= oldest:
+            gone = buckets.popleft()
+            for index in range(4):
+                self._total[index] -= gone[index + 1]
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/pools.py
@@ -0,0 +1,254 @@
+"""Small fakes: VMs with health books before pools of faulty servers."""
+
+import heapq
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+from wagtailpaddle_core import ServerId, ServiceId, VmId, ZoneId
+from wagtailpaddle_health import (
+    HealthBook,
+    HealthDigest,
+    Observation,
+    Pool,
+    PoolServer,
+    ServerHealth,
+    ServerState,
+    Verdict,
+    watchers,
+)
+
+from wagtailpaddle_standins.measure.faults import Fault, Moment, usual
+
+N_VMS = 36
+ZONES = (ZoneId("a"), ZoneId("b"), ZoneId("c"))
+TICK_S = 0.1
+PEER_DELAY_S = 0.0015
+IDEMPOTENT_SHARE = 0.7
+MAX_ATTEMPTS = 3
+OUT = (ServerState.EJECTED, ServerState.AVOIDED)
+
+
+@dataclass(slots=True)
+class FakePool:
+    """One service: its servers, its rate and the faults put into it."""
+
+    service: ServiceId
+    n_servers: int
+    rate: float
+    faults: dict[ServerId, tuple[float, Fault]] = field(default_factory=dict)
+    cut_vms: frozenset[VmId] = frozenset()
+    stopped: bool = False
+    n_requests: int = 0
+    n_failed_attempts: int = 0
+    n_failed_requests: int = 0
+
+    @property
+    def servers(self) -> tuple[ServerId, ...]:
+        """The ids of the configured servers."""
+        return tuple(
+            ServerId(f"{self.service}/{index}") for index in range(self.n_servers)
+        )
+
+    def configured(self, floor: float, sensitivity: float) -> Pool:
+        """Return the pool as the health book wants it."""
+        servers = tuple(
+            PoolServer(server, ZONES[index % len(ZONES)])
+            for index, server in enumerate(self.servers)
+        )
+        return Pool(self.service, servers, floor, sensitivity)
+
+
+@dataclass(frozen=True, slots=True)
+class _Try:
+    pool: FakePool
+    vm: VmId
+    server: ServerId
+    idempotent: bool
+    tried: frozenset[ServerId]
+
+
+class FakeFleet:
+    """VMs with separate evidence that serve requests and tell each other.
+
+    Requests come at random times to random VMs; a VM picks a server at random
+    by the weights of its own book. Nothing is modelled of queues, networks or
+    processes beyond fixed delays.
+    """
+
+    def __init__(self, *, policy: str, seed: int, n_vms: int = N_VMS) -> None:
+        self.random = Random(seed)
+        self.vms = [VmId(f"vm-{index:02d}") for index in range(n_vms)]
+        self.books = {
+            vm: HealthBook(vm, policy=policy, seed=seed + index)
+            for index, vm in enumerate(self.vms)
+        }
+        self.now = 0.0
+        self.pools: dict[ServiceId, FakePool] = {}
+        self.n_digests = 0
+        self.n_lines = 0
+        self._standing: dict[tuple[VmId, ServiceId], tuple[ServerHealth, ...]] = {}
+        self._watchers: Mapping[ServiceId, tuple[VmId, ...]] = {}
+        self._in_flight: dict[tuple[VmId, ServerId], int] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._n_events = 0
+        for index, vm in enumerate(self.vms):
+            self._at(TICK_S * index / n_vms, self._ticker(vm))
+
+    def add(
+        self, pool: FakePool, *, floor: float = 0.5, sensitivity: float = 0.5
+    ) -> None:
+        """Configure a pool on every VM and start its requests."""
+        self.pools[pool.service] = pool
+        self.configure(pool, floor=floor, sensitivity=sensitivity)
+        self._watchers = {
+            service: watchers(service, self.vms) for service in self.pools
+        }
+        self._at(self.now, lambda: self._arrive(pool))
+
+    def configure(self, pool: FakePool, *, floor: float, sensitivity: float) -> None:
+        """Tell every VM the pool's present servers."""
+        for vm, book in self.books.items():
+            book.set_pool(self.now, pool.configured(floor, sensitivity))
+            self._refresh(vm, pool.service)
+
+    def run_until(self, end: float) -> None:
+        """Let time pass up to ``end``."""
+        events = self._events
+        while events and events[0][0] <= end:
+            self.now, _, action = heapq.heappop(events)
+            action()
+        self.now = end
+
+    def states(self, service: ServiceId, server: ServerId) -> list[ServerState]:
+        """Return where each VM sees a server."""
+        return [
+            item.state
+            for vm in self.vms
+            for item in self._standing[vm, service]
+            if item.id == server
+        ]
+
+    def share_out(self, service: ServiceId, server: ServerId) -> float:
+        """Return the share of VMs that give a server no work."""
+        states = self.states(service, server)
+        return sum(state in OUT for state in states) / len(states)
+
+    def _at(self, when: float, action: Callable[[], None]) -> None:
+        self._n_events += 1
+        heapq.heappush(self._events, (when, self._n_events, action))
+
+    def _ticker(self, vm: VmId) -> Callable[[], None]:
+        def tick() -> None:
+            book = self.books[vm]
+            for service in book.tick(self.now):
+                self._refresh(vm, service)
+            self._send(vm)
+            self._at(self.now + TICK_S, tick)
+
+        return tick
+
+    def _send(self, vm: VmId) -> None:
+        for digest in self.books[vm].digests(self.now):
+            for peer in digest.to or self._watchers[digest.service]:
+                if peer != vm:
+                    self._deliver(peer, digest)
+
+    def _deliver(self, peer: VmId, digest: HealthDigest) -> None:
+        self.n_digests += 1
+        self.n_lines += len(digest.servers) + len(digest.opinions)
+
+        def arrive() -> None:
+            for service in self.books[peer].merge(self.now, digest):
+                self._refresh(peer, service)
+
+        self._at(self.now + PEER_DELAY_S, arrive)
+
+    def _refresh(self, vm: VmId, service: ServiceId) -> None:
+        standing = self.books[vm].standing(self.now, service)
+        self._standing[vm, service] = standing
+
+    def _arrive(self, pool: FakePool) -> None:
+        if pool.stopped:
+            return
+        pool.n_requests += 1
+        vm = self.random.choice(self.vms)
+        idempotent = self.random.random() < IDEMPOTENT_SHARE
+        self._dispatch(pool, vm, idempotent, frozenset())
+        self._at(self.now + self.random.expovariate(pool.rate), self._arrival(pool))
+
+    def _arrival(self, pool: FakePool) -> Callable[[], None]:
+        return lambda: self._arrive(pool)
+
+    def _dispatch(
+        self, pool: FakePool, vm: VmId, idempotent: bool, tried: frozenset[ServerId]
+    ) -> None:
+        server = self._choose(pool, vm, idempotent, tried)
+        if server is None:
+            pool.n_failed_requests += 1
+            return
+        age_s, fault = self._fault(pool, vm, server)
+        attempt = fault(Moment(age_s, vm, self.random))
+        this = _Try(pool, vm, server, idempotent, tried)
+        key = (vm, server)
+        self._in_flight[key] = self._in_flight.get(key, 0) + 1
+        limit_s = self.books[vm].overdue_after(self.now, pool.service)
+        overdue = attempt.latency_s > limit_s
+        if overdue:
+            self._at(self.now + limit_s, lambda: self._overdue(this, limit_s))
+        self._at(
+            self.now + attempt.latency_s,
+            lambda: self._finish(this, attempt.verdict, attempt.latency_s, overdue),
+        )
+
+    def _choose(
+        self, pool: FakePool, vm: VmId, idempotent: bool, tried: frozenset[ServerId]
+    ) -> ServerId | None:
+        usable = [
+            item
+            for item in self._standing[vm, pool.service]
+            if item.weight > 0
+            and item.id not in tried
+            and (idempotent or not item.idempotent_only)
+        ]
+        if not usable:
+            return None
+        if idempotent and not tried:
+            for item in usable:
+                if item.verify and not self._in_flight.get((vm, item.id)):
+                    return item.id
+        weights = [item.weight for item in usable]
+        return self.random.choices(usable, weights)[0].id
+
+    def _fault(self, pool: FakePool, vm: VmId, server: ServerId) -> tuple[float, Fault]:
+        since, fault = pool.faults.get(server, (0.0, usual))
+        if pool.cut_vms and vm not in pool.cut_vms:
+            fault = usual
+        return self.now - since, fault
+
+    def _overdue(self, this: _Try, limit_s: float) -> None:
+        self._observe(this, Verdict.OVERDUE, limit_s, False)
+
+    def _finish(
+        self, this: _Try, verdict: Verdict, latency_s: float, overdue: bool
+    ) -> None:
+        self._in_flight[this.vm, this.server] -= 1
+        self._observe(this, verdict, latency_s, overdue)
+        if verdict is Verdict.SUCCESS:
+            return
+        pool, tried = this.pool, this.tried | {this.server}
+        pool.n_failed_attempts += 1
+        may_repeat = this.idempotent or verdict is Verdict.UNREACHABLE
+        if may_repeat and len(tried) < MAX_ATTEMPTS and not pool.stopped:
+            self._dispatch(pool, this.vm, this.idempotent, tried)
+        else:
+            pool.n_failed_requests += 1
+
+    def _observe(
+        self, this: _Try, verdict: Verdict, latency_s: float, overdue: bool
+    ) -> None:
+        service = this.pool.service
+        seen = Observation(service, this.server, verdict, latency_s, overdue)
+        if self.books[this.vm].observe(self.now, seen):
+            self._refresh(this.vm, service)
+            self._send(this.vm)
