--- a/packages/health/src/wagtailpaddle_health/admission.py
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -43,8 +43,8 @@
     def ramp(self) -> None:
         """Let the server's share grow."""
 
-    def keep(self) -> None:
-        """Bring an ejected server back because it is needed."""
+    def hold(self) -> None:
+        """Let a server work, distrusted, because it is needed."""
 
 
 @dataclass(slots=True)
@@ -63,9 +63,10 @@
     evidence: Evidence = field(default_factory=Evidence)
     since: float = 0.0
     until: float = 0.0
-    severity: float = 0.0
+    severity: int = 0
     n_ejections: int = 0
     last_ejected_at: float = 0.0
+    judged_at: float = float("-inf")
     reason: str = ""
     kept: bool = False
     cold: bool = False
@@ -92,6 +93,21 @@
         """How long the server's share grows, in seconds."""
         return COLD_RAMP_S if self.cold else RAMP_S
 
+    @property
+    def suspicion(self) -> float:
+        """The stronger of the local and the fleet's suspicion."""
+        return max(self.local.suspicion, self.fleet.suspicion)
+
+    @property
+    def score(self) -> float:
+        """The stronger of the local and the fleet's score."""
+        return max(self.local.score, self.fleet.score)
+
+    def is_forgiven(self, now: float) -> bool:
+        """Whether past ejections no longer lengthen the next one."""
+        n_forgiven = int((now - self.last_ejected_at) / FORGIVE_S)
+        return n_forgiven >= self.n_ejections
+
     def lengthen(self, now: float) -> float:
         """Count an ejection that starts now; return its length in seconds."""
         n_forgiven = int((now - self.last_ejected_at) / FORGIVE_S)
@@ -117,7 +133,9 @@
     avoided.upon(Admission.eject).to(ejected).returns(None)
     for out in (ejected, avoided):
         out.upon(Admission.test).to(probation).returns(None)
-        out.upon(Admission.keep).to(suspect).returns(None)
+        out.upon(Admission.hold).to(suspect).returns(None)
+    for recovering in (probation, ramping):
+        recovering.upon(Admission.hold).to(suspect).returns(None)
     probation.upon(Admission.ramp).to(ramping).returns(None)
     healthy.upon(Admission.ramp).to(ramping).returns(None)
     return builder
--- a/packages/health/src/wagtailpaddle_health/book.py
+++ b/packages/health/src/wagtailpaddle_health/book.py
@@ -1,6 +1,6 @@
 """The health book: evidence in, standing of backend servers out."""
 
-from collections import Counter
+from collections import Counter, deque
 
 from wagtailpaddle_core import ServerId, ServiceId, VmId
 
@@ -17,6 +17,8 @@
 from wagtailpaddle_health.poolbook import PoolBook
 from wagtailpaddle_health.window import WINDOW_S
 
+MAX_EVENTS = 1000
+
 
 class HealthBook:
     """Judges the backend servers of every service from real work.
@@ -39,6 +41,7 @@
         self._active: dict[ServiceId, None] = {}
         self._changed: set[ServiceId] = set()
         self._ignored: Counter[str] = Counter()
+        self._events: deque[HealthEvent] = deque(maxlen=MAX_EVENTS)
 
     def set_pool(self, now: float, pool: Pool) -> bool:
         """Replace the configured servers of a service; return whether it differs.
@@ -48,7 +51,9 @@
         """
         known = self._pools.get(pool.service)
         if known is None:
-            self._pools[pool.service] = PoolBook(now, self.vm, self._policy, pool)
+            self._pools[pool.service] = PoolBook(
+                now, self.vm, self._policy, pool, self._events
+            )
             self._changed.add(pool.service)
             return True
         changed = known.set_pool(now, pool)
@@ -138,9 +143,13 @@
         return () if pool is None else pool.standing(now)
 
     def events(self) -> tuple[HealthEvent, ...]:
-        """Return the events since the last call, oldest first."""
-        found = [event for pool in self._pools.values() for event in pool.take_events()]
-        return tuple(sorted(found, key=lambda event: event.at))
+        """Return the events since the last call, oldest first.
+
+        Only the latest ``MAX_EVENTS`` are kept.
+        """
+        events = tuple(self._events)
+        self._events.clear()
+        return events
 
     @property
     def n_ignored(self) -> dict[str, int]:
--- a/packages/health/src/wagtailpaddle_health/exchange.py
+++ b/packages/health/src/wagtailpaddle_health/exchange.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Container, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wagtailpaddle_core import ServerId, ServiceId, VmId
 
@@ -92,15 +92,14 @@
         if not by_vm:
             return Judgement(suspicion=own.suspicion)
         heard = [entry.opinion for entry in by_vm.values()]
-        ranked = [(item.score, item.reason) for item in heard]
+        ranked = [judgement_of(item) for item in heard]
         if own is not NOTHING:
-            ranked.append((own.score, own.reason))
-        ranked.sort(reverse=True)
-        suspicion = max(own.suspicion, *(item.suspicion for item in heard), 0.0)
+            ranked.append(own)
+        ranked.sort(key=lambda item: (item.score, item.bad_share), reverse=True)
+        suspicion = max(item.suspicion for item in ranked)
         if len(ranked) < QUORUM:
             return Judgement(suspicion=suspicion)
-        score, reason = ranked[QUORUM - 1]
-        return Judgement(suspicion, score, reason, own.n_failed, own.n_attempts)
+        return replace(ranked[QUORUM - 1], suspicion=suspicion)
 
     def forget(self, server: ServerId) -> None:
         """Drop what was heard and told about a server."""
@@ -210,8 +209,35 @@
     return Counts(n_attempts, *values[1:])
 
 
+def judgement_of(opinion: Opinion) -> Judgement:
+    """Return what an opinion says, without the server's name."""
+    return Judgement(
+        opinion.suspicion,
+        opinion.score,
+        opinion.reason,
+        opinion.n_failed,
+        opinion.n_attempts,
+    )
+
+
+def opinion_of(server: ServerId, judgement: Judgement) -> Opinion:
+    """Return the opinion that tells a judgement."""
+    return Opinion(
+        server,
+        judgement.suspicion,
+        judgement.score,
+        judgement.reason,
+        judgement.n_failed,
+        judgement.n_attempts,
+    )
+
+
 def valid_opinions(opinions: Iterable[Opinion]) -> Iterator[Opinion]:
     """Yield the opinions whose numbers can be true."""
     for item in opinions:
-        if is_amount(item.score, MAX_SHARE) and is_amount(item.suspicion, MAX_SHARE):
+        shares = (item.score, item.suspicion)
+        counts = (item.n_failed, item.n_attempts)
+        if not all(is_amount(share, MAX_SHARE) for share in shares):
+            continue
+        if all(map(is_count, counts)) and item.n_failed <= item.n_attempts:
             yield item
--- a/packages/health/src/wagtailpaddle_health/floor.py
+++ b/packages/health/src/wagtailpaddle_health/floor.py
@@ -5,8 +5,9 @@
 
 from wagtailpaddle_health.admission import Track
 from wagtailpaddle_health.messages import Pool, PoolServer, ServerState
+from wagtailpaddle_health.scan import Judgement
 
-MAX_SEVERITY = 1.5
+HARD_SHARE = 0.5
 
 
 def n_required(pool: Pool) -> int:
@@ -21,12 +22,21 @@
     return max(least, math.ceil(pool.floor * len(pool.servers) - 1e-9))
 
 
+def severity_of(why: Judgement) -> int:
+    """Return 2 for a server that fails most of its work, 1 for one in part.
+
+    Coarse, so that it does not depend on how much evidence came before or after
+    the ejection.
+    """
+    return 2 if why.bad_share >= HARD_SHARE else 1
+
+
 def takes_work(server: PoolServer) -> bool:
     """Return whether a configured server may get new work at all."""
     return not (server.leaving or server.draining)
 
 
-def urgency(track: Track) -> tuple[bool, float, str]:
+def urgency(track: Track) -> tuple[bool, int, str]:
     """Return the order in which servers are ejected when not all can be.
 
     The fleet's verdicts go before this VM's own, the worse before the better.
--- a/packages/health/src/wagtailpaddle_health/messages.py
+++ b/packages/health/src/wagtailpaddle_health/messages.py
@@ -126,13 +126,16 @@
 
     Both are log likelihood ratios as shares of the ejection threshold:
     ``suspicion`` from all evidence, ``score`` without the VM that reported most
-    of the failures. ``reason`` names the kind of failure.
+    of the failures. ``reason`` names the kind of failure; ``n_failed`` of
+    ``n_attempts`` are the counts of the window in which it is clearest.
     """
 
     server: ServerId
     suspicion: float
     score: float
     reason: str = ""
+    n_failed: int = 0
+    n_attempts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/health/src/wagtailpaddle_health/poolbook.py
+++ b/packages/health/src/wagtailpaddle_health/poolbook.py
@@ -1,19 +1,16 @@
-"""Judges the servers of one service."""
+"""Judges the servers of one service by the evidence on them."""
 
 from collections import Counter, deque
-from dataclasses import replace
 
-from wagtailpaddle_core import ServerId, VmId, ensure
+from wagtailpaddle_core import ServerId, VmId
 
 from wagtailpaddle_health.admission import MAX_PROBATION_S, PROBATION_S, Track
 from wagtailpaddle_health.evidence import Pending
-from wagtailpaddle_health.exchange import Exchange, counts_of, valid_opinions
-from wagtailpaddle_health.floor import (
-    MAX_SEVERITY,
-    least_urgent,
-    n_required,
-    takes_work,
-    urgency,
+from wagtailpaddle_health.exchange import (
+    Exchange,
+    counts_of,
+    opinion_of,
+    valid_opinions,
 )
 from wagtailpaddle_health.latency import LatencyLimit
 from wagtailpaddle_health.messages import (
@@ -28,48 +25,52 @@
     Verdict,
 )
 from wagtailpaddle_health.policies import Case, Policy
-from wagtailpaddle_health.scan import NOTHING, Judgement
+from wagtailpaddle_health.roster import Roster
+from wagtailpaddle_health.scan import NOTHING
 from wagtailpaddle_health.standing import health, restricted, wants_verification
 from wagtailpaddle_health.window import Counts
 
 SUSPECT_SHARE = 0.25
 TRUST_SHARE = 0.15
 READMITTED_BAR = 0.6
+UNKEEP_SHARE = 0.5
 JUDGE_INTERVAL_S = 0.25
 TELL_EJECTED_S = 3.0
 LOAD_LIFE_S = 5.0
 MAX_OTHERS = 24
-MAX_EVENTS = 1000
 FAILED = (Verdict.FAILURE, Verdict.UNREACHABLE)
+RECOVERING = (ServerState.PROBATION, ServerState.RAMPING)
 
 
 class PoolBook:
-    """Evidence, judgements and the life cycles of one service's servers.
+    """Takes in evidence on one service's servers and judges them by it.
 
-    A server has a ``Track`` only while there is evidence on it or it has a
-    past that matters.
+    A server is judged when bad news on it comes, and some times a second while
+    it is not simply healthy. Changes of standing are appended to ``events``.
     """
 
-    def __init__(self, now: float, vm: VmId, policy: Policy, pool: Pool) -> None:
+    def __init__(
+        self,
+        now: float,
+        vm: VmId,
+        policy: Policy,
+        pool: Pool,
+        events: deque[HealthEvent],
+    ) -> None:
         self.vm = vm
-        self.exchange = Exchange(vm, pool.service)
         self.ignored: Counter[str] = Counter()
-        self.events: deque[HealthEvent] = deque(maxlen=MAX_EVENTS)
         self.limit = LatencyLimit()
         self.last_evidence_at = now
         self._policy = policy
-        self._pool = pool
-        self._servers = {server.id: server for server in pool.servers}
-        self._tracks: dict[ServerId, Track] = {}
-        self._watched: dict[ServerId, Track] = {}
+        self._roster = Roster(pool, events)
+        self._exchange = Exchange(vm, pool.service)
         self._loads: dict[ServerId, tuple[float, float]] = {}
         self._pending: dict[ServerId, Pending] = {}
-        self._judged_at: dict[ServerId, float] = {}
 
     @property
     def is_watching(self) -> bool:
         """Whether some server is not simply healthy."""
-        return bool(self._watched)
+        return bool(self._roster.watched)
 
     @property
     def has_pending(self) -> bool:
@@ -79,80 +80,46 @@
     @property
     def n_tracks(self) -> int:
         """How many servers have state here."""
-        return len(self._tracks)
+        return len(self._roster.tracks)
 
     def set_pool(self, now: float, pool: Pool) -> bool:
-        """Replace the configured servers; return whether a standing changed."""
-        if pool == self._pool:
+        """Replace the configured servers; return whether they differ."""
+        if pool == self._roster.pool:
             return False
-        before = self._servers
-        self._pool = pool
-        self._servers = {server.id: server for server in pool.servers}
-        for server in before.keys() - self._servers.keys():
-            self._drop(server)
-        for server in self._servers:
-            if server not in before:
-                self._admit_cold(now, server)
-        self._bring_back(now)
-        self._check_floor()
+        for server in self._roster.set_pool(now, pool):
+            self._forget(server)
         return True
 
     def add_own(self, now: float, observation: Observation) -> bool:
-        """Take in an attempt of this VM."""
+        """Take in an attempt of this VM; return whether a standing changed."""
         server = observation.server
-        if server not in self._servers:
+        if server not in self._roster.servers:
             self.ignored["unknown server"] += 1
             return False
         counts = self._count(observation)
         if counts is None:
             return False
-        track = self._track(server)
-        evidence = track.evidence
-        self.last_evidence_at = evidence.last_own_at = now
-        if observation.verdict in FAILED:
-            evidence.streak += 1
-        elif observation.verdict is Verdict.SUCCESS:
-            evidence.streak = 0
-        if counts:
-            evidence.add_own(now, self.vm, counts)
-            pending = self._pending.setdefault(server, Pending())
-            pending.add(counts, observation.latency_s)
+        track = self._roster.track(server)
+        self._note_own(now, track, observation, counts)
         if counts.n_failure or counts.n_slow:
             return self._judge(now, track)
-        return server in self._watched and track.state is ServerState.SUSPECT
+        is_watched = server in self._roster.watched
+        return is_watched and track.state is ServerState.SUSPECT
 
     def merge(self, now: float, digest: HealthDigest) -> bool:
         """Take in a digest; return whether a standing changed."""
-        fault = self.exchange.admit(now, digest)
+        fault = self._exchange.admit(now, digest)
         if fault:
             self.ignored[fault] += 1
             return False
-        dirty: dict[ServerId, None] = {}
-        for line in digest.servers:
-            counts = counts_of(line)
-            if line.server not in self._servers:
-                self.ignored["unknown server"] += 1
-            elif counts is None:
-                self.ignored["impossible counts"] += 1
-            else:
-                self._track(line.server).evidence.add_other(now, digest.vm, counts)
-                self.last_evidence_at = now
-                if counts.n_failure or counts.n_slow or line.server in self._watched:
-                    dirty[line.server] = None
-        opinions = tuple(valid_opinions(digest.opinions))
-        self.ignored["bad opinion"] += len(digest.opinions) - len(opinions)
-        for opinion in opinions:
-            if opinion.server not in self._servers:
-                self.ignored["unknown server"] += 1
-                continue
-            self.exchange.hear(now, digest.vm, opinion)
-            dirty[opinion.server] = None
-        changes = [self._judge(now, self._track(server)) for server in dirty]
+        dirty = self._take_lines(now, digest)
+        dirty.update(self._take_opinions(now, digest))
+        changes = [self._judge(now, track) for track in dirty.values()]
         return any(changes)
 
     def report_load(self, now: float, server: ServerId, load: float) -> None:
         """Note a checked load report."""
-        if server in self._servers:
+        if server in self._roster.servers:
             self._loads[server] = (now, load)
         else:
             self.ignored["unknown server"] += 1
@@ -160,46 +127,39 @@
     def tick(self, now: float) -> bool:
         """Act on the passing of time; return whether a standing changed."""
         changed = False
-        for track in list(self._watched.values()):
+        for track in list(self._roster.watched.values()):
             changed |= self._advance(now, track)
         return changed
 
     def sweep(self, now: float) -> None:
-        """Drop the state of healthy servers without recent evidence."""
-        for server, track in list(self._tracks.items()):
-            idle = not track.evidence.pooled.total(int(now))
-            if idle and server not in self._watched and not track.n_ejections:
-                self._drop(server)
+        """Drop the state of servers without recent evidence."""
+        for server in self._roster.idle(int(now)):
+            self._roster.drop(server)
+            self._forget(server)
 
     def standing(self, now: float) -> tuple[ServerHealth, ...]:
         """Return the standing of every configured server."""
-        n_open = sum(map(takes_work, self._pool.servers)) - self._n_out()
-        n_spare = n_open - n_required(self._pool)
-        limited = restricted(self._watched.values(), n_spare)
+        roster = self._roster
+        limited = restricted(roster.watched.values(), roster.n_spare)
         return tuple(
             self._standing_of(now, server, server in limited)
-            for server in self._servers
+            for server in roster.servers
         )
 
     def take_digests(self, now: float) -> tuple[HealthDigest, ...]:
         """Return own evidence for the watchers and opinions for the audience."""
         digests = []
-        lines = self.exchange.take_evidence(now, self._pending, self._watched)
+        exchange = self._exchange
+        lines = exchange.take_evidence(now, self._pending, self._roster.watched)
         if lines:
-            digests.append(self.exchange.digest(lines))
-        audience = self.exchange.audience(now)
+            digests.append(exchange.digest(lines))
+        audience = exchange.audience(now)
         if audience:
-            opinions = self.exchange.next_opinions(now, self._held(now))
+            opinions = exchange.next_opinions(now, self._held(now))
             if opinions:
-                digests.append(self.exchange.digest((), opinions, audience))
+                digests.append(exchange.digest((), opinions, audience))
         return tuple(digests)
 
-    def take_events(self) -> list[HealthEvent]:
-        """Return the events since the last call."""
-        events = list(self.events)
-        self.events.clear()
-        return events
-
     def _count(self, observation: Observation) -> Counts | None:
         verdict, latency_s = observation.verdict, observation.latency_s
         if not 0 <= latency_s < float("inf"):
@@ -217,142 +177,133 @@
         is_unsent = verdict is Verdict.UNREACHABLE
         return Counts(int(is_new), 1, int(is_unsent), int(is_slow))
 
+    def _note_own(
+        self, now: float, track: Track, observation: Observation, counts: Counts
+    ) -> None:
+        evidence = track.evidence
+        self.last_evidence_at = evidence.last_own_at = now
+        if observation.verdict in FAILED:
+            evidence.streak += 1
+        elif observation.verdict is Verdict.SUCCESS:
+            evidence.streak = 0
+        if not counts:
+            return
+        evidence.add_own(now, self.vm, counts)
+        pending = self._pending.setdefault(track.server, Pending())
+        pending.add(counts, observation.latency_s)
+
+    def _take_lines(self, now: float, digest: HealthDigest) -> dict[ServerId, Track]:
+        dirty = {}
+        for line in digest.servers:
+            counts = counts_of(line)
+            if line.server not in self._roster.servers:
+                self.ignored["unknown server"] += 1
+                continue
+            if counts is None:
+                self.ignored["impossible counts"] += 1
+                continue
+            track = self._roster.track(line.server)
+            track.evidence.add_other(now, digest.vm, counts)
+            self.last_evidence_at = now
+            is_bad = counts.n_failure + counts.n_slow > 0
+            if is_bad or line.server in self._roster.watched:
+                dirty[line.server] = track
+        return dirty
+
+    def _take_opinions(self, now: float, digest: HealthDigest) -> dict[ServerId, Track]:
+        dirty = {}
+        opinions = tuple(valid_opinions(digest.opinions))
+        self.ignored["bad opinion"] += len(digest.opinions) - len(opinions)
+        for opinion in opinions:
+            if opinion.server not in self._roster.servers:
+                self.ignored["unknown server"] += 1
+                continue
+            self._exchange.hear(now, digest.vm, opinion)
+            dirty[opinion.server] = self._roster.track(opinion.server)
+        return dirty
+
     def _judge(self, now: float, track: Track) -> bool:
-        self._judged_at[track.server] = now
+        track.judged_at = now
         if track.state is ServerState.EJECTED:
             return False
-        others = [other.evidence for other in self._tracks.values()]
-        others = [
-            item for item in others[: MAX_OTHERS + 1] if item is not track.evidence
-        ]
-        case = Case(
+        case = self._case(now, track)
+        track.local = self._policy.local(case)
+        is_watcher = bool(self._exchange.audience(now))
+        track.pooled = self._policy.fleet(case) if is_watcher else NOTHING
+        track.fleet = self._exchange.verdict(now, track.server, track.pooled)
+        return self._act(now, track)
+
+    def _case(self, now: float, track: Track) -> Case:
+        others = []
+        for other in self._roster.tracks.values():
+            if other is not track and not other.is_out:
+                others.append(other.evidence)
+            if len(others) == MAX_OTHERS:
+                break
+        return Case(
             second=int(now),
             evidence=track.evidence,
             others=tuple(others),
-            sensitivity=self._pool.sensitivity,
+            sensitivity=self._roster.pool.sensitivity,
             cold=track.cold,
         )
-        track.local = self._policy.local(case)
-        if self.exchange.audience(now):
-            track.pooled = self._policy.fleet(case)
-        else:
-            track.pooled = NOTHING
-        track.fleet = self.exchange.verdict(now, track.server, track.pooled)
-        return self._act(now, track)
 
     def _act(self, now: float, track: Track) -> bool:
-        recovering = (ServerState.PROBATION, ServerState.RAMPING)
-        is_recovering = track.state in recovering and not track.cold
+        is_recovering = track.state in RECOVERING and not track.cold
         bar = READMITTED_BAR if is_recovering else 1.0
         if track.fleet.score >= bar:
-            return self._put_out(now, track, track.fleet, ServerState.EJECTED)
+            why, state = track.fleet, ServerState.EJECTED
+            return self._roster.put_out(now, track, why, state)
         if track.state is ServerState.AVOIDED:
             return False
         if track.local.score >= bar:
-            return self._put_out(now, track, track.local, ServerState.AVOIDED)
+            why, state = track.local, ServerState.AVOIDED
+            return self._roster.put_out(now, track, why, state)
         return self._doubt_or_trust(now, track)
 
     def _doubt_or_trust(self, now: float, track: Track) -> bool:
-        suspicion = max(track.fleet.suspicion, track.local.suspicion)
-        if track.state is ServerState.HEALTHY and suspicion >= SUSPECT_SHARE:
+        if track.state is ServerState.HEALTHY and track.suspicion >= SUSPECT_SHARE:
             track.admission.doubt()
-            self._enter(now, track, track.local.reason or track.fleet.reason)
-            return True
-        if track.state is ServerState.SUSPECT:
-            if suspicion < TRUST_SHARE:
-                track.admission.trust()
-                self._enter(now, track, "")
-            elif track.kept and max(track.fleet.score, track.local.score) < 1:
-                track.kept = False
+            reason = track.local.reason or track.fleet.reason
+            self._roster.enter(now, track, reason)
             return True
-        return False
-
-    def _put_out(
-        self, now: float, track: Track, why: Judgement, state: ServerState
-    ) -> bool:
-        if not takes_work(self._servers[track.server]):
+        if track.state is not ServerState.SUSPECT:
             return False
-        severity = min(MAX_SEVERITY, why.score)
-        if not track.is_out and not self._make_room(now, track, severity, state):
-            return self._keep(now, track, why)
-        track.severity = severity
-        if not track.is_out:
-            track.until = now + track.lengthen(now)
-        if state is ServerState.EJECTED:
-            track.admission.eject()
-        else:
-            track.admission.avoid()
-        self._enter(now, track, why.reason)
-        self._tell(now, track, HealthEventKind(state.value), why)
-        self._check_floor()
+        if track.suspicion < TRUST_SHARE:
+            track.admission.trust()
+            self._roster.enter(now, track, "")
+        elif track.score < UNKEEP_SHARE:
+            track.kept = False
         return True
 
-    def _make_room(
-        self, now: float, track: Track, severity: float, state: ServerState
-    ) -> bool:
-        if self._n_usable() - 1 >= n_required(self._pool):
-            return True
-        weakest = least_urgent(self._out())
-        if weakest is None:
-            return False
-        candidate = (state is ServerState.EJECTED, severity, track.server)
-        if urgency(weakest) >= candidate:
-            return False
-        self._return_to_work(now, weakest)
-        return self._n_usable() - 1 >= n_required(self._pool)
-
-    def _keep(self, now: float, track: Track, why: Judgement) -> bool:
-        if track.state in (ServerState.PROBATION, ServerState.RAMPING):
-            return False
-        if track.state is ServerState.HEALTHY:
-            track.admission.doubt()
-        was_kept = track.kept
-        track.kept = True
-        if not was_kept:
-            self._enter(now, track, why.reason)
-            self._tell(now, track, HealthEventKind.KEPT, why)
-        return not was_kept
-
-    def _return_to_work(self, now: float, track: Track) -> None:
-        track.admission.keep()
-        track.kept = True
-        self._enter(now, track, track.reason)
-        self._tell(now, track, HealthEventKind.KEPT, track.fleet)
-
-    def _bring_back(self, now: float) -> None:
-        while self._n_usable() < n_required(self._pool):
-            weakest = least_urgent(self._out())
-            if weakest is None:
-                return
-            self._return_to_work(now, weakest)
-
     def _advance(self, now: float, track: Track) -> bool:
         state = track.state
         if track.is_out and now >= track.until:
-            track.admission.test()
-            track.evidence.forget()
-            track.fleet = track.local = track.pooled = NOTHING
-            self.exchange.forget(track.server)
-            self._enter(now, track, track.reason)
+            self._begin_probation(now, track)
             return True
         if state is ServerState.PROBATION and self._passed_probation(now, track):
             track.admission.ramp()
-            self._enter(now, track, track.reason)
-            self._tell(now, track, HealthEventKind.READMITTED, NOTHING)
+            self._roster.enter(now, track, track.reason)
+            self._roster.tell(now, track, HealthEventKind.READMITTED, NOTHING)
             return True
         if state is ServerState.RAMPING and now >= track.since + track.ramp_s:
             track.admission.trust()
             track.cold = False
-            self._enter(now, track, "")
+            self._roster.enter(now, track, "")
             return True
-        if now < self._judged_at.get(track.server, 0.0) + JUDGE_INTERVAL_S:
+        if now < track.judged_at + JUDGE_INTERVAL_S:
             return False
-        changed = self._judge(now, track)
-        return changed or track.state in (ServerState.RAMPING, ServerState.PROBATION)
+        return self._judge(now, track) or state in RECOVERING
+
+    def _begin_probation(self, now: float, track: Track) -> None:
+        track.admission.test()
+        track.evidence.forget()
+        track.fleet = track.local = track.pooled = NOTHING
+        self._exchange.forget(track.server)
+        self._roster.enter(now, track, track.reason)
 
     def _passed_probation(self, now: float, track: Track) -> bool:
-        suspicion = max(track.fleet.suspicion, track.local.suspicion)
-        if suspicion >= SUSPECT_SHARE or track.evidence.streak:
+        if track.suspicion >= SUSPECT_SHARE or track.evidence.streak:
             return False
         was_tried = track.evidence.last_own_at > track.since
         needed_s = PROBATION_S if was_tried else MAX_PROBATION_S
@@ -361,93 +312,27 @@
     def _standing_of(
         self, now: float, server: ServerId, idempotent_only: bool
     ) -> ServerHealth:
-        load = self._loads.get(server)
-        fresh_load = load[1] if load and now - load[0] <= LOAD_LIFE_S else None
-        track = self._tracks.get(server)
+        told_at, load = self._loads.get(server, (0.0, None))
+        if now - told_at > LOAD_LIFE_S:
+            load = None
+        track = self._roster.watched.get(server)
         if track is None:
-            return ServerHealth(server, ServerState.HEALTHY, 1.0, load=fresh_load)
+            return ServerHealth(server, ServerState.HEALTHY, 1.0, load=load)
         verify = self._policy.verifies and wants_verification(now, track, self.vm)
         return health(
-            now, track, idempotent_only=idempotent_only, verify=verify, load=fresh_load
+            now, track, idempotent_only=idempotent_only, verify=verify, load=load
         )
 
     def _held(self, now: float) -> list[Opinion]:
         held = []
-        for server, track in self._watched.items():
+        for server, track in self._roster.watched.items():
             is_old = track.is_out and now - track.since > TELL_EJECTED_S
-            if track.pooled.suspicion >= SUSPECT_SHARE and not is_old:
-                pooled = track.pooled
-                held.append(
-                    Opinion(server, pooled.suspicion, pooled.score, pooled.reason)
-                )
+            pooled = track.pooled
+            if pooled.suspicion >= SUSPECT_SHARE and not is_old:
+                held.append(opinion_of(server, pooled))
         return held
 
-    def _track(self, server: ServerId) -> Track:
-        track = self._tracks.get(server)
-        if track is None:
-            track = self._tracks[server] = Track(server)
-        return track
-
-    def _admit_cold(self, now: float, server: ServerId) -> None:
-        track = self._track(server)
-        track.cold = True
-        track.admission.ramp()
-        self._enter(now, track, "new server")
-
-    def _enter(self, now: float, track: Track, reason: str) -> None:
-        track.since = now
-        track.reason = reason
-        if track.state is not ServerState.SUSPECT:
-            track.kept = False
-        if track.state is ServerState.HEALTHY:
-            self._watched.pop(track.server, None)
-        else:
-            self._watched[track.server] = track
-
-    def _drop(self, server: ServerId) -> None:
-        for table in (self._tracks, self._watched, self._loads, self._pending):
-            table.pop(server, None)  # type: ignore[attr-defined]
-        self._judged_at.pop(server, None)
-        self.exchange.forget(server)
-
-    def _tell(
-        self, now: float, track: Track, kind: HealthEventKind, why: Judgement
-    ) -> None:
-        event = HealthEvent(
-            at=now,
-            service=self._pool.service,
-            server=track.server,
-            kind=kind,
-            reason=track.reason,
-            score=why.score,
-            n_failed=why.n_failed,
-            n_attempts=why.n_attempts,
-        )
-        if track.is_out:
-            event = replace(event, until=track.until)
-        self.events.append(event)
-
-    def _out(self) -> list[Track]:
-        return [
-            track
-            for track in self._watched.values()
-            if track.is_out and takes_work(self._servers[track.server])
-        ]
-
-    def _n_out(self) -> int:
-        return len(self._out())
-
-    def _n_usable(self) -> int:
-        return sum(map(takes_work, self._pool.servers)) - self._n_out()
-
-    def _check_floor(self) -> None:
-        n_out, n_usable = self._n_out(), self._n_usable()
-        needed = n_required(self._pool)
-        ensure(
-            n_out == 0 or n_usable >= needed,
-            "ejection-keeps-the-floor",
-            service=self._pool.service,
-            n_out=n_out,
-            n_usable=n_usable,
-            n_required=needed,
-        )
+    def _forget(self, server: ServerId) -> None:
+        self._loads.pop(server, None)
+        self._pending.pop(server, None)
+        self._exchange.forget(server)
--- a/packages/health/src/wagtailpaddle_health/scan.py
+++ b/packages/health/src/wagtailpaddle_health/scan.py
@@ -37,6 +37,11 @@
     n_failed: int = 0
     n_attempts: int = 0
 
+    @property
+    def bad_share(self) -> float:
+        """The share of bad attempts in the strongest window."""
+        return self.n_failed / self.n_attempts if self.n_attempts else 0.0
+
 
 NOTHING = Judgement()
 
--- a/packages/health/src/wagtailpaddle_health/standing.py
+++ b/packages/health/src/wagtailpaddle_health/standing.py
@@ -28,7 +28,7 @@
     if track.kept:
         return KEPT_WEIGHT
     if state is ServerState.SUSPECT:
-        return max(SUSPECT_WEIGHT, 1 - max(track.fleet.score, track.local.score))
+        return max(SUSPECT_WEIGHT, 1 - track.score)
     return 1.0
 
 
@@ -52,11 +52,10 @@
     """
     ranked = []
     for track in tracks:
-        score_ = max(track.fleet.score, track.local.score)
         if track.state is ServerState.PROBATION:
             ranked.append((0, 0.0, track.server))
-        elif track.state is ServerState.SUSPECT and score_ >= RESTRICT_SCORE:
-            ranked.append((1, -score_, track.server))
+        elif track.state is ServerState.SUSPECT and track.score >= RESTRICT_SCORE:
+            ranked.append((1, -track.score, track.server))
     return frozenset(server for _, _, server in sorted(ranked)[: max(0, n_spare)])
 
 
