--- a/packages/core/src/wagtailpaddle_core/errors.py
+++ b/packages/core/src/wagtailpaddle_core/errors.py
@@ -18,6 +18,7 @@
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
     CONFLICT = "conflict"
+    DEADLINE_AFTER_DISPATCH = "deadline-after-dispatch"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     DRAINING = "draining"
     FORBIDDEN = "forbidden"
@@ -57,6 +58,9 @@
     ErrorKind.BAD_REQUEST: Answer(400, "The request is malformed"),
     ErrorKind.BODY_TOO_LARGE: Answer(413, "The request body is too large"),
     ErrorKind.CONFLICT: Answer(409, "The object was changed in the meantime"),
+    ErrorKind.DEADLINE_AFTER_DISPATCH: Answer(
+        504, "The deadline passed after dispatch", Outcome.UNKNOWN
+    ),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, "The deadline passed before dispatch"),
     ErrorKind.DRAINING: Answer(503, "This VM is leaving", retry_elsewhere=True),
     ErrorKind.FORBIDDEN: Answer(403, "The client account may not use this route"),
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -1,8 +1,16 @@
 """Choice of backend server, fair queues, concurrency limits, retries."""
 
-from wagtailpaddle_routing.choose import CHOOSERS, Candidate
+from wagtailpaddle_routing.answers import (
+    SHED_ANSWERS,
+    interpret,
+    is_leaving,
+    parse_load,
+)
+from wagtailpaddle_routing.choose import CHOOSERS
 from wagtailpaddle_routing.dispatcher import Dispatcher
+from wagtailpaddle_routing.limits import LIMITERS
 from wagtailpaddle_routing.messages import (
+    SURELY_NOT_RUN,
     Action,
     AttemptOutcome,
     AttemptResult,
@@ -11,20 +19,31 @@
     Dispatch,
     Job,
     Refuse,
+    ServerStatus,
     ServerView,
+    ServiceStatus,
 )
+from wagtailpaddle_routing.queues import QUEUES
 
 __all__ = [
     "CHOOSERS",
+    "LIMITERS",
+    "QUEUES",
+    "SHED_ANSWERS",
+    "SURELY_NOT_RUN",
     "Action",
     "AttemptOutcome",
     "AttemptResult",
     "CancelAttempt",
-    "Candidate",
     "Deliver",
     "Dispatch",
     "Dispatcher",
     "Job",
     "Refuse",
+    "ServerStatus",
     "ServerView",
+    "ServiceStatus",
+    "interpret",
+    "is_leaving",
+    "parse_load",
 ]
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/accounts.py
@@ -0,0 +1,83 @@
+"""Client accounts that have requests in this VM, for one service."""
+
+from dataclasses import dataclass
+
+from wagtailpaddle_core import AccountId, ensure
+
+MEAN_SMOOTHING = 0.3
+PATIENCE_SAMPLES = 20
+MIN_PATIENCE_S = 1.0
+PATIENCE_DEVIATIONS = 8.0
+
+
+@dataclass(slots=True)
+class Account:
+    """What an account has in this VM. ``mean_s`` is the time a request takes."""
+
+    mean_s: float
+    n_pending: int = 0
+    n_running: int = 0
+
+
+class Accounts:
+    """Keeps an account only while it has requests here."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[AccountId, Account] = {}
+
+    def __len__(self) -> int:
+        return len(self._accounts)
+
+    def __getitem__(self, name: AccountId) -> Account:
+        return self._accounts[name]
+
+    def join(self, name: AccountId, mean_s: float) -> Account:
+        """Count a new request; ``mean_s`` is the guess for a new account."""
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = Account(mean_s)
+        account.n_pending += 1
+        return account
+
+    def leave(self, name: AccountId) -> bool:
+        """Count an answered request; return whether it was the last one."""
+        account = self._accounts[name]
+        account.n_pending -= 1
+        if account.n_pending:
+            return False
+        ensure(account.n_running == 0, "idle-account-runs-nothing", account=name)
+        del self._accounts[name]
+        return True
+
+    def learn(self, name: AccountId, used_s: float) -> None:
+        """Take in how long a request of the account kept a server busy."""
+        account = self._accounts[name]
+        account.mean_s += MEAN_SMOOTHING * (used_s - account.mean_s)
+
+
+class LatencyMeter:
+    """Smoothed mean and mean deviation of latency, in seconds."""
+
+    def __init__(self) -> None:
+        self.n_samples = 0
+        self.mean_s = 0.0
+        self.deviation_s = 0.0
+
+    @property
+    def patience_s(self) -> float:
+        """How long an answer may take before the server seems to hang."""
+        if self.n_samples < PATIENCE_SAMPLES:
+            return float("inf")
+        usual_s = self.mean_s + PATIENCE_DEVIATIONS * self.deviation_s
+        return max(MIN_PATIENCE_S, usual_s)
+
+    def add(self, latency_s: float) -> None:
+        """Take in one latency, with the weights of RFC 6298."""
+        self.n_samples += 1
+        if self.n_samples == 1:
+            self.mean_s = latency_s
+            self.deviation_s = latency_s / 2
+            return
+        gap_s = latency_s - self.mean_s
+        self.mean_s += gap_s / 8
+        self.deviation_s += (abs(gap_s) - self.deviation_s) / 4
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/answers.py
@@ -0,0 +1,98 @@
+"""What a backend server's answer says: shed, load, leaving.
+
+Headers come from servers that may be broken or lying. A value that cannot be
+read counts as absent; none raises.
+"""
+
+from collections.abc import Callable, Mapping
+
+from wagtailpaddle_core import Registry
+
+from wagtailpaddle_routing.messages import AttemptOutcome
+
+MAX_VALUE_CHARS = 64
+
+LOAD_HEADER = "x-load"
+OUTCOME_HEADER = "x-outcome"
+LEAVING_HEADER = "x-server-state"
+LEAVING_STATES = frozenset({"draining", "leaving"})
+
+ShedAnswer = Callable[[int, Mapping[str, str]], bool]
+SHED_ANSWERS: Registry[ShedAnswer] = Registry("shed answer")
+
+
+@SHED_ANSWERS.register("declared-not-run")
+def declared_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    """A server error in which the server itself states that it ran nothing.
+
+    Client errors are left alone: they are for the caller to see.
+    """
+    return status >= 500 and _word(headers, OUTCOME_HEADER) == "not-run"
+
+
+@SHED_ANSWERS.register("too-many-requests")
+def too_many_requests(status: int, headers: Mapping[str, str]) -> bool:
+    """429 (RFC 6585): the request was not accepted; Retry-After must say so."""
+    return status == 429 and "retry-after" in headers
+
+
+@SHED_ANSWERS.register("too-early")
+def too_early(status: int, headers: Mapping[str, str]) -> bool:
+    """425 (RFC 8470): the server is unwilling to process the request yet."""
+    return status == 425
+
+
+@SHED_ANSWERS.register("misdirected")
+def misdirected(status: int, headers: Mapping[str, str]) -> bool:
+    """421 (RFC 9110): the request came to a server that cannot answer it."""
+    return status == 421
+
+
+def interpret(status: int, headers: Mapping[str, str]) -> AttemptOutcome:
+    """Return what a whole answer means; ``headers`` have lower-case names.
+
+    >>> interpret(503, {"x-outcome": "not-run"})
+    <AttemptOutcome.SHED: 'shed'>
+    >>> interpret(503, {"retry-after": "1"})
+    <AttemptOutcome.ANSWERED: 'answered'>
+    """
+    if status < 400:
+        return AttemptOutcome.ANSWERED
+    for name in SHED_ANSWERS.names():
+        if SHED_ANSWERS[name](status, headers):
+            return AttemptOutcome.SHED
+    return AttemptOutcome.ANSWERED
+
+
+def parse_load(headers: Mapping[str, str]) -> float | None:
+    """Return the load in [0, 1] that an answer reports, or None.
+
+    >>> parse_load({"x-load": "0.25"})
+    0.25
+    >>> parse_load({"x-load": "nan"}) is None
+    True
+    """
+    word = _word(headers, LOAD_HEADER)
+    if not word:
+        return None
+    try:
+        load = float(word)
+    except ValueError:
+        return None
+    return load if 0.0 <= load <= 1.0 else None
+
+
+def is_leaving(headers: Mapping[str, str]) -> bool:
+    """Return whether the server says that it drains.
+
+    >>> is_leaving({"x-server-state": "draining"})
+    True
+    """
+    return _word(headers, LEAVING_HEADER) in LEAVING_STATES
+
+
+def _word(headers: Mapping[str, str], name: str) -> str:
+    value = headers.get(name, "")
+    if len(value) > MAX_VALUE_CHARS:
+        return ""
+    return value.strip().lower()
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/budget.py
@@ -0,0 +1,54 @@
+"""Retry budget: keeps an outage from being amplified."""
+
+RETRIES_PER_REQUEST = 0.2
+RETRIES_PER_S = 0.5
+MAX_TOKENS = 20.0
+
+
+class RetryBudget:
+    """Tokens for retries, earned by first attempts and slowly by time.
+
+    Over a long time the retries of one service on one VM stay under
+    ``per_request`` of its requests plus ``per_s`` a second.
+
+    >>> budget = RetryBudget(now=0.0)
+    >>> budget.take(0.0)
+    True
+    """
+
+    def __init__(
+        self,
+        *,
+        now: float,
+        per_request: float = RETRIES_PER_REQUEST,
+        per_s: float = RETRIES_PER_S,
+        max_tokens: float = MAX_TOKENS,
+    ):
+        self._per_request = per_request
+        self._per_s = per_s
+        self._max_tokens = max_tokens
+        self._tokens = max_tokens
+        self._filled_at = now
+
+    def tokens(self, now: float) -> float:
+        """Return how many retries are allowed at once."""
+        if now > self._filled_at:
+            earned = (now - self._filled_at) * self._per_s
+            self._tokens = min(self._max_tokens, self._tokens + earned)
+            self._filled_at = now
+        return self._tokens
+
+    def earn(self) -> None:
+        """Count a first attempt."""
+        self._tokens = min(self._max_tokens, self._tokens + self._per_request)
+
+    def take(self, now: float) -> bool:
+        """Take one token; return whether there was one."""
+        if self.tokens(now) < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def is_ample(self, now: float) -> bool:
+        """Return whether more than half of the tokens are left."""
+        return self.tokens(now) > self._max_tokens / 2
--- a/packages/routing/src/wagtailpaddle_routing/choose.py
+++ b/packages/routing/src/wagtailpaddle_routing/choose.py
@@ -3,34 +3,142 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from wagtailpaddle_core import Registry
 
-from wagtailpaddle_routing.messages import ServerView
+from wagtailpaddle_routing.server import Server
+
+Fits = Callable[[Server], bool]
+
+N_DRAWS = 4
+ZONE_MARGIN = 0.1
+BLIND_FRACTION = 0.125
 
 
 @dataclass(frozen=True, slots=True)
-class Candidate:
-    """A usable server with the requests that this VM has in flight there."""
+class Sides:
+    """The usable servers: those in the VM's availability zone and the others."""
+
+    local: tuple[Server, ...] = ()
+    remote: tuple[Server, ...] = ()
+
+
+class Chooser(Protocol):
+    """Picks a server that ``fits`` or returns None."""
+
+    def choose(
+        self, now: float, sides: Sides, fits: Fits, random: Random
+    ) -> Server | None:
+        """Return one server of ``sides``."""
+
+
+CHOOSERS: Registry[type[Chooser]] = Registry("chooser")
+
+
+def draw(servers: Sequence[Server], fits: Fits, random: Random) -> Server | None:
+    """Return a random server that fits, in proportion to its share.
+
+    A few draws nearly always find one; only when most servers are full are
+    all of them looked at.
+    """
+    n_servers = len(servers)
+    if not n_servers:
+        return None
+    for _ in range(N_DRAWS):
+        server = servers[int(random.random() * n_servers)]
+        if fits(server) and (server.share >= 1.0 or random.random() < server.share):
+            return server
+    fitting = [server for server in servers if fits(server)]
+    if not fitting:
+        return None
+    return random.choices(fitting, [server.share for server in fitting])[0]
+
 
-    server: ServerView
-    in_flight: int
-    load: float = 0.0
+def cheaper(now: float, first: Server, second: Server, *, blind: bool) -> Server:
+    """Return the less busy of two; a ``blind`` choice ignores hints."""
+    if blind:
+        return first if first.in_flight <= second.in_flight else second
+    return first if first.cost(now) <= second.cost(now) else second
 
-    @property
-    def cost(self) -> float:
-        """Expected wait: work in flight per slot, scaled by trust."""
-        return (self.in_flight + 1) / (self.server.slots * self.server.weight)
 
+def draw_two(
+    now: float, servers: Sequence[Server], fits: Fits, random: Random, *, blind: bool
+) -> Server | None:
+    """Return the less busy of two random servers that fit."""
+    first = draw(servers, fits, random)
+    if first is None or len(servers) == 1:
+        return first
+    second = draw(servers, fits, random)
+    if second is None:
+        return first
+    return cheaper(now, first, second, blind=blind)
 
-Chooser = Callable[[Sequence[Candidate], Random], Candidate]
-CHOOSERS: Registry[Chooser] = Registry("chooser")
+
+@CHOOSERS.register("zone-aware")
+class ZoneAware:
+    """Two choices in the VM's zone, unless a server elsewhere is less busy.
+
+    One choice in eight looks at in-flight counts only, so that no report,
+    however wrong, keeps a server from work or draws all work to it.
+    """
+
+    def choose(
+        self, now: float, sides: Sides, fits: Fits, random: Random
+    ) -> Server | None:
+        """Return a near server if it is as good as a far one."""
+        blind = random.random() < BLIND_FRACTION
+        near = draw_two(now, sides.local, fits, random, blind=blind)
+        if near is None:
+            return draw_two(now, sides.remote, fits, random, blind=blind)
+        if not near.in_flight and near.hint(now) <= ZONE_MARGIN:
+            return near
+        far = draw(sides.remote, fits, random)
+        if far is None:
+            return near
+        if blind:
+            return cheaper(now, near, far, blind=True)
+        return near if near.cost(now) <= far.cost(now) + ZONE_MARGIN else far
 
 
 @CHOOSERS.register("two-choices")
-def two_choices(candidates: Sequence[Candidate], random: Random) -> Candidate:
-    """Return the cheaper of two random candidates."""
-    if len(candidates) == 1:
-        return candidates[0]
-    first, second = random.sample(candidates, 2)
-    return first if first.cost <= second.cost else second
+class TwoChoices:
+    """The less busy of two random servers, wherever they are."""
+
+    def choose(
+        self, now: float, sides: Sides, fits: Fits, random: Random
+    ) -> Server | None:
+        """Return the less busy of two."""
+        blind = random.random() < BLIND_FRACTION
+        return draw_two(now, sides.local + sides.remote, fits, random, blind=blind)
+
+
+@CHOOSERS.register("random")
+class RandomChoice:
+    """Any server that fits."""
+
+    def choose(
+        self, now: float, sides: Sides, fits: Fits, random: Random
+    ) -> Server | None:
+        """Return a random server."""
+        return draw(sides.local + sides.remote, fits, random)
+
+
+@CHOOSERS.register("round-robin")
+class RoundRobin:
+    """Every server in turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(
+        self, now: float, sides: Sides, fits: Fits, random: Random
+    ) -> Server | None:
+        """Return the next server that fits."""
+        servers = sides.local + sides.remote
+        for _ in servers:
+            self._turn += 1
+            server = servers[self._turn % len(servers)]
+            if fits(server):
+                return server
+        return None
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -1,114 +1,197 @@
 """The dispatcher: from admitted requests to attempts at backend servers."""
 
-from dataclasses import dataclass
 from random import Random
 
-from wagtailpaddle_core import ErrorKind, RequestId, ServerId, ServiceId
+from wagtailpaddle_core import (
+    ErrorKind,
+    RequestId,
+    ServerId,
+    ServiceId,
+    ZoneId,
+    ensure,
+)
 
-from wagtailpaddle_routing.choose import CHOOSERS, Candidate
 from wagtailpaddle_routing.messages import (
-    SURELY_NOT_RUN,
     Action,
-    AttemptOutcome,
     AttemptResult,
-    CancelAttempt,
-    Deliver,
-    Dispatch,
     Job,
     Refuse,
     ServerView,
+    ServiceStatus,
 )
+from wagtailpaddle_routing.policy import Policy
+from wagtailpaddle_routing.pool import ServicePool
+from wagtailpaddle_routing.retry import Pending, State
 
-MAX_ATTEMPTS = 3
-
-
-@dataclass(frozen=True, slots=True)
-class _Running:
-    job: Job
-    server: ServerId
-    attempt: int
-    tried: frozenset[ServerId]
+IDLE_S = 300.0
 
 
 class Dispatcher:
-    """Chooses servers and decides on retries for the requests of one VM.
+    """Queues requests, chooses servers and decides on retries for one VM.
 
     Every method takes the present time ``now`` in seconds and returns actions
-    for the front end to carry out, in order.
+    for the front end to carry out, in order. Every request that arrives is
+    answered by one ``Deliver`` or ``Refuse`` unless it is cancelled; between
+    a ``Dispatch`` and its end the front end owes a ``finish``.
+
+    >>> from wagtailpaddle_core import AccountId
+    >>> dispatcher = Dispatcher(seed=1)
+    >>> view = ServerView(ServerId("s1"), ZoneId("a"), slots=4, connections=300)
+    >>> dispatcher.set_servers(0.0, ServiceId("booking"), (view,))
+    ()
+    >>> job = Job(RequestId("r1"), AccountId("x"), ServiceId("booking"), True, 0, 9)
+    >>> dispatcher.arrive(0.0, job)[0].server
+    's1'
     """
 
-    def __init__(self, *, chooser: str = "two-choices", seed: int = 0):
-        self._chooser = CHOOSERS[chooser]
+    def __init__(
+        self,
+        *,
+        zone: ZoneId = ZoneId(""),  # noqa: B008
+        chooser: str = "zone-aware",
+        limiter: str = "aimd",
+        queue: str = "virtual-time",
+        max_waiting: int = 1024,
+        seed: int = 0,
+    ):
+        self._policy = Policy(
+            zone=zone,
+            chooser=chooser,
+            limiter=limiter,
+            queue=queue,
+            max_waiting=max_waiting,
+        )
         self._random = Random(seed)
-        self._servers: dict[ServiceId, tuple[ServerView, ...]] = {}
-        self._in_flight: dict[ServerId, int] = {}
-        self._running: dict[RequestId, _Running] = {}
+        self._views: dict[ServiceId, tuple[tuple[ServerView, ...], int]] = {}
+        self._pools: dict[ServiceId, ServicePool] = {}
+        self._pending: dict[RequestId, Pending] = {}
 
     @property
     def n_pending(self) -> int:
         """How many requests wait or run."""
-        return len(self._running)
+        return len(self._pending)
 
     def set_servers(
-        self, now: float, service: ServiceId, servers: tuple[ServerView, ...]
+        self,
+        now: float,
+        service: ServiceId,
+        views: tuple[ServerView, ...],
+        *,
+        n_users: int = 1,
     ) -> tuple[Action, ...]:
-        """Replace what is known of the servers of a service."""
-        self._servers[service] = servers
-        return ()
+        """Replace what is known of the servers of a service.
+
+        ``n_users`` is how many VMs share the connections of each server. The
+        call is cheap if nothing changed or the service has no traffic here.
+        """
+        self._views[service] = (views, n_users)
+        pool = self._pools.get(service)
+        if pool is None:
+            return ()
+        return tuple(pool.set_servers(now, views, n_users))
+
+    def remove_service(self, now: float, service: ServiceId) -> tuple[Action, ...]:
+        """Forget a service; what waits is refused, what runs finishes."""
+        self._views.pop(service, None)
+        pool = self._pools.get(service)
+        if pool is None:
+            return ()
+        actions = pool.close()
+        if pool.is_idle:
+            del self._pools[service]
+        return tuple(actions)
+
+    def mark_leaving(
+        self, now: float, service: ServiceId, server: ServerId, *, leaving: bool = True
+    ) -> tuple[Action, ...]:
+        """Give no new work to a server that says it drains, or take that back.
+
+        The mark ends when the server leaves the configuration, or after
+        ``LEAVING_HOLD_S`` without another one.
+        """
+        pool = self._pool(now, service)
+        if pool is None:
+            return ()
+        return tuple(pool.mark_leaving(now, server, leaving))
 
     def arrive(self, now: float, job: Job) -> tuple[Action, ...]:
-        """Take in an admitted request."""
-        return self._try(now, job, 1, frozenset())
+        """Take in an admitted request; its id must not be pending."""
+        ensure(job.id not in self._pending, "request-id-unique", request=job.id)
+        pool = self._pool(now, job.service)
+        if pool is None:
+            detail = f"service {job.service!r} does not exist"
+            return (Refuse(job.id, ErrorKind.NO_HEALTHY_SERVER, detail),)
+        return tuple(pool.arrive(now, job))
 
     def finish(
         self, now: float, request: RequestId, result: AttemptResult
     ) -> tuple[Action, ...]:
         """Take in the end of the running attempt of ``request``."""
-        running = self._running.pop(request, None)
-        if running is None:
+        pending = self._pending.get(request)
+        if pending is None or pending.state is not State.RUNNING:
             return ()
-        self._in_flight[running.server] -= 1
-        if result.outcome is AttemptOutcome.ANSWERED:
-            return (Deliver(request),)
-        may_repeat = running.job.idempotent or result.outcome in SURELY_NOT_RUN
-        if may_repeat and not result.committed and running.attempt < MAX_ATTEMPTS:
-            tried = running.tried | {running.server}
-            return self._try(now, running.job, running.attempt + 1, tried)
-        if result.outcome in SURELY_NOT_RUN:
-            kind = ErrorKind.NO_HEALTHY_SERVER
-        elif running.job.idempotent:
-            kind = ErrorKind.SERVER_FAILED
-        else:
-            kind = ErrorKind.OUTCOME_UNKNOWN
-        return (Refuse(request, kind, f"last attempt: {result.outcome.value}"),)
+        pool = self._pools[pending.job.service]
+        return tuple(pool.finish(now, pending, result))
 
     def cancel(self, now: float, request: RequestId) -> tuple[Action, ...]:
         """The caller went away."""
-        running = self._running.pop(request, None)
-        if running is None:
+        pending = self._pending.get(request)
+        if pending is None:
             return ()
-        self._in_flight[running.server] -= 1
-        return (CancelAttempt(request, running.server, running.attempt),)
+        pool = self._pools[pending.job.service]
+        return tuple(pool.cancel(now, pending))
+
+    def drop(
+        self, now: float, request: RequestId, kind: ErrorKind, detail: str
+    ) -> tuple[Action, ...]:
+        """Refuse ``request`` if it still waits; do nothing if it runs.
+
+        A kind that says "not run" is replaced by a truthful one if an earlier
+        attempt may have run.
+        """
+        pending = self._pending.get(request)
+        if pending is None:
+            return ()
+        pool = self._pools[pending.job.service]
+        return tuple(pool.drop(pending, kind, detail))
 
     def tick(self, now: float) -> tuple[Action, ...]:
         """Act on the passing of time."""
-        return ()
-
-    def _try(
-        self, now: float, job: Job, attempt: int, tried: frozenset[ServerId]
-    ) -> tuple[Action, ...]:
-        if now >= job.deadline_at:
-            detail = "no server was free before the deadline"
-            return (Refuse(job.id, ErrorKind.DEADLINE_EXCEEDED, detail),)
-        candidates = [
-            Candidate(server, self._in_flight.get(server.id, 0))
-            for server in self._servers.get(job.service, ())
-            if server.weight > 0 and not server.leaving and server.id not in tried
-        ]
-        if not candidates:
-            detail = f"service {job.service!r} has no server to try"
-            return (Refuse(job.id, ErrorKind.NO_HEALTHY_SERVER, detail),)
-        server = self._chooser(candidates, self._random).server
-        self._in_flight[server.id] = self._in_flight.get(server.id, 0) + 1
-        self._running[job.id] = _Running(job, server.id, attempt, tried)
-        return (Dispatch(job.id, job.service, server.id, attempt, job.deadline_at),)
+        actions: list[Action] = []
+        for service, pool in list(self._pools.items()):
+            actions += pool.tick(now)
+            if not pool.is_idle or pool.servers.is_marked:
+                continue
+            if service not in self._views or now - pool.used_at > IDLE_S:
+                del self._pools[service]
+        return tuple(actions)
+
+    def next_wake(self, now: float) -> float | None:
+        """Return when ``tick`` has something to do, or None.
+
+        The time is not before ``now``.
+        """
+        times = [pool.next_wake() for pool in self._pools.values()]
+        earliest = min((at for at in times if at is not None), default=None)
+        return None if earliest is None else max(now, earliest)
+
+    def status(self, now: float) -> tuple[ServiceStatus, ...]:
+        """Return the state of the services that have traffic here."""
+        return tuple(pool.status(now) for pool in self._pools.values())
+
+    def _pool(self, now: float, service: ServiceId) -> ServicePool | None:
+        """Return the pool of a service, made at its first request."""
+        pool = self._pools.get(service)
+        known = self._views.get(service)
+        if pool is not None or known is None:
+            return pool if known is not None else None
+        pool = ServicePool(
+            now,
+            service,
+            policy=self._policy,
+            pending=self._pending,
+            random=self._random,
+        )
+        pool.set_servers(now, *known)
+        self._pools[service] = pool
+        return pool
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/lengths.py
@@ -0,0 +1,51 @@
+"""Finds the longest of many queues in constant time."""
+
+from wagtailpaddle_core import AccountId, ensure
+
+
+class Lengths:
+    """Queue lengths by client account; each change is by one.
+
+    >>> lengths = Lengths()
+    >>> lengths.grow("a")
+    >>> lengths.longest()
+    'a'
+    """
+
+    def __init__(self) -> None:
+        self._length: dict[AccountId, int] = {}
+        self._by_length: list[dict[AccountId, None]] = [{}]
+
+    def __len__(self) -> int:
+        return len(self._length)
+
+    def of(self, account: AccountId) -> int:
+        """Return the length of one queue."""
+        return self._length.get(account, 0)
+
+    def grow(self, account: AccountId) -> None:
+        """Count one more."""
+        self._move(account, self.of(account) + 1)
+
+    def shrink(self, account: AccountId) -> None:
+        """Count one less."""
+        ensure(self.of(account) > 0, "queue-length-not-negative", account=account)
+        self._move(account, self.of(account) - 1)
+
+    def longest(self) -> AccountId:
+        """Return an account with the longest queue. Raises ``LookupError``."""
+        if len(self._by_length) == 1:
+            raise LookupError("all queues are empty")
+        return next(iter(self._by_length[-1]))
+
+    def _move(self, account: AccountId, length: int) -> None:
+        before = self._length.pop(account, 0)
+        if before:
+            del self._by_length[before][account]
+        if length:
+            self._length[account] = length
+            if length == len(self._by_length):
+                self._by_length.append({})
+            self._by_length[length][account] = None
+        while len(self._by_length) > 1 and not self._by_length[-1]:
+            self._by_length.pop()
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -17,7 +17,9 @@
 class Job:
     """A request that was admitted and wants a backend server.
 
-    Times are seconds of the caller's monotonic clock.
+    Times are seconds of the caller's monotonic clock. ``weight`` above 0
+    scales the client account's part of a contended service; every job of one
+    account should carry the same.
     """
 
     id: RequestId
@@ -26,6 +28,7 @@
     idempotent: bool
     arrived_at: float
     deadline_at: float
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,13 +84,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Send the request to ``server``; give up at ``timeout_at``."""
+    """Send the request to ``server``; give up at ``timeout_at``.
+
+    ``queued_s`` is how long the request waited for this attempt.
+    """
 
     request: RequestId
     service: ServiceId
     server: ServerId
     attempt: int
     timeout_at: float
+    queued_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,3 +124,32 @@
 
 
 Action = Dispatch | Deliver | Refuse | CancelAttempt
+
+
+@dataclass(frozen=True, slots=True)
+class ServerStatus:
+    """What this VM does with one server: ``limit`` bounds its ``in_flight``."""
+
+    id: ServerId
+    in_flight: int
+    limit: float
+    hint: float
+    usable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceStatus:
+    """The state of one service on this VM.
+
+    ``capacity`` is how many requests this VM keeps in flight at most;
+    ``wait_s`` estimates the wait of a request that arrives now.
+    """
+
+    service: ServiceId
+    n_queued: int
+    n_running: int
+    n_accounts: int
+    capacity: int
+    wait_s: float
+    retry_tokens: float
+    servers: tuple[ServerStatus, ...]
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -0,0 +1,424 @@
+"""One service: from admitted requests to attempts and answers."""
+
+from dataclasses import dataclass
+from random import Random
+
+from wagtailpaddle_core import (
+    AccountId,
+    ErrorKind,
+    RequestId,
+    ServerId,
+    ServiceId,
+    ensure,
+)
+
+from wagtailpaddle_routing.accounts import Accounts, LatencyMeter
+from wagtailpaddle_routing.budget import RetryBudget
+from wagtailpaddle_routing.choose import CHOOSERS
+from wagtailpaddle_routing.limits import LIMITERS
+from wagtailpaddle_routing.messages import (
+    Action,
+    AttemptOutcome,
+    AttemptResult,
+    CancelAttempt,
+    Deliver,
+    Dispatch,
+    Job,
+    Refuse,
+    ServerView,
+    ServiceStatus,
+)
+from wagtailpaddle_routing.policy import Policy
+from wagtailpaddle_routing.queues import QUEUES
+from wagtailpaddle_routing.retry import (
+    Pending,
+    State,
+    Step,
+    backoff_s,
+    deadline_kind,
+    failure_kind,
+    next_step,
+    note,
+    truthful,
+)
+from wagtailpaddle_routing.server import Server
+from wagtailpaddle_routing.serverset import ServerSet
+from wagtailpaddle_routing.waiting import WaitingRoom
+
+
+@dataclass(slots=True)
+class _Turn:
+    """The request and the server that a look through the queue found."""
+
+    server: Server | None = None
+    is_late: bool = False
+
+
+class ServicePool:
+    """The requests of one service on this VM.
+
+    ``pending`` holds the unanswered requests of all services; a request is in
+    it until its one answer is returned.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        service: ServiceId,
+        *,
+        policy: Policy,
+        pending: dict[RequestId, Pending],
+        random: Random,
+    ):
+        self.service = service
+        self.servers = ServerSet(
+            zone=policy.zone,
+            chooser=CHOOSERS[policy.chooser](),
+            limiter=LIMITERS[policy.limiter],
+            random=random,
+        )
+        self.used_at = now
+        self._policy = policy
+        self._pending = pending
+        self._random = random
+        self._queue = QUEUES[policy.queue]()
+        self._room = WaitingRoom(queue=self._queue, max_waiting=policy.max_waiting)
+        self._accounts = Accounts()
+        self._budget = RetryBudget(now=now)
+        self._latency = LatencyMeter()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the service has no request here."""
+        return not self._accounts and not self.servers.n_running
+
+    def set_servers(
+        self, now: float, views: tuple[ServerView, ...], n_users: int
+    ) -> list[Action]:
+        """Replace the servers."""
+        if not self.servers.replace(views, n_users):
+            return []
+        return self._give_up_hopeless() + self._pump(now)
+
+    def mark_leaving(self, now: float, server: ServerId, leaving: bool) -> list[Action]:
+        """Stop, or start again, giving new work to a server."""
+        self.servers.mark_leaving(now, server, leaving)
+        return self._give_up_hopeless() + self._pump(now)
+
+    def arrive(self, now: float, job: Job) -> list[Action]:
+        """Take in an admitted request."""
+        self.used_at = now
+        pending = Pending(job, now)
+        refusal = self._refuse_at_the_door(now, pending)
+        if refusal is not None:
+            return [refusal]
+        self._pending[job.id] = pending
+        self._accounts.join(job.account, self._latency.mean_s)
+        self._budget.earn()
+        if not self._room.n_queued:
+            server = self._place(now, pending)
+            if server is not None:
+                self._queue.pass_by(job.account)
+                return [self._start(now, pending, server)]
+        return self._wait(now, pending)
+
+    def finish(
+        self, now: float, pending: Pending, result: AttemptResult
+    ) -> list[Action]:
+        """Take in the end of the running attempt of a request."""
+        self.used_at = now
+        note(pending, result)
+        self.servers.learn(now, pending.running_on, result)
+        if result.outcome is AttemptOutcome.ANSWERED:
+            self._latency.add(result.latency_s)
+        self._stop(now, pending)
+        actions = self._follow(now, pending, result)
+        if self._room.n_queued:
+            actions += self._pump(now)
+        return actions
+
+    def cancel(self, now: float, pending: Pending) -> list[Action]:
+        """Drop a request for which nobody waits any more."""
+        if pending.state is not State.RUNNING:
+            self._room.remove(pending)
+            self._over(pending)
+            return []
+        server = pending.running_on
+        self._stop(now, pending)
+        self._over(pending)
+        cancelled = CancelAttempt(pending.job.id, server.id, pending.n_attempts)
+        return [cancelled, *self._pump(now)]
+
+    def drop(self, pending: Pending, kind: ErrorKind, detail: str) -> list[Action]:
+        """Refuse a request that waits; leave one that runs alone."""
+        if pending.state is State.RUNNING:
+            return []
+        self._room.remove(pending)
+        return [self._refuse(pending, truthful(pending, kind), detail)]
+
+    def close(self) -> list[Action]:
+        """Refuse what waits; what runs there finishes."""
+        self.servers.replace((), 1)
+        return self._give_up_hopeless()
+
+    def tick(self, now: float) -> list[Action]:
+        """Act on deadlines and on pauses that are over."""
+        actions: list[Action] = [
+            self._refuse_late(pending) for pending in self._room.expired(now)
+        ]
+        for pending in self._room.ready(now):
+            actions += self._unpark(now, pending)
+        if self.servers.expire(now) or self._room.n_queued:
+            actions += self._pump(now)
+        return actions
+
+    def next_wake(self) -> float | None:
+        """Return when ``tick`` has something to do."""
+        return self._room.next_wake()
+
+    def status(self, now: float) -> ServiceStatus:
+        """Return the state of this service."""
+        return ServiceStatus(
+            service=self.service,
+            n_queued=self._room.n_waiting,
+            n_running=self.servers.n_running,
+            n_accounts=len(self._accounts),
+            capacity=self.servers.capacity,
+            wait_s=self._wait_s(self._room.n_queued),
+            retry_tokens=self._budget.tokens(now),
+            servers=self.servers.status(now),
+        )
+
+    def _refuse_at_the_door(self, now: float, pending: Pending) -> Refuse | None:
+        job = pending.job
+        if now >= job.deadline_at:
+            detail = "the deadline passed before the request arrived"
+            return Refuse(job.id, ErrorKind.DEADLINE_EXCEEDED, detail)
+        if not self.servers.can_serve(pending):
+            detail = f"service {job.service!r} has no server to try"
+            return Refuse(job.id, ErrorKind.NO_HEALTHY_SERVER, detail)
+        return None
+
+    def _wait(self, now: float, pending: Pending) -> list[Action]:
+        """Queue a new request if it can be served in time."""
+        account = pending.job.account
+        wait_s = self._wait_s(self._room.n_ahead(account))
+        if wait_s > pending.job.deadline_at - now:
+            detail = f"the wait is about {wait_s:.1f} s, longer than the deadline"
+            return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
+        actions: list[Action] = []
+        if self._room.n_waiting >= self._room.max_waiting:
+            victim = self._room.overlong(account)
+            if victim is None:
+                detail = f"{self._room.n_waiting} requests wait already"
+                return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
+            self._room.remove(victim)
+            detail = f"client account {victim.job.account!r} has the longest queue"
+            kind = truthful(victim, ErrorKind.OVERLOADED)
+            actions.append(self._refuse(victim, kind, detail, wait_s))
+        self._room.enqueue(pending)
+        ensure(
+            self._room.n_waiting <= self._room.max_waiting + self.servers.n_running,
+            "queue-bounded",
+            n_waiting=self._room.n_waiting,
+        )
+        return actions + self._pump(now)
+
+    def _wait_s(self, n_ahead: int) -> float:
+        return n_ahead * self._latency.mean_s / self.servers.capacity
+
+    def _place(self, now: float, pending: Pending) -> Server | None:
+        """Return a server for the request if it may go now."""
+        n_free = self.servers.capacity - self.servers.n_running
+        if n_free <= 0 or not self._may_take_slot(pending.job.account, n_free):
+            return None
+        return self.servers.choose(now, pending)
+
+    def _may_take_slot(self, account: AccountId, n_free: int) -> bool:
+        """Keep the last slots for accounts with less than an equal part."""
+        capacity = self.servers.capacity
+        if n_free > capacity * self._policy.reserved:
+            return True
+        equal_part = capacity / max(2, len(self._accounts))
+        return self._accounts[account].n_running < equal_part
+
+    def _pump(self, now: float) -> list[Action]:
+        """Start queued requests while there is room."""
+        actions: list[Action] = []
+        while self._room.n_queued and self.servers.n_running < self.servers.capacity:
+            turn = _Turn()
+
+            def fits(pending: Pending, turn: _Turn = turn) -> bool:
+                turn.is_late = now >= pending.job.deadline_at
+                if not turn.is_late:
+                    turn.server = self._place(now, pending)
+                return turn.is_late or turn.server is not None
+
+            pending = self._room.pop(fits)
+            if pending is None:
+                break
+            if turn.server is None:
+                actions.append(self._refuse_late(pending))
+            else:
+                actions.append(self._start(now, pending, turn.server))
+        return actions
+
+    def _start(self, now: float, pending: Pending, server: Server) -> Dispatch:
+        job = pending.job
+        ensure(
+            job.idempotent or not pending.may_have_run,
+            "non-idempotent-runs-once",
+            request=job.id,
+        )
+        ensure(job.idempotent or not server.view.probation, "probation-is-idempotent")
+        self.servers.start(server)
+        account = self._accounts[job.account]
+        account.n_running += 1
+        pending.charged_s = account.mean_s
+        self._queue.charge(job.account, pending.charged_s, job.weight)
+        pending.state = State.RUNNING
+        pending.server = server
+        pending.n_attempts += 1
+        pending.started_at = now
+        queued_s = now - pending.waiting_since
+        timeout_at = self._timeout_at(now, pending)
+        return Dispatch(
+            job.id, job.service, server.id, pending.n_attempts, timeout_at, queued_s
+        )
+
+    def _timeout_at(self, now: float, pending: Pending) -> float:
+        """Return when to give up on the attempt.
+
+        The first attempt of an idempotent request gets less than the whole
+        deadline, so that a server that hangs does not use all of it up. The
+        next attempt has the rest, so a slow request still gets its answer.
+        """
+        deadline_at = pending.job.deadline_at
+        if not pending.job.idempotent or pending.n_failed:
+            return deadline_at
+        patience_s = self._latency.patience_s
+        if patience_s > (deadline_at - now) / 2 or self.servers.n_usable < 2:
+            return deadline_at
+        return now + patience_s if self._budget.is_ample(now) else deadline_at
+
+    def _stop(self, now: float, pending: Pending) -> None:
+        """Count the running attempt as over."""
+        job = pending.job
+        self.servers.release(pending.running_on)
+        used_s = max(0.0, now - pending.started_at)
+        account = self._accounts[job.account]
+        account.n_running -= 1
+        ensure(account.n_running >= 0, "account-running-not-negative")
+        self._accounts.learn(job.account, used_s)
+        self._queue.charge(job.account, used_s - pending.charged_s, job.weight)
+        pending.server = None
+        pending.waiting_since = now
+
+    def _follow(
+        self, now: float, pending: Pending, result: AttemptResult
+    ) -> list[Action]:
+        """Return what follows the end of an attempt."""
+        step = next_step(pending, result, now)
+        if step is Step.RETRY_OR_DELIVER:
+            return [self._retry_or_deliver(now, pending)]
+        if step is Step.DELIVER:
+            self._over(pending)
+            return [Deliver(pending.job.id)]
+        if step is Step.REFUSE:
+            return [self._refuse_after(now, pending, result)]
+        if result.outcome is AttemptOutcome.SHED:
+            return self._after_shed(now, pending, step)
+        if not self.servers.can_serve(pending) or not self._budget.take(now):
+            return [self._refuse_after(now, pending, result)]
+        return self._retry(now, pending)
+
+    def _retry(self, now: float, pending: Pending) -> list[Action]:
+        server = self._place(now, pending)
+        if server is not None:
+            return [self._start(now, pending, server)]
+        self._room.enqueue(pending, first=True)
+        return []
+
+    def _retry_or_deliver(self, now: float, pending: Pending) -> Action:
+        """Try another server that is free at once, or keep the answer."""
+        server = self._place(now, pending)
+        if server is not None and self._budget.take(now):
+            return self._start(now, pending, server)
+        self._over(pending)
+        return Deliver(pending.job.id)
+
+    def _after_shed(self, now: float, pending: Pending, step: Step) -> list[Action]:
+        """Go to another server at once, the first time; pause later."""
+        if (
+            step is Step.RETRY
+            and self.servers.can_serve(pending)
+            and self._budget.take(now)
+        ):
+            return self._retry(now, pending)
+        self._park(now, pending)
+        return []
+
+    def _park(self, now: float, pending: Pending) -> None:
+        pause_s = backoff_s(pending.n_shed, self._random.random())
+        self._room.park(pending, now + pause_s)
+
+    def _unpark(self, now: float, pending: Pending) -> list[Action]:
+        pending.tried = pending.failed_on
+        if not self.servers.can_serve(pending):
+            return [self._refuse_hopeless(pending)]
+        if not self._budget.take(now):
+            self._park(now, pending)
+            return []
+        self._room.enqueue(pending, first=True)
+        return []
+
+    def _give_up_hopeless(self) -> list[Action]:
+        """Refuse the waiting requests that no server can take any more."""
+        hopeless = [
+            pending
+            for pending in self._room.everyone()
+            if not self.servers.can_serve(pending)
+        ]
+        for pending in hopeless:
+            self._room.remove(pending)
+        return [self._refuse_hopeless(pending) for pending in hopeless]
+
+    def _refuse_hopeless(self, pending: Pending) -> Refuse:
+        detail = f"service {self.service!r} has no other server to try"
+        return self._refuse(pending, failure_kind(pending), detail)
+
+    def _refuse_late(self, pending: Pending) -> Refuse:
+        detail = "no server was free before the deadline"
+        return self._refuse(pending, deadline_kind(pending), detail)
+
+    def _refuse_after(
+        self, now: float, pending: Pending, result: AttemptResult
+    ) -> Refuse:
+        detail = f"attempt {pending.n_attempts} ended: {result.outcome.value}"
+        is_late = now >= pending.job.deadline_at
+        kind = deadline_kind(pending) if is_late else failure_kind(pending)
+        return self._refuse(pending, kind, detail)
+
+    def _refuse(
+        self,
+        pending: Pending,
+        kind: ErrorKind,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> Refuse:
+        ensure(
+            truthful(pending, kind) is kind,
+            "refusal-is-truthful",
+            request=pending.job.id,
+            kind=kind,
+        )
+        self._over(pending)
+        return Refuse(pending.job.id, kind, detail, retry_after_s)
+
+    def _over(self, pending: Pending) -> None:
+        """Forget a request that is answered or cancelled."""
+        ensure(pending.state is not State.OVER, "answered-once", request=pending.job.id)
+        pending.state = State.OVER
+        del self._pending[pending.job.id]
+        if self._accounts.leave(pending.job.account):
+            self._queue.forget(pending.job.account)
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/queues.py
@@ -0,0 +1,297 @@
+"""Queues of the requests of one service, across client accounts."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+from typing import Protocol
+
+from wagtailpaddle_core import AccountId, Registry, RequestId, ensure
+
+from wagtailpaddle_routing.retry import Pending
+
+Fits = Callable[[Pending], bool]
+
+MAX_SKIPPED = 8
+
+
+class Queue(Protocol):
+    """Orders the waiting requests of one service."""
+
+    def push(self, pending: Pending, *, first: bool = False) -> None:
+        """Take in a request; ``first`` puts it before others of its account."""
+
+    def pop(self, fits: Fits) -> Pending | None:
+        """Remove and return the next request that fits.
+
+        Looks at a bounded number of requests.
+        """
+
+    def remove(self, pending: Pending) -> None:
+        """Remove a waiting request."""
+
+    def newest(self, account: AccountId) -> Pending:
+        """Return the waiting request of an account that came last."""
+
+    def pass_by(self, account: AccountId) -> None:
+        """Note that a request is served at once, while nothing waits."""
+
+    def charge(self, account: AccountId, used_s: float, weight: float) -> None:
+        """Count service time that an account used; negative gives back."""
+
+    def forget(self, account: AccountId) -> None:
+        """Drop what is known of an account that has no requests any more."""
+
+
+QUEUES: Registry[type[Queue]] = Registry("queue")
+
+
+@dataclass(slots=True)
+class _Line:
+    """The waiting requests of one client account."""
+
+    tag: float
+    entry: int = 0
+    waiting: OrderedDict[RequestId, Pending] = field(default_factory=OrderedDict)
+
+    def push(self, pending: Pending, *, first: bool) -> None:
+        self.waiting[pending.job.id] = pending
+        if first:
+            self.waiting.move_to_end(pending.job.id, last=False)
+
+    def head(self) -> Pending:
+        return next(iter(self.waiting.values()))
+
+    def newest(self) -> Pending:
+        return next(reversed(self.waiting.values()))
+
+    def pop(self) -> Pending:
+        return self.waiting.popitem(last=False)[1]
+
+
+@QUEUES.register("virtual-time")
+class VirtualTimeQueue:
+    """Start-time fair queueing over service time.
+
+    Every account carries a tag: the service time that it used, divided by its
+    weight. The account with the least tag goes next. One that comes back
+    starts at the tag served last, so that idleness earns no credit. An event
+    costs O(log n) in the accounts that wait.
+    """
+
+    def __init__(self) -> None:
+        self._lines: dict[AccountId, _Line] = {}
+        self._heap: list[tuple[float, int, AccountId]] = []
+        self._now = 0.0
+        self._entry = 0
+
+    def push(self, pending: Pending, *, first: bool = False) -> None:
+        """Take in a request."""
+        account = pending.job.account
+        line = self._lines.get(account)
+        if line is None:
+            line = self._lines[account] = _Line(self._now)
+        is_new = not line.waiting
+        line.push(pending, first=first)
+        if is_new:
+            line.tag = max(line.tag, self._now)
+            self._enter(account, line)
+            self._compact()
+
+    def pop(self, fits: Fits) -> Pending | None:
+        """Remove and return the next request that fits."""
+        skipped: list[tuple[float, int, AccountId]] = []
+        found = None
+        while self._heap and len(skipped) < MAX_SKIPPED:
+            entry = heappop(self._heap)
+            line = self._lines.get(entry[2])
+            if line is None or line.entry != entry[1] or not line.waiting:
+                continue
+            if fits(line.head()):
+                found = line.pop()
+                self._now = max(self._now, entry[0])
+                if line.waiting:
+                    self._enter(entry[2], line)
+                break
+            skipped.append(entry)
+        for entry in skipped:
+            heappush(self._heap, entry)
+        return found
+
+    def remove(self, pending: Pending) -> None:
+        """Remove a waiting request."""
+        self._lines[pending.job.account].waiting.pop(pending.job.id)
+
+    def newest(self, account: AccountId) -> Pending:
+        """Return the waiting request of an account that came last."""
+        return self._lines[account].newest()
+
+    def pass_by(self, account: AccountId) -> None:
+        """Note that a request is served at once, while nothing waits."""
+        line = self._lines.get(account)
+        if line is None:
+            self._lines[account] = _Line(self._now)
+            return
+        line.tag = self._now = max(self._now, line.tag)
+
+    def charge(self, account: AccountId, used_s: float, weight: float) -> None:
+        """Count service time that an account used; negative gives back."""
+        line = self._lines.get(account)
+        if line is None:
+            line = self._lines[account] = _Line(self._now)
+        line.tag += used_s / weight
+        if line.waiting:
+            self._enter(account, line)
+            self._compact()
+
+    def forget(self, account: AccountId) -> None:
+        """Drop what is known of an account."""
+        line = self._lines.pop(account, None)
+        ensure(not (line and line.waiting), "forgotten-queue-empty", account=account)
+
+    def _enter(self, account: AccountId, line: _Line) -> None:
+        self._entry += 1
+        line.entry = self._entry
+        heappush(self._heap, (line.tag, self._entry, account))
+
+    def _compact(self) -> None:
+        if len(self._heap) <= 4 * len(self._lines) + 64:
+            return
+        self._heap = [
+            (line.tag, line.entry, account)
+            for account, line in self._lines.items()
+            if line.waiting
+        ]
+        heapify(self._heap)
+
+
+class _Rotation:
+    """Accounts in turn; the base of the round-robin queues."""
+
+    def __init__(self) -> None:
+        self._lines: dict[AccountId, _Line] = {}
+        self._turns: deque[AccountId] = deque()
+        self._in_turns: set[AccountId] = set()
+
+    def push(self, pending: Pending, *, first: bool = False) -> None:
+        """Take in a request."""
+        account = pending.job.account
+        line = self._lines.get(account)
+        if line is None:
+            line = self._lines[account] = _Line(0.0)
+        line.push(pending, first=first)
+        if account not in self._in_turns:
+            self._in_turns.add(account)
+            self._turns.append(account)
+
+    def remove(self, pending: Pending) -> None:
+        """Remove a waiting request."""
+        self._lines[pending.job.account].waiting.pop(pending.job.id)
+
+    def newest(self, account: AccountId) -> Pending:
+        """Return the waiting request of an account that came last."""
+        return self._lines[account].newest()
+
+    def pass_by(self, account: AccountId) -> None:
+        """Note that a request is served at once, while nothing waits."""
+
+    def charge(self, account: AccountId, used_s: float, weight: float) -> None:
+        """Count service time that an account used."""
+
+    def forget(self, account: AccountId) -> None:
+        """Drop what is known of an account."""
+        line = self._lines.pop(account, None)
+        ensure(not (line and line.waiting), "forgotten-queue-empty", account=account)
+
+    def _next_line(self) -> _Line | None:
+        """Return the line whose turn it is, dropping those without requests."""
+        while self._turns:
+            line = self._lines.get(self._turns[0])
+            if line is not None and line.waiting:
+                return line
+            self._in_turns.discard(self._turns.popleft())
+        return None
+
+
+@QUEUES.register("round-robin")
+class RoundRobinQueue(_Rotation):
+    """One request of every account in turn, whatever it costs."""
+
+    def pop(self, fits: Fits) -> Pending | None:
+        """Remove and return the next request that fits."""
+        for _ in range(MAX_SKIPPED):
+            line = self._next_line()
+            if line is None:
+                return None
+            self._turns.rotate(-1)
+            if fits(line.head()):
+                return line.pop()
+        return None
+
+
+@QUEUES.register("deficit-round-robin")
+class DeficitRoundRobinQueue(_Rotation):
+    """Every account in turn until it used up its quantum of service time.
+
+    The tag of a line is its deficit: the service time that it may still use.
+    """
+
+    QUANTUM_S = 0.05
+    MAX_DEBT_S = 1.0
+
+    def pop(self, fits: Fits) -> Pending | None:
+        """Remove and return the next request that fits."""
+        n_looks = 0
+        while n_looks < MAX_SKIPPED:
+            line = self._next_line()
+            if line is None:
+                return None
+            if line.tag > 0.0 and fits(line.head()):
+                return line.pop()
+            n_looks += line.tag > 0.0
+            weight = line.head().job.weight
+            line.tag = min(self.QUANTUM_S * weight, line.tag + self.QUANTUM_S * weight)
+            self._turns.rotate(-1)
+        return None
+
+    def charge(self, account: AccountId, used_s: float, weight: float) -> None:
+        """Count service time that an account used."""
+        line = self._lines.get(account)
+        if line is None:
+            line = self._lines[account] = _Line(0.0)
+        line.tag = max(-self.MAX_DEBT_S, line.tag - used_s)
+
+
+@QUEUES.register("fifo")
+class FifoQueue:
+    """First come, first served, without regard to accounts."""
+
+    def __init__(self) -> None:
+        self._line = _Line(0.0)
+
+    def push(self, pending: Pending, *, first: bool = False) -> None:
+        """Take in a request."""
+        self._line.push(pending, first=first)
+
+    def pop(self, fits: Fits) -> Pending | None:
+        """Remove and return the first request if it fits."""
+        if self._line.waiting and fits(self._line.head()):
+            return self._line.pop()
+        return None
+
+    def remove(self, pending: Pending) -> None:
+        """Remove a waiting request."""
+        self._line.waiting.pop(pending.job.id)
+
+    def newest(self, account: AccountId) -> Pending:
+        """Return the request that came last, whoever sent it."""
+        return self._line.newest()
+
+    def pass_by(self, account: AccountId) -> None:
+        """Keep no account of service time."""
+
+    def charge(self, account: AccountId, used_s: float, weight: float) -> None:
+        """Keep no account of service time."""
+
+    def forget(self, account: AccountId) -> None:
+        """Keep nothing of accounts."""
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -0,0 +1,158 @@
+"""What follows the end of an attempt, and what a refusal may claim."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from wagtailpaddle_core import ANSWERS, ErrorKind, InvariantError, Outcome, ServerId
+
+from wagtailpaddle_routing.messages import (
+    SURELY_NOT_RUN,
+    AttemptOutcome,
+    AttemptResult,
+    Job,
+)
+from wagtailpaddle_routing.server import Server
+
+MAX_ATTEMPTS = 3
+MAX_SHED_ATTEMPTS = 12
+BACKOFF_S = 0.02
+MAX_BACKOFF_S = 0.25
+RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
+
+
+class State(StrEnum):
+    """Where a pending request is."""
+
+    QUEUED = "queued"
+    PARKED = "parked"
+    RUNNING = "running"
+    OVER = "over"
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request that is not yet answered.
+
+    ``may_have_run`` is set by the first attempt of which it is not sure that
+    the server did nothing, and never unset.
+    """
+
+    job: Job
+    waiting_since: float
+    state: State = State.QUEUED
+    server: Server | None = None
+    n_attempts: int = 0
+    n_shed: int = 0
+    n_failed: int = 0
+    tried: frozenset[ServerId] = frozenset()
+    failed_on: frozenset[ServerId] = frozenset()
+    may_have_run: bool = False
+    timeout_at: float = 0.0
+    started_at: float = 0.0
+    charged_s: float = 0.0
+
+    @property
+    def running_on(self) -> Server:
+        """The server of the running attempt."""
+        if self.server is None:
+            raise InvariantError(f"request {self.job.id!r} does not run")
+        return self.server
+
+
+class Step(StrEnum):
+    """What to do with a request whose attempt is over."""
+
+    DELIVER = "deliver"
+    RETRY = "retry"
+    RETRY_OR_DELIVER = "retry-or-deliver"
+    PARK = "park"
+    REFUSE = "refuse"
+
+
+def next_step(pending: Pending, result: AttemptResult, now: float) -> Step:
+    """Return what follows, leaving the retry budget aside."""
+    if result.outcome is AttemptOutcome.ANSWERED:
+        if may_improve(pending, result, now):
+            return Step.RETRY_OR_DELIVER
+        return Step.DELIVER
+    if result.committed or now >= pending.job.deadline_at:
+        return Step.REFUSE
+    if not pending.job.idempotent and pending.may_have_run:
+        return Step.REFUSE
+    if result.outcome is AttemptOutcome.SHED:
+        if pending.n_shed >= MAX_SHED_ATTEMPTS:
+            return Step.REFUSE
+        return Step.RETRY if pending.n_shed == 1 else Step.PARK
+    return Step.RETRY if pending.n_failed < MAX_ATTEMPTS else Step.REFUSE
+
+
+def may_improve(pending: Pending, result: AttemptResult, now: float) -> bool:
+    """Return whether another server may do better than this server error."""
+    return (
+        pending.job.idempotent
+        and result.status in RETRYABLE_STATUSES
+        and not result.committed
+        and pending.n_failed == 1
+        and now < pending.job.deadline_at
+    )
+
+
+def is_failure(result: AttemptResult) -> bool:
+    """Return whether another server might have answered better."""
+    if result.outcome is AttemptOutcome.ANSWERED:
+        return result.status in RETRYABLE_STATUSES
+    return result.outcome is not AttemptOutcome.SHED
+
+
+def note(pending: Pending, result: AttemptResult) -> None:
+    """Record in ``pending`` what the end of its attempt tells."""
+    server = pending.running_on.id
+    pending.tried |= {server}
+    if result.outcome is AttemptOutcome.SHED:
+        pending.n_shed += 1
+    elif is_failure(result):
+        pending.n_failed += 1
+        pending.failed_on |= {server}
+    if result.outcome not in SURELY_NOT_RUN or result.committed:
+        pending.may_have_run = True
+
+
+def failure_kind(pending: Pending) -> ErrorKind:
+    """Return the truthful kind when no further attempt is made."""
+    if not pending.may_have_run:
+        shed_only = pending.n_shed and not pending.n_failed
+        return ErrorKind.OVERLOADED if shed_only else ErrorKind.NO_HEALTHY_SERVER
+    if not pending.job.idempotent:
+        return ErrorKind.OUTCOME_UNKNOWN
+    return ErrorKind.SERVER_FAILED
+
+
+def deadline_kind(pending: Pending) -> ErrorKind:
+    """Return the truthful kind when the deadline has passed."""
+    if not pending.may_have_run:
+        return ErrorKind.DEADLINE_EXCEEDED
+    if not pending.job.idempotent:
+        return ErrorKind.OUTCOME_UNKNOWN
+    return ErrorKind.DEADLINE_AFTER_DISPATCH
+
+
+def truthful(pending: Pending, kind: ErrorKind) -> ErrorKind:
+    """Return ``kind``, or one that does not claim too much in its place.
+
+    A kind that says "not run" stands only if no attempt may have run.
+    """
+    if not pending.may_have_run or ANSWERS[kind].outcome is not Outcome.NOT_RUN:
+        return kind
+    return failure_kind(pending)
+
+
+def backoff_s(n_shed: int, jitter: float) -> float:
+    """Return the pause before a shed request is sent again.
+
+    ``jitter`` in [0, 1) spreads the pause over half of its length.
+
+    >>> backoff_s(2, 0.0)
+    0.02
+    """
+    longest_s = min(MAX_BACKOFF_S, BACKOFF_S * 2.0 ** max(0, n_shed - 1))
+    return longest_s * (0.5 + 0.5 * jitter)
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -0,0 +1,102 @@
+"""One backend server as this VM uses it."""
+
+from math import ceil
+
+from wagtailpaddle_core import ensure
+
+from wagtailpaddle_routing.limits import Limiter
+from wagtailpaddle_routing.messages import AttemptOutcome, AttemptResult, ServerView
+
+LOAD_VALID_S = 2.0
+NO_REPORT_LOAD = 0.5
+SHED_HALF_LIFE_S = 1.0
+PROBATION_IN_FLIGHT = 1
+LEAVING_HOLD_S = 600.0
+
+
+class Server:
+    """One server with what this VM has in flight there and heard from it.
+
+    A load report counts less the older it is and nothing after
+    ``LOAD_VALID_S``; it only decides between servers that are equally free.
+    """
+
+    __slots__ = (
+        "_load",
+        "_load_at",
+        "_shed",
+        "_shed_at",
+        "cap",
+        "id",
+        "in_flight",
+        "limiter",
+        "share",
+        "usable",
+        "view",
+    )
+
+    def __init__(self, view: ServerView, limiter: Limiter):
+        self.id = view.id
+        self.view = view
+        self.limiter = limiter
+        self.in_flight = 0
+        self.share = 1.0
+        self.cap = 1
+        self.usable = False
+        self._load = NO_REPORT_LOAD
+        self._load_at = float("-inf")
+        self._shed = 0.0
+        self._shed_at = 0.0
+        self.see(view)
+
+    @property
+    def limit(self) -> float:
+        """The requests that this VM may add to this server, as a fraction."""
+        return self.limiter.limit * self.view.weight
+
+    def see(self, view: ServerView) -> None:
+        """Take in what changed about the server."""
+        self.view = view
+        if view.probation:
+            self.cap = PROBATION_IN_FLIGHT
+        else:
+            self.cap = max(1, ceil(self.limit))
+
+    def cost(self, now: float) -> float:
+        """Return how busy this server is; lower is better."""
+        return self.in_flight / self.limiter.limit + self.hint(now)
+
+    def hint(self, now: float) -> float:
+        """Return the load in [0, 1] guessed from reports and shed answers."""
+        age_s = now - self._load_at
+        load = NO_REPORT_LOAD
+        if age_s < LOAD_VALID_S:
+            trust = 1.0 - max(0.0, age_s) / LOAD_VALID_S
+            load += (self._load - NO_REPORT_LOAD) * trust
+        return max(load, self._shed_level(now))
+
+    def start(self) -> None:
+        """Count an attempt that begins."""
+        ensure(self.in_flight >= 0, "in-flight-not-negative", server=self.id)
+        self.in_flight += 1
+
+    def release(self) -> None:
+        """Count an attempt that is over."""
+        self.in_flight -= 1
+        ensure(self.in_flight >= 0, "in-flight-not-negative", server=self.id)
+
+    def learn(self, now: float, result: AttemptResult) -> None:
+        """Take in how an attempt ended, before it is released."""
+        self.limiter.update(now, result.outcome, result.latency_s, self.in_flight)
+        self.see(self.view)
+        if result.load is not None and 0.0 <= result.load <= 1.0:
+            self._load = result.load
+            self._load_at = now
+        if result.outcome is AttemptOutcome.SHED:
+            self._shed = (1.0 + self._shed_level(now)) / 2
+            self._shed_at = now
+
+    def _shed_level(self, now: float) -> float:
+        if self._shed < 0.01:
+            return 0.0
+        return self._shed * 0.5 ** ((now - self._shed_at) / SHED_HALF_LIFE_S)
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -0,0 +1,191 @@
+"""The servers of one service: which are usable, and how much they may get."""
+
+from collections.abc import Sequence
+from random import Random
+
+from wagtailpaddle_core import ServerId, ZoneId, ensure
+
+from wagtailpaddle_routing.choose import Chooser, Sides
+from wagtailpaddle_routing.limits import Limiter
+from wagtailpaddle_routing.messages import AttemptResult, ServerStatus, ServerView
+from wagtailpaddle_routing.retry import Pending
+from wagtailpaddle_routing.server import LEAVING_HOLD_S, Server
+
+
+def connection_cap(connections: int, n_users: int) -> int:
+    """Return how many connections one of ``n_users`` VMs may open to a server.
+
+    >>> connection_cap(300, 36)
+    8
+    """
+    return max(1, connections // max(1, n_users))
+
+
+class ServerSet:
+    """The servers of one service and the attempts that run there."""
+
+    def __init__(
+        self, *, zone: ZoneId, chooser: Chooser, limiter: type[Limiter], random: Random
+    ):
+        self.n_running = 0
+        self.capacity = 1
+        self._zone = zone
+        self._chooser = chooser
+        self._limiter = limiter
+        self._random = random
+        self._views: tuple[ServerView, ...] = ()
+        self._n_users = 1
+        self._servers: dict[ServerId, Server] = {}
+        self._usable: tuple[Server, ...] = ()
+        self._sides = Sides()
+        self._limit = 0.0
+        self._leaving: dict[ServerId, float] = {}
+
+    @property
+    def n_usable(self) -> int:
+        """How many servers take new work."""
+        return len(self._usable)
+
+    @property
+    def is_marked(self) -> bool:
+        """Whether some server is known to leave other than by its view."""
+        return bool(self._leaving)
+
+    def replace(self, views: tuple[ServerView, ...], n_users: int) -> bool:
+        """Take in the servers; return whether anything changed."""
+        if n_users == self._n_users and views == self._views:
+            return False
+        self._views = views
+        self._n_users = n_users
+        kept = {
+            name: server for name, server in self._servers.items() if server.in_flight
+        }
+        for view in views:
+            kept[view.id] = self._known(view)
+        self._servers = kept
+        known_ids = {view.id for view in views}
+        self._leaving = {
+            name: until for name, until in self._leaving.items() if name in known_ids
+        }
+        self._settle()
+        return True
+
+    def _known(self, view: ServerView) -> Server:
+        """Return the server of ``view``, with its limit inside the new cap."""
+        cap = float(connection_cap(view.connections, self._n_users))
+        server = self._servers.get(view.id)
+        if server is None:
+            limiter = self._limiter(start=float(view.slots), cap=cap)
+            return Server(view, limiter)
+        server.limiter.cap = cap
+        server.limiter.limit = min(server.limiter.limit, cap)
+        server.see(view)
+        return server
+
+    def mark_leaving(self, now: float, server: ServerId, leaving: bool) -> None:
+        """Give no new work to a server that says it drains, or take that back."""
+        if not leaving:
+            self._leaving.pop(server, None)
+        elif server in self._servers:
+            self._leaving[server] = now + LEAVING_HOLD_S
+        self._settle()
+
+    def expire(self, now: float) -> bool:
+        """Forget marks that are past; return whether there were any."""
+        if not self._leaving:
+            return False
+        past = [name for name, until in self._leaving.items() if until <= now]
+        for name in past:
+            del self._leaving[name]
+        if past:
+            self._settle()
+        return bool(past)
+
+    def can_serve(self, pending: Pending) -> bool:
+        """Return whether some server may take the request, now or later."""
+        return any(_may_take(server, pending) for server in self._usable)
+
+    def choose(self, now: float, pending: Pending) -> Server | None:
+        """Return a server with room for the request, or None."""
+
+        def fits(server: Server) -> bool:
+            return server.in_flight < server.cap and _may_take(server, pending)
+
+        return self._chooser.choose(now, self._sides, fits, self._random)
+
+    def start(self, server: Server) -> None:
+        """Count an attempt that begins."""
+        view = server.view
+        ensure(
+            server.usable and view.weight > 0 and not view.leaving,
+            "dispatch-to-usable-server",
+            server=server.id,
+        )
+        server.start()
+        self.n_running += 1
+
+    def release(self, server: Server) -> None:
+        """Count an attempt that is over."""
+        server.release()
+        self.n_running -= 1
+        ensure(self.n_running >= 0, "running-not-negative", n=self.n_running)
+
+    def learn(self, now: float, server: Server, result: AttemptResult) -> None:
+        """Take in how an attempt ended, before it is released."""
+        before = server.limit
+        server.learn(now, result)
+        if server.usable and server.limit != before:
+            self._limit += server.limit - before
+            self.capacity = max(1, int(self._limit + 1e-6))
+
+    def status(self, now: float) -> tuple[ServerStatus, ...]:
+        """Return the state of every server."""
+        return tuple(
+            ServerStatus(
+                id=server.id,
+                in_flight=server.in_flight,
+                limit=server.limit,
+                hint=server.hint(now),
+                usable=server.usable,
+            )
+            for server in self._servers.values()
+        )
+
+    def _settle(self) -> None:
+        """Work out anew which servers are usable and what they may get."""
+        known_ids = {view.id for view in self._views}
+        for server in self._servers.values():
+            server.usable = (
+                server.id in known_ids
+                and server.view.weight > 0
+                and not server.view.leaving
+                and server.id not in self._leaving
+            )
+        self._usable = tuple(
+            server for server in self._servers.values() if server.usable
+        )
+        self._sides = split(self._usable, self._zone)
+        self._limit = sum(server.limit for server in self._usable)
+        self.capacity = max(1, int(self._limit + 1e-6))
+
+
+def _may_take(server: Server, pending: Pending) -> bool:
+    """Return whether the server suits the request, busy or not."""
+    if server.id in pending.tried:
+        return False
+    return pending.job.idempotent or not server.view.probation
+
+
+def split(servers: Sequence[Server], zone: ZoneId) -> Sides:
+    """Return ``servers`` split by zone, with their shares set.
+
+    ``share`` is the weight relative to the best, so a service whose servers
+    all have the same low weight spreads its work as if all were whole.
+    """
+    best = max((server.view.weight for server in servers), default=1.0)
+    for server in servers:
+        server.share = server.view.weight / best
+    return Sides(
+        local=tuple(server for server in servers if server.view.zone == zone),
+        remote=tuple(server for server in servers if server.view.zone != zone),
+    )
--- /dev/null
+++ b/packages/routing/tests/test_retry.py
@@ -0,0 +1,159 @@
+import pytest
+from wagtailpaddle_core import ANSWERS, ErrorKind, Outcome, RequestId, ServiceId
+from wagtailpaddle_routing import Deliver, Dispatch, Refuse
+
+SERVICE = ServiceId("booking")
+
+
+@pytest.fixture
+def dispatcher(make_dispatcher, views):
+    return make_dispatcher(views)
+
+
+def finish(dispatcher, now, name, result):
+    return dispatcher.finish(now, RequestId(name), result)
+
+
+def test_idempotent_request_goes_to_another_server(dispatcher, job, ended):
+    (first,) = dispatcher.arrive(0.0, job("r"))
+    (second,) = finish(dispatcher, 0.1, "r", ended("failed"))
+    assert isinstance(second, Dispatch)
+    assert second.attempt == 2
+    assert second.server != first.server
+
+
+@pytest.mark.parametrize("outcome", ["failed", "timed-out", "cut-short", "cancelled"])
+def test_non_idempotent_request_that_may_have_run_is_not_sent_again(
+    dispatcher, job, ended, outcome
+):
+    dispatcher.arrive(0.0, job("r", idempotent=False))
+    (refusal,) = finish(dispatcher, 0.1, "r", ended(outcome))
+    assert refusal.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert dispatcher.n_pending == 0
+
+
+@pytest.mark.parametrize("outcome", ["shed", "not-sent"])
+def test_non_idempotent_request_that_surely_did_not_run_is_sent_again(
+    dispatcher, job, ended, outcome
+):
+    dispatcher.arrive(0.0, job("r", idempotent=False))
+    (second,) = finish(dispatcher, 0.1, "r", ended(outcome))
+    assert isinstance(second, Dispatch)
+    (refusal,) = finish(dispatcher, 0.2, "r", ended("failed"))
+    assert refusal.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_server_error_of_an_idempotent_request_is_tried_elsewhere_once(
+    dispatcher, job, ended
+):
+    dispatcher.arrive(0.0, job("r"))
+    (second,) = finish(dispatcher, 0.1, "r", ended(status=503))
+    assert isinstance(second, Dispatch)
+    assert finish(dispatcher, 0.2, "r", ended(status=503)) == (Deliver("r"),)
+
+
+def test_server_error_of_a_non_idempotent_request_is_delivered(dispatcher, job, ended):
+    dispatcher.arrive(0.0, job("r", idempotent=False))
+    assert finish(dispatcher, 0.1, "r", ended(status=503)) == (Deliver("r"),)
+
+
+def test_committed_answer_that_breaks_off_is_not_replaced(dispatcher, job, ended):
+    dispatcher.arrive(0.0, job("r"))
+    (refusal,) = finish(dispatcher, 0.1, "r", ended("cut-short", committed=True))
+    assert refusal.kind is ErrorKind.SERVER_FAILED
+
+
+def test_deadline_after_an_attempt_does_not_claim_not_run(dispatcher, job, ended):
+    dispatcher.arrive(0.0, job("r", timeout_s=1.0))
+    (refusal,) = finish(dispatcher, 1.0, "r", ended("timed-out", 1.0))
+    assert refusal.kind is ErrorKind.DEADLINE_AFTER_DISPATCH
+    assert ANSWERS[refusal.kind].outcome is Outcome.UNKNOWN
+
+
+def test_deadline_in_the_queue_after_an_attempt_does_not_claim_not_run(
+    make_dispatcher, view, job, ended
+):
+    pair = (view("s0", slots=1), view("s1", slots=1))
+    dispatcher = make_dispatcher(pair, limiter="fixed")
+    dispatcher.arrive(0.0, job("r", timeout_s=1.0))
+    dispatcher.arrive(0.0, job("other"))
+    assert finish(dispatcher, 0.5, "r", ended("failed")) == ()
+    assert dispatcher.next_wake(0.5) == 1.0
+    (refusal,) = dispatcher.tick(1.0)
+    assert refusal.kind is ErrorKind.DEADLINE_AFTER_DISPATCH
+
+
+def test_drop_of_a_request_that_may_have_run_does_not_claim_not_run(
+    make_dispatcher, view, job, ended
+):
+    pair = (view("s0", slots=1), view("s1", slots=1))
+    dispatcher = make_dispatcher(pair, limiter="fixed")
+    dispatcher.arrive(0.0, job("r"))
+    dispatcher.arrive(0.0, job("other"))
+    finish(dispatcher, 0.5, "r", ended("failed"))
+    withdrawn = ErrorKind.KEY_UNKNOWN, "withdrawn"
+    (refusal,) = dispatcher.drop(0.6, RequestId("r"), *withdrawn)
+    assert refusal.kind is ErrorKind.SERVER_FAILED
+    assert dispatcher.drop(0.6, RequestId("other"), *withdrawn) == ()
+
+
+def test_drop_of_a_queued_request_keeps_its_kind(make_dispatcher, view, job):
+    dispatcher = make_dispatcher((view("s0", slots=1),), limiter="fixed")
+    dispatcher.arrive(0.0, job("running"))
+    dispatcher.arrive(0.0, job("r"))
+    (refusal,) = dispatcher.drop(
+        0.6, RequestId("r"), ErrorKind.KEY_UNKNOWN, "withdrawn"
+    )
+    assert refusal.kind is ErrorKind.KEY_UNKNOWN
+
+
+def test_outage_is_not_amplified(make_dispatcher, views, job, ended):
+    dispatcher = make_dispatcher(views)
+    n_dispatched = 0
+    for index in range(400):
+        now = index * 0.01
+        actions = dispatcher.arrive(now, job(f"r{index}", at=now))
+        while isinstance(actions[0], Dispatch):
+            n_dispatched += 1
+            actions = finish(dispatcher, now, f"r{index}", ended("not-sent"))
+        assert actions[0].kind is ErrorKind.NO_HEALTHY_SERVER
+    assert n_dispatched <= 400 * 1.2 + 20 + 0.5 * 4
+
+
+def test_shed_request_pauses_and_is_served(make_dispatcher, view, job, ended):
+    dispatcher = make_dispatcher((view("s0"),))
+    dispatcher.arrive(0.0, job("r", idempotent=False))
+    assert finish(dispatcher, 0.1, "r", ended("shed")) == ()
+    wake = dispatcher.next_wake(0.1)
+    assert 0.1 < wake <= 0.12
+    (again,) = dispatcher.tick(wake)
+    assert isinstance(again, Dispatch)
+    assert finish(dispatcher, 0.2, "r", ended()) == (Deliver("r"),)
+
+
+def test_shed_until_the_deadline_is_refused_as_not_run(
+    make_dispatcher, view, job, ended
+):
+    dispatcher = make_dispatcher((view("s0"),))
+    now = 0.0
+    actions = dispatcher.arrive(now, job("r", idempotent=False, timeout_s=0.5))
+    while not (actions and isinstance(actions[0], Refuse)):
+        if actions:
+            actions = finish(dispatcher, now, "r", ended("shed", 0.0))
+            continue
+        now = dispatcher.next_wake(now)
+        actions = dispatcher.tick(now)
+    assert ANSWERS[actions[0].kind].outcome is Outcome.NOT_RUN
+    assert now <= 0.5
+
+
+def test_hang_leaves_time_for_another_server(dispatcher, job, ended):
+    for index in range(30):
+        dispatcher.arrive(0.0, job(f"warm{index}"))
+        finish(dispatcher, 0.02, f"warm{index}", ended())
+    (first,) = dispatcher.arrive(1.0, job("r", at=1.0))
+    assert first.timeout_at == pytest.approx(2.0)
+    (second,) = finish(dispatcher, 2.0, "r", ended("timed-out", 1.0))
+    assert second.timeout_at == 11.0
+    (once,) = dispatcher.arrive(2.0, job("once", at=2.0, idempotent=False))
+    assert once.timeout_at == 12.0
