Add shares, loans and hand-over of rates

Cause: a rate counts over all VMs together. Change: folding of the shares stream, buckets that keep room for lent tokens, borrowing ahead of demand, claims that settle on a majority, direct hand-over.

--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/allowance.py
@@ -0,0 +1,164 @@
+"""The tokens of one client account in one share, and what is lent of them."""
+
+from dataclasses import dataclass
+
+from wagtailpaddle_core import VmId, ensure
+
+LOAN_TERM_S = 1.0
+"""Borrowed tokens lapse this long after the question that brought them."""
+
+LENDER_TERM_S = 1.05
+"""How long the lender keeps room for a loan: the term and clock drift."""
+
+SLACK_TOKENS = 1e-6
+
+
+@dataclass(slots=True)
+class _Loan:
+    amount: float
+    until: float
+    sequence: int
+
+
+class Allowance:
+    """A token bucket whose lent tokens still take up room.
+
+    Tokens at hand and tokens lent together never pass ``burst``, so however
+    they travel, all VMs together never hold more than the account's burst.
+    A loan takes up room until the borrower reports it spent or given back, or
+    until it has lapsed on the borrower's clock too.
+
+    >>> allowance = Allowance(rate=1.0, burst=4.0, tokens=4.0, now=0.0)
+    >>> allowance.lend(0.0, "b", sequence=1, held=0.0, returned=0.0, wanted=3.0)
+    3.0
+    >>> allowance.tokens(1.0), round(allowance.tokens(2.05), 6)
+    (1.0, 2.0)
+    """
+
+    def __init__(self, *, rate: float, burst: float, tokens: float, now: float):
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(tokens, burst)
+        self._filled_at = now
+        self._loans: dict[VmId, _Loan] = {}
+
+    def tokens(self, now: float) -> float:
+        """Return the tokens at hand at ``now``."""
+        self._refill(now)
+        return self._tokens
+
+    def lent(self, now: float) -> float:
+        """Return the room that loans take up at ``now``."""
+        self._refill(now)
+        return sum(loan.amount for loan in self._loans.values())
+
+    def idle(self, now: float) -> bool:
+        """Return whether the bucket is full and nothing is lent."""
+        self._refill(now)
+        return not self._loans and self._tokens >= self.burst - SLACK_TOKENS
+
+    def take(self, now: float) -> bool:
+        """Take one token, or none and return False."""
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def wait(self, now: float) -> float:
+        """Return the seconds until one token is at hand, at best."""
+        self._refill(now)
+        if self.burst < 1.0 or self.rate <= 0.0:
+            return float("inf")
+        return max(0.0, 1.0 - self._tokens) / self.rate
+
+    def set_limit(self, now: float, rate: float, burst: float, since: float) -> None:
+        """Change rate and burst; the new ones count from ``since``."""
+        if (rate, burst) == (self.rate, self.burst):
+            return
+        self._refill(min(now, since))
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(self._tokens, max(0.0, self._room()))
+        self._refill(now)
+
+    def lend(
+        self,
+        now: float,
+        borrower: VmId,
+        *,
+        sequence: int,
+        held: float,
+        returned: float,
+        wanted: float,
+        reserve: float = 0.0,
+    ) -> float | None:
+        """Settle the loan of ``borrower`` and return the tokens granted to it.
+
+        ``held`` is what the borrower still has, ``returned`` what it gives
+        back; the rest of what was lent is spent or lost. ``reserve`` tokens
+        stay here. Returns None, and leaves all as it is, for a message older
+        than one already seen or with held tokens that have no room here.
+        """
+        self._refill(now)
+        loan = self._loans.get(borrower) or _Loan(0.0, now, -1)
+        if sequence <= loan.sequence or held > loan.amount + SLACK_TOKENS:
+            return None
+        self._loans[borrower] = loan
+        back = min(returned, max(0.0, loan.amount - held))
+        loan.amount = held
+        self._tokens += back
+        granted = float(max(0, int(min(wanted, self._tokens - reserve))))
+        self._tokens -= granted
+        loan.amount += granted
+        loan.sequence = sequence
+        loan.until = now + LENDER_TERM_S
+        self._check()
+        return granted
+
+    def has_loan(self, now: float, borrower: VmId) -> bool:
+        """Return whether ``borrower`` has a loan that takes up room."""
+        self._refill(now)
+        return borrower in self._loans
+
+    def hand_over(self, now: float, tokens: float, lent: float) -> None:
+        """Start from the state of the former holder.
+
+        Its borrowers do not renew here, so their room lapses with the loans.
+        """
+        if lent > 0.0:
+            self._loans[VmId("")] = _Loan(lent, now + LENDER_TERM_S, 0)
+        self._tokens = max(0.0, min(tokens, self._room()))
+        self._filled_at = now
+
+    def _room(self) -> float:
+        return self.burst - sum(loan.amount for loan in self._loans.values())
+
+    def _refill(self, now: float) -> None:
+        """Add the tokens since the last call, loan by loan as they lapse."""
+        while self._loans:
+            borrower = min(self._loans, key=lambda vm: (self._loans[vm].until, vm))
+            until = self._loans[borrower].until
+            if until > now:
+                break
+            self._fill(until)
+            del self._loans[borrower]
+        self._fill(now)
+        self._check()
+
+    def _fill(self, now: float) -> None:
+        elapsed = now - self._filled_at
+        if elapsed <= 0.0:
+            return
+        room = max(0.0, self._room())
+        self._tokens = min(room, self._tokens + elapsed * self.rate)
+        self._filled_at = now
+
+    def _check(self) -> None:
+        room = max(0.0, self._room())
+        ensure(
+            -SLACK_TOKENS <= self._tokens <= room + SLACK_TOKENS,
+            "tokens-and-loans-within-burst",
+            tokens=self._tokens,
+            room=room,
+        )
--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -1,28 +1,83 @@
 """Rates and bursts of client accounts on one VM."""
 
+import math
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
-from wagtailpaddle_core import AccountId, Offset, VmId
+from wagtailpaddle_core import AccountId, Offset, VmId, ensure
 
+from wagtailpaddle_quota.allowance import Allowance
+from wagtailpaddle_quota.borrowing import Borrower
 from wagtailpaddle_quota.messages import (
+    AskFolded,
+    Borrow,
+    BucketState,
     Decision,
+    Folded,
+    Granted,
+    HandOver,
+    HandOverTaken,
+    Lent,
     Limit,
     QuotaAction,
     QuotaMessage,
     QuotaReply,
+    Refused,
     ShareEntry,
+    ShareId,
     ShareRecord,
     ShareSnapshot,
+    WaitUntil,
 )
+from wagtailpaddle_quota.shares import Holding, ShareHolder
+from wagtailpaddle_quota.weights import group_of, n_active, weight
 
 N_GROUPS = 64
 N_SHARES = 4
+FRESHNESS_S = 3.0
+BORROW_WAIT_S = 0.02
+MAX_WAIT_S = 0.5
+MAX_RETRY_AFTER_S = 60.0
+MAX_BUCKETS = 2000
+"""Accounts listed in one hand-over."""
+
+N_SWEPT = 64
+"""Buckets looked at in one tick, to forget those that are full."""
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaStatus:
+    """Counts for operators.
+
+    ``n_waiting`` shares are held but not yet spent from, ``n_unrecorded`` were
+    taken over directly and have no record yet, ``n_handing_over`` were passed
+    on without an answer so far, ``n_vacant`` have no holder, and ``n_stranded``
+    have one that is neither live nor proven gone.
+    """
+
+    may_spend: bool
+    n_held: int
+    n_waiting: int
+    n_unrecorded: int
+    n_handing_over: int
+    n_vacant: int
+    n_stranded: int
+    n_void_records: int
+    n_bad_messages: int
+    n_active_accounts: int
+    n_buckets: int
 
 
 class QuotaKeeper:
     """Holds this VM's shares and decides whether a request may run.
 
-    Interface only so far.
+    ``limits`` looks an account's limit up, or returns None; no state is kept
+    of idle accounts. ``freshness_s`` is the window of the freshness rule.
+
+    >>> limit = Limit(rate=1.0, burst=4.0)
+    >>> keeper = QuotaKeeper(VmId("a"), limits=lambda account: limit)
+    >>> keeper.take(0.0, AccountId("kiosk"), deadline_at=1.0)
+    Refused(retry_after_s=1.0)
     """
 
     def __init__(
@@ -30,34 +85,55 @@
         vm: VmId,
         *,
         limits: Callable[[AccountId], Limit | None],
-        seed: int = 0,
         n_groups: int = N_GROUPS,
         n_shares: int = N_SHARES,
+        freshness_s: float = FRESHNESS_S,
     ):
         self.vm = vm
+        self.shares = ShareHolder(
+            vm, n_groups=n_groups, n_shares=n_shares, freshness_s=freshness_s
+        )
+        self.leaving = False
+        self._limits = limits
+        self._n_groups = n_groups
+        self._n_shares = n_shares
+        self._freshness_s = freshness_s
+        self._confirmed_at = float("-inf")
+        self._stalled_at = float("-inf")
+        self._allowances: dict[ShareId, dict[AccountId, Allowance]] = {}
+        self._borrowers: dict[AccountId, Borrower] = {}
+        self._sequence = 0
+        self._n_bad_messages = 0
+        self._sweep: list[tuple[ShareId, AccountId]] = []
+
+    # The shares stream
 
     @property
     def next_offset(self) -> Offset:
         """The offset of the first record of ``shares`` not yet folded."""
-        raise NotImplementedError
+        return self.shares.fold.next_offset
 
     def on_record(self, now: float, offset: Offset, record: ShareRecord) -> None:
         """Fold a record of the ``shares`` stream, in the order of the log."""
-        raise NotImplementedError
+        self.shares.on_record(now, offset, record)
+        self._forget_lost()
 
     def state(self) -> tuple[ShareEntry, ...]:
         """Return the folded state, for a VM that starts without the log."""
-        raise NotImplementedError
+        return tuple(self.shares.fold.entries.values())
 
     def load(
         self, now: float, next_offset: Offset, entries: tuple[ShareEntry, ...]
     ) -> None:
         """Take the folded state of a peer if it is further on."""
-        raise NotImplementedError
+        self.shares.load(now, next_offset, entries)
+        self._forget_lost()
 
     def snapshot_records(self) -> tuple[ShareSnapshot, ...]:
         """Return the state as records, to be appended before retention ends."""
-        raise NotImplementedError
+        return self.shares.fold.snapshot(f"{self.vm}/snapshot")
+
+    # What is known of the fleet
 
     def on_roster(
         self,
@@ -71,7 +147,9 @@
         ``registered`` are the VMs counted by the freshness rule (default:
         ``vms``).
         """
-        raise NotImplementedError
+        vms = frozenset(vms)
+        counted = vms if registered is None else frozenset(registered)
+        self.shares.on_roster(now, vms, gone, counted)
 
     def confirmed(self, now: float, sent_at: float, next_offset: Offset) -> None:
         """Take in a confirmation of the freshness rule.
@@ -80,46 +158,312 @@
         majority of the registered VMs, named in answer to a question sent at
         ``sent_at``. It counts only if this VM has folded as far.
         """
-        raise NotImplementedError
+        if sent_at < self._stalled_at or not self.shares.fold.complete:
+            return
+        if self.next_offset >= next_offset:
+            self._confirmed_at = max(self._confirmed_at, min(sent_at, now))
 
     def may_spend(self, now: float) -> bool:
         """Return whether this VM would know that a share of its was claimed."""
-        raise NotImplementedError
+        return now - self._confirmed_at <= self._freshness_s
 
     def on_stall(self, now: float, stalled_s: float) -> None:
-        """Forget confirmations: the loop stood still for too long."""
-        raise NotImplementedError
+        """Forget confirmations: the loop stood still for too long.
+
+        Nothing is spent or lent until a question sent from now on is answered.
+        """
+        self._confirmed_at = float("-inf")
+        self._stalled_at = now
+
+    # Requests
 
     def take(self, now: float, account: AccountId, deadline_at: float) -> Decision:
-        """Take one token of ``account`` for a request due by ``deadline_at``."""
-        raise NotImplementedError
+        """Take one token of ``account`` for a request due by ``deadline_at``.
+
+        A request that gets ``WaitUntil`` takes again at that time, after a
+        ``tick``, which sends for tokens. Callers bound the waiting in all by
+        ``deadline_at``.
+        """
+        limit = self._limits(account)
+        if limit is None or limit.rate <= 0.0 or limit.burst < 1.0:
+            return Refused(MAX_RETRY_AFTER_S)
+        borrower = self._borrowers.get(account)
+        if borrower is None:
+            borrower = self._borrowers[account] = Borrower(account, now)
+        own = self._own(now, account, limit)
+        if self._take(now, own, borrower):
+            borrower.granted(now)
+            return Granted()
+        return self._wait(now, limit, own, borrower, deadline_at)
+
+    def _take(self, now: float, own: list[Allowance], borrower: Borrower) -> bool:
+        """Take from a full bucket first, then borrowed tokens, then the rest."""
+        if any(allowance.idle(now) and allowance.take(now) for allowance in own):
+            return True
+        return borrower.take(now) or any(item.take(now) for item in own)
+
+    def _wait(
+        self,
+        now: float,
+        limit: Limit,
+        own: list[Allowance],
+        borrower: Borrower,
+        deadline_at: float,
+    ) -> Decision:
+        least_s = min((item.wait(now) for item in own), default=float("inf"))
+        if self._lenders(borrower.account, limit):
+            least_s = min(least_s, BORROW_WAIT_S)
+        spacing_s = 1.0 / limit.rate
+        if least_s == float("inf"):
+            return Refused(min(MAX_RETRY_AFTER_S, max(1.0, spacing_s)))
+        at = borrower.wait(now, least_s, spacing_s)
+        if at > deadline_at or at > now + MAX_WAIT_S:
+            return Refused(min(MAX_RETRY_AFTER_S, max(at - now, spacing_s)))
+        borrower.add_wait(at)
+        return WaitUntil(at)
+
+    # Passing of time
 
     def tick(self, now: float) -> tuple[QuotaAction, ...]:
         """Act on the passing of time; called about 20 times a second."""
-        raise NotImplementedError
+        actions = self.shares.tick(now)
+        misplaced = self.shares.misplaced(now)
+        if misplaced is not None and self.may_spend(now):
+            actions += (self._pass_on(now, *misplaced),)
+        actions += self._borrow(now)
+        self._sweep_buckets(now)
+        return actions
 
     def on_append_failed(self, now: float, record_id: str) -> None:
         """Take in that an append surely or possibly failed."""
-        raise NotImplementedError
+        self.shares.on_append_failed(record_id)
+
+    def release(self, now: float) -> tuple[QuotaAction, ...]:
+        """Hand all shares over at a graceful stop; ``tick`` goes on with it.
+
+        The stop may go on once ``released`` is True.
+        """
+        self.leaving = True
+        self.shares.leaving = True
+        actions: tuple[QuotaAction, ...] = ()
+        for share, holding in sorted(self.shares.holdings.items()):
+            receiver = self.shares.receiver(share, set())
+            if holding.ready(now) and receiver is not None:
+                actions += (self._pass_on(now, holding, receiver),)
+            else:
+                actions += self.shares.drop(now, share)
+        self._forget_lost()
+        return actions
+
+    @property
+    def released(self) -> bool:
+        """Whether nothing is held or on its way to another VM."""
+        return not self.shares.holdings and not self.shares.outgoing
+
+    # Peers
 
     def on_message(self, now: float, sender: VmId, message: QuotaMessage) -> QuotaReply:
         """Answer a peer."""
-        raise NotImplementedError
+        if isinstance(message, AskFolded):
+            return Folded(message.sequence, self.next_offset)
+        if isinstance(message, HandOver):
+            return self._on_hand_over(now, message)
+        return self._on_borrow(now, sender, message)
 
     def on_reply(
         self, now: float, vm: VmId, message: QuotaMessage, reply: QuotaReply
-    ) -> None:
+    ) -> tuple[QuotaAction, ...]:
         """Take in the reply of ``vm`` to ``message``."""
-        raise NotImplementedError
+        if isinstance(message, Borrow) and isinstance(reply, Lent):
+            borrower = self._borrowers.get(message.account)
+            if borrower is not None and math.isfinite(reply.granted):
+                borrower.on_reply(now, vm, reply)
+        elif isinstance(message, AskFolded) and isinstance(reply, Folded):
+            self.shares.on_folded(now, vm, reply)
+        elif isinstance(message, HandOver) and isinstance(reply, HandOverTaken):
+            return self.shares.on_hand_over_reply(message, reply)
+        else:
+            self._n_bad_messages += 1
+        return ()
 
     def on_call_failed(self, now: float, vm: VmId, message: QuotaMessage) -> None:
         """Take in that the call of ``vm`` failed; it may have been received."""
-        raise NotImplementedError
+        if isinstance(message, Borrow):
+            borrower = self._borrowers.get(message.account)
+            if borrower is not None:
+                borrower.on_failed(now, vm, message.sequence)
 
-    def release(self, now: float) -> tuple[QuotaAction, ...]:
-        """Hand all shares over at a graceful stop; ``tick`` goes on with it."""
-        raise NotImplementedError
+    # Directory and status
 
     def homes(self, account: AccountId, vms: Iterable[VmId]) -> tuple[VmId, ...]:
-        """Return the VMs among ``vms`` that hold shares of ``account``."""
-        raise NotImplementedError
+        """Return the VMs among ``vms`` that hold shares of ``account``.
+
+        Where a share has no holder there, the VM that should hold it is named.
+        """
+        limit = self._limits(account)
+        if limit is None:
+            return ()
+        allowed = frozenset(vms)
+        found: list[VmId] = []
+        for share in self._active(account, limit):
+            holder = self.shares.fold.entry(share).holder
+            home = holder if holder in allowed else self.shares.preferred(share)
+            if home is not None and home in allowed and home not in found:
+                found.append(home)
+        return tuple(found)
+
+    def status(self, now: float) -> QuotaStatus:
+        """Return counts for operators."""
+        holdings = self.shares.holdings.values()
+        return QuotaStatus(
+            may_spend=self.may_spend(now),
+            n_held=len(holdings),
+            n_waiting=sum(not holding.ready(now) for holding in holdings),
+            n_unrecorded=sum(not holding.recorded for holding in holdings),
+            n_handing_over=len(self.shares.outgoing),
+            n_vacant=len(self.shares.vacant),
+            n_stranded=self.shares.n_stranded(),
+            n_void_records=self.shares.fold.n_void,
+            n_bad_messages=self._n_bad_messages,
+            n_active_accounts=len(self._borrowers),
+            n_buckets=sum(len(buckets) for buckets in self._allowances.values()),
+        )
+
+    # Own shares
+
+    def _active(self, account: AccountId, limit: Limit) -> list[ShareId]:
+        group = group_of(account, self._n_groups)
+        n_shares = n_active(limit.burst, self._n_shares)
+        return [ShareId(group, index) for index in range(n_shares)]
+
+    def _own(self, now: float, account: AccountId, limit: Limit) -> list[Allowance]:
+        """Return the buckets of ``account`` that this VM may spend from."""
+        if not self.may_spend(now):
+            return []
+        own = []
+        for share in self._active(account, limit):
+            holding = self.shares.holdings.get(share)
+            if holding is not None and holding.ready(now):
+                own.append(self._allowance(now, account, limit, holding))
+        return own
+
+    def _allowance(
+        self, now: float, account: AccountId, limit: Limit, holding: Holding
+    ) -> Allowance:
+        """Return a bucket, made now if the account was idle."""
+        buckets = self._allowances.setdefault(holding.share, {})
+        part = weight(limit, holding.share.index, self._n_shares)
+        rate, burst = limit.rate * part, limit.burst * part
+        allowance = buckets.get(account)
+        if allowance is not None:
+            allowance.set_limit(now, rate, burst, limit.changed_at)
+            return allowance
+        since = max(holding.filling_since, limit.changed_at)
+        tokens = min(burst, rate * max(0.0, now - since))
+        allowance = Allowance(rate=rate, burst=burst, tokens=tokens, now=now)
+        buckets[account] = allowance
+        return allowance
+
+    def _forget_lost(self) -> None:
+        for share in [s for s in self._allowances if s not in self.shares.holdings]:
+            del self._allowances[share]
+
+    def _sweep_buckets(self, now: float) -> None:
+        """Forget buckets that are full; an idle account keeps no state."""
+        if not self._sweep:
+            self._sweep = [
+                (share, account)
+                for share, buckets in self._allowances.items()
+                for account in buckets
+            ]
+        batch, self._sweep = self._sweep[:N_SWEPT], self._sweep[N_SWEPT:]
+        for share, account in batch:
+            buckets = self._allowances.get(share, {})
+            if account in buckets and buckets[account].idle(now):
+                del buckets[account]
+
+    # Lending and borrowing
+
+    def _lenders(self, account: AccountId, limit: Limit) -> list[VmId]:
+        holders = {
+            self.shares.fold.entry(share).holder
+            for share in self._active(account, limit)
+        }
+        return sorted(vm for vm in holders if vm != self.vm and self.shares.live(vm))
+
+    def _borrow(self, now: float) -> tuple[QuotaAction, ...]:
+        actions: tuple[QuotaAction, ...] = ()
+        for account, borrower in list(self._borrowers.items()):
+            limit = self._limits(account)
+            if limit is None or borrower.idle(now):
+                del self._borrowers[account]
+                continue
+            own = sum(item.tokens(now) for item in self._own(now, account, limit))
+            lenders = self._lenders(account, limit)
+            sent = borrower.plan(now, own, lenders, self._sequence + 1)
+            self._sequence += len(sent)
+            actions += sent
+        return actions
+
+    def _on_borrow(self, now: float, sender: VmId, message: Borrow) -> Lent:
+        refusal = Lent(message.account, message.sequence, 0.0, False)
+        amounts = (message.held, message.returned, message.wanted)
+        if not all(math.isfinite(amount) and amount >= 0.0 for amount in amounts):
+            self._n_bad_messages += 1
+            return refusal
+        limit = self._limits(message.account)
+        own = self._own(now, message.account, limit) if limit else []
+        if not own:
+            return refusal
+        allowance = max(
+            own, key=lambda item: (item.has_loan(now, sender), item.tokens(now))
+        )
+        granted = allowance.lend(
+            now,
+            sender,
+            sequence=message.sequence,
+            held=message.held,
+            returned=message.returned,
+            wanted=message.wanted,
+            reserve=self._reserve(now, message.account, allowance),
+        )
+        if granted is None:
+            return refusal
+        ensure(granted <= message.wanted, "granted-within-wanted", granted=granted)
+        return Lent(message.account, message.sequence, granted, True)
+
+    def _reserve(self, now: float, account: AccountId, allowance: Allowance) -> float:
+        """Return what this VM keeps for its own requests, half at most."""
+        borrower = self._borrowers.get(account)
+        if borrower is None:
+            return 0.0
+        return min(borrower.target(now), allowance.tokens(now) / 2)
+
+    # Hand-over
+
+    def _pass_on(self, now: float, holding: Holding, receiver: VmId) -> QuotaAction:
+        buckets = self._allowances.pop(holding.share, {})
+        states = [
+            BucketState(account, item.tokens(now), item.lent(now))
+            for account, item in sorted(buckets.items())
+            if not item.idle(now)
+        ]
+        idle_s = max(0.0, now - holding.filling_since)
+        if len(states) > MAX_BUCKETS:
+            states, idle_s = states[:MAX_BUCKETS], 0.0
+        return self.shares.pass_on(holding, receiver, tuple(states), idle_s)
+
+    def _on_hand_over(self, now: float, message: HandOver) -> HandOverTaken:
+        if self.shares.take_over(now, message):
+            self._adopt(now, message)
+        return HandOverTaken(message.share, self.shares.taken(message))
+
+    def _adopt(self, now: float, message: HandOver) -> None:
+        self._allowances.pop(message.share, None)
+        holding = self.shares.holdings[message.share]
+        for state in message.buckets:
+            limit = self._limits(state.account)
+            if limit is None:
+                continue
+            allowance = self._allowance(now, state.account, limit, holding)
+            allowance.hand_over(now, state.tokens, state.lent)
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -16,15 +16,15 @@
 class Limit:
     """The rate (requests/s) and burst (requests) of a client account.
 
-    ``changed_at`` is when this VM learned the limit on its own clock.
-    ``previous_burst`` is the burst before a change that some fresh VM may not
-    know yet, and None once every fresh VM knows the present one.
+    ``unsettled_bursts`` are the bursts before changes that some fresh VM may
+    not know yet. ``changed_at`` is when, on its own clock, this VM learned the
+    limit, or that it is settled, whichever was later.
     """
 
     rate: float
     burst: float
     changed_at: float = float("-inf")
-    previous_burst: float | None = None
+    unsettled_bursts: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -124,14 +124,16 @@
 class HandOver:
     """Pass a share on to ``receiver``; the sender has stopped using it.
 
-    Accounts not in ``buckets`` start empty. ``hop`` counts hand-overs since
-    the last record, so a repeated message is told from a new one.
+    Accounts not in ``buckets`` were idle for ``idle_s``, so their buckets have
+    filled for as long. ``hop`` counts hand-overs since the last record, so a
+    repeated message is told from a new one.
     """
 
     share: ShareId
     receiver: VmId
     revision: Offset
     hop: int
+    idle_s: float
     buckets: tuple[BucketState, ...]
 
 
--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/shares.py
@@ -0,0 +1,411 @@
+"""The shares that one VM holds: claims, settling and hand-over."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from wagtailpaddle_core import Offset, VmId, rank
+
+from wagtailpaddle_quota.allowance import LENDER_TERM_S
+from wagtailpaddle_quota.fold import ShareFold
+from wagtailpaddle_quota.messages import (
+    AppendRecord,
+    AskFolded,
+    BucketState,
+    ChangeShares,
+    Folded,
+    HandOver,
+    HandOverTaken,
+    QuotaAction,
+    SendPeer,
+    ShareChange,
+    ShareEntry,
+    ShareId,
+    ShareRecord,
+)
+
+STREAM = "shares"
+CLOCK_DRIFT = 1.05
+SETTLE_INTERVAL_S = 0.5
+APPEND_TIMEOUT_S = 5.0
+PATIENCE_S = 5.0
+"""How long a vacant share is left to each better placed VM."""
+
+MAX_CHANGES = 64
+HAND_OVER_INTERVAL_S = 0.5
+REBALANCE_AFTER_S = 10.0
+REBALANCE_INTERVAL_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """A share that this VM holds.
+
+    ``revision`` is the offset of the last record of the share that the holder
+    knew. ``ready_at`` is None until a majority has folded the claim, then the
+    time from which the share fills. A share taken over directly is not
+    ``recorded`` until its record stands in the log.
+    """
+
+    share: ShareId
+    revision: Offset
+    hop: int
+    recorded: bool
+    ready_at: float | None
+    filling_since: float = 0.0
+
+    def ready(self, now: float) -> bool:
+        """Return whether the share may be spent, as far as time goes."""
+        return self.ready_at is not None and now >= self.ready_at
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    """An append under way."""
+
+    shares: tuple[ShareId, ...]
+    since: float
+
+
+class ShareHolder:
+    """Claims, settles, keeps and passes on the shares of one VM."""
+
+    def __init__(self, vm: VmId, *, n_groups: int, n_shares: int, freshness_s: float):
+        self.vm = vm
+        self.fold = ShareFold(n_groups=n_groups, n_shares=n_shares)
+        self.holdings: dict[ShareId, Holding] = {}
+        self.outgoing: dict[ShareId, HandOver] = {}
+        self.vacant: dict[ShareId, float] = {}
+        self.leaving = False
+        self.n_declined = 0
+        self._freshness_s = freshness_s
+        self._vms: frozenset[VmId] = frozenset()
+        self._gone: frozenset[VmId] = frozenset()
+        self._registered: frozenset[VmId] = frozenset()
+        self._preferred: dict[int, list[VmId]] = {}
+        self._seen: dict[ShareId, tuple[Offset, int]] = {}
+        self._folded: dict[VmId, Offset] = {}
+        self._pending: dict[str, _Pending] = {}
+        self._n_records = 0
+        self._settle_at = float("-inf")
+        self._hand_over_at = float("-inf")
+        self._rebalance_at = float("-inf")
+
+    @property
+    def vms(self) -> frozenset[VmId]:
+        """The live VMs."""
+        return self._vms
+
+    def live(self, vm: VmId) -> bool:
+        """Return whether ``vm`` is worth a message."""
+        return vm != "" and vm not in self._gone
+
+    def n_stranded(self) -> int:
+        """Count shares whose holder is neither live nor proven gone."""
+        known = self._vms | self._gone | {VmId("")}
+        return sum(entry.holder not in known for entry in self.fold.entries.values())
+
+    # Events
+
+    def on_record(self, now: float, offset: Offset, record: ShareRecord) -> None:
+        """Fold a record and give up what it gives to others."""
+        in_order = self.fold.next_offset == offset
+        changed = self.fold.apply(offset, record)
+        if isinstance(record, ChangeShares):
+            self._pending.pop(record.id, None)
+        self._on_entries(now, changed, in_order)
+
+    def load(
+        self, now: float, next_offset: Offset, entries: Iterable[ShareEntry]
+    ) -> None:
+        """Take the folded state of a peer if it is further on."""
+        self._on_entries(now, self.fold.load(next_offset, entries), False)
+
+    def on_roster(
+        self,
+        now: float,
+        vms: Iterable[VmId],
+        gone: Iterable[VmId],
+        registered: Iterable[VmId],
+    ) -> None:
+        """Take in the live VMs, those proven gone, and the registered ones."""
+        self._vms = frozenset(vms)
+        self._gone = frozenset(gone)
+        self._registered = frozenset(registered)
+        self._preferred = {}
+        self._folded = {
+            vm: offset for vm, offset in self._folded.items() if vm in self._registered
+        }
+        if not self._vms:
+            return
+        for group in range(self.fold.n_groups):
+            for index in range(self.fold.n_shares):
+                self._note_vacancy(now, self.fold.entry(ShareId(group, index)))
+        for share in [s for s, m in self.outgoing.items() if m.receiver in self._gone]:
+            del self.outgoing[share]
+
+    def on_folded(self, now: float, vm: VmId, reply: Folded) -> None:
+        """Take in how far ``vm`` has folded."""
+        if vm in self._registered:
+            self._folded[vm] = max(self._folded.get(vm, 0), reply.next_offset)
+            self._settle(now)
+
+    def on_append_failed(self, record_id: str) -> None:
+        """Forget an append; what is still wanted is appended again."""
+        self._pending.pop(record_id, None)
+
+    # Hand-over
+
+    def take_over(self, now: float, message: HandOver) -> bool:
+        """Take a share from its holder; return whether it is a new holding."""
+        share = message.share
+        if not self._takes(message):
+            self.n_declined += 1
+            return False
+        self._seen[share] = (message.revision, message.hop)
+        self.holdings[share] = Holding(
+            share=share,
+            revision=message.revision,
+            hop=message.hop,
+            recorded=False,
+            ready_at=now,
+            filling_since=now - max(0.0, message.idle_s),
+        )
+        return True
+
+    def taken(self, message: HandOver) -> bool:
+        """Return whether ``message`` was taken, now or before."""
+        seen = self._seen.get(message.share)
+        return message.receiver == self.vm and seen == (message.revision, message.hop)
+
+    def pass_on(
+        self,
+        holding: Holding,
+        receiver: VmId,
+        buckets: tuple[BucketState, ...],
+        idle_s: float,
+    ) -> SendPeer:
+        """Stop using ``holding`` and return the message that passes it on."""
+        del self.holdings[holding.share]
+        message = HandOver(
+            share=holding.share,
+            receiver=receiver,
+            revision=holding.revision,
+            hop=holding.hop + 1,
+            idle_s=idle_s,
+            buckets=buckets,
+        )
+        return self._send(message)
+
+    def on_hand_over_reply(
+        self, message: HandOver, reply: HandOverTaken
+    ) -> tuple[QuotaAction, ...]:
+        """End a hand-over, or pass the share on to another VM if declined."""
+        if self.outgoing.get(message.share) != message:
+            return ()
+        del self.outgoing[message.share]
+        if reply.taken:
+            return ()
+        receiver = self.receiver(message.share, {message.receiver})
+        if receiver is None:
+            return ()
+        again = replace(message, receiver=receiver, hop=message.hop + 1)
+        return (self._send(again),)
+
+    def receiver(self, share: ShareId, tried: set[VmId]) -> VmId | None:
+        """Return the best live VM for ``share`` other than this one."""
+        others = self._vms - tried - {self.vm} - self._gone
+        ranked = rank(f"{share.group}/{share.index}", sorted(others))
+        return ranked[0] if ranked else None
+
+    def drop(self, now: float, share: ShareId) -> tuple[QuotaAction, ...]:
+        """Release a share that is not ready yet."""
+        holding = self.holdings.pop(share)
+        if not holding.recorded:
+            return ()
+        return (self._append(now, (ShareChange(share, holding.revision, VmId("")),)),)
+
+    # Passing of time
+
+    def tick(self, now: float) -> tuple[QuotaAction, ...]:
+        """Claim, ask for settling, and send hand-overs again."""
+        self._expire_pending(now)
+        actions = self._claims(now) + self._ask_folded(now)
+        if now >= self._hand_over_at:
+            self._hand_over_at = now + HAND_OVER_INTERVAL_S
+            actions += tuple(
+                SendPeer(message.receiver, message)
+                for message in self.outgoing.values()
+            )
+        return actions
+
+    def misplaced(self, now: float) -> tuple[Holding, VmId] | None:
+        """Return a holding that another live VM should have, now and then."""
+        if self.leaving or self.outgoing or now < self._rebalance_at:
+            return None
+        self._rebalance_at = now + REBALANCE_INTERVAL_S
+        for share in sorted(self.holdings):
+            holding = self.holdings[share]
+            if not holding.recorded or not holding.ready(now - REBALANCE_AFTER_S):
+                continue
+            preferred = self.preferred(share)
+            if preferred is not None and preferred != self.vm:
+                return holding, preferred
+        return None
+
+    def preferred(self, share: ShareId) -> VmId | None:
+        """Return the VM that should hold ``share``: distinct ones in a group."""
+        order = self._preferred.get(share.group)
+        if order is None:
+            order = self._place(share.group)
+            self._preferred[share.group] = order
+        return order[share.index] if order else None
+
+    def _place(self, group: int) -> list[VmId]:
+        vms = sorted(self._vms - self._gone)
+        order: list[VmId] = []
+        for index in range(self.fold.n_shares if vms else 0):
+            ranked = rank(f"{group}/{index}", vms)
+            order.append(next((vm for vm in ranked if vm not in order), ranked[0]))
+        return order
+
+    def _on_entries(
+        self, now: float, changed: tuple[ShareEntry, ...], in_order: bool
+    ) -> None:
+        for entry in changed:
+            self._note_vacancy(now, entry)
+            self._on_entry(entry, in_order)
+        if changed:
+            self._settle(now)
+
+    def _on_entry(self, entry: ShareEntry, in_order: bool) -> None:
+        """Give up or take up a share.
+
+        A state taken ``in_order`` shows every change. Otherwise another holder
+        may have come and gone, so even a share held before settles anew.
+        """
+        share = entry.share
+        message = self.outgoing.get(share)
+        if message is not None and entry.revision > message.revision:
+            del self.outgoing[share]
+        holding = self.holdings.get(share)
+        if holding is not None and entry.revision <= holding.revision:
+            return
+        if entry.holder != self.vm:
+            self.holdings.pop(share, None)
+        elif holding is not None and not holding.recorded and in_order:
+            self.holdings[share] = replace(
+                holding, revision=entry.revision, hop=0, recorded=True
+            )
+        else:
+            self.holdings[share] = Holding(
+                share=share,
+                revision=entry.revision,
+                hop=0,
+                recorded=True,
+                ready_at=None,
+            )
+
+    def _note_vacancy(self, now: float, entry: ShareEntry) -> None:
+        if entry.holder == "" or entry.holder in self._gone:
+            self.vacant.setdefault(entry.share, now)
+        else:
+            self.vacant.pop(entry.share, None)
+
+    def _settle(self, now: float) -> None:
+        """Make the shares ready whose claim a majority has folded."""
+        for share, holding in self.holdings.items():
+            if holding.ready_at is not None or not self._majority(holding.revision):
+                continue
+            ready_at = now + CLOCK_DRIFT * self._freshness_s + LENDER_TERM_S
+            self.holdings[share] = replace(
+                holding, ready_at=ready_at, filling_since=ready_at
+            )
+
+    def _majority(self, revision: Offset) -> bool:
+        confirmed = {vm for vm, at in self._folded.items() if at > revision}
+        confirmed.add(self.vm)
+        return 2 * len(confirmed & self._registered) > len(self._registered)
+
+    def _ask_folded(self, now: float) -> tuple[QuotaAction, ...]:
+        waiting = [h.revision for h in self.holdings.values() if h.ready_at is None]
+        if not waiting or now < self._settle_at:
+            return ()
+        self._settle_at = now + SETTLE_INTERVAL_S
+        self._settle(now)
+        needed = max(waiting)
+        return tuple(
+            SendPeer(vm, AskFolded(needed))
+            for vm in sorted(self._registered - {self.vm})
+            if self._folded.get(vm, 0) <= needed
+        )
+
+    def _claims(self, now: float) -> tuple[QuotaAction, ...]:
+        if self.leaving or not self.fold.complete or self.vm not in self._vms:
+            return self._record_releases(now)
+        under_way = {s for item in self._pending.values() for s in item.shares}
+        changes = [
+            ShareChange(share, holding.revision, self.vm)
+            for share, holding in sorted(self.holdings.items())
+            if not holding.recorded and share not in under_way
+        ]
+        for share in sorted(self.vacant):
+            if share in under_way or share in self.holdings:
+                continue
+            if share in self.outgoing or not self._my_turn(now, share):
+                continue
+            expected = self.fold.entry(share).revision
+            changes.append(ShareChange(share, expected, self.vm))
+        if not changes:
+            return ()
+        return (self._append(now, tuple(changes[:MAX_CHANGES])),)
+
+    def _record_releases(self, now: float) -> tuple[QuotaAction, ...]:
+        """Release what a late record gave to this leaving VM."""
+        if not self.leaving:
+            return ()
+        unready = [s for s, h in sorted(self.holdings.items()) if not h.ready(now)]
+        return tuple(action for share in unready for action in self.drop(now, share))
+
+    def _my_turn(self, now: float, share: ShareId) -> bool:
+        since = self.vacant[share]
+        first = self.preferred(share)
+        if first == self.vm:
+            return True
+        if now - since < PATIENCE_S:
+            return False
+        ranked = rank(f"{share.group}/{share.index}", sorted(self._vms - self._gone))
+        others = [vm for vm in ranked if vm != first]
+        return now - since >= PATIENCE_S * (1 + others.index(self.vm))
+
+    def _append(self, now: float, changes: tuple[ShareChange, ...]) -> AppendRecord:
+        self._n_records += 1
+        record = ChangeShares(f"{self.vm}/{self._n_records}", self.vm, changes)
+        shares = tuple(change.share for change in changes)
+        self._pending[record.id] = _Pending(shares, now)
+        return AppendRecord(STREAM, record)
+
+    def _expire_pending(self, now: float) -> None:
+        for record_id, item in list(self._pending.items()):
+            if now - item.since >= APPEND_TIMEOUT_S:
+                del self._pending[record_id]
+
+    def _send(self, message: HandOver) -> SendPeer:
+        self.outgoing[message.share] = message
+        self._seen[message.share] = (message.revision, message.hop)
+        return SendPeer(message.receiver, message)
+
+    def _takes(self, message: HandOver) -> bool:
+        share = message.share
+        if message.receiver != self.vm or self.leaving:
+            return False
+        if not 0 <= share.group < self.fold.n_groups:
+            return False
+        if not 0 <= share.index < self.fold.n_shares:
+            return False
+        if self.fold.entry(share).revision > message.revision:
+            return False
+        holding = self.holdings.get(share)
+        if holding is not None and holding.revision >= message.revision:
+            return False
+        seen = self._seen.get(share, (-2, 0))
+        return (message.revision, message.hop) > seen
--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/weights.py
@@ -0,0 +1,41 @@
+"""How the allowance of a client account is cut into shares."""
+
+from hashlib import blake2b
+
+from wagtailpaddle_core import AccountId
+
+from wagtailpaddle_quota.messages import Limit
+
+MIN_SHARE_BURST = 4.0
+"""Tokens that a share must be able to hold before an account uses another."""
+
+
+def group_of(account: AccountId, n_groups: int) -> int:
+    """Return the group of ``account``, equal on every VM."""
+    digest = blake2b(account.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % n_groups
+
+
+def n_active(burst: float, n_shares: int) -> int:
+    """Return how many shares an account with ``burst`` uses.
+
+    >>> n_active(3.0, 4), n_active(10.0, 4), n_active(100.0, 4)
+    (1, 2, 4)
+    """
+    return max(1, min(n_shares, int(burst / MIN_SHARE_BURST)))
+
+
+def weight(limit: Limit, index: int, n_shares: int) -> float:
+    """Return the part of ``limit`` that share ``index`` carries.
+
+    While a change of the burst is not known to every fresh VM, the part is the
+    smallest of the old and the new ones, so that VMs which know different bursts
+    never hand out more than the whole.
+    """
+    bursts = (limit.burst, *limit.unsettled_bursts)
+    return min(_part(burst, index, n_shares) for burst in bursts)
+
+
+def _part(burst: float, index: int, n_shares: int) -> float:
+    active = n_active(burst, n_shares)
+    return 1.0 / active if index < active else 0.0
