Run quota keepers at random and split the packages' modules

Change: a fake fleet with pauses, one-way cuts, lost and late messages, log outages, replaced VMs and limit changes; an auditor of every interval.

--- a/packages/quota/src/wagtailpaddle_quota/borrowing.py
+++ b/packages/quota/src/wagtailpaddle_quota/borrowing.py
@@ -98,6 +98,10 @@
         ahead = math.ceil(lead) if lead >= LEAD_FROM_TOKENS else 0
         return float(ahead + self.n_waiting(now))
 
+    def busy(self, now: float) -> bool:
+        """Return whether a message to a lender may be due."""
+        return bool(self._lenders or self._waits) or self.target(now) > 0.0
+
     def idle(self, now: float) -> bool:
         """Return whether nothing would be lost by forgetting this account."""
         if now - self._touched_at < IDLE_AFTER_S:
--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/buckets.py
@@ -0,0 +1,122 @@
+"""The buckets of the shares that one VM holds."""
+
+from collections.abc import Callable, Collection, Mapping
+
+from wagtailpaddle_core import AccountId
+
+from wagtailpaddle_quota.allowance import Allowance
+from wagtailpaddle_quota.messages import BucketState, HandOver, Limit, ShareId
+from wagtailpaddle_quota.shares import Holding
+from wagtailpaddle_quota.weights import group_of, n_active, weight
+
+MAX_BUCKETS = 2000
+"""Accounts listed in one hand-over."""
+
+N_SWEPT = 64
+"""Buckets looked at in one tick, to forget those that are full."""
+
+
+class ShareBuckets:
+    """A bucket for each share and client account that is in use.
+
+    A bucket that is full is forgotten: the time since when its share fills
+    says the same, so idle accounts take no memory.
+    """
+
+    def __init__(self, *, n_groups: int, n_shares: int):
+        self._n_shares = n_shares
+        self._groups = [
+            tuple(ShareId(group, index) for index in range(n_shares))
+            for group in range(n_groups)
+        ]
+        self._buckets: dict[ShareId, dict[AccountId, Allowance]] = {}
+        self._to_sweep: list[tuple[ShareId, AccountId]] = []
+
+    def __len__(self) -> int:
+        return sum(len(buckets) for buckets in self._buckets.values())
+
+    def shares_of(self, account: AccountId, limit: Limit) -> tuple[ShareId, ...]:
+        """Return the shares that ``account`` uses."""
+        shares = self._groups[group_of(account, len(self._groups))]
+        return shares[: n_active(limit.burst, self._n_shares)]
+
+    def bucket(
+        self, now: float, account: AccountId, limit: Limit, holding: Holding
+    ) -> Allowance:
+        """Return the bucket of ``account``, made now if it was idle."""
+        buckets = self._buckets.setdefault(holding.share, {})
+        part = weight(limit, holding.share.index, self._n_shares)
+        rate, burst = limit.rate * part, limit.burst * part
+        allowance = buckets.get(account)
+        if allowance is not None:
+            allowance.set_limit(now, rate, burst, limit.changed_at)
+            return allowance
+        since = max(holding.filling_since, limit.changed_at)
+        tokens = min(burst, rate * max(0.0, now - since))
+        allowance = Allowance(rate=rate, burst=burst, tokens=tokens, now=now)
+        buckets[account] = allowance
+        return allowance
+
+    def keep_only(self, shares: Collection[ShareId]) -> None:
+        """Forget the buckets of shares that are no longer held."""
+        for share in [share for share in self._buckets if share not in shares]:
+            del self._buckets[share]
+
+    def sweep(self, now: float) -> None:
+        """Forget some of the buckets that are full."""
+        if not self._to_sweep:
+            self._to_sweep = [
+                (share, account)
+                for share, buckets in self._buckets.items()
+                for account in buckets
+            ]
+        batch = self._to_sweep[:N_SWEPT]
+        self._to_sweep = self._to_sweep[N_SWEPT:]
+        for share, account in batch:
+            buckets = self._buckets.get(share, {})
+            if account in buckets and buckets[account].idle(now):
+                del buckets[account]
+
+    def pop(
+        self, now: float, holding: Holding
+    ) -> tuple[tuple[BucketState, ...], float]:
+        """Forget a share; return its buckets and for how long the rest filled."""
+        buckets = self._buckets.pop(holding.share, {})
+        states = tuple(
+            BucketState(account, item.tokens(now), item.lent(now))
+            for account, item in sorted(buckets.items())
+            if not item.idle(now)
+        )
+        if len(states) > MAX_BUCKETS:
+            return states[:MAX_BUCKETS], 0.0
+        return states, max(0.0, now - holding.filling_since)
+
+    def adopt(
+        self,
+        now: float,
+        message: HandOver,
+        holding: Holding,
+        limits: Callable[[AccountId], Limit | None],
+    ) -> None:
+        """Start from the buckets of the former holder."""
+        self._buckets.pop(message.share, None)
+        for state in message.buckets:
+            limit = limits(state.account)
+            if limit is not None:
+                allowance = self.bucket(now, state.account, limit, holding)
+                allowance.hand_over(now, state.tokens, state.lent)
+
+    def own(
+        self,
+        now: float,
+        account: AccountId,
+        limit: Limit,
+        holdings: Mapping[ShareId, Holding],
+    ) -> list[Allowance]:
+        """Return the buckets of ``account`` in the shares that are ready."""
+        own = []
+        for share in self.shares_of(account, limit):
+            holding = holdings.get(share)
+            if holding is not None and holding.ready(now):
+                own.append(self.bucket(now, account, limit, holding))
+        return own
--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -8,10 +8,10 @@
 
 from wagtailpaddle_quota.allowance import Allowance
 from wagtailpaddle_quota.borrowing import Borrower
+from wagtailpaddle_quota.buckets import ShareBuckets
 from wagtailpaddle_quota.messages import (
     AskFolded,
     Borrow,
-    BucketState,
     Decision,
     Folded,
     Granted,
@@ -24,13 +24,11 @@
     QuotaReply,
     Refused,
     ShareEntry,
-    ShareId,
     ShareRecord,
     ShareSnapshot,
     WaitUntil,
 )
 from wagtailpaddle_quota.shares import Holding, ShareHolder
-from wagtailpaddle_quota.weights import group_of, n_active, weight
 
 N_GROUPS = 64
 N_SHARES = 4
@@ -38,11 +36,6 @@
 BORROW_WAIT_S = 0.02
 MAX_WAIT_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
-MAX_BUCKETS = 2000
-"""Accounts listed in one hand-over."""
-
-N_SWEPT = 64
-"""Buckets looked at in one tick, to forget those that are full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,16 +88,13 @@
         )
         self.leaving = False
         self._limits = limits
-        self._n_groups = n_groups
-        self._n_shares = n_shares
         self._freshness_s = freshness_s
         self._confirmed_at = float("-inf")
         self._stalled_at = float("-inf")
-        self._allowances: dict[ShareId, dict[AccountId, Allowance]] = {}
+        self._buckets = ShareBuckets(n_groups=n_groups, n_shares=n_shares)
         self._borrowers: dict[AccountId, Borrower] = {}
         self._sequence = 0
         self._n_bad_messages = 0
-        self._sweep: list[tuple[ShareId, AccountId]] = []
 
     # The shares stream
 
@@ -116,7 +106,7 @@
     def on_record(self, now: float, offset: Offset, record: ShareRecord) -> None:
         """Fold a record of the ``shares`` stream, in the order of the log."""
         self.shares.on_record(now, offset, record)
-        self._forget_lost()
+        self._buckets.keep_only(self.shares.holdings)
 
     def state(self) -> tuple[ShareEntry, ...]:
         """Return the folded state, for a VM that starts without the log."""
@@ -127,7 +117,7 @@
     ) -> None:
         """Take the folded state of a peer if it is further on."""
         self.shares.load(now, next_offset, entries)
-        self._forget_lost()
+        self._buckets.keep_only(self.shares.holdings)
 
     def snapshot_records(self) -> tuple[ShareSnapshot, ...]:
         """Return the state as records, to be appended before retention ends."""
@@ -180,9 +170,8 @@
     def take(self, now: float, account: AccountId, deadline_at: float) -> Decision:
         """Take one token of ``account`` for a request due by ``deadline_at``.
 
-        A request that gets ``WaitUntil`` takes again at that time, after a
-        ``tick``, which sends for tokens. Callers bound the waiting in all by
-        ``deadline_at``.
+        A request that gets ``WaitUntil`` takes again at that time. Callers
+        bound the waiting in all by ``deadline_at``.
         """
         limit = self._limits(account)
         if limit is None or limit.rate <= 0.0 or limit.burst < 1.0:
@@ -230,10 +219,25 @@
         misplaced = self.shares.misplaced(now)
         if misplaced is not None and self.may_spend(now):
             actions += (self._pass_on(now, *misplaced),)
-        actions += self._borrow(now)
-        self._sweep_buckets(now)
+        actions += self._borrow_all(now)
+        self._buckets.sweep(now)
         return actions
 
+    def borrow(self, now: float, account: AccountId) -> tuple[QuotaAction, ...]:
+        """Ask for the tokens that ``account`` lacks, without waiting for a tick.
+
+        Worth a call after ``take`` returned ``WaitUntil``.
+        """
+        borrower = self._borrowers.get(account)
+        limit = self._limits(account)
+        if borrower is None or limit is None:
+            return ()
+        own = sum(item.tokens(now) for item in self._own(now, account, limit))
+        lenders = self._lenders(account, limit)
+        sent = borrower.plan(now, own, lenders, self._sequence + 1)
+        self._sequence += len(sent)
+        return sent
+
     def on_append_failed(self, now: float, record_id: str) -> None:
         """Take in that an append surely or possibly failed."""
         self.shares.on_append_failed(record_id)
@@ -247,18 +251,18 @@
         self.shares.leaving = True
         actions: tuple[QuotaAction, ...] = ()
         for share, holding in sorted(self.shares.holdings.items()):
-            receiver = self.shares.receiver(share, set())
+            receiver = self.shares.placement.receiver(share, {self.vm})
             if holding.ready(now) and receiver is not None:
                 actions += (self._pass_on(now, holding, receiver),)
             else:
                 actions += self.shares.drop(now, share)
-        self._forget_lost()
+        self._buckets.keep_only(self.shares.holdings)
         return actions
 
     @property
     def released(self) -> bool:
         """Whether nothing is held or on its way to another VM."""
-        return not self.shares.holdings and not self.shares.outgoing
+        return not self.shares.holdings and not self.shares.hand_overs.outgoing
 
     # Peers
 
@@ -305,9 +309,11 @@
             return ()
         allowed = frozenset(vms)
         found: list[VmId] = []
-        for share in self._active(account, limit):
+        for share in self._buckets.shares_of(account, limit):
             holder = self.shares.fold.entry(share).holder
-            home = holder if holder in allowed else self.shares.preferred(share)
+            home = (
+                holder if holder in allowed else self.shares.placement.preferred(share)
+            )
             if home is not None and home in allowed and home not in found:
                 found.append(home)
         return tuple(found)
@@ -320,89 +326,39 @@
             n_held=len(holdings),
             n_waiting=sum(not holding.ready(now) for holding in holdings),
             n_unrecorded=sum(not holding.recorded for holding in holdings),
-            n_handing_over=len(self.shares.outgoing),
+            n_handing_over=len(self.shares.hand_overs.outgoing),
             n_vacant=len(self.shares.vacant),
             n_stranded=self.shares.n_stranded(),
             n_void_records=self.shares.fold.n_void,
             n_bad_messages=self._n_bad_messages,
             n_active_accounts=len(self._borrowers),
-            n_buckets=sum(len(buckets) for buckets in self._allowances.values()),
+            n_buckets=len(self._buckets),
         )
 
     # Own shares
 
-    def _active(self, account: AccountId, limit: Limit) -> list[ShareId]:
-        group = group_of(account, self._n_groups)
-        n_shares = n_active(limit.burst, self._n_shares)
-        return [ShareId(group, index) for index in range(n_shares)]
-
     def _own(self, now: float, account: AccountId, limit: Limit) -> list[Allowance]:
         """Return the buckets of ``account`` that this VM may spend from."""
         if not self.may_spend(now):
             return []
-        own = []
-        for share in self._active(account, limit):
-            holding = self.shares.holdings.get(share)
-            if holding is not None and holding.ready(now):
-                own.append(self._allowance(now, account, limit, holding))
-        return own
-
-    def _allowance(
-        self, now: float, account: AccountId, limit: Limit, holding: Holding
-    ) -> Allowance:
-        """Return a bucket, made now if the account was idle."""
-        buckets = self._allowances.setdefault(holding.share, {})
-        part = weight(limit, holding.share.index, self._n_shares)
-        rate, burst = limit.rate * part, limit.burst * part
-        allowance = buckets.get(account)
-        if allowance is not None:
-            allowance.set_limit(now, rate, burst, limit.changed_at)
-            return allowance
-        since = max(holding.filling_since, limit.changed_at)
-        tokens = min(burst, rate * max(0.0, now - since))
-        allowance = Allowance(rate=rate, burst=burst, tokens=tokens, now=now)
-        buckets[account] = allowance
-        return allowance
-
-    def _forget_lost(self) -> None:
-        for share in [s for s in self._allowances if s not in self.shares.holdings]:
-            del self._allowances[share]
-
-    def _sweep_buckets(self, now: float) -> None:
-        """Forget buckets that are full; an idle account keeps no state."""
-        if not self._sweep:
-            self._sweep = [
-                (share, account)
-                for share, buckets in self._allowances.items()
-                for account in buckets
-            ]
-        batch, self._sweep = self._sweep[:N_SWEPT], self._sweep[N_SWEPT:]
-        for share, account in batch:
-            buckets = self._allowances.get(share, {})
-            if account in buckets and buckets[account].idle(now):
-                del buckets[account]
+        return self._buckets.own(now, account, limit, self.shares.holdings)
 
     # Lending and borrowing
 
     def _lenders(self, account: AccountId, limit: Limit) -> list[VmId]:
         holders = {
             self.shares.fold.entry(share).holder
-            for share in self._active(account, limit)
+            for share in self._buckets.shares_of(account, limit)
         }
         return sorted(vm for vm in holders if vm != self.vm and self.shares.live(vm))
 
-    def _borrow(self, now: float) -> tuple[QuotaAction, ...]:
+    def _borrow_all(self, now: float) -> tuple[QuotaAction, ...]:
         actions: tuple[QuotaAction, ...] = ()
         for account, borrower in list(self._borrowers.items()):
-            limit = self._limits(account)
-            if limit is None or borrower.idle(now):
+            if borrower.idle(now):
                 del self._borrowers[account]
-                continue
-            own = sum(item.tokens(now) for item in self._own(now, account, limit))
-            lenders = self._lenders(account, limit)
-            sent = borrower.plan(now, own, lenders, self._sequence + 1)
-            self._sequence += len(sent)
-            actions += sent
+            elif borrower.busy(now):
+                actions += self.borrow(now, account)
         return actions
 
     def _on_borrow(self, now: float, sender: VmId, message: Borrow) -> Lent:
@@ -442,28 +398,11 @@
     # Hand-over
 
     def _pass_on(self, now: float, holding: Holding, receiver: VmId) -> QuotaAction:
-        buckets = self._allowances.pop(holding.share, {})
-        states = [
-            BucketState(account, item.tokens(now), item.lent(now))
-            for account, item in sorted(buckets.items())
-            if not item.idle(now)
-        ]
-        idle_s = max(0.0, now - holding.filling_since)
-        if len(states) > MAX_BUCKETS:
-            states, idle_s = states[:MAX_BUCKETS], 0.0
-        return self.shares.pass_on(holding, receiver, tuple(states), idle_s)
+        states, idle_s = self._buckets.pop(now, holding)
+        return self.shares.pass_on(holding, receiver, states, idle_s)
 
     def _on_hand_over(self, now: float, message: HandOver) -> HandOverTaken:
         if self.shares.take_over(now, message):
-            self._adopt(now, message)
-        return HandOverTaken(message.share, self.shares.taken(message))
-
-    def _adopt(self, now: float, message: HandOver) -> None:
-        self._allowances.pop(message.share, None)
-        holding = self.shares.holdings[message.share]
-        for state in message.buckets:
-            limit = self._limits(state.account)
-            if limit is None:
-                continue
-            allowance = self._allowance(now, state.account, limit, holding)
-            allowance.hand_over(now, state.tokens, state.lent)
+            holding = self.shares.holdings[message.share]
+            self._buckets.adopt(now, message, holding, self._limits)
+        return HandOverTaken(message.share, self.shares.hand_overs.taken(message))
--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/placement.py
@@ -0,0 +1,56 @@
+"""Which VM should hold which share."""
+
+from collections.abc import Iterable
+
+from wagtailpaddle_core import VmId, rank
+
+from wagtailpaddle_quota.messages import ShareId
+
+
+class Placement:
+    """Rendezvous placement of shares on live VMs.
+
+    The shares of a group go to distinct VMs where there are enough. Replacing
+    one of n VMs moves about 1/n of the shares. Orders are worked out when they
+    are asked for, so the cost follows the shares that move.
+    """
+
+    def __init__(self, *, n_shares: int):
+        self._n_shares = n_shares
+        self._vms: tuple[VmId, ...] = ()
+        self._by_group: dict[int, list[VmId]] = {}
+
+    def set_vms(self, vms: Iterable[VmId]) -> None:
+        """Take in the live VMs."""
+        self._vms = tuple(sorted(vms))
+        self._by_group = {}
+
+    def preferred(self, share: ShareId) -> VmId | None:
+        """Return the VM that should hold ``share``, if any is live."""
+        order = self._by_group.get(share.group)
+        if order is None:
+            order = self._by_group[share.group] = self._place(share.group)
+        return order[share.index] if order else None
+
+    def turn(self, share: ShareId, vm: VmId) -> int:
+        """Return how many live VMs should claim ``share`` before ``vm``."""
+        first = self.preferred(share)
+        if first == vm:
+            return 0
+        others = [other for other in self._rank(share) if other != first]
+        return 1 + others.index(vm)
+
+    def receiver(self, share: ShareId, excluded: Iterable[VmId]) -> VmId | None:
+        """Return the best VM for ``share`` that is not excluded."""
+        left_out = frozenset(excluded)
+        return next((vm for vm in self._rank(share) if vm not in left_out), None)
+
+    def _rank(self, share: ShareId) -> list[VmId]:
+        return rank(f"{share.group}/{share.index}", self._vms)
+
+    def _place(self, group: int) -> list[VmId]:
+        order: list[VmId] = []
+        for index in range(self._n_shares if self._vms else 0):
+            ranked = self._rank(ShareId(group, index))
+            order.append(next((vm for vm in ranked if vm not in order), ranked[0]))
+        return order
--- a/packages/quota/src/wagtailpaddle_quota/shares.py
+++ b/packages/quota/src/wagtailpaddle_quota/shares.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from wagtailpaddle_core import Offset, VmId, rank
+from wagtailpaddle_core import Offset, VmId
 
 from wagtailpaddle_quota.allowance import LENDER_TERM_S
 from wagtailpaddle_quota.fold import ShareFold
+from wagtailpaddle_quota.handover import HandOvers
 from wagtailpaddle_quota.messages import (
     AppendRecord,
     AskFolded,
@@ -22,6 +23,7 @@
     ShareId,
     ShareRecord,
 )
+from wagtailpaddle_quota.placement import Placement
 
 STREAM = "shares"
 CLOCK_DRIFT = 1.05
@@ -31,7 +33,6 @@
 """How long a vacant share is left to each better placed VM."""
 
 MAX_CHANGES = 64
-HAND_OVER_INTERVAL_S = 0.5
 REBALANCE_AFTER_S = 10.0
 REBALANCE_INTERVAL_S = 1.0
 
@@ -73,7 +74,8 @@
         self.vm = vm
         self.fold = ShareFold(n_groups=n_groups, n_shares=n_shares)
         self.holdings: dict[ShareId, Holding] = {}
-        self.outgoing: dict[ShareId, HandOver] = {}
+        self.hand_overs = HandOvers(vm)
+        self.placement = Placement(n_shares=n_shares)
         self.vacant: dict[ShareId, float] = {}
         self.leaving = False
         self.n_declined = 0
@@ -81,13 +83,10 @@
         self._vms: frozenset[VmId] = frozenset()
         self._gone: frozenset[VmId] = frozenset()
         self._registered: frozenset[VmId] = frozenset()
-        self._preferred: dict[int, list[VmId]] = {}
-        self._seen: dict[ShareId, tuple[Offset, int]] = {}
         self._folded: dict[VmId, Offset] = {}
         self._pending: dict[str, _Pending] = {}
         self._n_records = 0
         self._settle_at = float("-inf")
-        self._hand_over_at = float("-inf")
         self._rebalance_at = float("-inf")
 
     @property
@@ -131,7 +130,7 @@
         self._vms = frozenset(vms)
         self._gone = frozenset(gone)
         self._registered = frozenset(registered)
-        self._preferred = {}
+        self.placement.set_vms(self._vms - self._gone)
         self._folded = {
             vm: offset for vm, offset in self._folded.items() if vm in self._registered
         }
@@ -140,8 +139,7 @@
         for group in range(self.fold.n_groups):
             for index in range(self.fold.n_shares):
                 self._note_vacancy(now, self.fold.entry(ShareId(group, index)))
-        for share in [s for s, m in self.outgoing.items() if m.receiver in self._gone]:
-            del self.outgoing[share]
+        self.hand_overs.forget_receivers(self._gone)
 
     def on_folded(self, now: float, vm: VmId, reply: Folded) -> None:
         """Take in how far ``vm`` has folded."""
@@ -161,7 +159,7 @@
         if not self._takes(message):
             self.n_declined += 1
             return False
-        self._seen[share] = (message.revision, message.hop)
+        self.hand_overs.take(message)
         self.holdings[share] = Holding(
             share=share,
             revision=message.revision,
@@ -172,11 +170,6 @@
         )
         return True
 
-    def taken(self, message: HandOver) -> bool:
-        """Return whether ``message`` was taken, now or before."""
-        seen = self._seen.get(message.share)
-        return message.receiver == self.vm and seen == (message.revision, message.hop)
-
     def pass_on(
         self,
         holding: Holding,
@@ -194,28 +187,18 @@
             idle_s=idle_s,
             buckets=buckets,
         )
-        return self._send(message)
+        return self.hand_overs.send(message)
 
     def on_hand_over_reply(
         self, message: HandOver, reply: HandOverTaken
     ) -> tuple[QuotaAction, ...]:
         """End a hand-over, or pass the share on to another VM if declined."""
-        if self.outgoing.get(message.share) != message:
-            return ()
-        del self.outgoing[message.share]
-        if reply.taken:
+        if not self.hand_overs.end(message) or reply.taken:
             return ()
-        receiver = self.receiver(message.share, {message.receiver})
+        receiver = self.placement.receiver(message.share, {message.receiver, self.vm})
         if receiver is None:
             return ()
-        again = replace(message, receiver=receiver, hop=message.hop + 1)
-        return (self._send(again),)
-
-    def receiver(self, share: ShareId, tried: set[VmId]) -> VmId | None:
-        """Return the best live VM for ``share`` other than this one."""
-        others = self._vms - tried - {self.vm} - self._gone
-        ranked = rank(f"{share.group}/{share.index}", sorted(others))
-        return ranked[0] if ranked else None
+        return (self.hand_overs.send_on(message, receiver),)
 
     def drop(self, now: float, share: ShareId) -> tuple[QuotaAction, ...]:
         """Release a share that is not ready yet."""
@@ -229,45 +212,23 @@
     def tick(self, now: float) -> tuple[QuotaAction, ...]:
         """Claim, ask for settling, and send hand-overs again."""
         self._expire_pending(now)
-        actions = self._claims(now) + self._ask_folded(now)
-        if now >= self._hand_over_at:
-            self._hand_over_at = now + HAND_OVER_INTERVAL_S
-            actions += tuple(
-                SendPeer(message.receiver, message)
-                for message in self.outgoing.values()
-            )
-        return actions
+        claims = self._releases(now) if self.leaving else self._claims(now)
+        return claims + self._ask_folded(now) + self.hand_overs.resend(now)
 
     def misplaced(self, now: float) -> tuple[Holding, VmId] | None:
         """Return a holding that another live VM should have, now and then."""
-        if self.leaving or self.outgoing or now < self._rebalance_at:
+        if self.leaving or self.hand_overs.outgoing or now < self._rebalance_at:
             return None
         self._rebalance_at = now + REBALANCE_INTERVAL_S
         for share in sorted(self.holdings):
             holding = self.holdings[share]
             if not holding.recorded or not holding.ready(now - REBALANCE_AFTER_S):
                 continue
-            preferred = self.preferred(share)
+            preferred = self.placement.preferred(share)
             if preferred is not None and preferred != self.vm:
                 return holding, preferred
         return None
 
-    def preferred(self, share: ShareId) -> VmId | None:
-        """Return the VM that should hold ``share``: distinct ones in a group."""
-        order = self._preferred.get(share.group)
-        if order is None:
-            order = self._place(share.group)
-            self._preferred[share.group] = order
-        return order[share.index] if order else None
-
-    def _place(self, group: int) -> list[VmId]:
-        vms = sorted(self._vms - self._gone)
-        order: list[VmId] = []
-        for index in range(self.fold.n_shares if vms else 0):
-            ranked = rank(f"{group}/{index}", vms)
-            order.append(next((vm for vm in ranked if vm not in order), ranked[0]))
-        return order
-
     def _on_entries(
         self, now: float, changed: tuple[ShareEntry, ...], in_order: bool
     ) -> None:
@@ -284,9 +245,7 @@
         may have come and gone, so even a share held before settles anew.
         """
         share = entry.share
-        message = self.outgoing.get(share)
-        if message is not None and entry.revision > message.revision:
-            del self.outgoing[share]
+        self.hand_overs.on_entry(entry)
         holding = self.holdings.get(share)
         if holding is not None and entry.revision <= holding.revision:
             return
@@ -340,8 +299,8 @@
         )
 
     def _claims(self, now: float) -> tuple[QuotaAction, ...]:
-        if self.leaving or not self.fold.complete or self.vm not in self._vms:
-            return self._record_releases(now)
+        if not self.fold.complete or self.vm not in self._vms - self._gone:
+            return ()
         under_way = {s for item in self._pending.values() for s in item.shares}
         changes = [
             ShareChange(share, holding.revision, self.vm)
@@ -351,7 +310,7 @@
         for share in sorted(self.vacant):
             if share in under_way or share in self.holdings:
                 continue
-            if share in self.outgoing or not self._my_turn(now, share):
+            if share in self.hand_overs.outgoing or not self._my_turn(now, share):
                 continue
             expected = self.fold.entry(share).revision
             changes.append(ShareChange(share, expected, self.vm))
@@ -359,23 +318,16 @@
             return ()
         return (self._append(now, tuple(changes[:MAX_CHANGES])),)
 
-    def _record_releases(self, now: float) -> tuple[QuotaAction, ...]:
+    def _releases(self, now: float) -> tuple[QuotaAction, ...]:
         """Release what a late record gave to this leaving VM."""
-        if not self.leaving:
-            return ()
         unready = [s for s, h in sorted(self.holdings.items()) if not h.ready(now)]
         return tuple(action for share in unready for action in self.drop(now, share))
 
     def _my_turn(self, now: float, share: ShareId) -> bool:
-        since = self.vacant[share]
-        first = self.preferred(share)
-        if first == self.vm:
-            return True
-        if now - since < PATIENCE_S:
-            return False
-        ranked = rank(f"{share.group}/{share.index}", sorted(self._vms - self._gone))
-        others = [vm for vm in ranked if vm != first]
-        return now - since >= PATIENCE_S * (1 + others.index(self.vm))
+        waited_s = now - self.vacant[share]
+        if waited_s < PATIENCE_S:
+            return self.placement.preferred(share) == self.vm
+        return waited_s >= PATIENCE_S * self.placement.turn(share, self.vm)
 
     def _append(self, now: float, changes: tuple[ShareChange, ...]) -> AppendRecord:
         self._n_records += 1
@@ -389,14 +341,9 @@
             if now - item.since >= APPEND_TIMEOUT_S:
                 del self._pending[record_id]
 
-    def _send(self, message: HandOver) -> SendPeer:
-        self.outgoing[message.share] = message
-        self._seen[message.share] = (message.revision, message.hop)
-        return SendPeer(message.receiver, message)
-
     def _takes(self, message: HandOver) -> bool:
         share = message.share
-        if message.receiver != self.vm or self.leaving:
+        if self.leaving or not self.hand_overs.is_new(message):
             return False
         if not 0 <= share.group < self.fold.n_groups:
             return False
@@ -405,7 +352,4 @@
         if self.fold.entry(share).revision > message.revision:
             return False
         holding = self.holdings.get(share)
-        if holding is not None and holding.revision >= message.revision:
-            return False
-        seen = self._seen.get(share, (-2, 0))
-        return (message.revision, message.hop) > seen
+        return holding is None or holding.revision < message.revision
--- /dev/null
+++ b/packages/quota/tests/test_random_run.py
@@ -0,0 +1,102 @@
+"""Seeded randomised runs of several keepers under faults."""
+
+import pytest
+from wagtailpaddle_core import AccountId
+from wagtailpaddle_standins.fakes.fabric import Disorder
+from wagtailpaddle_standins.fakes.quota_fleet import LOG, QuotaFleet
+
+LIMITS = {
+    AccountId("large"): (60.0, 60.0),
+    AccountId("medium"): (20.0, 10.0),
+    AccountId("small"): (3.0, 2.0),
+}
+NEW_LIMITS = [(60.0, 60.0), (30.0, 5.0), (10.0, 40.0), (5.0, 1.0), (25.0, 13.0)]
+DISORDER = Disorder(loss=0.02, duplicate=0.05, slow=0.02, slow_s=3.0)
+
+
+class Run:
+    """A fleet with requests at ``load`` times the rates and random faults."""
+
+    def __init__(self, seed, *, load=1.5, disorder=DISORDER, n_vms=6):
+        self.fleet = QuotaFleet(seed, LIMITS, n_vms=n_vms, disorder=disorder)
+        self.rng = self.fleet.rng
+        self.load = load
+        self.faults = {
+            name: getattr(self, name) for name in sorted(dir(self)) if "fault_" in name
+        }
+
+    def arrivals(self, account):
+        rate, _ = self.fleet.limits[account]
+        place = self.rng.choice(self.fleet.places)
+        if self.rng.random() < 0.5:
+            place = self.fleet.places[0]
+        self.fleet.request(place, account)
+        gap = self.rng.expovariate(rate * self.load)
+        fabric = self.fleet.fabric
+        fabric.at(fabric.now + gap, lambda: self.arrivals(account))
+
+    def fault_cut(self):
+        one, other = self.rng.sample([*self.fleet.places, LOG], 2)
+        self.fleet.fabric.cuts.add((one, other))
+
+    def fault_isolate(self):
+        place = self.rng.choice(self.fleet.places)
+        for other in [*self.fleet.places, LOG]:
+            self.fleet.fabric.cuts.add((place, other))
+
+    def fault_heal(self):
+        self.fleet.fabric.cuts.clear()
+
+    def fault_pause(self):
+        place = self.rng.choice(self.fleet.places)
+        self.fleet.pause(place, self.rng.choice([0.3, 2.0, 8.0, 15.0]))
+
+    def fault_crash(self):
+        place = self.rng.choice(self.fleet.places)
+        self.fleet.crash(place)
+        self.later(self.rng.uniform(0.1, 8), lambda: self.revive(place))
+
+    def fault_replace(self):
+        self.fleet.replace(self.rng.choice(self.fleet.places))
+
+    def fault_false_gone(self):
+        self.fleet.declare_gone(self.rng.choice(self.fleet.places))
+
+    def fault_log_outage(self):
+        self.fleet.log_up = False
+        self.later(self.rng.uniform(1, 30), self.log_back)
+
+    def fault_limit(self):
+        account = self.rng.choice(sorted(LIMITS))
+        self.fleet.change_limit(account, *self.rng.choice(NEW_LIMITS))
+
+    def log_back(self):
+        self.fleet.log_up = True
+
+    def revive(self, place):
+        if place not in self.fleet.instances:
+            self.fleet.start(place)
+
+    def later(self, delay, run):
+        self.fleet.fabric.at(self.fleet.fabric.now + delay, run)
+
+    def next_fault(self):
+        self.faults[self.rng.choice(sorted(self.faults))]()
+        if self.rng.random() < 0.3:
+            self.fault_heal()
+        self.later(self.rng.expovariate(1 / 2.5), self.next_fault)
+
+    def go(self, seconds, quiet_s=10.0):
+        for account in LIMITS:
+            self.arrivals(account)
+        self.later(quiet_s, self.next_fault)
+        self.fleet.fabric.run_until(seconds)
+        excess = [e for audit in self.fleet.audits.values() for e in audit.excess]
+        assert not excess, (len(excess), excess[:3])
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_interval_exceeds_rate_and_burst(seed):
+    run = Run(seed)
+    run.go(120.0)
+    assert all(tally.n_granted > 50 for tally in run.fleet.tallies.values())
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small in-memory fakes at the interfaces of the decision packages."""
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/fabric.py
@@ -0,0 +1,131 @@
+"""A clock, processes that pause or die, and messages that get lost."""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+CALL_TIMEOUT_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Disorder:
+    """How badly messages travel; probabilities per message.
+
+    A message takes ``delay_s`` or less, a slow one up to ``slow_s``.
+    """
+
+    delay_s: float = 0.003
+    slow_s: float = 2.0
+    slow: float = 0.0
+    loss: float = 0.0
+    duplicate: float = 0.0
+
+
+@dataclass(slots=True)
+class Process:
+    """One incarnation of a process on a VM; its clock starts anywhere."""
+
+    name: str
+    place: str
+    clock_offset_s: float
+    alive: bool = True
+    paused_until: float = 0.0
+
+
+@dataclass(order=True, slots=True)
+class _Event:
+    at: float
+    number: int
+    run: Callable[[], None] = field(compare=False)
+
+
+class Fabric:
+    """Runs events in the order of time; everything follows from the seed.
+
+    ``cuts`` holds (from, to) places between which nothing passes, one way.
+    """
+
+    def __init__(self, seed: int, disorder: Disorder | None = None):
+        self.rng = random.Random(seed)
+        self.disorder = disorder or Disorder()
+        self.now = 0.0
+        self.n_messages = 0
+        self.cuts: set[tuple[str, str]] = set()
+        self._events: list[_Event] = []
+        self._n_events = 0
+
+    def at(self, when: float, run: Callable[[], None]) -> None:
+        """Run ``run`` at ``when``."""
+        self._n_events += 1
+        event = _Event(max(when, self.now), self._n_events, run)
+        heapq.heappush(self._events, event)
+
+    def run_until(self, end: float) -> None:
+        """Let time pass."""
+        while self._events and self._events[0].at <= end:
+            event = heapq.heappop(self._events)
+            self.now = event.at
+            event.run()
+        self.now = end
+
+    def on(self, process: Process, when: float, run: Callable[[], None]) -> None:
+        """Run ``run`` in ``process`` at ``when``, or once its pause is over."""
+
+        def attempt() -> None:
+            if not process.alive:
+                return
+            if self.now < process.paused_until:
+                self.at(process.paused_until, attempt)
+                return
+            run()
+
+        self.at(when, attempt)
+
+    def clock(self, process: Process) -> float:
+        """Return the present time on the clock of ``process``."""
+        return self.now + process.clock_offset_s
+
+    def send(self, source: str, target: Process, run: Callable[[], None]) -> None:
+        """Deliver a message, or lose, delay or repeat it."""
+        self.n_messages += 1
+        n_copies = 1 + (self.rng.random() < self.disorder.duplicate)
+        for _ in range(n_copies):
+            if (source, target.place) in self.cuts:
+                continue
+            if self.rng.random() < self.disorder.loss:
+                continue
+            longest = self.disorder.delay_s
+            if self.rng.random() < self.disorder.slow:
+                longest = self.disorder.slow_s
+            delay = self.rng.uniform(longest / 3, longest)
+            self.on(target, self.now + delay, run)
+
+    def call(
+        self,
+        source: Process,
+        target: Process | None,
+        handle: Callable[[], object],
+        on_reply: Callable[[object], None],
+        on_failed: Callable[[], None],
+    ) -> None:
+        """Call ``target``; a reply later than the timeout arrives all the same."""
+        answered = False
+
+        def reply_arrives(reply: object) -> None:
+            nonlocal answered
+            answered = True
+            on_reply(reply)
+
+        def request_arrives() -> None:
+            assert target is not None
+            reply = handle()
+            self.send(target.place, source, lambda: reply_arrives(reply))
+
+        def timeout() -> None:
+            if not answered:
+                on_failed()
+
+        if target is not None:
+            self.send(source.place, target, request_arrives)
+        self.on(source, self.now + CALL_TIMEOUT_S, timeout)
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/quota_fleet.py
@@ -0,0 +1,371 @@
+"""Several quota keepers over a fake log, roster and peers."""
+
+from dataclasses import dataclass, field
+
+from wagtailpaddle_core import AccountId, VmId
+from wagtailpaddle_quota import (
+    AppendRecord,
+    Granted,
+    Limit,
+    QuotaAction,
+    QuotaKeeper,
+    Refused,
+    SendPeer,
+    ShareRecord,
+)
+
+from wagtailpaddle_standins.fakes.audit import RateAudit
+from wagtailpaddle_standins.fakes.fabric import Disorder, Fabric, Process
+
+TICK_S = 0.05
+CONFIRM_S = 0.4
+GONE_LAG_S = 4.0
+LOG = "log"
+AUDIT_OVERLAP_S = 1.2
+
+
+@dataclass(slots=True)
+class Instance:
+    """One incarnation of a daemon, reduced to its quota keeper."""
+
+    process: Process
+    keeper: QuotaKeeper
+    limits: dict[AccountId, Limit]
+    gone: set[VmId] = field(default_factory=set)
+    polls: dict[float, dict[str, int]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Tally:
+    """How the requests of a client account ended."""
+
+    n_sent: int = 0
+    n_granted: int = 0
+    n_refused: int = 0
+    waits_s: list[float] = field(default_factory=list)
+
+
+class QuotaFleet:
+    """A fleet of ``n_vms`` places, each with one live incarnation at most."""
+
+    def __init__(
+        self,
+        seed: int,
+        limits: dict[AccountId, tuple[float, float]],
+        *,
+        n_vms: int = 6,
+        n_groups: int = 4,
+        n_shares: int = 3,
+        disorder: Disorder | None = None,
+    ):
+        self.fabric = Fabric(seed, disorder)
+        self.rng = self.fabric.rng
+        self.log: list[ShareRecord] = []
+        self.log_up = True
+        self.places = [f"p{number}" for number in range(n_vms)]
+        self.instances: dict[str, Instance] = {}
+        self.by_vm: dict[VmId, Instance] = {}
+        self.registered: dict[str, VmId] = {}
+        self.listed: set[VmId] = set()
+        self.limits = dict(limits)
+        self.audits = {
+            account: RateAudit(account, rate, burst, AUDIT_OVERLAP_S)
+            for account, (rate, burst) in limits.items()
+        }
+        self.tallies = {account: Tally() for account in limits}
+        self.n_appends = 0
+        self._changing = False
+        self._unsettled: dict[AccountId, tuple[float, ...]] = {}
+        self._shape = (n_groups, n_shares)
+        self._n_started = 0
+        for place in self.places:
+            self.start(place)
+
+    # Processes
+
+    def start(self, place: str, seat_from: Instance | None = None) -> Instance:
+        """Start a new incarnation; it takes a seat now or after a log read."""
+        self._n_started += 1
+        vm = VmId(f"{place}.{self._n_started}")
+        process = Process(vm, place, self.rng.uniform(0.0, 1000.0))
+        local = self.fabric.now + process.clock_offset_s
+        limits = {
+            account: Limit(rate, burst, local, self._unsettled.get(account, ()))
+            for account, (rate, burst) in self.limits.items()
+        }
+        groups, shares = self._shape
+        keeper = QuotaKeeper(vm, limits=limits.get, n_groups=groups, n_shares=shares)
+        instance = Instance(process, keeper, limits)
+        self.instances[place] = instance
+        self.by_vm[vm] = instance
+        self.listed.add(vm)
+        if seat_from is not None:
+            old = seat_from.keeper
+            keeper.load(local, old.next_offset, old.state())
+            self.registered[place] = vm
+        elif place not in self.registered:
+            self.registered[place] = vm
+        self._later(instance, self.rng.uniform(0, TICK_S), self._tick)
+        self._later(instance, self.rng.uniform(0, CONFIRM_S), self._confirm)
+        return instance
+
+    def crash(self, place: str) -> None:
+        """End a process without notice."""
+        instance = self.instances.pop(place, None)
+        if instance is not None:
+            instance.process.alive = False
+            self._declare_gone(instance.keeper.vm, GONE_LAG_S)
+
+    def declare_gone(self, place: str) -> None:
+        """Let the others believe that a live process is gone for good."""
+        instance = self.instances.get(place)
+        if instance is not None:
+            self._declare_gone(instance.keeper.vm, 0.0)
+
+    def replace(self, place: str, patience_s: float = 1.5) -> None:
+        """Stop a process gracefully and start its successor."""
+        instance = self.instances.get(place)
+        if instance is None or instance.keeper.leaving:
+            return
+
+        def stop() -> None:
+            keeper = instance.keeper
+            self._act(instance, keeper.release(self._clock(instance)))
+            self._later(instance, patience_s, finish)
+
+        def finish(_: Instance) -> None:
+            if self.instances.get(place) is not instance:
+                return
+            self.crash(place)
+            seated = self.registered.get(place) == instance.keeper.vm
+            self.start(place, instance if seated else None)
+
+        self.fabric.on(instance.process, self.fabric.now, stop)
+
+    def pause(self, place: str, seconds: float) -> None:
+        """Let a process stand still while time passes."""
+        instance = self.instances.get(place)
+        if instance is not None:
+            instance.process.paused_until = self.fabric.now + seconds
+
+    # Limits
+
+    def change_limit(self, account: AccountId, rate: float, burst: float) -> bool:
+        """Spread a new limit with lags; False while another change spreads."""
+        if self._changing:
+            return False
+        self._changing = True
+        old = self.limits[account]
+        audit = self.audits[account]
+        audit.change(self.fabric.now, max(rate, old[0]), max(burst, old[1]))
+        self.limits[account] = (rate, burst)
+        self._unsettled[account] = (old[1],)
+        waiting = set(self.by_vm)
+
+        def learn(instance: Instance, unsettled: tuple[float, ...]) -> None:
+            instance.limits[account] = Limit(
+                rate, burst, self._clock(instance), unsettled
+            )
+
+        def check() -> None:
+            alive = [item for item in self.instances.values() if item.process.alive]
+            if any(item.keeper.vm in waiting for item in alive):
+                self.fabric.at(self.fabric.now + 0.2, check)
+                return
+            audit.change(self.fabric.now, rate, burst)
+            del self._unsettled[account]
+            for item in alive:
+                self._later(item, self.rng.uniform(0, 2), lambda i: learn(i, ()))
+            self._changing = False
+
+        def learn_first(instance: Instance) -> None:
+            learn(instance, (old[1],))
+            waiting.discard(instance.keeper.vm)
+
+        for instance in self.instances.values():
+            self._later(instance, self.rng.uniform(0, 2), learn_first)
+        self.fabric.at(self.fabric.now + 0.2, check)
+        return True
+
+    # Requests
+
+    def request(self, place: str, account: AccountId, patience_s: float = 0.5) -> None:
+        """Send one request of ``account`` to ``place``."""
+        instance = self.instances.get(place)
+        if instance is None or self.fabric.now < instance.process.paused_until:
+            return
+        arrived = self.fabric.now
+        tally = self.tallies[account]
+        tally.n_sent += 1
+        deadline = self._clock(instance) + patience_s
+
+        def ask(instance: Instance) -> None:
+            now = self._clock(instance)
+            decision = instance.keeper.take(now, account, deadline)
+            if isinstance(decision, Granted):
+                self.audits[account].admit(self.fabric.now)
+                tally.n_granted += 1
+                tally.waits_s.append(self.fabric.now - arrived)
+            elif isinstance(decision, Refused):
+                tally.n_refused += 1
+            else:
+                self._act(instance, instance.keeper.borrow(now, account))
+                self._later(instance, decision.at - now, ask)
+
+        ask(instance)
+
+    # Daemon loop
+
+    def _tick(self, instance: Instance) -> None:
+        now = self._clock(instance)
+        self._act(instance, instance.keeper.tick(now))
+        self._later(instance, TICK_S, self._tick)
+
+    def _act(self, instance: Instance, actions: tuple[QuotaAction, ...]) -> None:
+        for action in actions:
+            if isinstance(action, AppendRecord):
+                self._append(instance, action.record)
+            else:
+                self._call(instance, action)
+
+    def _call(self, instance: Instance, action: SendPeer) -> None:
+        target = self.by_vm.get(action.vm)
+        message = action.message
+
+        def handle() -> object:
+            assert target is not None
+            now = self._clock(target)
+            return target.keeper.on_message(now, instance.keeper.vm, message)
+
+        def on_reply(reply: object) -> None:
+            now = self._clock(instance)
+            keeper = instance.keeper
+            replied = keeper.on_reply(now, action.vm, message, reply)  # type: ignore[arg-type]
+            self._act(instance, replied)
+
+        def on_failed() -> None:
+            now = self._clock(instance)
+            instance.keeper.on_call_failed(now, action.vm, message)
+
+        self.fabric.call(
+            instance.process,
+            target.process if target else None,
+            handle,
+            on_reply,
+            on_failed,
+        )
+
+    def _append(self, instance: Instance, record: ShareRecord) -> None:
+        place = instance.process.place
+
+        def arrive() -> None:
+            if self.log_up and (place, LOG) not in self.fabric.cuts:
+                self.n_appends += 1
+                self.log.append(record)
+            if self.rng.random() < 0.3:
+                self._later(instance, 0.0, failed)
+
+        def failed(instance: Instance) -> None:
+            now = self._clock(instance)
+            instance.keeper.on_append_failed(now, record.id)
+
+        delay = self.rng.uniform(0.002, 0.01)
+        if self.rng.random() < 0.1:
+            delay = self.rng.uniform(0.0, 6.0)
+        self.fabric.at(self.fabric.now + delay, arrive)
+
+    def _confirm(self, instance: Instance) -> None:
+        """Read the log and ask all peers, as the freshness rule does."""
+        self._read_log(instance)
+        sent_at = self._clock(instance)
+        vm = instance.keeper.vm
+        instance.polls = {
+            at: heard for at, heard in instance.polls.items() if at > sent_at - 5
+        }
+        instance.polls[sent_at] = {vm: instance.keeper.next_offset}
+        for peer in self.instances.values():
+            if peer is not instance:
+                self._poll(instance, peer, sent_at)
+        self._check_poll(instance, sent_at)
+        instance.keeper.on_roster(
+            sent_at,
+            self.listed - instance.gone,
+            instance.gone,
+            self.registered.values(),
+        )
+        self._later(instance, CONFIRM_S, self._confirm)
+
+    def _poll(self, instance: Instance, peer: Instance, sent_at: float) -> None:
+        start = instance.keeper.next_offset
+
+        def handle() -> object:
+            return peer.keeper.next_offset
+
+        def on_reply(reply: object) -> None:
+            folded = int(str(reply))
+            for offset in range(start, folded):
+                now = self._clock(instance)
+                instance.keeper.on_record(now, offset, self.log[offset])
+            if sent_at in instance.polls:
+                instance.polls[sent_at][peer.keeper.vm] = folded
+            self._check_poll(instance, sent_at)
+
+        self.fabric.call(instance.process, peer.process, handle, on_reply, lambda: None)
+
+    def _check_poll(self, instance: Instance, sent_at: float) -> None:
+        heard = instance.polls.get(sent_at, {})
+        seats = set(self.registered.values())
+        counted = [offset for vm, offset in heard.items() if vm in seats]
+        if 2 * len(counted) > len(seats):
+            now = self._clock(instance)
+            instance.keeper.confirmed(now, sent_at, max(heard.values()))
+
+    def _read_log(self, instance: Instance) -> None:
+        place = instance.process.place
+        if not self.log_up or (place, LOG) in self.fabric.cuts:
+            return
+        sent_at = self._clock(instance)
+
+        def arrive() -> None:
+            records = list(enumerate(self.log))
+            if (LOG, place) not in self.fabric.cuts:
+                self._later(
+                    instance, 0.002, lambda i: self._folded(i, records, sent_at)
+                )
+
+        self.fabric.at(self.fabric.now + 0.002, arrive)
+
+    def _folded(
+        self,
+        instance: Instance,
+        records: list[tuple[int, ShareRecord]],
+        sent_at: float,
+    ) -> None:
+        now = self._clock(instance)
+        keeper = instance.keeper
+        for offset, record in records[keeper.next_offset :]:
+            keeper.on_record(now, offset, record)
+        keeper.confirmed(now, sent_at, len(records))
+        place = instance.process.place
+        seat = self.registered.get(place)
+        if self.instances.get(place) is instance and seat != keeper.vm:
+            self.registered[place] = keeper.vm
+
+    # Helpers
+
+    def _declare_gone(self, vm: VmId, lag_s: float) -> None:
+        def declare() -> None:
+            self.listed.discard(vm)
+            for instance in self.by_vm.values():
+                if instance.keeper.vm != vm:
+                    lag = self.rng.uniform(0, 1)
+                    self._later(instance, lag, lambda i: i.gone.add(vm))
+
+        self.fabric.at(self.fabric.now + lag_s, declare)
+
+    def _clock(self, instance: Instance) -> float:
+        return self.fabric.clock(instance.process)
+
+    def _later(self, instance: Instance, delay_s: float, run) -> None:  # type: ignore[no-untyped-def]
+        when = self.fabric.now + max(0.0, delay_s)
+        self.fabric.on(instance.process, when, lambda: run(instance))
