--- a/packages/once/src/wagtailpaddle_once/messages.py
+++ b/packages/once/src/wagtailpaddle_once/messages.py
@@ -29,7 +29,7 @@
     members: tuple[Member, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class ClaimKey:
     """An ``Idempotency-Key`` of one client account."""
 
@@ -37,7 +37,7 @@
     key: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class AttemptId:
     """One attempt of a coordinator to run a request."""
 
@@ -163,42 +163,36 @@
 
 @dataclass(frozen=True, slots=True)
 class Sync:
-    """Ask a former replica for the claims of a partition.
+    """Ask a former replica for the claims of a partition, in order of the keys.
 
     ``former`` is the roster revision before the one at which the sender
-    became a replica. ``page`` counts from 0.
+    became a replica. ``after`` is the last key that the sender has, or None.
     """
 
     partition: int
     former: int
-    page: int
+    after: ClaimKey | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class SyncPage:
     """Answer to ``Sync``; refused unless the sender can vouch for ``former``.
 
-    ``token`` changes when the content changes between two pages.
+    ``more`` says that claims with higher keys follow.
     """
 
     partition: int
     former: int
-    page: int
-    n_pages: int
     refused: bool
-    token: int
+    more: bool = False
     claims: tuple[Claim, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class HandOverClaims:
-    """Claims of a leaving replica, which takes no more of this partition.
-
-    ``revision`` is the last roster revision at which it voted.
-    """
+    """Claims of a leaving replica, which takes no more of this partition."""
 
     partition: int
-    revision: int
     page: int
     n_pages: int
     claims: tuple[Claim, ...]
--- /dev/null
+++ b/packages/once/src/wagtailpaddle_once/store.py
@@ -0,0 +1,223 @@
+"""The claims that one VM keeps, in bounded memory."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from wagtailpaddle_core import VmId, ensure
+
+from wagtailpaddle_once.messages import (
+    AttemptId,
+    Claim,
+    ClaimKey,
+    ClaimState,
+    Store,
+    StoredAnswer,
+)
+
+ENTRY_BYTES = 400
+"""Memory counted for a claim besides its answer."""
+
+_ORDER = {ClaimState.PLACED: 0, ClaimState.UNKNOWN: 1, ClaimState.DONE: 2}
+
+
+def answer_bytes(answer: StoredAnswer | None) -> int:
+    """Return the memory that an answer takes up."""
+    if answer is None:
+        return 0
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
+
+
+@dataclass(slots=True)
+class Entry:
+    """A claim; ``attempts`` are several if copies from replicas differ.
+
+    ``finished_at`` counts for the end of its life, ``asked_at`` for questions
+    to the coordinators.
+    """
+
+    key: ClaimKey
+    partition: int
+    fingerprint: str
+    attempts: tuple[AttemptId, ...]
+    state: ClaimState
+    finished_at: float
+    asked_at: float
+    answer: StoredAnswer | None = None
+
+
+class ClaimStore:
+    """Claims by partition. A full store refuses and never forgets.
+
+    A placed claim lives until its attempt is settled, a finished one for
+    ``ttl_s`` from then.
+    """
+
+    def __init__(self, *, ttl_s: float, max_bytes: int):
+        self.n_bytes = 0
+        self._ttl_s = ttl_s
+        self._max_bytes = max_bytes
+        self._entries: dict[ClaimKey, Entry] = {}
+        self._keys: dict[int, set[ClaimKey]] = {}
+        self._placed: dict[ClaimKey, None] = {}
+        self._finished: dict[ClaimKey, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def get(self, key: ClaimKey) -> Entry | None:
+        """Return the claim on ``key``, if any."""
+        return self._entries.get(key)
+
+    def placed(self) -> Iterator[Entry]:
+        """Iterate over the claims whose attempts are not settled."""
+        for key in list(self._placed):
+            yield self._entries[key]
+
+    def place(self, now: float, partition: int, claim: Claim) -> bool:
+        """Keep a new claim; False if memory is full."""
+        if self.n_bytes + ENTRY_BYTES > self._max_bytes:
+            return False
+        self._insert(now, partition, claim)
+        return True
+
+    def remove_attempt(self, key: ClaimKey, attempt: AttemptId) -> None:
+        """Take back an attempt that did not run."""
+        entry = self._entries.get(key)
+        if entry is None or entry.state is not ClaimState.PLACED:
+            return
+        entry.attempts = tuple(item for item in entry.attempts if item != attempt)
+        if not entry.attempts:
+            self._delete(entry)
+
+    def finish(self, now: float, partition: int, store: Store) -> bool:
+        """Keep an outcome; False if memory is full."""
+        claim = Claim(
+            key=store.key,
+            fingerprint=store.fingerprint,
+            attempt=store.attempt,
+            state=store.state,
+            age_s=0.0,
+            answer=store.answer,
+        )
+        return self.merge(now, partition, claim)
+
+    def merge(self, now: float, partition: int, claim: Claim) -> bool:
+        """Take in a copy of a claim; False if memory is full.
+
+        An outcome goes before a placed claim. Copies placed by different
+        attempts are both kept, and stand in the way of both.
+        """
+        entry = self._entries.get(claim.key)
+        if entry is None:
+            if claim.age_s >= self._ttl_s and claim.state is not ClaimState.PLACED:
+                return True
+            return self.place(now, partition, claim)
+        if _ORDER[claim.state] > _ORDER[entry.state]:
+            self._replace(now, entry, claim)
+        elif claim.state is entry.state is ClaimState.PLACED:
+            if claim.attempt not in entry.attempts:
+                entry.attempts = tuple(sorted((*entry.attempts, claim.attempt)))
+        return True
+
+    def lose_outcome(self, now: float, entry: Entry) -> None:
+        """Note that nobody knows any more whether a placed claim ran."""
+        if entry.state is ClaimState.PLACED:
+            self._finish(now, entry, ClaimState.UNKNOWN, None)
+
+    def claims(
+        self, now: float, partition: int, after: ClaimKey | None, max_bytes: int
+    ) -> tuple[tuple[Claim, ...], bool]:
+        """Return claims with keys above ``after``, and whether more follow."""
+        keys = sorted(
+            key for key in self._keys.get(partition, ()) if after is None or key > after
+        )
+        claims: list[Claim] = []
+        n_bytes = 0
+        for position, key in enumerate(keys):
+            entry = self._entries[key]
+            claims += self.copies(now, entry)
+            n_bytes += ENTRY_BYTES + answer_bytes(entry.answer)
+            if n_bytes >= max_bytes:
+                return tuple(claims), position + 1 < len(keys)
+        return tuple(claims), False
+
+    def copies(self, now: float, entry: Entry) -> tuple[Claim, ...]:
+        """Return ``entry`` as claims, one for each attempt."""
+        placed = entry.state is ClaimState.PLACED
+        return tuple(
+            Claim(
+                key=entry.key,
+                fingerprint=entry.fingerprint,
+                attempt=attempt,
+                state=entry.state,
+                age_s=0.0 if placed else max(0.0, now - entry.finished_at),
+                answer=entry.answer,
+            )
+            for attempt in entry.attempts
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget outcomes whose time is over, oldest first."""
+        while self._finished:
+            key = next(iter(self._finished))
+            entry = self._entries[key]
+            if now - entry.finished_at < self._ttl_s:
+                return
+            self._delete(entry)
+
+    def gone(self, vm: VmId, now: float) -> None:
+        """Note that a coordinator is gone and can settle nothing any more."""
+        for entry in self.placed():
+            if any(attempt.coordinator == vm for attempt in entry.attempts):
+                self.lose_outcome(now, entry)
+
+    def _insert(self, now: float, partition: int, claim: Claim) -> None:
+        entry = Entry(
+            key=claim.key,
+            partition=partition,
+            fingerprint=claim.fingerprint,
+            attempts=(claim.attempt,),
+            state=ClaimState.PLACED,
+            finished_at=now,
+            asked_at=now,
+        )
+        self._entries[entry.key] = entry
+        self._keys.setdefault(partition, set()).add(entry.key)
+        self._placed[entry.key] = None
+        self.n_bytes += ENTRY_BYTES
+        if claim.state is not ClaimState.PLACED:
+            self._replace(now, entry, claim)
+
+    def _replace(self, now: float, entry: Entry, claim: Claim) -> None:
+        entry.fingerprint = claim.fingerprint
+        entry.attempts = (claim.attempt,)
+        self._finish(now - claim.age_s, entry, claim.state, claim.answer)
+
+    def _finish(
+        self,
+        finished_at: float,
+        entry: Entry,
+        state: ClaimState,
+        answer: StoredAnswer | None,
+    ) -> None:
+        """Note an outcome; an answer for which memory lacks is left out."""
+        if self.n_bytes + answer_bytes(answer) > self._max_bytes:
+            state, answer = ClaimState.UNKNOWN, None
+        self._placed.pop(entry.key, None)
+        self._finished.pop(entry.key, None)
+        self._finished[entry.key] = None
+        self.n_bytes += answer_bytes(answer) - answer_bytes(entry.answer)
+        entry.state = state
+        entry.answer = answer
+        entry.finished_at = finished_at
+
+    def _delete(self, entry: Entry) -> None:
+        del self._entries[entry.key]
+        self._keys[entry.partition].discard(entry.key)
+        if not self._keys[entry.partition]:
+            del self._keys[entry.partition]
+        self._placed.pop(entry.key, None)
+        self._finished.pop(entry.key, None)
+        self.n_bytes -= ENTRY_BYTES + answer_bytes(entry.answer)
+        ensure(self.n_bytes >= 0, "claim-bytes-not-negative", n_bytes=self.n_bytes)
