--- /dev/null
+++ b/packages/config/src/wagtailpaddle_config/changes.py
@@ -0,0 +1,271 @@
+"""What each kind of change does to the state."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from wagtailpaddle_core import Offset, Registry
+
+from wagtailpaddle_config.document import MAX_PROBLEMS, Problem, merge
+from wagtailpaddle_config.layers import (
+    PLAIN_SITE,
+    Entry,
+    Layers,
+    ObjectKey,
+    check,
+    check_shape,
+    differing,
+)
+from wagtailpaddle_config.model import Configuration, Key
+from wagtailpaddle_config.records import (
+    CancelAccount,
+    Change,
+    Document,
+    IssueKey,
+    PublishBase,
+    PublishOverlay,
+    PutAccount,
+    PutRoute,
+    RemoveRoute,
+    RestoreAccount,
+    WithdrawKey,
+)
+from wagtailpaddle_config.results import VoidCode, VoidError
+
+
+@dataclass(frozen=True, slots=True)
+class Effect:
+    """What a change that holds good alters.
+
+    ``touched`` names the objects that have to be built again.
+    """
+
+    layers: Layers | None = None
+    touched: frozenset[ObjectKey] = frozenset()
+    key: Key | None = None
+
+
+class Folded(Protocol):
+    """What a change may look at."""
+
+    configuration: Configuration
+
+    @property
+    def layers(self) -> Layers:
+        """The layers before the change."""
+
+
+Applier = Callable[[Folded, Offset, Any], Effect]
+APPLIERS: Registry[Applier] = Registry("change")
+"""By the name of the change's class. Entries raise ``VoidError``."""
+
+
+def object_of(change: Change) -> str:
+    """Return the name of the object whose revision a change must expect."""
+    match change:
+        case PutAccount() | CancelAccount() | RestoreAccount():
+            return f"account/{change.account}"
+        case PutRoute() | RemoveRoute():
+            return f"route/{change.route}"
+        case IssueKey() | WithdrawKey():
+            return f"key/{change.key}"
+        case PublishBase():
+            return "base"
+        case PublishOverlay():
+            return f"overlay/{change.site}"
+
+
+def check_documents(
+    base: Document, overlays: dict[str, Document] | None = None
+) -> tuple[Problem, ...]:
+    """Return all faults of a base and the overlays of sites, none if it is good.
+
+    It is the check that the fold makes of a published document.
+
+    >>> [str(problem) for problem in check_documents({"acounts": {}})]
+    ["acounts: 'acounts': is not a known section; known: accounts, routes, services"]
+    """
+    layers = Layers()
+    problems = list(check_shape("", base))
+    if not problems:
+        layers = layers.with_base(base)
+    for site, overlay in (overlays or {}).items():
+        faults = check_shape(f"overlay:{site}: ", overlay)
+        problems.extend(faults)
+        if not faults:
+            layers = layers.with_overlay(site, overlay)
+    if problems:
+        return tuple(problems)
+    return check(layers, set(layers.all_keys()))
+
+
+def check_change(
+    layers: Layers, change: PublishBase | PublishOverlay
+) -> tuple[Problem, ...]:
+    """Return the faults that would make the publishing of a document void now."""
+    try:
+        _published(layers, change)
+    except VoidError as exc:
+        return exc.problems
+    return ()
+
+
+def _checked(layers: Layers, touched: set[ObjectKey]) -> Effect:
+    problems = check(layers, touched)
+    if problems:
+        raise _invalid(problems)
+    return Effect(layers=layers, touched=frozenset(touched))
+
+
+def _invalid(problems: tuple[Problem, ...]) -> VoidError:
+    listed = problems[:MAX_PROBLEMS]
+    reason = "; ".join(str(problem) for problem in listed)
+    if len(problems) > len(listed):
+        reason = f"{reason}; and {len(problems) - len(listed)} more"
+    return VoidError(VoidCode.INVALID, reason, listed)
+
+
+def _put(layers: Layers, offset: Offset, key: ObjectKey, fields: Any) -> Effect:
+    where = f"{key.section}.{key.name}"
+    if not isinstance(fields, dict):
+        raise _invalid((Problem(where, fields, "must be a table"),))
+    old = layers.operator[key.section].get(key.name, Entry({}, {}))
+    is_present = layers.table(key, PLAIN_SITE) is not None
+    entry = Entry(
+        fields=merge(old.fields, fields),
+        origins={**old.origins, **dict.fromkeys(fields, offset)},
+        created=old.created or not is_present,
+    )
+    return _checked(layers.with_entry(key, entry), {key})
+
+
+@APPLIERS.register("PutAccount")
+def _put_account(fold: Folded, offset: Offset, change: PutAccount) -> Effect:
+    key = ObjectKey("accounts", change.account)
+    return _put(fold.layers, offset, key, change.fields)
+
+
+@APPLIERS.register("PutRoute")
+def _put_route(fold: Folded, offset: Offset, change: PutRoute) -> Effect:
+    key = ObjectKey("routes", change.route)
+    return _put(fold.layers, offset, key, change.fields)
+
+
+@APPLIERS.register("CancelAccount")
+def _cancel_account(fold: Folded, offset: Offset, change: CancelAccount) -> Effect:
+    key = _known_account(fold, change.account)
+    layers = _with_active(fold.layers, offset, key, False)
+    return _checked(layers, {key})
+
+
+@APPLIERS.register("RestoreAccount")
+def _restore_account(fold: Folded, offset: Offset, change: RestoreAccount) -> Effect:
+    key = _known_account(fold, change.account)
+    layers = fold.layers
+    touched = {key}
+    if layers.table(key, PLAIN_SITE) is None:
+        touched |= _kept_with(layers, key)
+        layers = layers.with_revived(touched & _kept_keys(layers))
+    if layers.table(key, PLAIN_SITE) is None and not layers.sites_stating(key):
+        reason = f"client account {change.account!r} has no rate and burst any more"
+        raise VoidError(VoidCode.MISSING, reason)
+    return _checked(_with_active(layers, offset, key, True), touched)
+
+
+def _with_active(
+    layers: Layers, offset: Offset, key: ObjectKey, active: bool
+) -> Layers:
+    old = layers.operator[key.section].get(key.name, Entry({}, {}))
+    entry = Entry(
+        fields={**old.fields, "active": active},
+        origins={**old.origins, "active": offset},
+        created=old.created,
+    )
+    return layers.with_entry(key, entry)
+
+
+def _kept_keys(layers: Layers) -> set[ObjectKey]:
+    return {
+        ObjectKey(section, name)
+        for section, tables in layers.kept.items()
+        for name in tables
+    }
+
+
+def _kept_with(layers: Layers, account: ObjectKey) -> set[ObjectKey]:
+    """Return the kept routes of an account whose service is still there."""
+    found = set()
+    for name, table in layers.kept["routes"].items():
+        service = ObjectKey("services", table.get("service", ""))
+        route = ObjectKey("routes", name)
+        is_its_own = account.name in table.get("accounts", ())
+        is_absent = layers.table(route, PLAIN_SITE) is None
+        if is_its_own and is_absent and layers.table(service, PLAIN_SITE) is not None:
+            found.add(route)
+    return found
+
+
+@APPLIERS.register("RemoveRoute")
+def _remove_route(fold: Folded, offset: Offset, change: RemoveRoute) -> Effect:
+    key = ObjectKey("routes", change.route)
+    if change.route not in fold.layers.operator["routes"]:
+        reason = f"route {change.route!r} was not put by an operator"
+        raise VoidError(VoidCode.MISSING, reason)
+    return _checked(fold.layers.with_entry(key, None), {key})
+
+
+@APPLIERS.register("IssueKey")
+def _issue_key(fold: Folded, offset: Offset, change: IssueKey) -> Effect:
+    _known_account(fold, change.account)
+    cfg = fold.configuration
+    if change.key in cfg.keys:
+        reason = f"key {change.key!r} exists already"
+        raise VoidError(VoidCode.CONFLICT, reason)
+    if change.secret_hash in cfg.key_by_hash:
+        reason = f"the secret of key {change.key!r} is that of another key"
+        raise VoidError(VoidCode.CONFLICT, reason)
+    key = Key(id=change.key, account=change.account, secret_hash=change.secret_hash)
+    return Effect(key=key)
+
+
+@APPLIERS.register("WithdrawKey")
+def _withdraw_key(fold: Folded, offset: Offset, change: WithdrawKey) -> Effect:
+    key = fold.configuration.keys.get(change.key)
+    if key is None:
+        raise VoidError(VoidCode.MISSING, f"key {change.key!r} does not exist")
+    withdrawn = Key(
+        id=key.id, account=key.account, secret_hash=key.secret_hash, withdrawn=True
+    )
+    return Effect(key=withdrawn)
+
+
+@APPLIERS.register("PublishBase")
+def _publish_base(fold: Folded, offset: Offset, change: PublishBase) -> Effect:
+    return _published(fold.layers, change)
+
+
+@APPLIERS.register("PublishOverlay")
+def _publish_overlay(fold: Folded, offset: Offset, change: PublishOverlay) -> Effect:
+    return _published(fold.layers, change)
+
+
+def _published(layers: Layers, change: PublishBase | PublishOverlay) -> Effect:
+    faults = check_shape("", change.document)
+    if faults:
+        raise _invalid(tuple(faults))
+    if isinstance(change, PublishBase):
+        touched = differing(layers.base, change.document)
+        return _checked(layers.with_base(change.document), touched)
+    if not change.site:
+        raise _invalid((Problem("site", change.site, "must be named"),))
+    old = layers.overlays.get(change.site, {})
+    touched = differing(old, change.document)
+    return _checked(layers.with_overlay(change.site, change.document), touched)
+
+
+def _known_account(fold: Folded, account: str) -> ObjectKey:
+    key = ObjectKey("accounts", account)
+    if not fold.layers.is_known(key):
+        reason = f"client account {account!r} does not exist"
+        raise VoidError(VoidCode.MISSING, reason)
+    return key
--- a/packages/config/src/wagtailpaddle_config/document.py
+++ b/packages/config/src/wagtailpaddle_config/document.py
@@ -1,16 +1,12 @@
-"""Checking of configuration documents and merging of their layers."""
+"""Merging of configuration documents, with the origin of each value."""
 
-from dataclasses import dataclass, replace
-from typing import Any, TypeVar
+from collections.abc import Iterable
+from dataclasses import dataclass
 
-import msgspec
-
-from wagtailpaddle_config.model import ClientAccount, Route, Server, Service
 from wagtailpaddle_config.records import Document
 
 SECTIONS = ("accounts", "routes", "services")
-
-T = TypeVar("T")
+MAX_PROBLEMS = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +29,27 @@
         self.problems = problems
 
 
+@dataclass(frozen=True, slots=True)
+class Layer:
+    """A document and where it comes from.
+
+    ``origin`` is ``base``, ``overlay:<site>``, ``operator@<offset>`` or
+    ``kept``, the last for objects that came back with a restored client
+    account although the base no longer states them.
+    """
+
+    origin: str
+    document: Document
+
+
+@dataclass(frozen=True, slots=True)
+class Resolved:
+    """A merged document; ``origins`` names the layer of each value by path."""
+
+    document: Document
+    origins: dict[str, str]
+
+
 def merge(lower: Document, upper: Document) -> Document:
     """Return ``lower`` overlaid by ``upper``; tables merge, values replace.
 
@@ -49,83 +66,44 @@
     return merged
 
 
-def build_account(name: str, table: Document) -> ClientAccount:
-    """Return the client account that ``table`` states.
+def resolve(layers: Iterable[Layer]) -> Resolved:
+    """Return the merge of ``layers``, lowest first, and each value's origin.
+
+    Paths join the names of tables with dots.
 
-    Raises ``DocumentError``.
+    >>> found = resolve([
+    ...     Layer("base", {"accounts": {"x": {"rate": 5.0, "burst": 9.0}}}),
+    ...     Layer("overlay:namur", {"accounts": {"x": {"rate": 2.0}}}),
+    ... ])
+    >>> found.origins["accounts.x.rate"], found.origins["accounts.x.burst"]
+    ('overlay:namur', 'base')
     """
-    account = _convert(f"accounts.{name}", {**table, "id": name}, ClientAccount)
-    problems = []
-    if account.rate <= 0:
-        problems.append(
-            Problem(f"accounts.{name}.rate", account.rate, "must be above 0")
-        )
-    if account.burst < 1:
-        problems.append(
-            Problem(f"accounts.{name}.burst", account.burst, "must be at least 1")
-        )
-    return _checked(account, problems)
-
-
-def build_route(name: str, table: Document) -> Route:
-    """Return the route that ``table`` states. Raises ``DocumentError``."""
-    route = _convert(f"routes.{name}", {**table, "id": name}, Route)
-    problems = []
-    if not route.path.startswith("/"):
-        problems.append(
-            Problem(f"routes.{name}.path", route.path, "must start with '/'")
-        )
-    if route.timeout_s <= 0:
-        problems.append(
-            Problem(f"routes.{name}.timeout_s", route.timeout_s, "must be above 0")
-        )
-    return _checked(route, problems)
-
-
-def build_service(name: str, table: Document) -> Service:
-    """Return the service that ``table`` states. Raises ``DocumentError``."""
-    where = f"services.{name}"
-    problems: list[Problem] = []
-    servers: list[Server] = []
-    for server, fields in table.get("servers", {}).items():
-        try:
-            servers.append(
-                _convert(f"{where}.servers.{server}", {**fields, "id": server}, Server)
-            )
-        except DocumentError as exc:
-            problems.extend(exc.problems)
-    shallow = {**table, "id": name, "servers": ()}
-    try:
-        service = _convert(where, shallow, Service)
-    except DocumentError as exc:
-        raise DocumentError((*problems, *exc.problems)) from None
-    if not 0 <= service.floor <= 1:
-        problems.append(Problem(f"{where}.floor", service.floor, "must lie in 0 to 1"))
-    if not 0 < service.sensitivity <= 1:
-        rule = "must be above 0 and at most 1"
-        problems.append(Problem(f"{where}.sensitivity", service.sensitivity, rule))
-    _checked(service, problems)
-    ordered = tuple(sorted(servers, key=lambda server: server.id))
-    return replace(service, servers=ordered)
-
-
-def _checked(value: T, problems: list[Problem]) -> T:
-    if problems:
-        raise DocumentError(tuple(problems))
-    return value
-
-
-def _convert(path: str, table: Any, kind: type[T]) -> T:
-    if not isinstance(table, dict):
-        raise DocumentError((Problem(path, table, "must be a table"),))
-    unknown = sorted(set(table) - set(kind.__dataclass_fields__))  # type: ignore[attr-defined]
-    problems = [
-        Problem(f"{path}.{key}", table[key], "is not a known field") for key in unknown
-    ]
-    known = {key: value for key, value in table.items() if key not in unknown}
-    try:
-        value = msgspec.convert(known, kind)
-    except msgspec.ValidationError as exc:
-        problems.append(Problem(path, table, str(exc)))
-        raise DocumentError(tuple(problems)) from None
-    return _checked(value, problems)
+    document: Document = {}
+    origins: dict[str, str] = {}
+    for layer in layers:
+        _lay(document, layer.document, layer.origin, "", origins)
+    return Resolved(document, dict(sorted(origins.items())))
+
+
+def _lay(
+    lower: Document, upper: Document, origin: str, where: str, origins: dict[str, str]
+) -> None:
+    """Merge ``upper`` into ``lower`` in place, which belongs to the caller."""
+    for key, value in upper.items():
+        path = f"{where}{key}"
+        if isinstance(value, dict):
+            if not isinstance(lower.get(key), dict):
+                _drop(origins, path)
+                lower[key] = {}
+            _lay(lower[key], value, origin, f"{path}.", origins)
+        else:
+            if isinstance(lower.get(key), dict):
+                _drop(origins, path)
+            lower[key] = value
+            origins[path] = origin
+
+
+def _drop(origins: dict[str, str], path: str) -> None:
+    for known in [name for name in origins if name.startswith(f"{path}.")]:
+        del origins[known]
+    origins.pop(path, None)
--- /dev/null
+++ b/packages/config/src/wagtailpaddle_config/index.py
@@ -0,0 +1,39 @@
+"""The index of routes by path prefix."""
+
+from collections.abc import Mapping
+
+from wagtailpaddle_config.model import Route
+
+
+def changed_prefixes(
+    by_path: Mapping[str, tuple[Route, ...]],
+    old: Mapping[str, Route],
+    changed: Mapping[str, Route | None],
+) -> dict[str, tuple[Route, ...]]:
+    """Return the new entry of each path prefix that changed routes touch.
+
+    Routes that name a host stand first, then the order of ids decides. None in
+    ``changed`` takes a route away.
+    """
+    found: dict[str, dict[str, Route]] = {}
+    for name, route in changed.items():
+        before = old.get(name)
+        if before is not None:
+            _routes_at(found, by_path, before).pop(name)
+        if route is not None:
+            _routes_at(found, by_path, route)[name] = route
+    return {
+        prefix: tuple(sorted(routes.values(), key=lambda r: (not r.host, r.id)))
+        for prefix, routes in found.items()
+    }
+
+
+def _routes_at(
+    found: dict[str, dict[str, Route]],
+    by_path: Mapping[str, tuple[Route, ...]],
+    route: Route,
+) -> dict[str, Route]:
+    prefix = route.path.rstrip("/")
+    if prefix not in found:
+        found[prefix] = {item.id: item for item in by_path.get(prefix, ())}
+    return found[prefix]
--- /dev/null
+++ b/packages/config/src/wagtailpaddle_config/layers.py
@@ -0,0 +1,314 @@
+"""The layers whose merge is in force, and the check of a change of them."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, NamedTuple
+
+from wagtailpaddle_core import Offset
+
+from wagtailpaddle_config.builders import BUILDERS
+from wagtailpaddle_config.document import (
+    SECTIONS,
+    DocumentError,
+    Layer,
+    Problem,
+    merge,
+)
+from wagtailpaddle_config.persistent import PersistentMap
+from wagtailpaddle_config.records import Document
+
+PLAIN_SITE = ""
+"""Stands for a site without an overlay."""
+
+
+class ObjectKey(NamedTuple):
+    """Section and name of one object."""
+
+    section: str
+    name: str
+
+
+Objects = Mapping[ObjectKey, Any]
+"""Frozen objects by key; None stands for one that is not in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """What operators set of one object, and the offset of each field's change.
+
+    ``created`` objects are in force even if no document states them.
+    """
+
+    fields: Document
+    origins: Mapping[str, Offset]
+    created: bool = False
+
+
+def _sections() -> dict[str, Any]:
+    return {section: PersistentMap() for section in SECTIONS}
+
+
+@dataclass(frozen=True, slots=True)
+class Layers:
+    """Everything that the log states about accounts, routes and services.
+
+    From the lowest up: ``revived`` tables, which a restored client account
+    brought back, ``base``, the ``overlays`` by site, and ``operator``
+    entries. ``kept`` holds tables that the base once stated and no longer
+    does; they are not in force. All VMs hold all overlays, because whether a
+    record is void must be the same at every site.
+    """
+
+    base: Document = field(default_factory=dict)
+    overlays: Mapping[str, Document] = field(default_factory=dict)
+    operator: Mapping[str, PersistentMap[Entry]] = field(default_factory=_sections)
+    kept: Mapping[str, PersistentMap[Document]] = field(default_factory=_sections)
+    revived: Mapping[str, PersistentMap[Document]] = field(default_factory=_sections)
+
+    def table(self, key: ObjectKey, site: str) -> Document | None:
+        """Return the merged table of an object, None if it is not in force."""
+        section, name = key
+        entry = self.operator[section].get(name)
+        stated = [
+            table
+            for table in (
+                self.revived[section].get(name),
+                self.base.get(section, {}).get(name),
+                self.overlays.get(site, {}).get(section, {}).get(name),
+            )
+            if table is not None
+        ]
+        if not stated and (entry is None or not entry.created):
+            return None
+        merged: Document = {}
+        for table in stated:
+            merged = merge(merged, table)
+        return merge(merged, entry.fields) if entry else merged
+
+    def is_known(self, key: ObjectKey) -> bool:
+        """Return whether an object is in force at any site, or is kept."""
+        section, name = key
+        return (
+            name in self.base.get(section, {})
+            or name in self.operator[section]
+            or name in self.kept[section]
+            or name in self.revived[section]
+            or bool(self.sites_stating(key))
+        )
+
+    def sites_stating(self, key: ObjectKey) -> list[str]:
+        """Return the sites whose overlay states an object, in order."""
+        section, name = key
+        return [
+            site
+            for site, overlay in self.overlays.items()
+            if name in overlay.get(section, {})
+        ]
+
+    def names(self, section: str, site: str) -> list[str]:
+        """Return the names of all objects that may be in force at a site."""
+        created = (
+            name for name, entry in self.operator[section].items() if entry.created
+        )
+        found = {
+            *self.revived[section],
+            *self.base.get(section, {}),
+            *self.overlays.get(site, {}).get(section, {}),
+            *created,
+        }
+        return sorted(found)
+
+    def keys_of(self, site: str) -> list[ObjectKey]:
+        """Return the objects that may be in force at a site."""
+        return [
+            ObjectKey(section, name)
+            for section in SECTIONS
+            for name in self.names(section, site)
+        ]
+
+    def all_keys(self) -> list[ObjectKey]:
+        """Return the objects that may be in force at any site."""
+        keys = {
+            key for site in (PLAIN_SITE, *self.overlays) for key in self.keys_of(site)
+        }
+        return sorted(keys)
+
+    def with_entry(self, key: ObjectKey, entry: Entry | None) -> "Layers":
+        """Return these layers with one operator entry put in or taken out."""
+        section, name = key
+        old = self.operator[section]
+        changed = {} if entry is None else {name: entry}
+        new = old.updated(changed, removed=[] if entry else [name])
+        return replace(self, operator={**self.operator, section: new})
+
+    def with_base(self, base: Document) -> "Layers":
+        """Return these layers over another base.
+
+        What the old base stated and the new one does not is kept.
+        """
+        kept, revived = dict(self.kept), dict(self.revived)
+        for section in SECTIONS:
+            old, new = self.base.get(section, {}), base.get(section, {})
+            dropped = {name: old[name] for name in old if name not in new}
+            back = [name for name in new if name in kept[section]]
+            kept[section] = kept[section].updated(dropped, removed=back)
+            gone = [name for name in dropped if name in revived[section]]
+            revived[section] = revived[section].updated({}, removed=gone)
+        return replace(self, base=base, kept=kept, revived=revived)
+
+    def with_overlay(self, site: str, overlay: Document) -> "Layers":
+        """Return these layers with another overlay of one site."""
+        overlays = {**self.overlays, site: overlay}
+        return replace(self, overlays=dict(sorted(overlays.items())))
+
+    def with_revived(self, keys: Iterable[ObjectKey]) -> "Layers":
+        """Return these layers with kept tables in force again."""
+        revived = dict(self.revived)
+        for section, name in keys:
+            table = self.kept[section][name]
+            revived[section] = revived[section].updated({name: table})
+        return replace(self, revived=revived)
+
+    def documents(self, site: str) -> tuple[Layer, ...]:
+        """Return the layers of a site, lowest first, for ``resolve``."""
+        layers = [
+            Layer("kept", {name: dict(part) for name, part in self.revived.items()}),
+            Layer("base", self.base),
+        ]
+        if site in self.overlays:
+            layers.append(Layer(f"overlay:{site}", self.overlays[site]))
+        layers.extend(self._operator_layers(site))
+        return tuple(layer for layer in layers if any(layer.document.values()))
+
+    def _operator_layers(self, site: str) -> Iterator[Layer]:
+        by_offset: dict[Offset, Document] = {}
+        for section, entries in self.operator.items():
+            for name, entry in entries.items():
+                if self.table(ObjectKey(section, name), site) is None:
+                    continue
+                for key, offset in entry.origins.items():
+                    part = {section: {name: {key: entry.fields[key]}}}
+                    by_offset[offset] = merge(by_offset.get(offset, {}), part)
+        for offset in sorted(by_offset):
+            yield Layer(f"operator@{offset}", by_offset[offset])
+
+
+def check_shape(where: str, document: Any) -> list[Problem]:
+    """Return what is wrong with the outline of a document."""
+    if not isinstance(document, dict):
+        return [Problem(where, document, "must be a table")]
+    problems = []
+    for section, tables in document.items():
+        if section not in SECTIONS:
+            rule = f"is not a known section; known: {', '.join(SECTIONS)}"
+            problems.append(Problem(f"{where}{section}", section, rule))
+        elif not isinstance(tables, dict):
+            problems.append(Problem(f"{where}{section}", tables, "must be a table"))
+        else:
+            problems.extend(
+                Problem(f"{where}{section}.{name}", table, "must be a table")
+                for name, table in tables.items()
+                if not isinstance(table, dict)
+            )
+    return problems
+
+
+def differing(old: Document, new: Document) -> set[ObjectKey]:
+    """Return the objects that two documents state differently."""
+    return {
+        ObjectKey(section, name)
+        for section in SECTIONS
+        for name in {*old.get(section, {}), *new.get(section, {})}
+        if old.get(section, {}).get(name) != new.get(section, {}).get(name)
+    }
+
+
+def build(layers: Layers, keys: Iterable[ObjectKey], site: str) -> Objects:
+    """Return the objects at one site. Raises ``DocumentError`` with all faults."""
+    problems: list[Problem] = []
+    built: dict[ObjectKey, Any] = {}
+    for key in sorted(keys):
+        table = layers.table(key, site)
+        if table is None:
+            built[key] = None
+            continue
+        try:
+            built[key] = BUILDERS[key.section](key.name, table)
+        except DocumentError as exc:
+            problems.extend(exc.problems)
+    problems.extend(_reference_problems(layers, built, site))
+    if problems:
+        raise DocumentError(tuple(problems))
+    return built
+
+
+def _reference_problems(layers: Layers, built: Objects, site: str) -> list[Problem]:
+    problems = []
+    for key, route in built.items():
+        if key.section != "routes" or route is None:
+            continue
+        if layers.table(ObjectKey("services", route.service), site) is None:
+            path = f"routes.{key.name}.service"
+            problems.append(Problem(path, route.service, "names no service"))
+        problems.extend(
+            Problem(f"routes.{key.name}.accounts", account, "names no client account")
+            for account in route.accounts
+            if not layers.is_known(ObjectKey("accounts", account))
+        )
+    return problems
+
+
+def check(layers: Layers, touched: set[ObjectKey]) -> tuple[Problem, ...]:
+    """Return the faults of the objects that a change touches, at all sites.
+
+    Every object must be whole without an overlay and with that of each site
+    that states it.
+    """
+    touched = touched | _routes_of_lost_services(layers, touched)
+    keys_by_site: dict[str, set[ObjectKey]] = {PLAIN_SITE: touched}
+    for key in touched:
+        for site in layers.sites_stating(key):
+            keys_by_site.setdefault(site, set()).add(key)
+    problems: dict[tuple[str, str], Problem] = {}
+    for site in sorted(keys_by_site):
+        try:
+            build(layers, keys_by_site[site], site)
+        except DocumentError as exc:
+            for problem in exc.problems:
+                _add_problem(problems, problem, site)
+    return tuple(problems.values())
+
+
+def _add_problem(
+    problems: dict[tuple[str, str], Problem], problem: Problem, site: str
+) -> None:
+    if site == PLAIN_SITE:
+        problems[problem.path, problem.rule] = problem
+    elif (problem.path, problem.rule) not in problems:
+        where = f"overlay:{site}: {problem.path}"
+        problems[where, problem.rule] = replace(problem, path=where)
+
+
+def _routes_of_lost_services(layers: Layers, touched: set[ObjectKey]) -> set[ObjectKey]:
+    """Return the routes that name a touched service which is not in force.
+
+    Only publishing a document takes services away, so the search over all
+    routes is rare.
+    """
+    sites = (PLAIN_SITE, *layers.overlays)
+    lost = {
+        (site, key.name)
+        for site in sites
+        for key in touched
+        if key.section == "services" and layers.table(key, site) is None
+    }
+    if not lost:
+        return set()
+    found = set()
+    for site in sites:
+        for name in layers.names("routes", site):
+            key = ObjectKey("routes", name)
+            service = (layers.table(key, site) or {}).get("service")
+            if isinstance(service, str) and (site, service) in lost:
+                found.add(key)
+    return found
--- a/packages/config/src/wagtailpaddle_config/records.py
+++ b/packages/config/src/wagtailpaddle_config/records.py
@@ -5,6 +5,9 @@
 
 from wagtailpaddle_core import AccountId, KeyId, Offset, RouteId
 
+DEDUPE_WINDOW = 20_000
+"""Offsets for which the ids of records are remembered."""
+
 Document = dict[str, Any]
 """A decoded TOML or JSON table."""
 
@@ -97,7 +100,9 @@
     ``id`` is unique, so an append whose answer was lost is found again.
     ``expected`` is the revision of the changed object that the operator saw;
     None changes it whatever its revision. ``at`` is wall-clock seconds, for
-    people only.
+    people only. ``appended_after`` is the head of the log that the author knew
+    at the first try; a copy that lands more than ``DEDUPE_WINDOW`` offsets later
+    is void, so that ids need to be remembered for that many offsets only.
     """
 
     id: str
@@ -105,3 +110,29 @@
     at: float
     expected: Offset | None
     change: Change
+    appended_after: Offset | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotItem:
+    """One part of the state: ``table`` of ``name`` in ``section``."""
+
+    section: str
+    name: str
+    table: Document
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotChunk:
+    """A part of the state that all records before ``upto`` leave behind.
+
+    The items follow from these records alone, whoever writes them, so chunks
+    of several writers complete each other. ``at`` is wall-clock seconds.
+    """
+
+    upto: Offset
+    index: int
+    n_chunks: int
+    writer: str
+    at: float
+    items: tuple[SnapshotItem, ...]
--- a/packages/config/tests/test_fold.py
+++ b/packages/config/tests/test_fold.py
@@ -1,5 +1,6 @@
 import pytest
 from wagtailpaddle_config import (
+    DEDUPE_WINDOW,
     Applied,
     CancelAccount,
     ConfigFold,
@@ -7,28 +8,16 @@
     PublishBase,
     PublishOverlay,
     PutAccount,
+    PutRoute,
     Record,
+    RemoveRoute,
     RestoreAccount,
     Void,
+    VoidCode,
     WithdrawKey,
 )
 
 
-@pytest.fixture
-def fold():
-    return ConfigFold(site="namur")
-
-
-@pytest.fixture
-def put(fold):
-    def append(change, expected=None, record_id=None):
-        offset = fold.next_offset
-        record = Record(record_id or f"r{offset}", "op", 0.0, expected, change)
-        return fold.apply(offset, record)
-
-    return append
-
-
 def test_overlay_of_another_site_changes_nothing(fold, put):
     put(PublishBase({"accounts": {"x": {"rate": 5.0, "burst": 9.0}}}))
     put(PublishOverlay("lund", {"accounts": {"x": {"rate": 1.0}}}))
@@ -75,3 +64,111 @@
     assert "accounts.x.rate: -1.0" in result.reason
     assert "accounts.x.burst: 0.0" in result.reason
     assert fold.configuration.revision == 1
+
+
+def test_conflict_names_the_winner_and_its_revision(put):
+    put(PutAccount("x", {"rate": 5.0, "burst": 9.0}), expected=-1, author="ann")
+    lost = put(PutAccount("x", {"rate": 6.0}), expected=-1, author="bob")
+    assert (lost.code, lost.current, lost.winner) == (VoidCode.CONFLICT, 0, "ann")
+    assert "'ann'" in lost.reason
+
+
+def test_publishing_a_document_conflicts_with_an_edit_of_what_it_changed(put, base):
+    put(PublishBase(base))
+    seen = 0
+    base["accounts"]["x"] = {"rate": 7.0, "burst": 9.0}
+    put(PublishBase(base))
+    assert isinstance(put(PutAccount("y", {"rate": 2.0}), expected=seen), Applied)
+    assert put(PutAccount("x", {"rate": 2.0}), expected=seen).current == 1
+
+
+def test_account_dropped_by_the_base_comes_back_as_it_was(fold, put, base):
+    put(PublishBase(base))
+    put(PutAccount("x", {"burst": 20.0}))
+    put(IssueKey("k", "x", "hash"))
+    put(CancelAccount("x"))
+    without = {**base, "routes": {}, "accounts": {"y": base["accounts"]["y"]}}
+    assert isinstance(put(PublishBase(without)), Applied)
+    assert "x" not in fold.configuration.accounts
+    assert fold.configuration.account_for("hash") is None
+    put(PublishBase(without))
+    assert isinstance(put(RestoreAccount("x")), Applied)
+    account = fold.configuration.account_for("hash")
+    assert (account.rate, account.burst) == (5.0, 20.0)
+    assert fold.configuration.route_for("", "/r/1", "GET").id == "r"
+
+
+def test_document_is_void_as_a_whole_with_all_faults(fold, put, base):
+    put(PublishBase(base))
+    before = fold.configuration
+    base["accounts"]["x"] = {"rate": float("nan")}
+    base["routes"]["q"] = {"service": "none", "path": "q", "accounts": ["nobody"]}
+    base["services"]["s"] = {"servers": ["s1"], "floor": 3}
+    void = put(PublishBase(base))
+    paths = {problem.path for problem in void.problems}
+    assert {"accounts.x", "routes.q.path", "services.s.servers"} <= paths
+    assert fold.configuration.accounts is before.accounts
+    assert fold.configuration.services is before.services
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        {"acounts": {}},
+        {"accounts": []},
+        {"accounts": {"x": 3}},
+        {"accounts": {"x": {"rate": "5", "burst": 1}}},
+        {"routes": {"r": {"service": ["s"], "path": "/"}}},
+        {"services": {"s": {"servers": 3}}},
+        {"services": {"s": {"servers": {"a": None}}}},
+        {"services": {"": {}}},
+    ],
+)
+def test_any_malformed_document_is_void(fold, put, document):
+    assert put(PublishBase(document)).code is VoidCode.INVALID
+    assert put(PublishOverlay("namur", document)).code is VoidCode.INVALID
+
+
+def test_base_that_breaks_an_overlay_is_void_at_every_site(put, base):
+    other = ConfigFold(site="lund")
+    put(PublishBase(base))
+    put(PublishOverlay("lund", {"accounts": {"y": {"rate": 3.0}}}))
+    bad = {**base, "accounts": {"x": base["accounts"]["x"]}}
+    void = put(PublishBase(bad))
+    assert "overlay:lund: accounts.y" in void.reason
+    for offset, change in enumerate(
+        [PublishBase(base), PublishOverlay("lund", {"accounts": {"y": {"rate": 3.0}}})]
+    ):
+        other.apply(offset, Record(f"o{offset}", "op", 0.0, None, change))
+    again = other.apply(2, Record("r2", "op", 0.0, None, PublishBase(bad)))
+    assert again == void
+
+
+def test_base_that_takes_a_service_from_a_route_is_void(put, base):
+    put(PublishBase({**base, "routes": {}}))
+    put(PutRoute("q", {"service": "s", "path": "/q"}))
+    void = put(PublishBase({"accounts": base["accounts"]}))
+    assert void.reason == "routes.q.service: 's': names no service"
+    assert isinstance(put(RemoveRoute("q")), Applied)
+    assert isinstance(put(PublishBase({"accounts": base["accounts"]})), Applied)
+
+
+def test_withdrawn_key_is_never_issued_again(fold, put):
+    put(PutAccount("x", {"rate": 5.0, "burst": 9.0}))
+    put(IssueKey("k", "x", "hash"))
+    put(WithdrawKey("k"))
+    assert put(IssueKey("k", "x", "other")).code is VoidCode.CONFLICT
+    assert put(IssueKey("k2", "x", "hash")).code is VoidCode.CONFLICT
+    assert fold.configuration.account_for("hash") is None
+
+
+def test_copy_beyond_the_window_is_void(fold, put):
+    put(PutAccount("x", {"rate": 5.0, "burst": 9.0}))
+    record = Record("late", "op", 0.0, None, PutAccount("x", {"rate": 6.0}), 1)
+    assert isinstance(fold.apply(1, record), Applied)
+    for offset in range(2, DEDUPE_WINDOW + 10):
+        fold.skip(offset)
+    put(PutAccount("x", {"rate": 7.0}))
+    late = fold.apply(fold.next_offset, record)
+    assert late.code is VoidCode.EXPIRED
+    assert fold.configuration.accounts["x"].rate == 7.0
--- /dev/null
+++ b/packages/config/tests/test_snapshots.py
@@ -0,0 +1,130 @@
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wagtailpaddle_config import (
+    CancelAccount,
+    ConfigFold,
+    IssueKey,
+    LogFollower,
+    PublishBase,
+    PublishOverlay,
+    PutAccount,
+    PutRoute,
+    Record,
+    RemoveRoute,
+    RestoreAccount,
+    SnapshotError,
+    SnapshotItem,
+    SnapshotWatch,
+    WithdrawKey,
+    cut_snapshot,
+)
+
+names = st.sampled_from(["x", "y", "z"])
+fields = st.fixed_dictionaries(
+    {}, optional={"rate": st.sampled_from([1.0, 2.0]), "burst": st.just(3.0)}
+)
+tables = st.dictionaries(names, fields, max_size=3)
+routes = st.dictionaries(
+    names, st.just({"service": "s", "path": "/a", "accounts": ["x"]}), max_size=2
+)
+documents = st.fixed_dictionaries(
+    {}, optional={"accounts": tables, "routes": routes, "services": st.just({"s": {}})}
+)
+changes = st.one_of(
+    st.builds(PutAccount, names, fields),
+    st.builds(CancelAccount, names),
+    st.builds(RestoreAccount, names),
+    st.builds(PutRoute, names, st.just({"service": "s", "path": "/b"})),
+    st.builds(RemoveRoute, names),
+    st.builds(IssueKey, names, names, names),
+    st.builds(WithdrawKey, names),
+    st.builds(PublishBase, documents),
+    st.builds(PublishOverlay, st.sampled_from(["namur", "lund"]), documents),
+)
+records = st.lists(st.tuples(changes, st.none() | st.integers(-1, 9)), max_size=25)
+
+
+def folded(site, listed):
+    fold = ConfigFold(site=site)
+    for offset, (change, expected) in enumerate(listed):
+        fold.apply(offset, Record(f"r{offset}", "op", 0.0, expected, change))
+    return fold
+
+
+def content(fold):
+    cfg = fold.configuration
+    maps = [cfg.accounts, cfg.routes, cfg.services, cfg.keys, cfg.routes_by_path]
+    return [dict(items) for items in maps]
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(records, st.integers(0, 25))
+def test_snapshot_and_tail_give_what_the_log_gives(listed, cut):
+    cut = min(cut, len(listed))
+    whole = folded("namur", listed)
+    other_site = folded("lund", listed[:cut])
+    restored = ConfigFold(site="namur")
+    restored.restore(cut, other_site.snapshot_items())
+    for offset, (change, expected) in enumerate(listed[cut:], start=cut):
+        record = Record(f"r{offset}", "op", 0.0, expected, change)
+        assert restored.apply(offset, record) == whole.result_of(record.id)
+    assert content(restored) == content(whole)
+    assert restored.snapshot_items() == whole.snapshot_items()
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(records)
+def test_one_by_one_gives_what_building_all_at_once_gives(listed):
+    fold = folded("namur", listed)
+    rebuilt = ConfigFold(site="namur")
+    rebuilt.restore(fold.next_offset, fold.snapshot_items())
+    assert content(rebuilt) == content(fold)
+
+
+def test_malformed_item_raises_and_changes_nothing(fold, put, base):
+    put(PublishBase(base))
+    before = fold.configuration
+    with pytest.raises(SnapshotError):
+        fold.restore(9, [SnapshotItem("key", "k", {"id": 3})])
+    assert fold.configuration is before
+
+
+def test_follower_starts_from_the_last_whole_snapshot(fold, put, base):
+    put(PublishBase(base))
+    chunks = cut_snapshot(1, fold.snapshot_items(), writer="w", at=0.0, chunk_items=2)
+    log = [None, *chunks[:1], *chunks, "tail"]
+    follower = LogFollower()
+    first = 1
+    follower.trimmed(first, next_offset=0)
+    found = None
+    while found is None:
+        start = follower.next_read(0).start
+        part = [(offset, log[offset]) for offset in range(start, len(log))][:2]
+        found = follower.searched(part, first, len(log), 0)
+    assert found.upto == 1
+    assert follower.next_read(found.upto).start == 1
+    assert not follower.is_searching
+
+
+def test_follower_without_a_snapshot_searches_on():
+    follower = LogFollower()
+    follower.trimmed(5, next_offset=0)
+    assert follower.searched([(5, "a"), (6, "b")], 5, 7, 0) is None
+    assert follower.is_searching
+    assert follower.next_read(0).start == 5
+
+
+def test_one_snapshot_per_need_and_at_once_near_retention():
+    watch = SnapshotWatch(rng=Random(3), records=100, jitter_s=10.0)
+    assert not watch.should_write(0.0, 0, 0)
+    assert not watch.should_write(1000.0, 0, 150)
+    assert watch.should_write(1010.0, 0, 150)
+    assert not watch.should_write(1011.0, 0, 150)
+    for chunk in cut_snapshot(150, (), writer="w", at=1011.0):
+        watch.on_chunk(chunk)
+    assert not watch.is_due(1012.0, 0, 160)
+    assert not watch.is_due(1012.0, 100, 160)
+    assert watch.is_due(1012.0, 156, 160)
--- a/packages/peer/src/wagtailpaddle_peer/records.py
+++ b/packages/peer/src/wagtailpaddle_peer/records.py
@@ -1,4 +1,4 @@
-"""JSON codec of the records in the log."""
+"""JSON codec of the records in the ``config`` stream of the log."""
 
 from typing import Any
 
@@ -14,9 +14,20 @@
     Record,
     RemoveRoute,
     RestoreAccount,
+    SnapshotChunk,
     WithdrawKey,
 )
-from wagtailpaddle_core import Registry
+from wagtailpaddle_core import Registry, VmId
+from wagtailpaddle_fleet import (
+    Depart,
+    FleetRecord,
+    Join,
+    SeatChange,
+    Settle,
+    TakeSeat,
+)
+
+LogRecord = Record | FleetRecord | SnapshotChunk
 
 CHANGES: Registry[type] = Registry("change")
 for _kind in (
@@ -32,30 +43,74 @@
 ):
     CHANGES.register(_kind.__name__)(_kind)
 
+SEAT_CHANGES: Registry[type] = Registry("seat change")
+for _seat_change in (Join, Depart, TakeSeat, Settle):
+    SEAT_CHANGES.register(_seat_change.__name__)(_seat_change)
+
+SNAPSHOT_TYPE = SnapshotChunk.__name__
+
 
 class RecordError(ValueError):
     """Bytes of the log that are no record."""
 
 
-def encode_record(record: Record) -> bytes:
-    """Return the JSON form of a record."""
+def encode_log_record(record: LogRecord) -> bytes:
+    """Return the JSON form of whatever stands in the ``config`` stream."""
     table = msgspec.to_builtins(record)
-    table["type"] = type(record.change).__name__
+    if isinstance(record, SnapshotChunk):
+        table["type"] = SNAPSHOT_TYPE
+    else:
+        table["type"] = type(record.change).__name__
     return msgspec.json.encode(table)
 
 
-def decode_record(data: bytes) -> Record:
-    """Return the record that ``data`` encodes. Raises ``RecordError``."""
+def decode_log_record(data: bytes) -> LogRecord:
+    """Return the record that ``data`` encodes. Raises ``RecordError``.
+
+    Pass over an offset whose bytes raise, with ``ConfigFold.skip``.
+    """
     try:
         table: dict[str, Any] = msgspec.json.decode(data, type=dict)
-        kind = CHANGES[table.pop("type")]
-        change: Change = msgspec.convert(table.pop("change"), kind)
-        return Record(
-            id=msgspec.convert(table["id"], str),
-            author=msgspec.convert(table["author"], str),
-            at=msgspec.convert(table["at"], float),
-            expected=msgspec.convert(table["expected"], int | None),
-            change=change,
-        )
-    except (msgspec.MsgspecError, KeyError, TypeError) as exc:
+        name = table.pop("type")
+        if name == SNAPSHOT_TYPE:
+            return msgspec.convert(table, SnapshotChunk)
+        if name in SEAT_CHANGES:
+            return _fleet_record(table, SEAT_CHANGES[name])
+        return _record(table, CHANGES[name])
+    except (msgspec.MsgspecError, KeyError, TypeError, RecursionError) as exc:
         raise RecordError(f"not a record: {exc}") from None
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the JSON form of a change of configuration."""
+    return encode_log_record(record)
+
+
+def decode_record(data: bytes) -> Record:
+    """Return the change that ``data`` encodes. Raises ``RecordError``."""
+    record = decode_log_record(data)
+    if not isinstance(record, Record):
+        raise RecordError(f"not a change of configuration: {type(record).__name__}")
+    return record
+
+
+def _record(table: dict[str, Any], kind: type) -> Record:
+    change: Change = msgspec.convert(table.pop("change"), kind)
+    return Record(
+        id=msgspec.convert(table["id"], str),
+        author=msgspec.convert(table["author"], str),
+        at=msgspec.convert(table["at"], float),
+        expected=msgspec.convert(table["expected"], int | None),
+        change=change,
+        appended_after=msgspec.convert(table.get("appended_after"), int | None),
+    )
+
+
+def _fleet_record(table: dict[str, Any], kind: type) -> FleetRecord:
+    change: SeatChange = msgspec.convert(table.pop("change"), kind)
+    return FleetRecord(
+        id=msgspec.convert(table["id"], str),
+        author=VmId(msgspec.convert(table["author"], str)),
+        at=msgspec.convert(table["at"], float),
+        change=change,
+    )
