Build each object of a published document once

Cause: a document was checked and then built a second time. Change: the check returns the objects of the fold's site; offset answers say whether their VM serves.

--- a/packages/config/src/wagtailpaddle_config/builders.py
+++ b/packages/config/src/wagtailpaddle_config/builders.py
@@ -129,12 +129,14 @@
     if not isinstance(table, dict):
         raise DocumentError((Problem(path, table, "must be a table"),))
     fields: dict[str, Any] = kind.__dataclass_fields__  # type: ignore[attr-defined]
-    unknown = sorted(set(table) - set(fields) | {"id"} & set(table))
-    problems = [
-        Problem(f"{path}.{key}", table[key], "is not a known field") for key in unknown
-    ]
-    known = {key: value for key, value in table.items() if key not in unknown}
-    known["id"] = name
+    problems: list[Problem] = []
+    known = {**table, "id": name}
+    if "id" in table or not known.keys() <= fields.keys():
+        unknown = sorted(table.keys() - fields.keys() | {"id"} & table.keys())
+        for key in unknown:
+            problems.append(
+                Problem(f"{path}.{key}", table[key], "is not a known field")
+            )
     try:
         value = msgspec.convert(known, kind)
     except msgspec.ValidationError as exc:
--- a/packages/config/src/wagtailpaddle_config/changes.py
+++ b/packages/config/src/wagtailpaddle_config/changes.py
@@ -1,17 +1,18 @@
 """What each kind of change does to the state."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from wagtailpaddle_core import Offset, Registry
 
-from wagtailpaddle_config.document import MAX_PROBLEMS, Problem, merge
+from wagtailpaddle_config.document import MAX_PROBLEMS, DocumentError, Problem, merge
 from wagtailpaddle_config.layers import (
     PLAIN_SITE,
     Entry,
     Layers,
     ObjectKey,
+    Objects,
     check,
     check_shape,
     differing,
@@ -37,17 +38,19 @@
 class Effect:
     """What a change that holds good alters.
 
-    ``touched`` names the objects that have to be built again.
+    ``objects`` are those of the fold's site; None marks one that is no longer
+    in force.
     """
 
     layers: Layers | None = None
-    touched: frozenset[ObjectKey] = frozenset()
+    objects: Objects = field(default_factory=dict)
     key: Key | None = None
 
 
 class Folded(Protocol):
     """What a change may look at."""
 
+    site: str
     configuration: Configuration
 
     @property
@@ -96,7 +99,11 @@
             layers = layers.with_overlay(site, overlay)
     if problems:
         return tuple(problems)
-    return check(layers, set(layers.all_keys()))
+    try:
+        check(layers, set(layers.all_keys()))
+    except DocumentError as exc:
+        return exc.problems
+    return ()
 
 
 def check_change(
@@ -104,17 +111,18 @@
 ) -> tuple[Problem, ...]:
     """Return the faults that would make the publishing of a document void now."""
     try:
-        _published(layers, change)
+        _published(layers, change, PLAIN_SITE)
     except VoidError as exc:
         return exc.problems
     return ()
 
 
-def _checked(layers: Layers, touched: set[ObjectKey]) -> Effect:
-    problems = check(layers, touched)
-    if problems:
-        raise _invalid(problems)
-    return Effect(layers=layers, touched=frozenset(touched))
+def _checked(layers: Layers, touched: set[ObjectKey], site: str) -> Effect:
+    try:
+        objects = check(layers, touched, site=site)
+    except DocumentError as exc:
+        raise _invalid(exc.problems) from None
+    return Effect(layers=layers, objects=objects)
 
 
 def _invalid(problems: tuple[Problem, ...]) -> VoidError:
@@ -125,7 +133,8 @@
     return VoidError(VoidCode.INVALID, reason, listed)
 
 
-def _put(layers: Layers, offset: Offset, key: ObjectKey, fields: Any) -> Effect:
+def _put(fold: Folded, offset: Offset, key: ObjectKey, fields: Any) -> Effect:
+    layers = fold.layers
     where = f"{key.section}.{key.name}"
     if not isinstance(fields, dict):
         raise _invalid((Problem(where, fields, "must be a table"),))
@@ -136,26 +145,26 @@
         origins={**old.origins, **dict.fromkeys(fields, offset)},
         created=old.created or not is_present,
     )
-    return _checked(layers.with_entry(key, entry), {key})
+    return _checked(layers.with_entry(key, entry), {key}, fold.site)
 
 
 @APPLIERS.register("PutAccount")
 def _put_account(fold: Folded, offset: Offset, change: PutAccount) -> Effect:
     key = ObjectKey("accounts", change.account)
-    return _put(fold.layers, offset, key, change.fields)
+    return _put(fold, offset, key, change.fields)
 
 
 @APPLIERS.register("PutRoute")
 def _put_route(fold: Folded, offset: Offset, change: PutRoute) -> Effect:
     key = ObjectKey("routes", change.route)
-    return _put(fold.layers, offset, key, change.fields)
+    return _put(fold, offset, key, change.fields)
 
 
 @APPLIERS.register("CancelAccount")
 def _cancel_account(fold: Folded, offset: Offset, change: CancelAccount) -> Effect:
     key = _known_account(fold, change.account)
     layers = _with_active(fold.layers, offset, key, False)
-    return _checked(layers, {key})
+    return _checked(layers, {key}, fold.site)
 
 
 @APPLIERS.register("RestoreAccount")
@@ -169,7 +178,7 @@
     if layers.table(key, PLAIN_SITE) is None and not layers.sites_stating(key):
         reason = f"client account {change.account!r} has no rate and burst any more"
         raise VoidError(VoidCode.MISSING, reason)
-    return _checked(_with_active(layers, offset, key, True), touched)
+    return _checked(_with_active(layers, offset, key, True), touched, fold.site)
 
 
 def _with_active(
@@ -211,7 +220,7 @@
     if change.route not in fold.layers.operator["routes"]:
         reason = f"route {change.route!r} was not put by an operator"
         raise VoidError(VoidCode.MISSING, reason)
-    return _checked(fold.layers.with_entry(key, None), {key})
+    return _checked(fold.layers.with_entry(key, None), {key}, fold.site)
 
 
 @APPLIERS.register("IssueKey")
@@ -241,26 +250,28 @@
 
 @APPLIERS.register("PublishBase")
 def _publish_base(fold: Folded, offset: Offset, change: PublishBase) -> Effect:
-    return _published(fold.layers, change)
+    return _published(fold.layers, change, fold.site)
 
 
 @APPLIERS.register("PublishOverlay")
 def _publish_overlay(fold: Folded, offset: Offset, change: PublishOverlay) -> Effect:
-    return _published(fold.layers, change)
+    return _published(fold.layers, change, fold.site)
 
 
-def _published(layers: Layers, change: PublishBase | PublishOverlay) -> Effect:
+def _published(
+    layers: Layers, change: PublishBase | PublishOverlay, site: str
+) -> Effect:
     faults = check_shape("", change.document)
     if faults:
         raise _invalid(tuple(faults))
     if isinstance(change, PublishBase):
         touched = differing(layers.base, change.document)
-        return _checked(layers.with_base(change.document), touched)
+        return _checked(layers.with_base(change.document), touched, site)
     if not change.site:
         raise _invalid((Problem("site", change.site, "must be named"),))
     old = layers.overlays.get(change.site, {})
     touched = differing(old, change.document)
-    return _checked(layers.with_overlay(change.site, change.document), touched)
+    return _checked(layers.with_overlay(change.site, change.document), touched, site)
 
 
 def _known_account(fold: Folded, account: str) -> ObjectKey:
--- a/packages/config/src/wagtailpaddle_config/fold.py
+++ b/packages/config/src/wagtailpaddle_config/fold.py
@@ -160,12 +160,11 @@
     ) -> None:
         mark = Mark(offset, record.author)
         self._marks[name] = mark
-        for key in effect.touched:
+        for key in effect.objects:
             self._marks[object_name(key)] = mark
         if effect.layers is not None:
-            objects = build(effect.layers, effect.touched, self.site)
             self._layers = effect.layers
-            self.configuration = _with_objects(self.configuration, objects)
+            self.configuration = _with_objects(self.configuration, effect.objects)
         if effect.key is not None:
             self._put_keys([effect.key])
 
--- a/packages/config/src/wagtailpaddle_config/layers.py
+++ b/packages/config/src/wagtailpaddle_config/layers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
+from functools import reduce
 from typing import Any, NamedTuple
 
 from wagtailpaddle_core import Offset
@@ -80,10 +81,9 @@
         ]
         if not stated and (entry is None or not entry.created):
             return None
-        merged: Document = {}
-        for table in stated:
-            merged = merge(merged, table)
-        return merge(merged, entry.fields) if entry else merged
+        if entry is not None:
+            stated.append(entry.fields)
+        return reduce(merge, stated)
 
     def is_known(self, key: ObjectKey) -> bool:
         """Return whether an object is in force at any site, or is kept."""
@@ -258,25 +258,34 @@
     return problems
 
 
-def check(layers: Layers, touched: set[ObjectKey]) -> tuple[Problem, ...]:
-    """Return the faults of the objects that a change touches, at all sites.
+def check(
+    layers: Layers, touched: set[ObjectKey], *, site: str = PLAIN_SITE
+) -> Objects:
+    """Check the objects that a change touches and return those of ``site``.
 
     Every object must be whole without an overlay and with that of each site
-    that states it.
+    that states it. Raises ``DocumentError`` with the faults of all sites.
     """
     touched = touched | _routes_of_lost_services(layers, touched)
     keys_by_site: dict[str, set[ObjectKey]] = {PLAIN_SITE: touched}
-    for key in touched:
-        for site in layers.sites_stating(key):
-            keys_by_site.setdefault(site, set()).add(key)
+    for stating, overlay in layers.overlays.items():
+        keys = {key for key in touched if key.name in overlay.get(key.section, {})}
+        if keys:
+            keys_by_site[stating] = keys
+    objects: dict[ObjectKey, Any] = {}
     problems: dict[tuple[str, str], Problem] = {}
-    for site in sorted(keys_by_site):
+    for name in sorted(keys_by_site):
         try:
-            build(layers, keys_by_site[site], site)
+            built = build(layers, keys_by_site[name], name)
         except DocumentError as exc:
             for problem in exc.problems:
-                _add_problem(problems, problem, site)
-    return tuple(problems.values())
+                _add_problem(problems, problem, name)
+            continue
+        if name in (PLAIN_SITE, site):
+            objects.update(built)
+    if problems:
+        raise DocumentError(tuple(problems.values()))
+    return objects
 
 
 def _add_problem(
--- a/packages/fleet/src/wagtailpaddle_fleet/messages.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/messages.py
@@ -84,7 +84,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetRecord:
-    """One record about seats. ``at`` is wall-clock seconds, for people only."""
+    """One record about seats. ``at`` is in seconds of the author's own clock."""
 
     id: str
     author: VmId
@@ -102,11 +102,12 @@
 
 @dataclass(frozen=True, slots=True)
 class OffsetAnswer:
-    """States what ``vm`` has folded and which seats it speaks for."""
+    """States what ``vm`` has folded, which seats it speaks for, if it serves."""
 
     vm: Vm
     next_offset: Offset
     seats: tuple[SeatId, ...]
+    fresh: bool
 
 
 @dataclass(frozen=True, slots=True)
