Decide membership: seats, freshness, acceptance, hand-over, directory

Cause: the fleet package had a freshness stub only. Ruled out: counting a gone holder's seat as confirmed at once, because it may have been handed over shortly before.

--- a/packages/fleet/src/wagtailpaddle_fleet/__init__.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/__init__.py
@@ -1,6 +1,13 @@
 """Roster of VMs, freshness, caller directory, hand-over."""
 
-from wagtailpaddle_fleet.freshness import Freshness
+from wagtailpaddle_fleet.freshness import FRESHNESS_S, Freshness
+from wagtailpaddle_fleet.incarnations import (
+    LIST_LAG_S,
+    Incarnations,
+    new_incarnation,
+    split_vm_id,
+    vm_id,
+)
 from wagtailpaddle_fleet.membership import Membership
 from wagtailpaddle_fleet.messages import (
     AcceptanceState,
@@ -31,8 +38,17 @@
     TakeSeat,
     Vm,
 )
+from wagtailpaddle_fleet.roster import Roster, Seat
 
 __all__ = [
+    "FRESHNESS_S",
+    "LIST_LAG_S",
+    "Incarnations",
+    "Roster",
+    "Seat",
+    "new_incarnation",
+    "split_vm_id",
+    "vm_id",
     "AcceptanceState",
     "Action",
     "AppendRecord",
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/acceptance.py
@@ -0,0 +1,65 @@
+"""Counting of the seats that confirm a recorded change."""
+
+from collections.abc import Callable
+
+from wagtailpaddle_core import Offset
+
+from wagtailpaddle_fleet.messages import AcceptanceState, SeatId
+from wagtailpaddle_fleet.roster import Roster
+
+MAX_TRACKED_OFFSETS = 1_000
+
+
+class Acceptance:
+    """Tells which changes are in force, that is, confirmed by a majority.
+
+    ``confirmed`` returns for a seat the highest next offset named for it.
+    """
+
+    def __init__(self, roster: Roster, confirmed: Callable[[SeatId], Offset]):
+        self._roster = roster
+        self._confirmed = confirmed
+        self._waiting: dict[Offset, float] = {}
+        self._accepted_upto: Offset = 0
+
+    def track(self, now: float, offset: Offset) -> None:
+        """Begin to count for the change at ``offset``.
+
+        Beyond ``MAX_TRACKED_OFFSETS`` the earliest are no longer asked about.
+        """
+        if offset >= self._accepted_upto:
+            self._waiting.setdefault(offset, now)
+        while len(self._waiting) > MAX_TRACKED_OFFSETS:
+            del self._waiting[min(self._waiting)]
+
+    @property
+    def wanted(self) -> Offset | None:
+        """The latest offset that still lacks confirmations, None if none does."""
+        return max(self._waiting, default=None)
+
+    def update(self) -> None:
+        """Take note of offsets that are now confirmed by a majority."""
+        for offset in sorted(self._waiting, reverse=True):
+            if self._is_confirmed(offset):
+                self._accepted_upto = max(self._accepted_upto, offset + 1)
+                break
+        self._waiting = {
+            offset: at
+            for offset, at in self._waiting.items()
+            if offset >= self._accepted_upto
+        }
+
+    def state(self, offset: Offset) -> AcceptanceState:
+        """Return how far the change at ``offset`` is confirmed."""
+        seats = self._roster.seats
+        return AcceptanceState(
+            offset=offset,
+            n_confirmed=sum(self._confirmed(seat) > offset for seat in seats),
+            n_seats=len(seats),
+            in_force=offset < self._accepted_upto or self._is_confirmed(offset),
+        )
+
+    def _is_confirmed(self, offset: Offset) -> bool:
+        if offset >= self._roster.next_offset:
+            return False
+        return self._roster.has_majority(lambda seat: self._confirmed(seat) > offset)
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/directory.py
@@ -0,0 +1,107 @@
+"""Which addresses a caller should use."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from wagtailpaddle_core import VmId, ZoneId, rank
+
+from wagtailpaddle_fleet.messages import CallerAddresses, Vm
+
+HOME_VMS = 3
+MAX_ADDRESSES = 6
+KEEP_S = 30.0
+KEEP_FEW_S = 5.0
+MAX_CACHED_HOMES = 4_096
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """The answer for a caller and the peer addresses of the VMs in it."""
+
+    answer: CallerAddresses
+    vms: tuple[str, ...]
+
+
+class Directory:
+    """Orders the VMs for callers.
+
+    A client account has home VMs, chosen by rendezvous hashing over addresses,
+    so that replacing one of n VMs moves about 1/n of them and a restarted
+    process stays home. Callers without an account are spread at random.
+    """
+
+    def __init__(self, *, rng: Random):
+        self._rng = rng
+        self._vms: dict[str, Vm] = {}
+        self._homes: OrderedDict[str, tuple[Vm, ...]] = OrderedDict()
+
+    def set_vms(self, vms: Sequence[Vm]) -> None:
+        """Replace the VMs that callers may use."""
+        new = {vm.peer_address: vm for vm in vms}
+        if new != self._vms:
+            self._vms = new
+            self._homes.clear()
+
+    @property
+    def vms(self) -> tuple[Vm, ...]:
+        """The VMs that callers may use, by id."""
+        return tuple(sorted(self._vms.values(), key=lambda vm: vm.id))
+
+    def homes(self, account: str) -> tuple[Vm, ...]:
+        """Return the home VMs of a client account, best first.
+
+        They lie in distinct availability zones as far as there are such.
+        """
+        found = self._homes.get(account)
+        if found is None:
+            found = self._choose_homes(account)
+            self._homes[account] = found
+            if len(self._homes) > MAX_CACHED_HOMES:
+                self._homes.popitem(last=False)
+        return found
+
+    def addresses_for(
+        self,
+        *,
+        account: str | None = None,
+        zone: ZoneId | None = None,
+        homes: Sequence[VmId] = (),
+    ) -> Found:
+        """Return the addresses for a caller, best first, at most 6.
+
+        ``homes`` names the VMs that hold the account's shares, where they are
+        known; they go before the homes by hash.
+        """
+        by_id = {vm.id: vm for vm in self._vms.values()}
+        chosen = [by_id[vm] for vm in homes if vm in by_id]
+        if account is not None and not chosen:
+            chosen = list(self.homes(account))
+        chosen.sort(key=lambda vm: vm.zone != zone)
+        known = {vm.id for vm in chosen}
+        others = [vm for vm in self._sample(zone) if vm.id not in known]
+        listed = (chosen + others)[:MAX_ADDRESSES]
+        keep_s = KEEP_S if len(listed) >= HOME_VMS else KEEP_FEW_S
+        answer = CallerAddresses(tuple(vm.caller_address for vm in listed), keep_s)
+        return Found(answer, tuple(vm.peer_address for vm in listed))
+
+    def _sample(self, zone: ZoneId | None) -> list[Vm]:
+        """Return some VMs at random, those of the caller's zone first."""
+        near = [vm for vm in self._vms.values() if vm.zone == zone]
+        far = [vm for vm in self._vms.values() if vm.zone != zone]
+        n_wanted = 2 * MAX_ADDRESSES
+        return [
+            vm
+            for part in (near, far)
+            for vm in self._rng.sample(part, min(n_wanted, len(part)))
+        ]
+
+    def _choose_homes(self, account: str) -> tuple[Vm, ...]:
+        ranked = [self._vms[name] for name in rank(f"home/{account}", self._vms)]
+        first_of_zone: dict[ZoneId, Vm] = {}
+        for vm in ranked:
+            first_of_zone.setdefault(vm.zone, vm)
+        spread = list(first_of_zone.values())[:HOME_VMS]
+        rest = [vm for vm in ranked if vm not in spread]
+        return tuple((spread + rest)[:HOME_VMS])
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/handover.py
@@ -0,0 +1,175 @@
+"""The seats for which a VM speaks, and their hand-over at a graceful stop."""
+
+from collections.abc import Iterable, Mapping
+
+from wagtailpaddle_core import Offset, ensure, score
+
+from wagtailpaddle_fleet.answers import Heard
+from wagtailpaddle_fleet.messages import (
+    Action,
+    HandOverAnswer,
+    HandOverSeats,
+    SeatId,
+    SendPeer,
+    Vm,
+)
+
+HAND_OVER_S = 10.0
+CLOCK_MARGIN_S = 1.0
+HAND_OVER_TIMEOUT_S = 2.0
+HAND_OVER_RETRY_S = 0.5
+CHOICE_DELAY_S = 0.3
+N_ASKED_SUCCESSORS = 16
+
+
+class HeldSeats:
+    """The seats of one VM.
+
+    A VM that stops gives them to one other VM: it speaks for them no longer
+    from the moment it sends, so a lost message strands seats and never makes
+    two VMs speak for one. As long as a call may still arrive, it is tried
+    again at the same VM only.
+    """
+
+    def __init__(self, vm: Vm):
+        self._vm = vm
+        self.seats: set[SeatId] = {vm.id}
+        self.leaving_since: float | None = None
+        self._given: set[SeatId] = set()
+        self._message: HandOverSeats | None = None
+        self._successor = ""
+        self._n_open_calls = 0
+        self._n_lost_calls = 0
+        self._retry_at = 0.0
+        self._lost_calls_end_at = 0.0
+        self._refused: set[str] = set()
+
+    @property
+    def has_left(self) -> bool:
+        """Whether this VM is leaving and no seat is held or under way."""
+        is_leaving = self.leaving_since is not None
+        return is_leaving and not self.seats and self._message is None
+
+    def spoken_for(self) -> tuple[SeatId, ...]:
+        """Return the seats that this VM speaks for, in order."""
+        ensure(
+            not self.seats & self._given,
+            "seat-given-away-stays-away",
+            seats=self.seats & self._given,
+        )
+        return tuple(sorted(self.seats))
+
+    def drop(self, seat: SeatId) -> None:
+        """Speak no longer for a seat that is not registered."""
+        self.seats.discard(seat)
+        self._given.add(seat)
+
+    def on_offered(
+        self, now: float, next_offset: Offset, body: HandOverSeats
+    ) -> HandOverAnswer:
+        """Take over seats, or refuse."""
+        offered = set(body.seats)
+        if offered and offered <= self.seats | self._given:
+            return HandOverAnswer(True, next_offset)
+        is_welcome = (
+            body.to == self._vm.id
+            and self.leaving_since is None
+            and next_offset >= body.next_offset
+            and 0 <= now - body.answered_at <= HAND_OVER_S
+            and not offered & self._given
+        )
+        if is_welcome:
+            self.seats |= offered
+        return HandOverAnswer(is_welcome, next_offset)
+
+    def begin(self, now: float) -> None:
+        """Start to leave."""
+        if self.leaving_since is None:
+            self.leaving_since = now
+
+    def step(
+        self, now: float, next_offset: Offset, heard: Mapping[str, Heard]
+    ) -> tuple[Action, ...]:
+        """Return the next call of the hand-over, if one is due."""
+        since = self.leaving_since
+        if since is None or now < self._retry_at or self._n_open_calls:
+            return ()
+        if self._message is None:
+            if not self.seats or now < since + CHOICE_DELAY_S:
+                return ()
+            chosen = self._choose(now, next_offset, heard)
+            if chosen is None:
+                return ()
+            return self._call(now, self._give(chosen, next_offset, heard[chosen]))
+        return self._call(now, self._message)
+
+    def on_answer(self, sent_at: float, answer: HandOverAnswer) -> None:
+        """The successor answered a call that was sent at ``sent_at``.
+
+        A refusal gives the seats back if no earlier call may still be taken.
+        """
+        self._n_open_calls = 0
+        if self._message is None:
+            return
+        if answer.accepted:
+            self._message = None
+            return
+        if not self._n_lost_calls or sent_at > self._lost_calls_end_at:
+            self._given -= set(self._message.seats)
+            self.seats |= set(self._message.seats)
+            self._refused.add(self._successor)
+            self._message = None
+
+    def on_failed(self) -> None:
+        """A call brought no answer and may still arrive."""
+        self._n_open_calls = 0
+        self._n_lost_calls += 1
+
+    def _call(self, now: float, message: HandOverSeats) -> tuple[Action, ...]:
+        self._n_open_calls += 1
+        self._retry_at = now + HAND_OVER_RETRY_S
+        return (SendPeer(self._successor, message, HAND_OVER_TIMEOUT_S),)
+
+    def _give(self, successor: str, next_offset: Offset, heard: Heard) -> HandOverSeats:
+        seats = self.spoken_for()
+        answer = heard.answer
+        message = HandOverSeats(answer.vm.id, seats, next_offset, answer.at)
+        self._message = message
+        self._successor = successor
+        self._n_lost_calls = 0
+        self._lost_calls_end_at = heard.at + HAND_OVER_S + CLOCK_MARGIN_S
+        self._given |= self.seats
+        self.seats = set()
+        return message
+
+    def _choose(
+        self, now: float, next_offset: Offset, heard: Mapping[str, Heard]
+    ) -> str | None:
+        """Prefer VMs without a seat, then those with few, in the same zone."""
+        able = [
+            (address, item.answer)
+            for address, item in heard.items()
+            if now - item.sent_at <= HAND_OVER_S / 2
+            and item.answer.next_offset >= next_offset
+            and not item.answer.vm.leaving
+            and address not in self._refused
+        ]
+        if not able:
+            self._refused.clear()
+            return None
+        address, _ = min(
+            able,
+            key=lambda pair: (
+                len(pair[1].seats),
+                pair[1].vm.zone != self._vm.zone,
+                score(self._vm.id, pair[0]),
+            ),
+        )
+        return address
+
+
+def successors_to_ask(vm: Vm, addresses: Iterable[str]) -> list[str]:
+    """Return the VMs to ask before a hand-over, a bounded number."""
+    others = [address for address in addresses if address != vm.peer_address]
+    others.sort(key=lambda address: (score(vm.id, address), address))
+    return others[:N_ASKED_SUCCESSORS]
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/incarnations.py
@@ -0,0 +1,137 @@
+"""Which VMs are surely gone: the platform's list and incarnations."""
+
+from collections.abc import Iterable
+from random import Random
+
+from wagtailpaddle_core import VmId
+
+from wagtailpaddle_fleet.messages import ListedVm, Vm
+
+LIST_LAG_S = 30.0
+FORGET_GONE_S = 3600.0
+_INCARNATION_MS_DIGITS = 12
+_RANDOM_BITS = 32
+
+
+def new_incarnation(wall_s: float, rng: Random) -> str:
+    """Return a name that sorts after all earlier ones of the same address.
+
+    >>> new_incarnation(1.0, Random(1)) < new_incarnation(2.0, Random(1))
+    True
+    """
+    millis = int(wall_s * 1000)
+    return f"{millis:0{_INCARNATION_MS_DIGITS}x}-{rng.getrandbits(_RANDOM_BITS):08x}"
+
+
+def vm_id(peer_address: str, incarnation: str) -> VmId:
+    """Return the id of one incarnation of the VM at an address."""
+    return VmId(f"{peer_address}/{incarnation}")
+
+
+def split_vm_id(vm: VmId) -> tuple[str, str]:
+    """Return peer address and incarnation of a VM.
+
+    >>> split_vm_id(VmId("10.0.0.1:7000/0a-1"))
+    ('10.0.0.1:7000', '0a-1')
+    """
+    address, _, incarnation = vm.rpartition("/")
+    return address, incarnation
+
+
+class Incarnations:
+    """Proves that VMs are gone.
+
+    A VM is gone when a later incarnation runs at its address, or when the
+    platform's list did not name its address for longer than the list lags.
+    Time in which the list does not answer proves nothing.
+    """
+
+    def __init__(self, vm: Vm, *, list_lag_s: float = LIST_LAG_S):
+        self.vm = vm
+        self.list_lag_s = list_lag_s
+        self.listed: dict[str, ListedVm] = {}
+        self._first_list_at: float | None = None
+        self._last_list_at = float("-inf")
+        self._listed_at: dict[str, float] = {}
+        self._known_at: dict[VmId, float] = {}
+        self._latest: dict[str, str] = {}
+        self._gone: frozenset[VmId] | None = None
+
+    def on_vm_list(self, now: float, entries: Iterable[ListedVm]) -> None:
+        """Take in an answer of the platform's list."""
+        self.listed = {entry.peer_address: entry for entry in entries}
+        if self._first_list_at is None:
+            self._first_list_at = now
+        self._last_list_at = now
+        for address in self.listed:
+            self._listed_at[address] = now
+        for address in [
+            address
+            for address, at in self._listed_at.items()
+            if now - at > self.list_lag_s
+        ]:
+            del self._listed_at[address]
+        self._gone = None
+        self._forget(now)
+
+    def heard_of(self, now: float, vm: VmId) -> None:
+        """A record or message names ``vm``."""
+        if vm in self._known_at:
+            return
+        self._known_at[vm] = now
+        self._gone = None
+        address, incarnation = split_vm_id(vm)
+        if incarnation > self._latest.get(address, ""):
+            self._latest[address] = incarnation
+
+    def is_gone(self, now: float, vm: VmId) -> bool:
+        """Return whether a VM surely neither serves nor answers any more.
+
+        A VM of which nothing was heard before counts as heard of now.
+        """
+        if vm not in self._known_at:
+            self.heard_of(now, vm)
+        return self._is_gone(vm)
+
+    def gone(self) -> frozenset[VmId]:
+        """Return all known VMs that are gone."""
+        if self._gone is None:
+            self._gone = frozenset(vm for vm in self._known_at if self._is_gone(vm))
+        return self._gone
+
+    @property
+    def is_self_gone(self) -> bool:
+        """Whether others may have taken this VM for gone, so that it must stop."""
+        return self._is_gone(self.vm.id)
+
+    def is_leaving(self, address: str) -> bool:
+        """Return whether the list names the VM at an address as leaving."""
+        entry = self.listed.get(address)
+        return entry is not None and entry.leaving
+
+    def _is_gone(self, vm: VmId) -> bool:
+        address, incarnation = split_vm_id(vm)
+        if self._latest.get(address, "") > incarnation:
+            return True
+        if self._first_list_at is None:
+            return False
+        seen_at = max(
+            self._first_list_at,
+            self._listed_at.get(address, float("-inf")),
+            self._known_at.get(vm, float("-inf")),
+        )
+        return self._last_list_at - seen_at > self.list_lag_s
+
+    def _forget(self, now: float) -> None:
+        forgotten = [
+            vm
+            for vm, at in self._known_at.items()
+            if now - at > FORGET_GONE_S and vm != self.vm.id and self._is_gone(vm)
+        ]
+        for vm in forgotten:
+            del self._known_at[vm]
+        addresses = {split_vm_id(vm)[0] for vm in self._known_at}
+        for address in [
+            address for address in self._latest if address not in addresses
+        ]:
+            del self._latest[address]
--- a/packages/fleet/src/wagtailpaddle_fleet/messages.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/messages.py
@@ -102,12 +102,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OffsetAnswer:
-    """States what ``vm`` has folded, which seats it speaks for, if it serves."""
+    """States what ``vm`` has folded, which seats it speaks for, if it serves.
+
+    ``at`` is the clock of the answering VM, in seconds.
+    """
 
     vm: Vm
     next_offset: Offset
     seats: tuple[SeatId, ...]
     fresh: bool
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,14 +162,18 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOverSeats:
-    """A VM that stops gives its seats to another.
+    """A VM that stops gives its seats to the VM ``to``.
 
     The sender speaks for them no longer. The receiver refuses unless it has
-    folded as far as the sender had.
+    folded as far as the sender had, and unless its own answer of
+    ``answered_at`` is recent by its own clock, so that a message that was held
+    up on its way brings no seat back.
     """
 
+    to: VmId
     seats: tuple[SeatId, ...]
     next_offset: Offset
+    answered_at: float
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/relay.py
@@ -0,0 +1,162 @@
+"""Raw records and snapshots between VMs."""
+
+from collections import deque
+from collections.abc import Mapping
+from random import Random
+
+from wagtailpaddle_core import Offset
+
+from wagtailpaddle_fleet.answers import Heard
+from wagtailpaddle_fleet.messages import (
+    Action,
+    FoldRecords,
+    RawRecord,
+    RecordsAnswer,
+    RecordsQuery,
+    RestoreSnapshot,
+    SendPeer,
+    SnapshotAnswer,
+    SnapshotQuery,
+)
+
+MAX_TAIL_RECORDS = 5_000
+MAX_TAIL_BYTES = 8_000_000
+MAX_ANSWER_RECORDS = 500
+MAX_ANSWER_BYTES = 256_000
+MAX_SNAPSHOT_CHUNKS = 10_000
+RELAY_TIMEOUT_S = 2.0
+
+
+class RecordTail:
+    """The latest raw records that were folded, bounded in count and bytes."""
+
+    def __init__(self) -> None:
+        self._records: deque[RawRecord] = deque()
+        self._n_bytes = 0
+        self._next: Offset = 0
+
+    def add(self, record: RawRecord) -> None:
+        """Keep a record; what came before a gap is forgotten."""
+        if record.offset != self._next:
+            self._records.clear()
+            self._n_bytes = 0
+        self._records.append(record)
+        self._n_bytes += len(record.data)
+        self._next = record.offset + 1
+        while len(self._records) > 1 and (
+            len(self._records) > MAX_TAIL_RECORDS or self._n_bytes > MAX_TAIL_BYTES
+        ):
+            self._n_bytes -= len(self._records.popleft().data)
+
+    def answer(self, start: Offset, next_offset: Offset) -> RecordsAnswer:
+        """Return the kept records from ``start`` on, bounded in bytes."""
+        first = self._next - len(self._records)
+        if self._next != next_offset:
+            first = next_offset
+        if start < first or start >= next_offset:
+            return RecordsAnswer(first, next_offset, ())
+        records: list[RawRecord] = []
+        n_bytes = 0
+        for index in range(start - first, len(self._records)):
+            record = self._records[index]
+            n_bytes += len(record.data)
+            if records and n_bytes > MAX_ANSWER_BYTES:
+                break
+            records.append(record)
+            if len(records) == MAX_ANSWER_RECORDS:
+                break
+        return RecordsAnswer(first, next_offset, tuple(records))
+
+
+class CatchUp:
+    """Fetches from other VMs what this one has not folded.
+
+    There is one call at a time. A snapshot is taken only when the other VM no
+    longer keeps the records.
+    """
+
+    def __init__(self, *, rng: Random):
+        self._rng = rng
+        self._asked: str | None = None
+        self._snapshot_from: str | None = None
+        self._chunks: list[bytes] = []
+        self._upto: Offset = -1
+
+    def step(
+        self, next_offset: Offset, heard: Mapping[str, Heard]
+    ) -> tuple[Action, ...]:
+        """Return the next call, none while one is under way or none is needed."""
+        if self._asked is not None:
+            return ()
+        ahead = [
+            address
+            for address, item in sorted(heard.items())
+            if item.answer.next_offset > next_offset
+        ]
+        if not ahead:
+            self._snapshot_from = None
+            return ()
+        if self._snapshot_from in ahead:
+            return self._call(self._snapshot_from, self._snapshot_query())
+        self._snapshot_from = None
+        return self._call(self._rng.choice(ahead), RecordsQuery(next_offset))
+
+    def failed(self, address: str) -> None:
+        """A call to ``address`` brought no answer."""
+        if address == self._asked:
+            self._asked = None
+            self._drop_snapshot()
+
+    def on_records(
+        self, address: str, next_offset: Offset, answer: RecordsAnswer
+    ) -> tuple[Action, ...]:
+        """Take in records; only those that follow ``next_offset`` count."""
+        self._asked = None
+        expected = next_offset
+        records: list[RawRecord] = []
+        for record in answer.records:
+            if record.offset == expected:
+                records.append(record)
+                expected += 1
+        if records:
+            return (FoldRecords(tuple(records)),)
+        if answer.first > next_offset:
+            self._drop_snapshot()
+            self._snapshot_from = address
+        return ()
+
+    def on_snapshot(
+        self, next_offset: Offset, answer: SnapshotAnswer
+    ) -> tuple[Action, ...]:
+        """Take in a chunk; return the snapshot once it is whole."""
+        self._asked = None
+        is_next = answer.index == len(self._chunks) and (
+            not self._chunks or answer.upto == self._upto
+        )
+        is_sane = 0 < answer.n_chunks <= MAX_SNAPSHOT_CHUNKS
+        if not is_next or not is_sane or answer.upto <= next_offset:
+            self._drop_snapshot()
+            return ()
+        self._upto = answer.upto
+        self._chunks.append(answer.data)
+        if len(self._chunks) < answer.n_chunks:
+            return ()
+        whole = RestoreSnapshot(answer.upto, tuple(self._chunks))
+        self._drop_snapshot()
+        return (whole,)
+
+    def _snapshot_query(self) -> SnapshotQuery:
+        if not self._chunks:
+            return SnapshotQuery(-1, 0)
+        return SnapshotQuery(self._upto, len(self._chunks))
+
+    def _drop_snapshot(self) -> None:
+        self._snapshot_from = None
+        self._chunks = []
+        self._upto = -1
+
+    def _call(
+        self, address: str, body: RecordsQuery | SnapshotQuery
+    ) -> tuple[Action, ...]:
+        self._asked = address
+        return (SendPeer(address, body, RELAY_TIMEOUT_S),)
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/roster.py
@@ -0,0 +1,240 @@
+"""The seats of the fleet, folded from the log."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from wagtailpaddle_core import Offset, Registry, VmId, ZoneId, ensure
+
+from wagtailpaddle_fleet.messages import (
+    Depart,
+    FleetRecord,
+    Join,
+    SeatId,
+    Settle,
+    TakeSeat,
+    Vm,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """A voice in the majority and the VM that the log names as its holder."""
+
+    id: SeatId
+    vm: Vm
+
+
+class Roster:
+    """The registered seats at one place of the log.
+
+    A set of seats takes effect when its change is folded. Until the change is
+    settled, majorities of the former and of the new set are both needed. The
+    next change begins only after that, and takes in all that is pending. So
+    whoever stands anywhere in the log and asks a majority of the seats that it
+    knows meets one that confirmed the next change.
+
+    >>> roster = Roster()
+    >>> roster.next_offset, len(roster.seats)
+    (0, 0)
+    """
+
+    def __init__(self) -> None:
+        self.next_offset: Offset = 0
+        self.seats: dict[SeatId, Seat] = {}
+        self.former: dict[SeatId, Seat] | None = None
+        self.change: Offset | None = None
+        self.change_author: VmId | None = None
+        self.version = 0
+        self.n_void = 0
+        self._joining: dict[SeatId, Seat] = {}
+        self._departing: set[SeatId] = set()
+
+    def apply(self, offset: Offset, record: FleetRecord | None) -> None:
+        """Fold the record at ``offset``; None stands for any other kind."""
+        ensure(offset == self.next_offset, "roster-offset-order", offset=offset)
+        self.next_offset = offset + 1
+        if record is None:
+            return
+        if not CHANGES[type(record.change).__name__](self, record.change):
+            self.n_void += 1
+            return
+        self.version += 1
+        self._begin_change(offset, record.author)
+
+    def seat(self, seat: SeatId) -> Seat | None:
+        """Return a seat that is registered or about to be."""
+        return self.seats.get(seat) or self._joining.get(seat)
+
+    def is_departing(self, seat: SeatId) -> bool:
+        """Return whether the removal of a seat is pending."""
+        return seat in self._departing
+
+    def holders(self) -> tuple[Vm, ...]:
+        """Return the VMs that the log names as holders, by id."""
+        vms = {
+            seat.vm.id: seat.vm
+            for seats in (self.seats, self._joining)
+            for seat in seats.values()
+        }
+        return tuple(vms[vm] for vm in sorted(vms))
+
+    def majorities(self) -> tuple[frozenset[SeatId], ...]:
+        """Return the sets of seats of each of which more than half must agree."""
+        current = frozenset(self.seats)
+        if self.former:
+            return (frozenset(self.former), current)
+        return (current,)
+
+    def has_majority(self, confirmed: Callable[[SeatId], bool]) -> bool:
+        """Return whether more than half of each set of seats confirmed."""
+        return all(
+            2 * sum(map(confirmed, seats)) > len(seats) for seats in self.majorities()
+        )
+
+    def items(self) -> tuple[tuple[str, dict[str, Any]], ...]:
+        """Return the state as (name, table) pairs for a snapshot."""
+        head = {
+            "change": self.change,
+            "author": self.change_author,
+            "departing": sorted(self._departing),
+        }
+        parts = {
+            "current": self.seats,
+            "former": self.former or {},
+            "joining": self._joining,
+        }
+        rows = [
+            (f"{part}/{name}", _seat_table(seats[name].vm))
+            for part, seats in parts.items()
+            for name in sorted(seats)
+        ]
+        return (("head", head), *rows)
+
+    def restore(
+        self, upto: Offset, items: Iterable[tuple[str, Mapping[str, Any]]]
+    ) -> None:
+        """Replace the state by that of a snapshot. Raises ``ValueError``."""
+        ensure(upto >= self.next_offset, "roster-offset-monotonic", upto=upto)
+        head: Mapping[str, Any] = {}
+        parts: dict[str, dict[SeatId, Seat]] = {
+            "current": {},
+            "former": {},
+            "joining": {},
+        }
+        try:
+            for name, table in items:
+                if name == "head":
+                    head = table
+                    continue
+                part, _, seat = name.partition("/")
+                parts[part][seat] = Seat(seat, _vm_from(table))
+            change, author = head.get("change"), head.get("author")
+            departing = set(head.get("departing", ()))
+        except (LookupError, TypeError) as exc:
+            raise ValueError(f"roster of the snapshot at {upto}: {exc!r}") from None
+        self.seats = parts["current"]
+        self.former = None if change is None else parts["former"]
+        self.change = change
+        self.change_author = author
+        self._joining = parts["joining"]
+        self._departing = departing
+        self.next_offset = upto
+        self.version += 1
+
+    def _begin_change(self, offset: Offset, author: VmId) -> None:
+        if self.change is not None or not (self._joining or self._departing):
+            return
+        new = {**self.seats, **self._joining}
+        for seat in self._departing:
+            new.pop(seat, None)
+        if not new:
+            return
+        self.former = self.seats
+        self.seats = dict(sorted(new.items()))
+        self.change = offset
+        self.change_author = author
+        self._joining = {}
+        self._departing = set()
+
+
+Applier = Callable[[Roster, Any], bool]
+CHANGES: Registry[Applier] = Registry("seat change")
+"""By the name of the change's class; entries return False if it is void."""
+
+
+@CHANGES.register("Join")
+def _join(roster: Roster, change: Join) -> bool:
+    vm = change.vm
+    if roster.seat(vm.id) is not None:
+        return False
+    earlier = [
+        seat
+        for seats in (roster.seats, roster._joining)
+        for seat in seats.values()
+        if seat.vm.peer_address == vm.peer_address
+    ]
+    if any(seat.vm.incarnation >= vm.incarnation for seat in earlier):
+        return False
+    for seat in earlier:
+        _remove(roster, seat.id)
+    roster._joining[vm.id] = Seat(vm.id, vm)
+    return True
+
+
+@CHANGES.register("Depart")
+def _depart(roster: Roster, change: Depart) -> bool:
+    seat = roster.seat(change.seat)
+    if seat is None or seat.vm.id != change.holder:
+        return False
+    return _remove(roster, change.seat)
+
+
+@CHANGES.register("TakeSeat")
+def _take_seat(roster: Roster, change: TakeSeat) -> bool:
+    for seats in (roster.seats, roster._joining):
+        seat = seats.get(change.seat)
+        if seat is not None and seat.vm != change.vm:
+            seats[change.seat] = replace(seat, vm=change.vm)
+            roster._departing.discard(change.seat)
+            return True
+    return False
+
+
+@CHANGES.register("Settle")
+def _settle(roster: Roster, change: Settle) -> bool:
+    if roster.change is None or roster.change != change.change:
+        return False
+    roster.change = None
+    roster.change_author = None
+    roster.former = None
+    return True
+
+
+def _remove(roster: Roster, seat: SeatId) -> bool:
+    if roster._joining.pop(seat, None) is not None:
+        return True
+    if seat in roster._departing:
+        return False
+    roster._departing.add(seat)
+    return True
+
+
+def _seat_table(vm: Vm) -> dict[str, Any]:
+    return {
+        "vm": vm.id,
+        "zone": vm.zone,
+        "caller_address": vm.caller_address,
+        "peer_address": vm.peer_address,
+        "incarnation": vm.incarnation,
+    }
+
+
+def _vm_from(table: Mapping[str, Any]) -> Vm:
+    return Vm(
+        id=VmId(table["vm"]),
+        zone=ZoneId(table["zone"]),
+        caller_address=table["caller_address"],
+        peer_address=table["peer_address"],
+        incarnation=table["incarnation"],
+    )
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/seating.py
@@ -0,0 +1,245 @@
+"""What this VM writes to the log about seats."""
+
+from collections.abc import Callable
+from random import Random
+
+from wagtailpaddle_core import VmId, rank
+
+from wagtailpaddle_fleet.answers import Answers
+from wagtailpaddle_fleet.handover import HAND_OVER_S, HeldSeats
+from wagtailpaddle_fleet.incarnations import Incarnations
+from wagtailpaddle_fleet.messages import (
+    Action,
+    AppendRecord,
+    Depart,
+    FleetRecord,
+    Join,
+    SeatChange,
+    SeatId,
+    Settle,
+    TakeSeat,
+    Vm,
+)
+from wagtailpaddle_fleet.roster import Roster, Seat
+
+APPEND_AGAIN_S = 2.0
+JOIN_SPREAD_S = 0.3
+JOINS_PER_S = 100
+SETTLE_PATIENCE_S = 2.0
+SETTLE_STEP_S = 1.0
+DEPART_DELAY_S = 10.0
+DEPART_SPREAD_S = 0.05
+SPOKEN_LATELY_S = 30.0
+LEAVE_ALONE_S = 3.0
+
+
+class Seating:
+    """Decides on records that register, pass on, give up and settle seats.
+
+    Every record is harmless when it stands twice or comes late, so it is
+    written again after ``APPEND_AGAIN_S`` until its effect is folded.
+    """
+
+    def __init__(
+        self,
+        vm: Vm,
+        *,
+        roster: Roster,
+        held: HeldSeats,
+        incarnations: Incarnations,
+        answers: Answers,
+        confirmed: Callable[[SeatId], int],
+        rng: Random,
+    ):
+        self._vm = vm
+        self._roster = roster
+        self._held = held
+        self._incarnations = incarnations
+        self._answers = answers
+        self._confirmed = confirmed
+        self._rng = rng
+        self._n_records = 0
+        self._again_at: dict[SeatChange, float] = {}
+        self._join_at: float | None = None
+        self._seen_change: tuple[int, float] | None = None
+        self._settle_at: tuple[int, float] | None = None
+        self._depart_at: dict[VmId, float] = {}
+        self._gone_at: dict[VmId, float] = {}
+
+    def step(self, now: float) -> tuple[Action, ...]:
+        """Return the records to write at ``now``, while the log answers."""
+        self._note_gone(now)
+        changes = [
+            *self._own_seats(now),
+            *self._settling(now),
+            *self._departures(now),
+        ]
+        return tuple(
+            action for change in changes for action in self._append(now, change)
+        )
+
+    def must_confirm(self, now: float) -> bool:
+        """Return whether this VM collects confirmations of a seat change."""
+        change = self._roster.change
+        if change is None:
+            return False
+        if self._roster.change_author == self._vm.id:
+            return True
+        if self._seen_change is None or self._seen_change[0] != change:
+            self._seen_change = (change, now)
+        patient_until = self._seen_change[1] + SETTLE_PATIENCE_S
+        if now < patient_until:
+            return False
+        if self._settle_at is None or self._settle_at[0] != change:
+            delay_s = SETTLE_STEP_S * self._rank(change)
+            self._settle_at = (change, patient_until + delay_s)
+        return now >= self._settle_at[1]
+
+    def needs_every_vm(self, now: float) -> bool:
+        """Return whether a change can only be settled by proof about gone VMs.
+
+        Then every VM is asked whether it speaks for one of their seats.
+        """
+        if not self.must_confirm(now) or not self._gone_at:
+            return False
+        return not self._roster.has_majority(self._has_confirmed)
+
+    def _append(self, now: float, change: SeatChange) -> tuple[Action, ...]:
+        if now < self._again_at.get(change, float("-inf")):
+            return ()
+        self._again_at = {key: at for key, at in self._again_at.items() if at > now}
+        self._again_at[change] = now + APPEND_AGAIN_S
+        self._n_records += 1
+        record_id = f"{self._vm.id}#{self._n_records}"
+        return (AppendRecord(FleetRecord(record_id, self._vm.id, now, change)),)
+
+    def _own_seats(self, now: float) -> list[SeatChange]:
+        if self._held.leaving_since is not None:
+            return self._last_departure(now)
+        changes: list[SeatChange] = []
+        has_seat = any(
+            seat is not None and seat.vm.id == self._vm.id
+            for seat in map(self._roster.seat, self._held.seats)
+        )
+        for seat_id in self._held.spoken_for():
+            seat = self._roster.seat(seat_id)
+            if seat is None:
+                if seat_id != self._vm.id:
+                    self._held.drop(seat_id)
+            elif seat.vm.id != self._vm.id:
+                if not has_seat:
+                    changes.append(TakeSeat(seat_id, self._vm))
+                    has_seat = True
+                elif not self._roster.is_departing(seat_id):
+                    changes.append(Depart(seat_id, seat.vm.id))
+        if not has_seat and self._vm.id in self._held.seats:
+            changes.extend(self._join(now))
+        return changes
+
+    def _join(self, now: float) -> list[SeatChange]:
+        if self._join_at is None:
+            n_listed = len(self._incarnations.listed)
+            spread_s = max(JOIN_SPREAD_S, n_listed / JOINS_PER_S)
+            self._join_at = now + self._rng.uniform(0, spread_s)
+        if now < self._join_at:
+            return []
+        return [Join(self._vm)]
+
+    def _last_departure(self, now: float) -> list[SeatChange]:
+        """Give up seats by record when nobody takes them over."""
+        since = self._held.leaving_since
+        if since is None or now < since + LEAVE_ALONE_S:
+            return []
+        changes: list[SeatChange] = []
+        for seat_id in self._held.spoken_for():
+            seat = self._roster.seat(seat_id)
+            if (
+                seat is None
+                or self._roster.is_departing(seat_id)
+                or len(self._roster.seats) == 1
+            ):
+                self._held.drop(seat_id)
+            else:
+                changes.append(Depart(seat_id, seat.vm.id))
+        return changes
+
+    def _settling(self, now: float) -> list[SeatChange]:
+        change = self._roster.change
+        if change is None or not self.must_confirm(now):
+            return []
+        if not self._roster.has_majority(
+            lambda seat: self._has_confirmed(seat) or self._is_void(now, seat)
+        ):
+            return []
+        return [Settle(change)]
+
+    def _rank(self, change: int) -> int:
+        others = {vm.id for vm in self._roster.holders()} - set(self._gone_at)
+        order = rank(f"settle/{change}", sorted(others | {self._vm.id}))
+        return order.index(self._vm.id)
+
+    def _has_confirmed(self, seat: SeatId) -> bool:
+        change = self._roster.change
+        return change is not None and self._confirmed(seat) > change
+
+    def _is_void(self, now: float, seat_id: SeatId) -> bool:
+        """Return whether surely nobody speaks for a seat any more.
+
+        Its holder is gone, for so long that every VM to which it may have
+        handed the seat stands in the list, and none of those says it did.
+        """
+        seat = self._roster.seats.get(seat_id)
+        if seat is None:
+            seat = (self._roster.former or {}).get(seat_id)
+        if seat is None or seat.vm.id not in self._gone_at:
+            return False
+        sure_at = (
+            self._gone_at[seat.vm.id] + HAND_OVER_S + self._incarnations.list_lag_s
+        )
+        if now < sure_at:
+            return False
+        for address in self._live_addresses():
+            heard = self._answers.by_address.get(address)
+            if heard is None or heard.sent_at < sure_at:
+                return False
+            if seat_id in heard.answer.seats:
+                return False
+        return True
+
+    def _live_addresses(self) -> set[str]:
+        named = {
+            vm.peer_address
+            for vm in self._roster.holders()
+            if vm.id not in self._gone_at
+        }
+        return (named | set(self._incarnations.listed)) - {self._vm.peer_address}
+
+    def _note_gone(self, now: float) -> None:
+        gone = self._incarnations.gone()
+        if gone != self._gone_at.keys():
+            self._gone_at = {vm: self._gone_at.get(vm, now) for vm in gone}
+
+    def _departures(self, now: float) -> list[SeatChange]:
+        """Give up seats of VMs that are gone, unless another speaks for them."""
+        if not self._gone_at:
+            return []
+        changes: list[SeatChange] = []
+        found: dict[VmId, float] = {}
+        for seat in self._roster.seats.values():
+            if seat.vm.id not in self._gone_at or self._roster.is_departing(seat.id):
+                continue
+            spread_s = DEPART_SPREAD_S * len(self._roster.seats)
+            at = self._depart_at.get(seat.vm.id)
+            if at is None:
+                at = now + DEPART_DELAY_S + self._rng.uniform(0, spread_s)
+            found[seat.vm.id] = at
+            if now >= at and not self._is_spoken_for(now, seat):
+                changes.append(Depart(seat.id, seat.vm.id))
+        self._depart_at = found
+        return changes
+
+    def _is_spoken_for(self, now: float, seat: Seat) -> bool:
+        if seat.id in self._held.seats:
+            return True
+        voice = self._answers.by_seat.get(seat.id)
+        return voice is not None and now - voice.sent_at <= SPOKEN_LATELY_S
