--- a/packages/peer/src/wagtailpaddle_peer/__init__.py
+++ b/packages/peer/src/wagtailpaddle_peer/__init__.py
@@ -2,17 +2,27 @@
 
 from wagtailpaddle_peer.codec import MessageError
 from wagtailpaddle_peer.messages import Acknowledged, Failed
-from wagtailpaddle_peer.records import RecordError, decode_record, encode_record
+from wagtailpaddle_peer.records import (
+    LogRecord,
+    RecordError,
+    decode_log_record,
+    decode_record,
+    encode_log_record,
+    encode_record,
+)
 from wagtailpaddle_peer.service import PeerClient, PeerError, PeerServer
 
 __all__ = [
     "Acknowledged",
     "Failed",
+    "LogRecord",
     "MessageError",
     "PeerClient",
     "PeerError",
     "PeerServer",
     "RecordError",
+    "decode_log_record",
     "decode_record",
+    "encode_log_record",
     "encode_record",
 ]
