Declare each setting in one line and write its page from it

Cause: a new setting needed a field, an option and a line of docs; '²' as a count raised out of the reader; the fleet secret could be printed. Change: fields of Settings carry reader, default and help; docs/settings.md is written from them and a test compares; own addresses are IPv4 numbers and used once.

--- a/packages/daemon/src/wagtailpaddle_daemon/metrics.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/metrics.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass
 from typing import Generic, NamedTuple, TypeVar
 
-from wagtailpaddle_core import AccountId, ErrorKind, RouteId, ServerId, ServiceId
+from wagtailpaddle_core import (
+    AccountId,
+    ErrorKind,
+    Registry,
+    RouteId,
+    ServerId,
+    ServiceId,
+)
 from wagtailpaddle_routing import AttemptOutcome
 
 from wagtailpaddle_daemon.histogram import Histogram, Summary
@@ -60,7 +67,7 @@
     """Series by name; the least recently used is folded into ``(other)``."""
 
     def __init__(self, make: Callable[[], S], *, max_series: int):
-        self._make = make
+        self._make: Callable[[], S] = make
         self._max_series = max_series
         self._series: OrderedDict[str, S] = OrderedDict()
         self._other: S | None = None
@@ -112,16 +119,6 @@
     outcomes: dict[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class MetricsView:
-    """Everything that a daemon counted since its start."""
-
-    accounts: tuple[SeriesView, ...]
-    routes: tuple[SeriesView, ...]
-    servers: tuple[ServerView, ...]
-    refusals: dict[str, int]
-
-
 class _Request(NamedTuple):
     account: str
     route: str
@@ -214,18 +211,12 @@
                 case _Attempt():
                     self._count_attempt(sample)
 
-    def view(self) -> MetricsView:
-        """Return everything that was counted, as frozen objects."""
-        self.flush()
-        return MetricsView(
-            tuple(_view(name, series) for name, series in self.accounts.items()),
-            tuple(_view(name, series) for name, series in self.routes.items()),
-            tuple(
-                ServerView(name, series.latency.summary(), dict(series.outcomes))
-                for name, series in self.servers.items()
-            ),
-            dict(self.refusals),
-        )
+    def views(self, kind: str) -> Iterator["SeriesView | ServerView"]:
+        """Yield the series of ``accounts``, ``routes`` or ``servers``, frozen.
+
+        Raises ``KeyError`` for another kind.
+        """
+        return VIEWS[kind](self)
 
     def _take(self, sample: _Request | _Wait | _Attempt) -> None:
         self._pending.append(sample)
@@ -251,11 +242,34 @@
         series.outcomes[sample.outcome.value] += 1
 
 
-def _view(name: str, series: Series) -> SeriesView:
-    return SeriesView(
-        name,
-        series.latency.summary(),
-        series.queue_wait.summary(),
-        series.attempts.summary(),
-        dict(series.outcomes),
-    )
+View = Callable[[Metrics], Iterator[SeriesView | ServerView]]
+VIEWS: Registry[View] = Registry("kind of series")
+
+
+@VIEWS.register("accounts")
+def _view_accounts(metrics: Metrics) -> Iterator[SeriesView]:
+    return _view(metrics, metrics.accounts)
+
+
+@VIEWS.register("routes")
+def _view_routes(metrics: Metrics) -> Iterator[SeriesView]:
+    return _view(metrics, metrics.routes)
+
+
+@VIEWS.register("servers")
+def _view_servers(metrics: Metrics) -> Iterator[ServerView]:
+    metrics.flush()
+    for name, series in metrics.servers.items():
+        yield ServerView(name, series.latency.summary(), dict(series.outcomes))
+
+
+def _view(metrics: Metrics, table: SeriesTable[Series]) -> Iterator[SeriesView]:
+    metrics.flush()
+    for name, series in table.items():
+        yield SeriesView(
+            name,
+            series.latency.summary(),
+            series.queue_wait.summary(),
+            series.attempts.summary(),
+            dict(series.outcomes),
+        )
--- a/packages/daemon/src/wagtailpaddle_daemon/settings.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/settings.py
@@ -2,47 +2,38 @@
 
 import argparse
 import os
-import re
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field, fields
 from typing import Any
 
-ENVIRONMENT_PREFIX = "WAGTAILPADDLE_"
-
-
-class SettingError(ValueError):
-    """A setting with a value that is not allowed."""
-
+from wagtailpaddle_daemon.settings_values import (
+    SettingError,
+    one_of,
+    read_address,
+    read_any_text,
+    read_count,
+    read_operators,
+    read_seconds,
+    read_text,
+    read_url,
+)
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Settings:
-    """Everything that a daemon is told at its start."""
-
-    site: str
-    zone: str
-    caller_address: str
-    peer_address: str
-    admin_address: str
-    log_url: str
-    vm_list_url: str
-    log_adapter: str
-    operators: Mapping[str, str]
-    fleet_secret: str
-    n_vms: int
-    max_body_bytes: int
-    drain_s: float
-    log_format: str
-    log_level: str
+ENVIRONMENT_PREFIX = "WAGTAILPADDLE_"
+USAGE_STATUS = 2
 
 
 @dataclass(frozen=True, slots=True)
 class Option:
-    """One setting: its name, reader, default (None if required) and help."""
+    """One setting: its name, reader, default (None if required) and help.
+
+    The value of a ``secret`` one is never shown.
+    """
 
     name: str
     read: Callable[[str], Any]
     default: str | None
     help: str
+    secret: bool = False
 
     @property
     def flag(self) -> str:
@@ -54,103 +45,79 @@
         """The environment variable."""
         return ENVIRONMENT_PREFIX + self.name.upper()
 
-
-def _text(value: str) -> str:
-    if not value:
-        raise SettingError("a non-empty text")
-    return value
-
-
-def _any_text(value: str) -> str:
-    return value
-
-
-def _address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise SettingError("host:port with a port from 1 to 65535")
-    return value
-
-
-def _url(value: str) -> str:
-    if not re.fullmatch(r"https?://[^/\s]+(/\S*)?", value):
-        raise SettingError("an http or https URL")
-    return value.rstrip("/")
+    @property
+    def shown_default(self) -> str:
+        """The default as the help states it."""
+        if self.default is None:
+            return "required"
+        return self.default or "empty"
+
+
+def option(
+    read: Callable[[str], Any], default: str | None, help: str, *, secret: bool = False
+) -> Any:
+    """Declare a field of ``Settings`` that a flag and a variable set."""
+    return field(
+        metadata={"read": read, "default": default, "help": help, "secret": secret}
+    )
 
 
-def _count(value: str) -> int:
-    if not value.isdigit() or int(value) < 1:
-        raise SettingError("a whole number from 1")
-    return int(value)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """Everything that a daemon is told at its start; one line for each option."""
+
+    site: str = option(read_text, "default", "site whose overlay is in force")
+    zone: str = option(read_text, None, "availability zone of this VM")
+    caller_address: str = option(read_address, None, "IPv4:port for callers")
+    peer_address: str = option(read_address, None, "IPv4:port for other daemons")
+    admin_address: str = option(
+        read_address, None, "IPv4:port of the administration API"
+    )
+    log_url: str = option(read_url, None, "base URL of the log service")
+    vm_list_url: str = option(read_url, None, "URL of the platform's list of VMs")
+    log_adapter: str = option(one_of("http"), "http", "protocol of the log service")
+    operators: Mapping[str, str] = option(
+        read_operators,
+        "",
+        "operators as name=SHA-256 of the token in hex, by commas",
+        secret=True,
+    )
+    fleet_secret: str = option(
+        read_any_text, "", "secret that daemons show to each other", secret=True
+    )
+    n_vms: int = option(read_count, "1", "number of VMs among which rates are shared")
+    max_body_bytes: int = option(
+        read_count, "1048576", "largest body of a caller's request, in bytes"
+    )
+    admin_max_body_bytes: int = option(
+        read_count, "8388608", "largest body of an operator's request, in bytes"
+    )
+    drain_s: float = option(read_seconds, "30", "longest graceful stop, in seconds")
+    log_format: str = option(one_of("console", "json"), "console", "form of log lines")
+    log_level: str = option(
+        one_of("debug", "info", "warning", "error"), "info", "least level that is shown"
+    )
 
 
-def _seconds(value: str) -> float:
-    try:
-        number = float(value)
-    except ValueError:
-        number = -1.0
-    if not 0 < number < 86400:
-        raise SettingError("seconds above 0 and below 86400")
-    return number
-
-
-def _one_of(*names: str) -> Callable[[str], str]:
-    def read(value: str) -> str:
-        if value not in names:
-            raise SettingError("one of " + ", ".join(names))
-        return value
-
-    return read
-
-
-def _operators(value: str) -> dict[str, str]:
-    operators = {}
-    for entry in filter(None, value.split(",")):
-        name, _, digest = entry.partition("=")
-        if not name or not re.fullmatch(r"[0-9a-f]{64}", digest):
-            raise SettingError("name=SHA-256 of the operator's token, by commas")
-        operators[name] = digest
-    return operators
-
-
-OPTIONS = (
-    Option("site", _text, "default", "site whose overlay is in force"),
-    Option("zone", _text, None, "availability zone of this VM"),
-    Option("caller_address", _address, None, "host:port that callers connect to"),
-    Option("peer_address", _address, None, "host:port that other daemons connect to"),
-    Option("admin_address", _address, None, "host:port of the administration API"),
-    Option("log_url", _url, None, "base URL of the log service"),
-    Option("vm_list_url", _url, None, "URL of the platform's list of VMs"),
-    Option("log_adapter", _one_of("http"), "http", "protocol of the log service"),
-    Option("operators", _operators, "", "operators as name=SHA-256 of the token, ..."),
-    Option("fleet_secret", _any_text, "", "secret that daemons show to each other"),
-    Option("n_vms", _count, "1", "number of VMs among which rates are shared"),
-    Option("max_body_bytes", _count, "1048576", "largest request body, in bytes"),
-    Option("drain_s", _seconds, "30", "longest graceful stop, in seconds"),
-    Option("log_format", _one_of("console", "json"), "console", "console or json"),
-    Option(
-        "log_level",
-        _one_of("debug", "info", "warning", "error"),
-        "info",
-        "debug, info, warning or error",
-    ),
-)
+OPTIONS = tuple(Option(item.name, **item.metadata) for item in fields(Settings))
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the daemon's command line."""
     parser = argparse.ArgumentParser(
-        prog="wagtailpaddled", description="The wagtailpaddle proxy daemon."
+        prog="wagtailpaddled",
+        description="The wagtailpaddle proxy daemon.",
+        epilog="A flag goes before its environment variable. Put secrets into "
+        "variables: flags show in the list of processes.",
+        allow_abbrev=False,
     )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
-    for option in OPTIONS:
-        default = "required" if option.default is None else option.default or "empty"
+    for item in OPTIONS:
+        help_text = f"{item.help} [{item.variable}; default: {item.shown_default}]"
         parser.add_argument(
-            option.flag,
-            metavar="VALUE",
-            help=f"{option.help} [{option.variable}; default: {default}]",
+            item.flag, metavar="VALUE", help=help_text.replace("%", "%%")
         )
     return parser
 
@@ -165,31 +132,53 @@
     """
     values: dict[str, Any] = {}
     faults = []
-    for option in OPTIONS:
-        raw = getattr(args, option.name)
+    for item in OPTIONS:
+        raw = getattr(args, item.name)
         if raw is None:
-            raw = environment.get(option.variable, option.default)
+            raw = environment.get(item.variable, item.default)
         if raw is None:
-            faults.append(f"{option.flag} ({option.variable}) is required")
+            faults.append(f"{item.flag} ({item.variable}) is required")
             continue
         try:
-            values[option.name] = option.read(raw)
+            values[item.name] = item.read(raw)
         except SettingError as exc:
-            shown = "(hidden)" if option.name == "operators" else repr(raw)
-            faults.append(f"{option.flag} is {shown}; allowed: {exc}")
+            shown = "(hidden)" if item.secret else repr(raw)
+            faults.append(f"{item.flag} ({item.variable}) is {shown}; allowed: {exc}")
+    faults.extend(_shared_addresses(values))
     if faults:
         raise SettingError("\n".join(faults))
     return Settings(**values)
 
 
+def _shared_addresses(values: Mapping[str, Any]) -> list[str]:
+    faults = []
+    first: dict[str, str] = {}
+    for name in ("caller_address", "peer_address", "admin_address"):
+        address = values.get(name)
+        if address is None:
+            continue
+        if address in first:
+            flag = "--" + name.replace("_", "-")
+            faults.append(
+                f"{flag} is {address!r}; allowed: an address that "
+                f"{first[address]} does not use"
+            )
+        first.setdefault(address, "--" + name.replace("_", "-"))
+    return faults
+
+
 def parse(argv: Sequence[str] | None = None) -> tuple[Settings, bool]:
-    """Return the settings and whether only a check was asked for."""
+    """Return the settings and whether only a check was asked for.
+
+    Wrong settings end the program with status 2.
+    """
     parser = build_parser()
     args = parser.parse_args(argv)
     try:
         settings = read_settings(args)
     except SettingError as exc:
+        lines = str(exc).split("\n")
         parser.exit(
-            2, "".join(f"wagtailpaddled: {line}\n" for line in str(exc).split("\n"))
+            USAGE_STATUS, "".join(f"wagtailpaddled: {line}\n" for line in lines)
         )
     return settings, args.check
--- a/packages/daemon/tests/test_metrics.py
+++ b/packages/daemon/tests/test_metrics.py
@@ -2,7 +2,7 @@
 from wagtailpaddle_core import ErrorKind
 from wagtailpaddle_daemon.histogram import Histogram
 from wagtailpaddle_daemon.metrics import MAX_PENDING, OTHER, Metrics
-from wagtailpaddle_daemon.metrics_page import render_page
+from wagtailpaddle_daemon.metrics_page import PIECE_SERIES, render_pieces
 from wagtailpaddle_routing import AttemptOutcome
 
 
@@ -33,33 +33,41 @@
 def test_least_recently_used_account_is_folded(metrics):
     for account in ("a", "b", "a", "c"):
         metrics.request_done(0.0, account, "r", 0.01, None)
-    view = metrics.view()
-    assert [series.name for series in view.accounts] == ["a", "c", OTHER]
-    assert sum(series.latency.n for series in view.accounts) == 4
+    views = [*metrics.views("accounts")]
+    assert [view.name for view in views] == ["a", "c", OTHER]
+    assert sum(view.latency.n for view in views) == 4
 
 
 def test_refusals_are_counted_by_kind_and_leave_latency_alone(metrics):
     metrics.request_done(0.0, "a", "r", 0.001, ErrorKind.RATE_EXCEEDED)
     metrics.request_done(0.0, None, None, 0.001, ErrorKind.KEY_UNKNOWN)
-    view = metrics.view()
-    assert view.refusals == {"rate-exceeded": 1, "key-unknown": 1}
-    assert all(series.latency.n == 0 for series in view.accounts)
+    assert all(view.latency.n == 0 for view in metrics.views("accounts"))
+    assert metrics.refusals == {"rate-exceeded": 1, "key-unknown": 1}
 
 
 def test_waiting_samples_are_bounded(metrics):
     for _ in range(3 * MAX_PENDING):
         metrics.queue_wait(0.0, "a", "r", 0.002)
         assert len(metrics._pending) < MAX_PENDING
-    assert metrics.view().accounts[0].queue_wait.n == 3 * MAX_PENDING
+    assert next(metrics.views("accounts")).queue_wait.n == 3 * MAX_PENDING
 
 
 def test_page_shows_buckets_and_counters(metrics):
     metrics.request_done(0.0, "a", "r", 0.02, None, n_attempts=2)
     metrics.attempt_done(0.0, "booking", "s1", 0.02, AttemptOutcome.TIMED_OUT)
-    page = render_page(metrics, revision=7, n_in_flight=0).decode()
+    page = b"".join(render_pieces(metrics, revision=7, n_in_flight=0)).decode()
     assert 'wagtailpaddle_account_latency_seconds_count{account="a"} 1.0' in page
     assert 'wagtailpaddle_account_attempts_bucket{account="a",le="1.0"} 0.0' in page
     assert 'wagtailpaddle_account_attempts_bucket{account="a",le="2.0"} 1.0' in page
     line = 'wagtailpaddle_server_outcomes_total{outcome="timed-out",'
     assert line + 'server="booking/s1"} 1.0' in page
     assert "wagtailpaddle_revision 7.0" in page
+
+
+def test_page_in_pieces_states_each_family_once():
+    metrics = Metrics()
+    for index in range(3 * PIECE_SERIES):
+        metrics.request_done(0.0, f"a{index:02}", "r", 0.02, None)
+    page = b"".join(render_pieces(metrics, revision=0, n_in_flight=0)).decode()
+    assert page.count("# TYPE wagtailpaddle_account_latency_seconds ") == 1
+    assert page.count("wagtailpaddle_account_latency_seconds_count{") == 24
