--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/context.py
@@ -0,0 +1,96 @@
+"""What the handlers of commands share."""
+
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import dataclass
+from heapq import nsmallest
+from typing import Any
+
+import msgspec
+from wagtailpaddle_config import Change, object_of
+from wagtailpaddle_core import ErrorKind, Offset, Registry
+
+from wagtailpaddle_daemon.admin.bodies import read_page
+from wagtailpaddle_daemon.admin.commit import Committer
+from wagtailpaddle_daemon.admin.errors import AdminError
+from wagtailpaddle_daemon.admin.ports import (
+    Acceptance,
+    AdminPort,
+    Command,
+    FleetView,
+    Reply,
+)
+from wagtailpaddle_daemon.metrics import Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """The daemon as handlers see it.
+
+    ``now`` tells monotonic seconds; awaiting ``breathe`` between two parts of
+    a long answer lets requests go on.
+    """
+
+    port: AdminPort
+    committer: Committer
+    acceptance: Acceptance
+    fleet: FleetView
+    metrics: Metrics
+    now: Callable[[], float]
+    breathe: Callable[[], Awaitable[None]]
+
+    def revision_of(self, name: str) -> Offset:
+        """Return the revision of an object, -1 if it never changed."""
+        return self.port.node.fold.revision_of(name)
+
+    async def change(
+        self,
+        command: Command,
+        change: Change,
+        *,
+        exists: bool = True,
+        status: int = 200,
+        **facts: Any,
+    ) -> Reply:
+        """Carry out a change and return the answer to it.
+
+        ``exists`` tells whether the object is there, for commands that ask
+        for a new one.
+        """
+        name = object_of(change)
+        expected = command.expected
+        if command.must_be_new:
+            expected = self.revision_of(name)
+            is_repeat = command.record_id and self.port.node.fold.result_of(
+                command.record_id
+            )
+            if exists and not is_repeat:
+                detail = f"{name} exists already"
+                raise AdminError(ErrorKind.CONFLICT, detail, current=expected)
+        done = await self.committer.commit(command, change, expected=expected)
+        value = {
+            "record": done.record_id,
+            "revision": done.offset,
+            **msgspec.to_builtins(self.acceptance(done.offset)),
+            **facts,
+        }
+        return Reply(value, status, revision=done.offset)
+
+
+Handler = Callable[..., Awaitable[Reply]]
+HANDLERS: Registry[Handler] = Registry("command")
+"""By method and path, as in ``GET /v1/accounts/<name>``."""
+
+
+def one_page(
+    command: Command, names: Iterable[str], show: Callable[[str], Any], label: str
+) -> Reply:
+    """Return one page of a list in order of name."""
+    after, limit = read_page(command)
+    found = nsmallest(limit + 1, (name for name in names if name > after))
+    more = found[limit - 1] if len(found) > limit else None
+    return Reply({label: [show(name) for name in found[:limit]], "next": more})
+
+
+def find(objects: Mapping[Any, Any], name: str) -> Any:
+    """Return the object called ``name``, None if there is none."""
+    return objects.get(name)
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/errors.py
@@ -0,0 +1,71 @@
+"""Refusals of operators' commands and their problem documents."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from wagtailpaddle_config import Problem, Void, VoidCode
+from wagtailpaddle_core import ErrorKind, WagtailError
+
+PROBLEM_TYPE = "urn:wagtailpaddle:error:"
+MAX_SHOWN_CHARS = 200
+
+KIND_OF_VOID: dict[VoidCode, ErrorKind] = {
+    VoidCode.CONFLICT: ErrorKind.CONFLICT,
+    VoidCode.DUPLICATE: ErrorKind.CONFLICT,
+    VoidCode.EXPIRED: ErrorKind.LOG_UNAVAILABLE,
+    VoidCode.INVALID: ErrorKind.BAD_REQUEST,
+    VoidCode.MISSING: ErrorKind.NOT_FOUND,
+}
+
+
+class AdminError(WagtailError):
+    """A refused command; ``facts`` are further members of its document."""
+
+    def __init__(self, kind: ErrorKind, detail: str, **facts: Any):
+        super().__init__(kind, detail)
+        self.facts: Mapping[str, Any] = facts
+
+
+def bad_request(detail: str, **facts: Any) -> AdminError:
+    """Return the error of a malformed command."""
+    return AdminError(ErrorKind.BAD_REQUEST, detail, **facts)
+
+
+def not_found(what: str, name: str) -> AdminError:
+    """Return the error of a command on an object that does not exist."""
+    return AdminError(ErrorKind.NOT_FOUND, f"{what} {name!r} does not exist")
+
+
+def invalid(problems: tuple[Problem, ...]) -> AdminError:
+    """Return the error of a document with faults."""
+    detail = "; ".join(str(problem) for problem in problems)
+    return bad_request(detail, problems=[_shown(item) for item in problems])
+
+
+def of_void(void: Void) -> AdminError:
+    """Return the error of a change that took no effect."""
+    facts: dict[str, Any] = {"record": void.record_id}
+    if void.problems:
+        facts["problems"] = [_shown(problem) for problem in void.problems]
+    if void.current is not None:
+        facts["current"] = void.current
+        facts["changed_by"] = void.winner
+    return AdminError(KIND_OF_VOID[void.code], void.reason, **facts)
+
+
+def problem_document(exc: WagtailError) -> dict[str, Any]:
+    """Return the problem document (RFC 9457) of an error."""
+    facts = exc.facts if isinstance(exc, AdminError) else {}
+    return {
+        "type": PROBLEM_TYPE + exc.kind.value,
+        "title": exc.answer.title,
+        "status": exc.answer.status,
+        "detail": exc.detail,
+        "outcome": exc.answer.outcome.value,
+        **facts,
+    }
+
+
+def _shown(problem: Problem) -> dict[str, str]:
+    value = repr(problem.value)[:MAX_SHOWN_CHARS]
+    return {"path": problem.path, "value": value, "rule": problem.rule}
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/keys.py
@@ -0,0 +1,76 @@
+"""Commands on keys."""
+
+from typing import Any
+
+from wagtailpaddle_config import IssueKey, Key, WithdrawKey, issue_key
+from wagtailpaddle_core import AccountId, KeyId
+
+from wagtailpaddle_daemon.admin.bodies import read_secret_hash
+from wagtailpaddle_daemon.admin.context import HANDLERS, Context, find, one_page
+from wagtailpaddle_daemon.admin.errors import bad_request, not_found
+from wagtailpaddle_daemon.admin.ports import Command, Reply
+
+CREATED = 201
+KEY_ID_DIGITS = 16
+
+
+@HANDLERS.register("GET /v1/accounts/<name>/keys")
+async def list_keys(context: Context, command: Command, name: str) -> Reply:
+    """List the keys of a client account; secrets are not kept."""
+    cfg = context.port.node.configuration
+    if name not in cfg.accounts:
+        raise not_found("client account", name)
+    names = [key.id for key in cfg.keys.values() if key.account == name]
+
+    def show(key: str) -> Any:
+        return _shown(context, find(cfg.keys, key))
+
+    return one_page(command, names, show, "keys")
+
+
+@HANDLERS.register("POST /v1/accounts/<name>/keys")
+async def issue(context: Context, command: Command, name: str) -> Reply:
+    """Issue a key; a secret made here is in this answer only.
+
+    An operator who sends the hash of a secret keeps the secret to itself and
+    loses nothing if the answer is lost.
+    """
+    digest = read_secret_hash(command)
+    if digest is None:
+        if command.record_id:
+            raise bad_request(
+                "a repeatable command needs secret_hash, as the secret is shown once"
+            )
+        key = issue_key()
+        change = IssueKey(key.id, AccountId(name), key.secret_hash)
+        return await context.change(
+            command, change, status=CREATED, key=key.id, secret=key.secret
+        )
+    key_id = KeyId("k" + digest[:KEY_ID_DIGITS])
+    change = IssueKey(key_id, AccountId(name), digest)
+    return await context.change(command, change, status=CREATED, key=key_id)
+
+
+@HANDLERS.register("GET /v1/keys/<name>")
+async def show_key(context: Context, command: Command, name: str) -> Reply:
+    """Show one key without its secret."""
+    key = find(context.port.node.configuration.keys, name)
+    if key is None:
+        raise not_found("key", name)
+    value = _shown(context, key)
+    return Reply(value, revision=value["revision"])
+
+
+@HANDLERS.register("DELETE /v1/keys/<name>")
+async def withdraw(context: Context, command: Command, name: str) -> Reply:
+    """Withdraw a key for ever."""
+    return await context.change(command, WithdrawKey(KeyId(name)))
+
+
+def _shown(context: Context, key: Key) -> dict[str, Any]:
+    return {
+        "id": key.id,
+        "account": key.account,
+        "withdrawn": key.withdrawn,
+        "revision": context.revision_of(f"key/{key.id}"),
+    }
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
@@ -0,0 +1,131 @@
+"""Commands that show how the fleet, the services and the accounts fare."""
+
+from typing import Any
+
+import msgspec
+from wagtailpaddle_config import Applied, Service, Void
+from wagtailpaddle_core import ErrorKind
+
+from wagtailpaddle_daemon.admin.context import HANDLERS, Context, find, one_page
+from wagtailpaddle_daemon.admin.errors import AdminError, not_found, of_void
+from wagtailpaddle_daemon.admin.ports import Command, Reply
+from wagtailpaddle_daemon.metrics import VIEWS
+from wagtailpaddle_daemon.metrics_page import CONTENT_TYPE, render_pieces
+
+
+@HANDLERS.register("GET /v1/status")
+async def show_status(context: Context, command: Command) -> Reply:
+    """Show the state of this daemon."""
+    port = context.port
+    node = port.node
+    cfg = node.configuration
+    value = {
+        "vm": port.vm,
+        "site": port.cfg.site,
+        "zone": port.cfg.zone,
+        "revision": cfg.revision,
+        "fresh": node.freshness.is_fresh(context.now()),
+        "draining": node.draining,
+        "in_flight": port.gateway.n_in_flight,
+        "n_accounts": len(cfg.accounts),
+        "n_routes": len(cfg.routes),
+        "n_services": len(cfg.services),
+        "n_keys": len(cfg.keys),
+    }
+    return Reply(value)
+
+
+@HANDLERS.register("GET /v1/fleet")
+async def show_fleet(context: Context, command: Command) -> Reply:
+    """Show the VMs that this daemon knows."""
+    return Reply({"vms": msgspec.to_builtins(context.fleet())})
+
+
+@HANDLERS.register("GET /v1/services")
+async def list_services(context: Context, command: Command) -> Reply:
+    """List services with the standing of their servers on this VM."""
+    services = context.port.node.configuration.services
+
+    def show(name: str) -> Any:
+        return _shown(context, find(services, name))
+
+    return one_page(command, services, show, "services")
+
+
+@HANDLERS.register("GET /v1/services/<name>")
+async def show_service(context: Context, command: Command, name: str) -> Reply:
+    """Show one service with the standing of its servers on this VM."""
+    service = find(context.port.node.configuration.services, name)
+    if service is None:
+        raise not_found("service", name)
+    return Reply(_shown(context, service))
+
+
+@HANDLERS.register("GET /v1/records/<record_id>")
+async def show_record(context: Context, command: Command, record_id: str) -> Reply:
+    """Show what became of a change, by the id of its record.
+
+    A change that was refused is answered as it was refused then. One that
+    does not stand in all that the log held when it was asked is ``not-found``;
+    a copy that is still on its way may land later.
+    """
+    head = await context.port.catch_up()
+    result = context.port.node.fold.result_of(record_id)
+    match result:
+        case Applied():
+            state = msgspec.to_builtins(context.acceptance(result.offset))
+            value = {"record": record_id, "revision": result.offset, **state}
+            return Reply(value, revision=result.offset)
+        case Void():
+            raise of_void(result)
+        case _ if head is None:
+            detail = f"record {record_id!r} is not known and the log does not answer"
+            raise AdminError(ErrorKind.LOG_UNAVAILABLE, detail)
+        case _:
+            raise not_found("record", record_id)
+
+
+@HANDLERS.register("GET /v1/metrics/<kind>")
+async def show_metrics(context: Context, command: Command, kind: str) -> Reply:
+    """Show histograms of ``accounts``, ``routes`` or ``servers`` of this VM."""
+    if kind not in VIEWS:
+        raise not_found("kind of metrics", kind)
+    shown = []
+    for view in context.metrics.views(kind):
+        shown.append(msgspec.to_builtins(view))
+        await context.breathe()
+    refusals = dict(context.metrics.refusals)
+    return Reply({kind: shown, "refusals": refusals})
+
+
+@HANDLERS.register("GET /metrics")
+async def show_page(context: Context, command: Command) -> Reply:
+    """Show the Prometheus page of this VM."""
+    node = context.port.node
+    pieces = render_pieces(
+        context.metrics,
+        revision=node.configuration.revision,
+        n_in_flight=context.port.gateway.n_in_flight,
+    )
+    page = []
+    for piece in pieces:
+        page.append(piece)
+        await context.breathe()
+    return Reply(b"".join(page), content_type=CONTENT_TYPE)
+
+
+def _shown(context: Context, service: Service) -> dict[str, Any]:
+    health = context.port.node.health
+    try:
+        standing = {item.id: item for item in health.standing(context.now(), service.id)}
+    except KeyError:
+        standing = {}
+    servers = []
+    for server in service.servers:
+        table = msgspec.to_builtins(server)
+        known = standing.get(server.id)
+        table["state"] = known.state.value if known else "unknown"
+        table["weight"] = known.weight if known else None
+        table["reason"] = known.reason if known else ""
+        servers.append(table)
+    return {**msgspec.to_builtins(service), "servers": servers}
