Serve the administration API from small modules filled into a registry

Cause: one module held HTTP, decisions and answers; conflicts did not say what changed, a lost append was not looked up, bodies were unbounded and could go to a file on VMs without disks. Change: handlers take frozen commands and return frozen replies; revisions are entity tags; changes carry a record id (Idempotency-Key), are looked up before they are tried again and answer 'outcome-unknown' if that fails; bodies are bounded in memory; the state of a change and the fleet come through two small functions. Ruled out: appending again at once after a lost answer, which could apply a change twice beyond the window in which ids are remembered.

--- a/packages/daemon/src/wagtailpaddle_daemon/admin/accounts.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/accounts.py
@@ -3,7 +3,12 @@
 from typing import Any
 
 import msgspec
-from wagtailpaddle_config import CancelAccount, ClientAccount, PutAccount, RestoreAccount
+from wagtailpaddle_config import (
+    CancelAccount,
+    ClientAccount,
+    PutAccount,
+    RestoreAccount,
+)
 from wagtailpaddle_core import AccountId
 
 from wagtailpaddle_daemon.admin.bodies import read_table
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
@@ -117,7 +117,9 @@
 def _shown(context: Context, service: Service) -> dict[str, Any]:
     health = context.port.node.health
     try:
-        standing = {item.id: item for item in health.standing(context.now(), service.id)}
+        standing = {
+            item.id: item for item in health.standing(context.now(), service.id)
+        }
     except KeyError:
         standing = {}
     servers = []
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -7,8 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import LoopingCall
-from twisted.web.server import Site
-from wagtailpaddle_core import VmId
+from wagtailpaddle_core import Offset, VmId
 from wagtailpaddle_node import Node
 from wagtailpaddle_peer import (
     Acknowledged,
@@ -23,6 +22,7 @@
 from wagtailpaddle_daemon.gateway import Gateway
 from wagtailpaddle_daemon.logclient import LOG_ADAPTERS, LogError
 from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.metrics import Metrics
 from wagtailpaddle_daemon.settings import Settings
 from wagtailpaddle_daemon.upstream import Upstream
 
@@ -43,6 +43,7 @@
         self.node = Node(site=cfg.site, n_vms=cfg.n_vms)
         self.log_client = LOG_ADAPTERS[cfg.log_adapter](reactor, cfg.log_url)
         self.gateway = Gateway(reactor, self.node, Upstream(reactor))
+        self.metrics = Metrics()
         self._peers = PeerServer(self.vm, self._on_peer, secret=cfg.fleet_secret)
         self._peer_client = PeerClient(self.vm, secret=cfg.fleet_secret)
         self._ports: list[Any] = []
@@ -52,7 +53,8 @@
         """Listen and begin to follow the log."""
         front = FrontFactory(self.gateway, max_body_bytes=self.cfg.max_body_bytes)
         await self._listen(self.cfg.caller_address, front)
-        await self._listen(self.cfg.admin_address, Site(Admin(self).app.resource()))
+        admin = Admin(self, self._reactor, metrics=self.metrics)
+        await self._listen(self.cfg.admin_address, admin.site())
         host, port = split_address(self.cfg.peer_address)
         await as_deferred(self._peers.start(host, port))
         self._loop(TICK_S, self._tick)
@@ -89,12 +91,16 @@
 
     def _tick(self) -> None:
         self.gateway.carry_out(self.node.on_tick(self._reactor.seconds()))
+        self.metrics.flush()
 
-    def _poll_log(self) -> Deferred[None]:
+    def _poll_log(self) -> Deferred[Offset | None]:
         return Deferred.fromCoroutine(self.catch_up())
 
-    async def catch_up(self) -> None:
-        """Fold what the log has beyond this VM's revision."""
+    async def catch_up(self) -> Offset | None:
+        """Fold what the log has beyond this VM's revision.
+
+        Returns the head of the log, None if the log did not answer.
+        """
         sent_at = self._reactor.seconds()
         try:
             read = await self.log_client.read("config", self.node.fold.next_offset)
@@ -103,9 +109,10 @@
             )
         except (LogError, RecordError) as exc:
             log.warning("Log read failed.", error=str(exc))
-            return
+            return None
         now = self._reactor.seconds()
         self.gateway.carry_out(self.node.on_log(now, sent_at, records, read.head))
+        return read.head
 
     def _on_peer(self, sender: VmId, body: Any) -> Any:
         return Acknowledged()
--- /dev/null
+++ b/packages/daemon/tests/conftest.py
@@ -0,0 +1,199 @@
+import json
+from dataclasses import dataclass, field
+from http.client import HTTPResponse
+from io import BytesIO
+from typing import Any
+
+import pytest
+from twisted.internet.defer import fail, succeed
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from wagtailpaddle_config import hash_secret
+from wagtailpaddle_daemon.admin import Admin
+from wagtailpaddle_daemon.logclient import LogError, LogRead
+from wagtailpaddle_daemon.metrics import Metrics
+from wagtailpaddle_daemon.settings import build_parser, read_settings
+from wagtailpaddle_node import Node
+from wagtailpaddle_peer import decode_record
+
+TOKEN = "operator-token"
+BASE = {
+    "accounts": {"dumont": {"rate": 50.0, "burst": 100.0}},
+    "services": {
+        "booking": {
+            "servers": {"b1": {"address": "127.0.0.1", "port": 9001, "zone": "a"}}
+        }
+    },
+    "routes": {"catalogue": {"path": "/catalogue", "service": "booking"}},
+}
+
+
+class ReadyClock(Clock):
+    """A clock whose calls come due at once."""
+
+    def callLater(self, when, function, *args, **kwargs):  # noqa: N802
+        call = super().callLater(when, function, *args, **kwargs)
+        self.advance(when)
+        return call
+
+
+@dataclass
+class MemoryLog:
+    """A log in memory whose answers can be lost.
+
+    ``lost`` appends take effect and bring no answer, ``dropped`` ones do
+    nothing, ``refused`` ones find nobody there. ``is_down`` fails reads.
+    """
+
+    records: list[bytes] = field(default_factory=list)
+    lost: int = 0
+    dropped: int = 0
+    refused: int = 0
+    is_down: bool = False
+    n_appends: int = 0
+
+    def read(self, stream, start):
+        if self.is_down:
+            return fail(LogError("the log is down"))
+        found = tuple(enumerate(self.records))[start:]
+        return succeed(LogRead(0, len(self.records), found))
+
+    def append(self, stream, data):
+        self.n_appends += 1
+        if self.refused:
+            self.refused -= 1
+            exc = LogError("refused")
+            exc.__cause__ = ConnectionRefusedError()
+            return fail(exc)
+        if self.dropped:
+            self.dropped -= 1
+            return fail(LogError("no answer"))
+        self.records.append(data)
+        if self.lost:
+            self.lost -= 1
+            return fail(LogError("no answer"))
+        return succeed(len(self.records) - 1)
+
+
+@dataclass
+class Port:
+    """The parts of a daemon that the administration API needs."""
+
+    cfg: Any
+    node: Node
+    log_client: MemoryLog
+    vm: str = "vm-1"
+
+    @property
+    def gateway(self):
+        return self
+
+    @property
+    def n_in_flight(self):
+        return 0
+
+    async def catch_up(self):
+        try:
+            start = self.node.fold.next_offset
+            read = await self.log_client.read("config", start)
+        except LogError:
+            return None
+        records = tuple((offset, decode_record(data)) for offset, data in read.records)
+        self.node.on_log(0.0, 0.0, records, read.head)
+        return read.head
+
+
+@dataclass(frozen=True)
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self):
+        return json.loads(self.body)
+
+
+class Received(BytesIO):
+    """Bytes that came over a connection, as http.client reads a socket."""
+
+    def makefile(self, _mode):
+        return self
+
+
+class Operator:
+    """Sends commands in memory and returns whole answers."""
+
+    def __init__(self, site, token=TOKEN):
+        self._site = site
+        self._token = token
+
+    def send(self, method, path, body=b"", **headers):
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        lines = [f"{method} {path} HTTP/1.1", "Host: 127.0.0.1", "Connection: close"]
+        if self._token:
+            lines.append(f"Authorization: Bearer {self._token}")
+        lines.append(f"Content-Length: {len(body)}")
+        for name, value in headers.items():
+            lines.append(f"{name.replace('_', '-')}: {value}")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        return self.send_raw(method, head + body)
+
+    def send_raw(self, method, data):
+        transport = StringTransport()
+        channel = self._site.buildProtocol(None)
+        channel.makeConnection(transport)
+        channel.dataReceived(data)
+        answer = HTTPResponse(Received(transport.value()), method=method)
+        answer.begin()
+        headers = {name.lower(): value for name, value in answer.getheaders()}
+        return Answer(answer.status, headers, answer.read())
+
+
+@pytest.fixture
+def log():
+    return MemoryLog()
+
+
+@pytest.fixture
+def metrics():
+    return Metrics(max_accounts=2)
+
+
+@pytest.fixture
+def port(log):
+    flags = [
+        "--site=namur",
+        "--zone=a",
+        "--caller-address=127.0.0.1:8080",
+        "--peer-address=127.0.0.1:8081",
+        "--admin-address=127.0.0.1:8082",
+        "--log-url=http://127.0.0.1:9000",
+        "--vm-list-url=http://127.0.0.1:9000/vms",
+        f"--operators=anna={hash_secret(TOKEN)}",
+        "--admin-max-body-bytes=5000",
+    ]
+    cfg = read_settings(build_parser().parse_args(flags), {})
+    return Port(cfg, Node(site="namur"), log)
+
+
+@pytest.fixture
+def admin(port, metrics):
+    return Admin(port, ReadyClock(), metrics=metrics)
+
+
+@pytest.fixture
+def operator(admin):
+    return Operator(admin.site(reactor=Clock()))
+
+
+@pytest.fixture
+def stranger(admin):
+    return Operator(admin.site(reactor=Clock()), token="")
+
+
+@pytest.fixture
+def published(operator):
+    assert operator.send("PUT", "/v1/base", BASE).status == 200
+    return operator
