--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/accounts.py
@@ -0,0 +1,100 @@
+"""Commands on client accounts."""
+
+from argparse import Namespace
+from typing import Any
+
+from wagtailpaddle_cli.commands import EXPECTED, WAIT, arg, command
+from wagtailpaddle_cli.exits import CommandError, Exit
+from wagtailpaddle_cli.session import Session
+
+COLUMNS = ("id", "rate", "burst", "active", "revision")
+NAME = arg("name", help="name of the client account")
+RATE_HELP = "requests a second over the whole fleet"
+BURST_HELP = "requests at once over the whole fleet"
+
+
+@command("account list", "list client accounts")
+async def list_accounts(session: Session, args: Namespace) -> Exit:
+    """Print all client accounts."""
+    accounts = await session.ask_all("accounts")
+    session.show_table(accounts, COLUMNS, [_row(account) for account in accounts])
+    return Exit.OK
+
+
+@command("account show", "show a client account and its keys", NAME)
+async def show_account(session: Session, args: Namespace) -> Exit:
+    """Print one client account."""
+    account = await session.ask("accounts", args.name)
+    account["keys"] = await session.ask_all("accounts", args.name, "keys")
+    live = [key["id"] for key in account["keys"] if not key["withdrawn"]]
+    session.show_table(account, (*COLUMNS, "keys"), [(*_row(account), live)])
+    return Exit.OK
+
+
+@command(
+    "account create",
+    "create a client account",
+    NAME,
+    arg("--rate", type=float, required=True, help=RATE_HELP),
+    arg("--burst", type=float, required=True, help=BURST_HELP),
+    WAIT,
+)
+async def create_account(session: Session, args: Namespace) -> Exit:
+    """Create a client account that does not exist yet."""
+    fields = {"rate": args.rate, "burst": args.burst}
+    done = await session.change(
+        "PUT", ("accounts", args.name), fields, must_be_new=True, wait_s=args.wait
+    )
+    return session.finish(f"client account {args.name}", done, wait_s=args.wait)
+
+
+@command(
+    "account set",
+    "change rate or burst of a client account",
+    NAME,
+    arg("--rate", type=float, help=RATE_HELP),
+    arg("--burst", type=float, help=BURST_HELP),
+    EXPECTED,
+    WAIT,
+)
+async def set_account(session: Session, args: Namespace) -> Exit:
+    """Change the fields that are given."""
+    fields = {"rate": args.rate, "burst": args.burst}
+    fields = {name: value for name, value in fields.items() if value is not None}
+    if not fields:
+        raise CommandError(Exit.USAGE, "give --rate or --burst")
+    await session.ask("accounts", args.name)
+    return await _change(session, args, "PUT", (), fields)
+
+
+@command("account cancel", "cancel a client account, keeping it", NAME, EXPECTED, WAIT)
+async def cancel_account(session: Session, args: Namespace) -> Exit:
+    """Make a client account inactive."""
+    return await _change(session, args, "POST", ("cancel",))
+
+
+@command("account restore", "bring a cancelled account back", NAME, EXPECTED, WAIT)
+async def restore_account(session: Session, args: Namespace) -> Exit:
+    """Make a client account active again, as it was."""
+    return await _change(session, args, "POST", ("restore",))
+
+
+async def _change(
+    session: Session,
+    args: Namespace,
+    method: str,
+    names: tuple[str, ...],
+    fields: dict[str, Any] | None = None,
+) -> Exit:
+    done = await session.change(
+        method,
+        ("accounts", args.name, *names),
+        fields,
+        expected=args.expected,
+        wait_s=args.wait,
+    )
+    return session.finish(f"client account {args.name}", done, wait_s=args.wait)
+
+
+def _row(account: dict[str, Any]) -> tuple[Any, ...]:
+    return tuple(account[column] for column in COLUMNS)
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/client.py
@@ -0,0 +1,151 @@
+"""The client of the administration API, over treq."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import treq
+from twisted.internet import error
+from twisted.internet.task import deferLater
+from twisted.web.client import Agent, RequestNotSent
+
+from wagtailpaddle_cli.exits import CommandError, Exit, of_problem
+from wagtailpaddle_cli.session import Answer, path_of
+
+CONNECT_TIMEOUT_S = 2.0
+LOOKUP_ROUNDS = 4
+LOOKUP_DELAY_S = 0.5
+CLIENT_ERROR = 400
+NOT_FOUND = 404
+
+NOT_SENT_ERRORS = (error.ConnectError, error.TimeoutError, RequestNotSent)
+
+
+class NotSent(Exception):
+    """The daemon at an address could not be asked; nothing happened there."""
+
+
+class NoAnswer(Exception):
+    """The daemon was asked and brought no whole answer."""
+
+
+class HttpClient:
+    """Asks daemons in turn until one answers.
+
+    A change is sent to another daemon only if the one before surely did not
+    get it. If an answer is lost, the change is looked up by its record id; it
+    is sent again only when a daemon that read the log to its end does not
+    know the id, and then with the same id, so that it takes effect once.
+    """
+
+    def __init__(
+        self, reactor: Any, addresses: Sequence[str], token: str, *, timeout_s: float
+    ):
+        self._reactor = reactor
+        self._addresses = addresses
+        self._token = token
+        self._timeout_s = timeout_s
+        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+        self._http = treq.client.HTTPClient(agent)
+
+    async def ask(self, path: str) -> Answer:
+        """Read ``path`` from the first daemon that answers."""
+        faults = []
+        for address in self._addresses:
+            try:
+                return _checked(await self._send(address, "GET", path))
+            except (NotSent, NoAnswer) as exc:
+                faults.append(f"{address}: {exc}")
+        raise _unreachable(faults)
+
+    async def change(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        *,
+        record_id: str,
+        headers: dict[str, str],
+    ) -> Answer:
+        """Carry out a change once."""
+        named = {**headers, "Idempotency-Key": record_id}
+        faults = []
+        for address in self._addresses:
+            try:
+                answer = await self._send(address, method, path, body, named)
+                return _checked(answer)
+            except NotSent as exc:
+                faults.append(f"{address}: {exc}")
+            except NoAnswer:
+                return await self._settle(method, path, body, record_id, named)
+            except CommandError as exc:
+                if exc.status is not Exit.UNKNOWN:
+                    raise
+                return await self._settle(method, path, body, record_id, named)
+        raise _unreachable(faults)
+
+    async def _settle(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        record_id: str,
+        headers: dict[str, str],
+    ) -> Answer:
+        may_repeat = True
+        for _ in range(LOOKUP_ROUNDS):
+            for address in self._addresses:
+                try:
+                    found = await self._send(
+                        address, "GET", path_of(["records", record_id], {})
+                    )
+                    if found.status != NOT_FOUND:
+                        return _checked(found)
+                    if may_repeat:
+                        may_repeat = False
+                        again = await self._send(address, method, path, body, headers)
+                        return _checked(again)
+                except (NotSent, NoAnswer):
+                    continue
+                except CommandError as exc:
+                    if exc.status not in (Exit.UNKNOWN, Exit.UNREACHABLE):
+                        raise
+            await deferLater(self._reactor, LOOKUP_DELAY_S)
+        detail = f"record {record_id} may or may not take effect"
+        raise CommandError(
+            Exit.UNKNOWN, detail, {"detail": detail, "record": record_id}
+        )
+
+    async def _send(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        named = {"Authorization": f"Bearer {self._token}", **(headers or {})}
+        try:
+            response = await self._http.request(
+                method,
+                f"http://{address}{path}",
+                headers=named,
+                timeout=self._timeout_s,
+                **({} if body is None else {"json": body}),
+            )
+            return Answer(response.code, await treq.json_content(response))
+        except NOT_SENT_ERRORS as exc:
+            raise NotSent(str(exc)) from None
+        except Exception as exc:
+            raise NoAnswer(repr(exc)) from None
+
+
+def _checked(answer: Answer) -> Answer:
+    if answer.status >= CLIENT_ERROR:
+        if not isinstance(answer.value, dict):
+            raise CommandError(Exit.UNKNOWN, f"status {answer.status}")
+        raise of_problem(answer.value)
+    return answer
+
+
+def _unreachable(faults: list[str]) -> CommandError:
+    return CommandError(Exit.UNREACHABLE, "no daemon answered: " + "; ".join(faults))
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/config.py
@@ -0,0 +1,153 @@
+"""Commands on configuration in files and in force."""
+
+from argparse import Namespace
+from typing import Any
+
+from wagtailpaddle_config import Layer, Resolved, check_documents, resolve
+
+from wagtailpaddle_cli.commands import arg, command
+from wagtailpaddle_cli.commands import never as is_local
+from wagtailpaddle_cli.exits import CommandError, Exit
+from wagtailpaddle_cli.files import read_document, site_of
+from wagtailpaddle_cli.session import Session
+from wagtailpaddle_cli.tomltext import render_value
+
+BASE = arg("base", help="TOML file of the base")
+OVERLAYS = arg("overlays", nargs="*", help="TOML files of overlays, named by site")
+FILES = arg("files", nargs="*", help="TOML files: the base, then overlays")
+SITE = arg("--site", action="append", default=[], help="what is in force at a site")
+ABSENT = "(absent)"
+
+
+def names_site(args: Namespace) -> bool:
+    """Tell whether a command asks for what is in force."""
+    return bool(args.site)
+
+
+@command("config check", "check files", BASE, OVERLAYS, is_remote=is_local)
+async def check_config(session: Session, args: Namespace) -> Exit:
+    """Check a base and overlays as the fleet would."""
+    base = read_document(args.base)
+    overlays = {site_of(name): read_document(name) for name in args.overlays}
+    problems = check_documents(base, overlays)
+    if problems:
+        listed = [
+            {"path": item.path, "value": repr(item.value), "rule": item.rule}
+            for item in problems
+        ]
+        detail = "\n  ".join([f"{len(problems)} faults", *map(str, problems)])
+        raise CommandError(Exit.REFUSED, detail, {"problems": listed})
+    sites = ", ".join(overlays) or "no overlay"
+    session.show({"problems": []}, f"{args.base} with {sites}: valid")
+    return Exit.OK
+
+
+@command(
+    "config show",
+    "show the merged result and where each value comes from",
+    FILES,
+    SITE,
+    arg("--section", help="accounts, routes or services only"),
+    is_remote=names_site,
+)
+async def show_config(session: Session, args: Namespace) -> Exit:
+    """Print every value with the layer that states it."""
+    if len(args.site) + bool(args.files) != 1 or len(args.files) > 2:
+        raise CommandError(Exit.USAGE, "give a base and one overlay, or one --site")
+    if args.site:
+        found = await _in_force(session, args.site[0])
+    else:
+        found = _from_files(args.files)
+    values = flatten(found.document)
+    section = f"{args.section}." if args.section else ""
+    rows = [
+        (path, render_value(value), found.origins.get(path, ""))
+        for path, value in sorted(values.items())
+        if path.startswith(section)
+    ]
+    shown = {"document": found.document, "origins": found.origins}
+    session.show_table(shown, ("value", "is", "from"), rows)
+    return Exit.OK
+
+
+@command(
+    "config diff",
+    "compare two overlays, files with what is in force, or two sites",
+    FILES,
+    SITE,
+    is_remote=names_site,
+)
+async def diff_config(session: Session, args: Namespace) -> Exit:
+    """Print the values that differ between two merged configurations.
+
+    Takes a base and two overlays; a base, perhaps an overlay, and a site; or
+    two sites.
+    """
+    sides = []
+    match (len(args.files), len(args.site)):
+        case (3, 0):
+            base, left, right = args.files
+            sides = [(name, _from_files([base, name])) for name in (left, right)]
+        case (1 | 2, 1):
+            sides = [(" + ".join(args.files), _from_files(args.files))]
+        case (0, 2):
+            pass
+        case _:
+            raise CommandError(
+                Exit.USAGE,
+                "give a base and two overlays, files and one --site, or two --site",
+            )
+    for site in args.site:
+        sides.append((f"in force at {site}", await _in_force(session, site)))
+    (left_name, left_side), (right_name, right_side) = sides
+    rows = differences(left_side.document, right_side.document)
+    shown = [{"path": path, "left": a, "right": b} for path, a, b in rows]
+    if rows:
+        session.show_table(shown, ("value", left_name, right_name), rows)
+    else:
+        session.show(shown, f"{left_name} and {right_name} are the same")
+    return Exit.OK
+
+
+def flatten(document: dict[str, Any], where: str = "") -> dict[str, Any]:
+    """Return the values of a document by path.
+
+    >>> flatten({"accounts": {"x": {"rate": 5.0}}})
+    {'accounts.x.rate': 5.0}
+    """
+    values: dict[str, Any] = {}
+    for key, value in document.items():
+        if isinstance(value, dict) and value:
+            values.update(flatten(value, f"{where}{key}."))
+        elif not isinstance(value, dict):
+            values[f"{where}{key}"] = value
+    return values
+
+
+def differences(
+    left: dict[str, Any], right: dict[str, Any]
+) -> list[tuple[str, str, str]]:
+    """Return path and both texts of each value that differs, by path."""
+    ours, theirs = flatten(left), flatten(right)
+    return [
+        (path, _text(ours, path), _text(theirs, path))
+        for path in sorted({*ours, *theirs})
+        if path not in ours or path not in theirs or ours[path] != theirs[path]
+    ]
+
+
+def _text(values: dict[str, Any], path: str) -> str:
+    return render_value(values[path]) if path in values else ABSENT
+
+
+def _from_files(names: list[str]) -> Resolved:
+    layers = [Layer("base", read_document(names[0]))]
+    layers += [
+        Layer(f"overlay:{site_of(name)}", read_document(name)) for name in names[1:]
+    ]
+    return resolve(layers)
+
+
+async def _in_force(session: Session, site: str) -> Resolved:
+    found = await session.ask("configuration", site=site)
+    return Resolved(found["document"], found["origins"])
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/exits.py
@@ -0,0 +1,64 @@
+"""Exit statuses and the errors behind them."""
+
+from enum import IntEnum
+from typing import Any
+
+from wagtailpaddle_core import ErrorKind
+
+
+class Exit(IntEnum):
+    """Exit statuses of ``wagtailpaddle``."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    UNKNOWN = 4
+    CONFLICT = 5
+    NOT_FOUND = 6
+    NOT_ALLOWED = 7
+    NOT_IN_FORCE = 8
+
+
+MEANINGS: dict[Exit, str] = {
+    Exit.OK: "done",
+    Exit.REFUSED: "refused; nothing changed",
+    Exit.USAGE: "wrong arguments or settings; nothing was sent",
+    Exit.UNREACHABLE: "no daemon answered, or its log did not; nothing changed",
+    Exit.UNKNOWN: "the change may have taken effect; ask with `record show ID`",
+    Exit.CONFLICT: "the object was changed in the meantime; nothing changed",
+    Exit.NOT_FOUND: "the object does not exist; nothing changed",
+    Exit.NOT_ALLOWED: "the token is not an operator's; nothing changed",
+    Exit.NOT_IN_FORCE: "recorded, but not in force within `--wait` seconds",
+}
+
+EXIT_OF_KIND: dict[str, Exit] = {
+    ErrorKind.CONFLICT.value: Exit.CONFLICT,
+    ErrorKind.KEY_MISSING.value: Exit.NOT_ALLOWED,
+    ErrorKind.KEY_UNKNOWN.value: Exit.NOT_ALLOWED,
+    ErrorKind.LOG_UNAVAILABLE.value: Exit.UNREACHABLE,
+    ErrorKind.NOT_FOUND.value: Exit.NOT_FOUND,
+    ErrorKind.INTERNAL.value: Exit.UNKNOWN,
+    ErrorKind.OUTCOME_UNKNOWN.value: Exit.UNKNOWN,
+}
+
+
+class CommandError(Exception):
+    """A command that failed; ``problem`` is what ``--json`` prints."""
+
+    def __init__(self, status: Exit, detail: str, problem: Any = None):
+        super().__init__(detail)
+        self.status = status
+        self.problem = problem or {"detail": detail, "exit": int(status)}
+
+
+def of_problem(problem: dict[str, Any]) -> CommandError:
+    """Return the error that a problem document of the daemon stands for."""
+    kind = str(problem.get("type", "")).rpartition(":")[2]
+    status = EXIT_OF_KIND.get(kind, Exit.REFUSED)
+    lines = [f"{kind or 'error'}: {problem.get('detail', '')}"]
+    if problem.get("changed_by"):
+        lines.append(
+            f"{problem['changed_by']!r} made revision {problem.get('current')}"
+        )
+    return CommandError(status, "; ".join(lines), problem)
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/files.py
@@ -0,0 +1,27 @@
+"""Configuration documents in local files."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from wagtailpaddle_cli.exits import CommandError, Exit
+
+
+def read_document(name: str) -> dict[str, Any]:
+    """Return the table of a TOML file. Raises ``CommandError``."""
+    try:
+        with Path(name).open("rb") as file:
+            return tomllib.load(file)
+    except OSError as exc:
+        raise CommandError(Exit.USAGE, f"{name}: {exc.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise CommandError(Exit.REFUSED, f"{name}: not TOML: {exc}") from None
+
+
+def site_of(name: str) -> str:
+    """Return the site whose overlay a file holds, by the file's name.
+
+    >>> site_of("overlays/namur.toml")
+    'namur'
+    """
+    return Path(name).stem
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/keys.py
@@ -0,0 +1,43 @@
+"""Commands on keys."""
+
+from argparse import Namespace
+
+from wagtailpaddle_config import issue_key
+
+from wagtailpaddle_cli.commands import WAIT, arg, command
+from wagtailpaddle_cli.exits import Exit
+from wagtailpaddle_cli.session import Session
+
+ACCOUNT = arg("account", help="name of the client account")
+
+
+@command("key issue", "issue a key; its secret is shown once", ACCOUNT, WAIT)
+async def issue(session: Session, args: Namespace) -> Exit:
+    """Make a secret here, send its hash and print the secret."""
+    key = issue_key()
+    done = await session.change(
+        "POST",
+        ("accounts", args.account, "keys"),
+        {"secret_hash": key.secret_hash},
+        wait_s=args.wait,
+    )
+    done["secret"] = key.secret
+    what = f"key {done.get('key', key.id)}\nsecret {key.secret}\nkey"
+    return session.finish(what, done, wait_s=args.wait)
+
+
+@command("key list", "list the keys of a client account", ACCOUNT)
+async def list_keys(session: Session, args: Namespace) -> Exit:
+    """Print keys without their secrets, which are kept nowhere."""
+    keys = await session.ask_all("accounts", args.account, "keys")
+    columns = ("id", "withdrawn", "revision")
+    rows = [[key[column] for column in columns] for key in keys]
+    session.show_table(keys, columns, rows)
+    return Exit.OK
+
+
+@command("key withdraw", "withdraw a key for ever", arg("key", help="id"), WAIT)
+async def withdraw(session: Session, args: Namespace) -> Exit:
+    """Withdraw a key."""
+    done = await session.change("DELETE", ("keys", args.key), wait_s=args.wait)
+    return session.finish(f"key {args.key}", done, wait_s=args.wait)
--- a/packages/cli/src/wagtailpaddle_cli/main.py
+++ b/packages/cli/src/wagtailpaddle_cli/main.py
@@ -2,22 +2,75 @@
 
 import argparse
 import sys
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from typing import Any
 
-from wagtailpaddle_config import hash_secret
+from wagtailpaddle_cli.exits import CommandError, Exit
+from wagtailpaddle_cli.parser import Access, build_parser, read_access
+from wagtailpaddle_cli.session import Session
 
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one command; return its exit status."""
-    parser = argparse.ArgumentParser(
-        prog="wagtailpaddle", description="Operate a wagtailpaddle fleet."
+    args = build_parser().parse_args(argv)
+    plain = Session(sys.stdout, as_json=args.json)
+    try:
+        if args.command.is_remote(args):
+            return run_remote(args, read_access(args))
+        return run_local(args.command.run(plain, args))
+    except CommandError as exc:
+        return plain.fail(exc, sys.stderr)
+
+
+def run_local(coroutine: Coroutine[Any, Any, Exit]) -> Exit:
+    """Run a command that awaits nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration as exc:
+        status: Exit = exc.value
+        return status
+    coroutine.close()
+    raise RuntimeError("a local command waited for something")
+
+
+def run_remote(args: argparse.Namespace, access: Access) -> Exit:
+    """Run a command that asks daemons."""
+    from twisted.internet import reactor as installed
+    from twisted.internet.defer import Deferred
+    from twisted.internet.task import deferLater
+
+    from wagtailpaddle_cli.client import HttpClient
+
+    reactor: Any = installed
+    client = HttpClient(
+        reactor, access.addresses, access.token, timeout_s=access.timeout_s
     )
-    commands = parser.add_subparsers(dest="command", required=True)
-    commands.add_parser("hash-token", help="hash an operator's token from stdin")
-    args = parser.parse_args(argv)
-    if args.command == "hash-token":
-        print(hash_secret(sys.stdin.readline().strip()))
-    return 0
+    session = Session(
+        sys.stdout,
+        as_json=args.json,
+        client=client,
+        sleep=lambda delay_s: deferLater(reactor, delay_s),
+    )
+    results: list[Any] = []
+
+    def begin() -> None:
+        running = Deferred.fromCoroutine(args.command.run(session, args))
+        running.addBoth(results.append)
+        running.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return _status(results)
+
+
+def _status(results: list[Any]) -> Exit:
+    if not results:
+        raise CommandError(Exit.UNKNOWN, "interrupted")
+    result = results[0]
+    if isinstance(result, Exit):
+        return result
+    result.raiseException()
+    raise AssertionError("a failure raises")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/page.py
@@ -0,0 +1,60 @@
+"""The page docs/cli.md, written from the commands and exit statuses."""
+
+import argparse
+
+from wagtailpaddle_cli.commands import COMMANDS, Command
+from wagtailpaddle_cli.exits import MEANINGS
+
+INTRODUCTION = """\
+# The command line `wagtailpaddle`
+
+It speaks to the administration API of any daemon. `--admin-address`
+(`WAGTAILPADDLE_ADMIN_ADDRESSES` or `WAGTAILPADDLE_ADMIN_ADDRESS`) names one or
+more addresses as `host:port`, by commas; they are tried in turn.
+`WAGTAILPADDLE_TOKEN` or `--token` is the operator's token; flags show in the
+list of processes. `--timeout` is the longest wait for one answer in seconds
+(default 10). `--json` prints JSON, also of refusals.
+
+A change carries a record id. If its answer is lost, the command looks the
+record up at every address. It sends the change again, once and with the same
+id, only if a daemon that read the log to its end does not know the record. If
+nothing is learned, the exit status is 4 and the message names the record.
+
+`--expected REVISION` makes a change conditional: if the object has another
+revision by then, nothing changes, the message names who changed it, and the
+exit status is 5. `--wait SECONDS` waits until the change is in force.
+
+`python -m wagtailpaddle_cli.page` writes this page.
+
+## Exit statuses
+
+| status | meaning |
+| --- | --- |
+"""
+
+
+def render_page() -> str:
+    """Return the page as Markdown."""
+    rows = [f"| {int(status)} | {text} |\n" for status, text in MEANINGS.items()]
+    entries = [_entry(COMMANDS[name]) for name in COMMANDS.names()]
+    return INTRODUCTION + "".join(rows) + "\n## Commands\n" + "".join(entries)
+
+
+def _entry(entry: Command) -> str:
+    parser = argparse.ArgumentParser(prog=entry.name, add_help=False)
+    actions = [
+        parser.add_argument(*item.flags, **item.options) for item in entry.arguments
+    ]
+    lines = [f"\n### `{entry.name}`\n\n{entry.help[:1].upper()}{entry.help[1:]}.\n"]
+    if actions:
+        lines.append("\n")
+    for action in actions:
+        name = action.option_strings[0] if action.option_strings else action.dest
+        lines.append(f"- `{name}`: {action.help}\n")
+    return "".join(lines)
+
+
+if __name__ == "__main__":
+    from wagtailpaddle_cli import parser  # noqa: F401
+
+    print(render_page(), end="")
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/parser.py
@@ -0,0 +1,111 @@
+"""The parser of the command line, built from the registry."""
+
+import argparse
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from wagtailpaddle_cli import (  # noqa: F401
+    accounts,
+    config,
+    documents,
+    keys,
+    routes,
+    status,
+    tokens,
+)
+from wagtailpaddle_cli.commands import COMMANDS, Command
+from wagtailpaddle_cli.exits import MEANINGS, CommandError, Exit
+
+ADDRESSES_VARIABLE = "WAGTAILPADDLE_ADMIN_ADDRESSES"
+ADDRESS_VARIABLE = "WAGTAILPADDLE_ADMIN_ADDRESS"
+TOKEN_VARIABLE = "WAGTAILPADDLE_TOKEN"
+TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Access:
+    """How daemons are reached; addresses are ``host:port``, tried in turn."""
+
+    addresses: tuple[str, ...]
+    token: str
+    timeout_s: float
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser with all registered commands."""
+    parser = argparse.ArgumentParser(
+        prog="wagtailpaddle",
+        description="Operate a wagtailpaddle fleet.",
+        epilog="exit status: "
+        + "; ".join(f"{int(code)} {text}" for code, text in MEANINGS.items()),
+    )
+    top = parser.add_subparsers(metavar="COMMAND", required=True)
+    groups: dict[str, Any] = {}
+    for name in COMMANDS.names():
+        group, _, leaf = name.partition(" ")
+        if not leaf:
+            _add(top, group, COMMANDS[name])
+            continue
+        if group not in groups:
+            below = top.add_parser(group, help=f"{group} commands")
+            groups[group] = below.add_subparsers(metavar="COMMAND", required=True)
+        _add(groups[group], leaf, COMMANDS[name])
+    return parser
+
+
+def read_access(
+    args: argparse.Namespace, environment: Mapping[str, str] = os.environ
+) -> Access:
+    """Return how daemons are reached; flags go before variables.
+
+    Raises ``CommandError`` that names what is missing.
+    """
+    raw = (
+        args.admin_address
+        or environment.get(ADDRESSES_VARIABLE)
+        or environment.get(ADDRESS_VARIABLE)
+        or ""
+    )
+    addresses = tuple(part.strip() for part in raw.split(",") if part.strip())
+    token = args.token or environment.get(TOKEN_VARIABLE, "")
+    faults = [
+        f"{address!r} is no host:port"
+        for address in addresses
+        if not address.rpartition(":")[2].isdecimal()
+    ]
+    if not addresses:
+        faults.append(f"--admin-address or {ADDRESSES_VARIABLE} is required")
+    if not token:
+        faults.append(f"--token or {TOKEN_VARIABLE} is required")
+    if not 0 < args.timeout < float("inf"):
+        faults.append(f"--timeout is {args.timeout!r}; allowed: seconds above 0")
+    if faults:
+        raise CommandError(Exit.USAGE, "; ".join(faults))
+    return Access(addresses, token, args.timeout)
+
+
+def _add(parent: Any, leaf: str, entry: Command) -> None:
+    parser = parent.add_parser(leaf, help=entry.help, description=entry.help)
+    for argument in entry.arguments:
+        parser.add_argument(*argument.flags, **argument.options)
+    common = parser.add_argument_group("options of every command")
+    common.add_argument("--json", action="store_true", help="print JSON")
+    common.add_argument(
+        "--admin-address",
+        metavar="HOST:PORT,...",
+        help=f"administration addresses, tried in turn [{ADDRESSES_VARIABLE}]",
+    )
+    common.add_argument(
+        "--token",
+        help=f"operator's token; flags show in the process list [{TOKEN_VARIABLE}]",
+    )
+    common.add_argument(
+        "--timeout",
+        type=float,
+        default=TIMEOUT_S,
+        metavar="SECONDS",
+        help=f"longest wait for one answer [default: {TIMEOUT_S:g}]",
+    )
+    parser.set_defaults(command=entry)
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/routes.py
@@ -0,0 +1,79 @@
+"""Commands on routes."""
+
+from argparse import BooleanOptionalAction, Namespace
+from typing import Any
+
+from wagtailpaddle_cli.commands import EXPECTED, WAIT, arg, command
+from wagtailpaddle_cli.exits import CommandError, Exit
+from wagtailpaddle_cli.session import Session
+
+COLUMNS = ("id", "host", "path", "methods", "service", "idempotent", "open", "revision")
+FIELDS = (
+    "path",
+    "service",
+    "host",
+    "methods",
+    "open",
+    "idempotent",
+    "accounts",
+    "timeout_s",
+)
+NAME = arg("name", help="name of the route")
+
+
+@command("route list", "list routes")
+async def list_routes(session: Session, args: Namespace) -> Exit:
+    """Print all routes."""
+    routes = await session.ask_all("routes")
+    session.show_table(routes, COLUMNS, [_row(route) for route in routes])
+    return Exit.OK
+
+
+@command("route show", "show a route", NAME)
+async def show_route(session: Session, args: Namespace) -> Exit:
+    """Print one route."""
+    route = await session.ask("routes", args.name)
+    columns = (*COLUMNS, "accounts", "timeout_s")
+    row = (*_row(route), route["accounts"], route["timeout_s"])
+    session.show_table(route, columns, [row])
+    return Exit.OK
+
+
+@command(
+    "route put",
+    "create or change a route; only the given fields change",
+    NAME,
+    arg("--path", help="path prefix, as in /deliveries"),
+    arg("--service", help="service that answers"),
+    arg("--host", help="host that callers name; any without it"),
+    arg("--method", dest="methods", action="append", help="method; may be repeated"),
+    arg("--account", dest="accounts", action="append", help="allowed client account"),
+    arg("--open", action=BooleanOptionalAction, help="asks for no key"),
+    arg("--idempotent", action=BooleanOptionalAction, help="may run twice"),
+    arg("--timeout-s", type=float, help="longest request in seconds"),
+    EXPECTED,
+    WAIT,
+)
+async def put_route(session: Session, args: Namespace) -> Exit:
+    """Create a route or change its given fields."""
+    given = {name: getattr(args, name) for name in FIELDS}
+    fields = {name: value for name, value in given.items() if value is not None}
+    if not fields:
+        raise CommandError(Exit.USAGE, "give at least one field of the route")
+    done = await session.change(
+        "PUT", ("routes", args.name), fields, expected=args.expected, wait_s=args.wait
+    )
+    return session.finish(f"route {args.name}", done, wait_s=args.wait)
+
+
+@command("route remove", "remove what operators set of a route", NAME, EXPECTED, WAIT)
+async def remove_route(session: Session, args: Namespace) -> Exit:
+    """Remove a route that an operator put."""
+    done = await session.change(
+        "DELETE", ("routes", args.name), expected=args.expected, wait_s=args.wait
+    )
+    return session.finish(f"route {args.name}", done, wait_s=args.wait)
+
+
+def _row(route: dict[str, Any]) -> tuple[Any, ...]:
+    return tuple(route[column] for column in COLUMNS)
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/session.py
@@ -0,0 +1,151 @@
+"""What commands work with: a client of daemons and an output."""
+
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol, TextIO
+from urllib.parse import quote
+from uuid import uuid4
+
+from wagtailpaddle_cli.exits import CommandError, Exit
+from wagtailpaddle_cli.tables import render_table
+
+WAIT_POLL_S = 0.25
+IN_FORCE = "in-force"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A daemon's answer; ``value`` is decoded JSON."""
+
+    status: int
+    value: Any
+
+
+class Client(Protocol):
+    """Asks daemons. Both methods raise ``CommandError``."""
+
+    async def ask(self, path: str) -> Answer:
+        """Read ``path`` from the first daemon that answers."""
+
+    async def change(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        *,
+        record_id: str,
+        headers: dict[str, str],
+    ) -> Answer:
+        """Carry out a change once."""
+
+
+class Session:
+    """One run of the command line."""
+
+    def __init__(
+        self,
+        out: TextIO,
+        *,
+        as_json: bool = False,
+        client: Client | None = None,
+        sleep: Callable[[float], Awaitable[Any]] | None = None,
+    ):
+        self._out = out
+        self._as_json = as_json
+        self._client = client
+        self._sleep = sleep
+
+    async def ask(self, *names: str, **query: Any) -> Any:
+        """Return the resource whose path consists of ``names``."""
+        return (await self._daemons().ask(path_of(names, query))).value
+
+    async def ask_all(self, *names: str) -> list[dict[str, Any]]:
+        """Return all pages of a list; the last name is the list's label."""
+        items: list[dict[str, Any]] = []
+        after = ""
+        while True:
+            page = await self.ask(*names, limit=1000, after=after)
+            items.extend(page[names[-1]])
+            if page["next"] is None:
+                return items
+            after = page["next"]
+
+    async def change(
+        self,
+        method: str,
+        names: Sequence[str],
+        body: Any = None,
+        *,
+        expected: int | None = None,
+        must_be_new: bool = False,
+        wait_s: float = 0.0,
+    ) -> dict[str, Any]:
+        """Carry out a change and return what the daemon says of it.
+
+        With ``wait_s`` the state is asked for until it is ``in-force``.
+        """
+        headers = {}
+        if expected is not None:
+            headers["If-Match"] = f'"{expected}"'
+        if must_be_new:
+            headers["If-None-Match"] = "*"
+        answer = await self._daemons().change(
+            method,
+            path_of(names, {}),
+            body,
+            record_id=uuid4().hex,
+            headers=headers,
+        )
+        done: dict[str, Any] = answer.value
+        for _ in range(int(wait_s / WAIT_POLL_S)):
+            if done["state"] == IN_FORCE:
+                break
+            if self._sleep is not None:
+                await self._sleep(WAIT_POLL_S)
+            done.update(await self.ask("records", done["record"]))
+        return done
+
+    def finish(self, what: str, done: dict[str, Any], *, wait_s: float) -> Exit:
+        """Report a change and return the exit status."""
+        counts = f"{done['n_confirmed']} of {done['n_needed']} VMs confirmed"
+        state = str(done["state"]).replace("-", " ")
+        line = f"{what}: {state} ({counts}), revision {done['revision']}"
+        self.show(done, line)
+        if wait_s and done["state"] != IN_FORCE:
+            return Exit.NOT_IN_FORCE
+        return Exit.OK
+
+    def show(self, value: Any, text: str) -> None:
+        """Print ``value`` as JSON if that was asked for, else ``text``."""
+        if self._as_json:
+            text = json.dumps(value, indent=2, sort_keys=True)
+        self._out.write(text + "\n")
+
+    def show_table(
+        self, value: Any, columns: Sequence[str], rows: Sequence[Sequence[Any]]
+    ) -> None:
+        """Print ``value`` as JSON if that was asked for, else a table."""
+        self.show(value, render_table(columns, rows))
+
+    def fail(self, exc: CommandError, errors: TextIO) -> Exit:
+        """Report a failed command and return its exit status."""
+        if self._as_json:
+            self.show(exc.problem, "")
+        errors.write(f"wagtailpaddle: {exc}\n")
+        return exc.status
+
+    def _daemons(self) -> Client:
+        assert self._client is not None, "a local command asks no daemon"
+        return self._client
+
+
+def path_of(names: Sequence[str], query: dict[str, Any]) -> str:
+    """Return the path of a resource of the administration API."""
+    path = "/v1/" + "/".join(quote(name, safe="") for name in names)
+    fields = "&".join(
+        f"{key}={quote(str(value), safe='')}"
+        for key, value in query.items()
+        if value not in (None, "")
+    )
+    return f"{path}?{fields}" if fields else path
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/status.py
@@ -0,0 +1,117 @@
+"""Commands that show how the fleet fares."""
+
+from argparse import Namespace
+from typing import Any
+
+from wagtailpaddle_cli.commands import arg, command
+from wagtailpaddle_cli.exits import Exit
+from wagtailpaddle_cli.session import Session
+from wagtailpaddle_cli.tables import render_ms, render_table
+
+KINDS = ("accounts", "routes", "servers")
+QUANTILES = ("p50", "p90", "p99", "max")
+SERIES_COLUMNS = (
+    "name",
+    "answered",
+    "refused",
+    *(f"{name} ms" for name in QUANTILES),
+    "wait p99 ms",
+)
+SERVER_COLUMNS = (
+    "service",
+    "server",
+    "zone",
+    "state",
+    "weight",
+    "leaving",
+    "attempts",
+    "p50 ms",
+    "p99 ms",
+    "reason",
+)
+
+
+@command(
+    "status",
+    "show fleet, services, servers and client accounts as one daemon sees them",
+    arg("part", nargs="?", choices=("fleet", "services", *KINDS), help="one part only"),
+)
+async def show_status(session: Session, args: Namespace) -> Exit:
+    """Print the state of a daemon and what it sees."""
+    value: dict[str, Any] = {"status": await session.ask("status")}
+    parts = (args.part,) if args.part else ("fleet", "services", "accounts")
+    texts = [] if args.part else [_summary(value["status"])]
+    for part in parts:
+        value[part], text = await _part(session, part)
+        texts.append(f"{part}\n{text}")
+    session.show(value, "\n\n".join(texts))
+    return Exit.OK
+
+
+@command("record show", "show what became of a change", arg("record", help="id"))
+async def show_record(session: Session, args: Namespace) -> Exit:
+    """Print the state of a change whose outcome was unknown."""
+    done = await session.ask("records", args.record)
+    return session.finish(f"record {args.record}", done, wait_s=0.0)
+
+
+async def _part(session: Session, part: str) -> tuple[Any, str]:
+    if part == "fleet":
+        vms = (await session.ask("fleet"))["vms"]
+        columns = ("id", "zone", "caller_address", "state", "revision")
+        rows = [[vm[column] for column in columns] for vm in vms]
+        return vms, render_table(columns, rows)
+    if part == "services":
+        return await _services(session)
+    found = await session.ask("metrics", part)
+    if part == "servers":
+        return found, _series_table(found[part], waits=False)
+    return found, _series_table(found[part], waits=True)
+
+
+async def _services(session: Session) -> tuple[Any, str]:
+    services = await session.ask_all("services")
+    measured = await session.ask("metrics", "servers")
+    latency = {item["name"]: item["latency"] for item in measured["servers"]}
+    rows = []
+    for service in services:
+        for server in service["servers"]:
+            known = latency.get(f"{service['id']}/{server['id']}", {})
+            rows.append(
+                [
+                    service["id"],
+                    server["id"],
+                    server["zone"],
+                    server["state"],
+                    server["weight"],
+                    server["leaving"],
+                    known.get("n", 0),
+                    render_ms(known.get("p50", 0.0)),
+                    render_ms(known.get("p99", 0.0)),
+                    server["reason"],
+                ]
+            )
+    return services, render_table(SERVER_COLUMNS, rows)
+
+
+def _series_table(series: list[dict[str, Any]], *, waits: bool) -> str:
+    rows = []
+    for item in series:
+        n_ends = sum(item["outcomes"].values())
+        n_answered = item["outcomes"].get("answered", 0)
+        latency = [render_ms(item["latency"][name]) for name in QUANTILES]
+        row = [item["name"], n_answered, n_ends - n_answered, *latency]
+        rows.append([*row, render_ms(item["queue_wait"]["p99"])] if waits else row)
+    return render_table(SERIES_COLUMNS if waits else SERIES_COLUMNS[:-1], rows)
+
+
+def _summary(status: dict[str, Any]) -> str:
+    fresh = "fresh" if status["fresh"] else "not fresh"
+    draining = ", draining" if status["draining"] else ""
+    where = f"{status['vm']} at {status['site']} in zone {status['zone']}"
+    return (
+        f"{where}: {fresh}{draining}, "
+        f"revision {status['revision']}, {status['in_flight']} requests in flight\n"
+        f"{status['n_accounts']} client accounts, {status['n_routes']} routes, "
+        f"{status['n_services']} services, {status['n_keys']} keys"
+    )
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/tables.py
@@ -0,0 +1,59 @@
+"""Plain tables for people."""
+
+from collections.abc import Sequence
+from typing import Any
+
+GAP = "  "
+
+
+def render_table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
+    """Return a table with a head; numbers stand at the right.
+
+    >>> print(render_table(["name", "rate"], [["x", 5.0]]))
+    name  rate
+    x        5
+    """
+    shown = [[render_cell(value) for value in row] for row in rows]
+    widths = [
+        max([len(name), *(len(row[index]) for row in shown)])
+        for index, name in enumerate(columns)
+    ]
+    right = [_is_number(rows, index) for index in range(len(columns))]
+    return "\n".join(_line(cells, widths, right) for cells in ([*columns], *shown))
+
+
+def render_cell(value: Any) -> str:
+    """Return the text of one cell."""
+    match value:
+        case None:
+            return "-"
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:g}"
+        case list() | tuple():
+            return " ".join(str(item) for item in value) or "-"
+        case "":
+            return "-"
+        case _:
+            return str(value)
+
+
+def render_ms(seconds: float) -> str:
+    """Return seconds as milliseconds with a sensible number of digits."""
+    return f"{seconds * 1000:.3g}"
+
+
+def _is_number(rows: Sequence[Sequence[Any]], index: int) -> bool:
+    return bool(rows) and all(
+        isinstance(row[index], int | float) and not isinstance(row[index], bool)
+        for row in rows
+    )
+
+
+def _line(cells: Sequence[str], widths: list[int], right: list[bool]) -> str:
+    padded = [
+        cell.rjust(width) if is_right else cell.ljust(width)
+        for cell, width, is_right in zip(cells, widths, right, strict=True)
+    ]
+    return GAP.join(padded).rstrip()
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/tokens.py
@@ -0,0 +1,21 @@
+"""Commands on operators' tokens."""
+
+import sys
+from argparse import Namespace
+
+from wagtailpaddle_config import hash_secret
+
+from wagtailpaddle_cli.commands import command, never
+from wagtailpaddle_cli.exits import CommandError, Exit
+from wagtailpaddle_cli.session import Session
+
+
+@command("hash-token", "hash an operator's token from stdin", is_remote=never)
+async def hash_token(session: Session, args: Namespace) -> Exit:
+    """Print what ``--operators`` of the daemon takes."""
+    token = sys.stdin.readline().strip()
+    if not token:
+        raise CommandError(Exit.USAGE, "no token on standard input")
+    digest = hash_secret(token)
+    session.show({"sha256": digest}, digest)
+    return Exit.OK
--- /dev/null
+++ b/packages/cli/src/wagtailpaddle_cli/tomltext.py
@@ -0,0 +1,45 @@
+"""TOML text of a document."""
+
+import json
+import re
+from typing import Any
+
+
+def render_toml(document: dict[str, Any]) -> str:
+    """Return ``document`` as TOML, tables in order of name.
+
+    >>> print(render_toml({"accounts": {"x": {"rate": 5.0}}}))
+    [accounts.x]
+    rate = 5.0
+    """
+    return "\n\n".join(_blocks(document, ()))
+
+
+def _blocks(table: dict[str, Any], path: tuple[str, ...]) -> list[str]:
+    plain = {key: value for key, value in table.items() if not isinstance(value, dict)}
+    tables = {key: value for key, value in table.items() if isinstance(value, dict)}
+    blocks = []
+    if plain or (path and not tables):
+        head = [f"[{'.'.join(_key(name) for name in path)}]"] if path else []
+        lines = [f"{_key(key)} = {render_value(value)}" for key, value in plain.items()]
+        blocks.append("\n".join([*head, *lines]))
+    for key in sorted(tables):
+        blocks.extend(_blocks(tables[key], (*path, key)))
+    return blocks
+
+
+def render_value(value: Any) -> str:
+    """Return the TOML text of a value that is no table."""
+    match value:
+        case bool():
+            return "true" if value else "false"
+        case list() | tuple():
+            return "[" + ", ".join(render_value(item) for item in value) + "]"
+        case str():
+            return json.dumps(value, ensure_ascii=False)
+        case _:
+            return repr(value)
+
+
+def _key(name: str) -> str:
+    return name if re.fullmatch(r"[A-Za-z0-9_-]+", name) else json.dumps(name)
--- /dev/null
+++ b/packages/cli/tests/test_commands.py
@@ -0,0 +1,173 @@
+import pytest
+from wagtailpaddle_cli.exits import CommandError, Exit, of_problem
+from wagtailpaddle_cli.main import main
+from wagtailpaddle_cli.parser import build_parser, read_access
+from wagtailpaddle_config import hash_secret
+
+ACCOUNT = {"id": "x", "rate": 5.0, "burst": 9.0, "active": True, "revision": 3}
+
+
+def test_create_asks_for_a_new_object(run, client):
+    ran = run("account", "create", "x", "--rate=5", "--burst=9")
+    assert ran.status == Exit.OK
+    assert ran.text == (
+        "client account x: in force (2 of 2 VMs confirmed), revision 7\n"
+    )
+    change = ("PUT", "/v1/accounts/x", {"rate": 5.0, "burst": 9.0})
+    assert client.changes == [(*change, {"If-None-Match": "*"})]
+
+
+def test_set_sends_given_fields_and_expectation(run, client):
+    client.pages["/v1/accounts/x"] = ACCOUNT
+    run("account", "set", "x", "--rate=6", "--expected=3")
+    change = ("PUT", "/v1/accounts/x", {"rate": 6.0}, {"If-Match": '"3"'})
+    assert client.changes == [change]
+    with pytest.raises(CommandError) as caught:
+        run("account", "set", "x")
+    assert caught.value.status == Exit.USAGE
+
+
+@pytest.mark.parametrize("name", ["cancel", "restore"])
+def test_cancel_and_restore(run, client, name):
+    run("account", name, "a b/c")
+    assert client.changes == [("POST", f"/v1/accounts/a%20b%2Fc/{name}", None, {})]
+
+
+def test_lists_read_every_page(run, client):
+    client.pages = {
+        "/v1/accounts?limit=1000": {"accounts": [ACCOUNT], "next": "x"},
+        "/v1/accounts?limit=1000&after=x": {
+            "accounts": [{**ACCOUNT, "id": "y", "active": False}],
+            "next": None,
+        },
+    }
+    assert run("account", "list").text.splitlines() == [
+        "id  rate  burst  active  revision",
+        "x      5      9  yes            3",
+        "y      5      9  no             3",
+    ]
+    assert len(run("account", "list", "--json").json()) == 2
+
+
+def test_route_put_sends_given_fields(run, client):
+    run("route", "put", "book", "--method=POST", "--no-idempotent", "--timeout-s=3")
+    body = {"methods": ["POST"], "idempotent": False, "timeout_s": 3.0}
+    assert client.changes == [("PUT", "/v1/routes/book", body, {})]
+
+
+def test_key_issue_sends_the_hash_and_prints_the_secret(run, client):
+    done = run("key", "issue", "x", "--json").json()
+    body = client.changes[0][2]
+    assert body == {"secret_hash": hash_secret(done["secret"])}
+
+
+def test_wait_ends_when_the_change_is_in_force(run, client):
+    client.states = ["recorded", "recorded", "in-force"]
+    assert run("key", "withdraw", "k1", "--wait=5").status == Exit.OK
+
+
+def test_wait_that_runs_out_has_its_own_status(run, client):
+    client.states = ["recorded"] * 3
+    assert run("key", "withdraw", "k1", "--wait=0.5").status == Exit.NOT_IN_FORCE
+    client.states = ["recorded"]
+    assert run("key", "withdraw", "k1").status == Exit.OK
+
+
+def test_status_shows_servers_and_accounts(run, client):
+    summary = {"n": 4, "mean": 0.02, "p50": 0.02, "p90": 0.03, "p99": 0.04, "max": 0.05}
+    client.pages = {
+        "/v1/status": {
+            **dict.fromkeys(("vm", "site", "zone"), "a"),
+            **dict.fromkeys(
+                (
+                    "revision",
+                    "in_flight",
+                    "n_accounts",
+                    "n_routes",
+                    "n_services",
+                    "n_keys",
+                ),
+                1,
+            ),
+            "fresh": True,
+            "draining": False,
+        },
+        "/v1/fleet": {
+            "vms": [
+                dict.fromkeys(("id", "zone", "caller_address", "state", "revision"))
+            ]
+        },
+        "/v1/services?limit=1000": {
+            "services": [
+                {
+                    "id": "booking",
+                    "servers": [
+                        {
+                            **dict.fromkeys(("zone", "reason"), "a"),
+                            "id": "b1",
+                            "state": "ejected",
+                            "weight": 0.0,
+                            "leaving": False,
+                        }
+                    ],
+                }
+            ],
+            "next": None,
+        },
+        "/v1/metrics/servers": {
+            "servers": [{"name": "booking/b1", "latency": summary}]
+        },
+        "/v1/metrics/accounts": {
+            "accounts": [
+                {
+                    "name": "dumont",
+                    "latency": summary,
+                    "queue_wait": summary,
+                    "attempts": summary,
+                    "outcomes": {"answered": 4, "rate-exceeded": 2},
+                }
+            ]
+        },
+    }
+    text = run("status").text
+    assert "a at a in zone a: fresh, revision 1, 1 requests in flight" in text
+    row = next(line for line in text.splitlines() if line.startswith("dumont"))
+    assert row.split() == ["dumont", "4", "2", "20", "30", "40", "50", "40"]
+    assert "ejected" in text
+
+
+@pytest.mark.parametrize(
+    ("kind", "status"),
+    [
+        ("bad-request", Exit.REFUSED),
+        ("conflict", Exit.CONFLICT),
+        ("not-found", Exit.NOT_FOUND),
+        ("key-unknown", Exit.NOT_ALLOWED),
+        ("log-unavailable", Exit.UNREACHABLE),
+        ("outcome-unknown", Exit.UNKNOWN),
+    ],
+)
+def test_problem_has_an_exit_status(kind, status):
+    problem = {"type": f"urn:wagtailpaddle:error:{kind}", "detail": "why"}
+    assert of_problem(problem).status == status
+
+
+def test_access_names_all_that_is_missing():
+    args = build_parser().parse_args(["account", "list", "--timeout=-1"])
+    with pytest.raises(CommandError) as caught:
+        read_access(args, {"WAGTAILPADDLE_ADMIN_ADDRESSES": "here"})
+    for part in ("'here'", "WAGTAILPADDLE_TOKEN", "--timeout"):
+        assert part in str(caught.value)
+    assert caught.value.status == Exit.USAGE
+
+
+def test_flag_goes_before_variable():
+    args = build_parser().parse_args(["status", "--admin-address=a:1,b:2"])
+    environment = {"WAGTAILPADDLE_ADMIN_ADDRESS": "c:3", "WAGTAILPADDLE_TOKEN": "t"}
+    assert read_access(args, environment).addresses == ("a:1", "b:2")
+
+
+def test_hash_token_reads_standard_input(capsys, monkeypatch):
+    monkeypatch.setattr("sys.stdin.readline", lambda: "token\n", raising=False)
+    assert main(["hash-token"]) == 0
+    assert capsys.readouterr().out.strip() == hash_secret("token")
--- /dev/null
+++ b/packages/cli/tests/test_config.py
@@ -0,0 +1,125 @@
+from pathlib import Path
+
+import pytest
+from wagtailpaddle_cli import parser  # noqa: F401
+from wagtailpaddle_cli.config import differences
+from wagtailpaddle_cli.exits import CommandError, Exit
+from wagtailpaddle_cli.files import read_document
+from wagtailpaddle_cli.main import main
+from wagtailpaddle_cli.page import render_page
+from wagtailpaddle_cli.tomltext import render_toml
+
+TOP = Path(__file__).parents[3]
+BASE = str(TOP / "examples" / "base.toml")
+NAMUR = str(TOP / "examples" / "overlays" / "namur.toml")
+RETURHUSET = str(TOP / "examples" / "overlays" / "returhuset.toml")
+AT_MOST_ONCE = {"delivery-book", "damage-claim", "return-credit", "pickup-book"}
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write_file(name, text):
+        path = tmp_path / name
+        path.write_text(text)
+        return str(path)
+
+    return write_file
+
+
+def test_examples_are_valid(capsys):
+    assert main(["config", "check", BASE, NAMUR, RETURHUSET]) == Exit.OK
+    assert "namur, returhuset: valid" in capsys.readouterr().out
+
+
+def test_examples_have_the_sizes_of_the_sites():
+    sizes = {}
+    for name in (NAMUR, RETURHUSET):
+        overlay = read_document(name)
+        assert len(overlay["accounts"]) == 8
+        for service, table in overlay["services"].items():
+            sizes[service] = len(table["servers"])
+            assert {server["zone"] for server in table["servers"].values()} == {*"abc"}
+    assert sizes == {"booking": 12, "inventory": 10, "remissions": 15, "pickups": 10}
+
+
+def test_examples_run_each_action_at_most_once():
+    routes = read_document(BASE)["routes"]
+    once = {name for name, route in routes.items() if not route.get("idempotent")}
+    assert once == AT_MOST_ONCE
+    assert all(routes[name]["methods"] == ["POST"] for name in once)
+
+
+def test_overlays_of_the_examples_state_only_what_differs():
+    base = read_document(BASE)
+    for name in (NAMUR, RETURHUSET):
+        overlay = read_document(name)
+        assert set(overlay) == {"accounts", "services"}
+        for service, table in overlay["services"].items():
+            below = base["services"][service]
+            assert all(below.get(key) != value for key, value in table.items())
+
+
+def test_check_names_every_fault(write, capsys):
+    base = write("base.toml", "[accounts.x]\nrate = -1.0\nburst = 0.0\n[rutes]\n")
+    assert main(["config", "check", base, "--json"]) == Exit.REFUSED
+    assert "rutes" in capsys.readouterr().err
+    base = write("base.toml", "[accounts.x]\nrate = -1.0\nburst = 0.0\n")
+    assert main(["config", "check", base]) == Exit.REFUSED
+    err = capsys.readouterr().err
+    assert "accounts.x.rate: -1.0" in err
+    assert "accounts.x.burst: 0.0" in err
+
+
+def test_file_that_is_missing_or_no_toml_is_named(write, capsys):
+    assert main(["config", "check", "/nowhere/base.toml"]) == Exit.USAGE
+    assert main(["config", "check", write("base.toml", "x = ")]) == Exit.REFUSED
+    assert "base.toml: not TOML" in capsys.readouterr().err
+
+
+def test_show_names_the_layer_of_each_value(capsys):
+    assert main(["config", "show", BASE, NAMUR, "--section", "services"]) == Exit.OK
+    lines = [line.split() for line in capsys.readouterr().out.splitlines()]
+    assert ["services.booking.floor", "0.5", "base"] in lines
+    assert ["services.booking.sensitivity", "0.3", "overlay:namur"] in lines
+
+
+def test_diff_of_two_overlays_shows_what_differs(capsys):
+    assert main(["config", "diff", BASE, NAMUR, RETURHUSET]) == Exit.OK
+    out = capsys.readouterr().out
+    assert "services.booking.sensitivity" in out
+    assert "services.booking.floor" not in out
+
+
+def test_diff_with_what_is_in_force(run, client, write):
+    base = write("base.toml", "[accounts.x]\nrate = 5.0\nburst = 9.0\n")
+    document = {"accounts": {"x": {"rate": 5.0, "burst": 7.0}}}
+    page = {"document": document, "origins": {}}
+    client.pages["/v1/configuration?site=namur"] = page
+    found = run("config", "diff", base, "--site=namur", "--json").json()
+    assert found == [{"path": "accounts.x.burst", "left": "9.0", "right": "7.0"}]
+
+
+def test_show_of_a_site_asks_the_daemon(run, client):
+    document = {"accounts": {"x": {"rate": 5.0}}}
+    page = {"document": document, "origins": {"accounts.x.rate": "operator@4"}}
+    client.pages["/v1/configuration?site=namur"] = page
+    assert "operator@4" in run("config", "show", "--site=namur").text
+
+
+@pytest.mark.parametrize("argv", [["diff"], ["diff", "a"], ["show"], ["show", *"abc"]])
+def test_wrong_number_of_sides_is_refused(run, argv):
+    with pytest.raises(CommandError) as caught:
+        run("config", *argv)
+    assert caught.value.status == Exit.USAGE
+
+
+def test_toml_text_reads_back(tmp_path):
+    document = read_document(BASE)
+    document["accounts"] = {'a "b".c': {"rate": 1.5, "active": True, "tags": ["x"]}}
+    path = tmp_path / "again.toml"
+    path.write_text(render_toml(document))
+    assert differences(read_document(str(path)), document) == []
+
+
+def test_page_agrees_with_the_commands():
+    assert (TOP / "docs" / "cli.md").read_text() == render_page()
