--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -8,8 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import LoopingCall
-from twisted.web.server import Site
-from wagtailpaddle_core import VmId
+from wagtailpaddle_core import Offset, VmId
 from wagtailpaddle_node import Node
 from wagtailpaddle_peer import (
     Acknowledged,
@@ -24,6 +23,7 @@
 from wagtailpaddle_daemon.gateway import Gateway
 from wagtailpaddle_daemon.logclient import LOG_ADAPTERS, LogError
 from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.metrics import Metrics
 from wagtailpaddle_daemon.settings import Settings
 from wagtailpaddle_daemon.upstream import Upstream
 
@@ -44,6 +44,7 @@
         self.node = Node(site=cfg.site, n_vms=cfg.n_vms)
         self.log_client = LOG_ADAPTERS[cfg.log_adapter](reactor, cfg.log_url)
         self.gateway = Gateway(reactor, self.node, Upstream(reactor))
+        self.metrics = Metrics()
         self._peers = PeerServer(self.vm, self._on_peer, secret=cfg.fleet_secret)
         self._peer_client = PeerClient(self.vm, secret=cfg.fleet_secret)
         self._ports: list[Any] = []
@@ -102,11 +103,14 @@
         document = {"addresses": [self.cfg.caller_address], "keep_s": 10.0}
         return json.dumps(document).encode()
 
-    def _poll_log(self) -> Deferred[None]:
+    def _poll_log(self) -> Deferred[Offset | None]:
         return Deferred.fromCoroutine(self.catch_up())
 
-    async def catch_up(self) -> None:
-        """Fold what the log has beyond this VM's revision."""
+    async def catch_up(self) -> Offset | None:
+        """Fold what the log has beyond this VM's revision.
+
+        Returns the head of the log, None if the log did not answer.
+        """
         sent_at = self._reactor.seconds()
         try:
             read = await self.log_client.read("config", self.node.fold.next_offset)
@@ -115,9 +119,10 @@
             )
         except (LogError, RecordError) as exc:
             log.warning("Log read failed.", error=str(exc))
-            return
+            return None
         now = self._reactor.seconds()
         self.gateway.carry_out(self.node.on_log(now, sent_at, records, read.head))
+        return read.head
 
     def _on_peer(self, sender: VmId, body: Any) -> Any:
         return Acknowledged()
