--- a/packages/once/src/wagtailpaddle_once/__init__.py
+++ b/packages/once/src/wagtailpaddle_once/__init__.py
@@ -1,6 +1,6 @@
 """At-most-once claims for requests with an idempotency key."""
 
-from wagtailpaddle_once.keeper import ClaimKeeper
+from wagtailpaddle_once.keeper import ClaimKeeper, OnceStatus
 from wagtailpaddle_once.messages import (
     AskAttempt,
     AttemptId,
@@ -47,6 +47,7 @@
     "OnceAction",
     "OnceMessage",
     "OnceReply",
+    "OnceStatus",
     "Place",
     "Placed",
     "Reject",
--- /dev/null
+++ b/packages/once/src/wagtailpaddle_once/coordinator.py
@@ -0,0 +1,378 @@
+"""The coordinator side: one attempt for each request with a key."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from wagtailpaddle_core import ErrorKind, RequestId, VmId, ensure
+
+from wagtailpaddle_once.messages import (
+    AskAttempt,
+    AttemptId,
+    AttemptState,
+    AttemptStatus,
+    Claim,
+    ClaimKey,
+    ClaimState,
+    OnceAction,
+    Place,
+    Placed,
+    Reject,
+    Replay,
+    Run,
+    RunOutcome,
+    SendPeer,
+    Settled,
+    Store,
+    StoredAnswer,
+    Vote,
+    Withdraw,
+)
+from wagtailpaddle_once.table import Replicas, majority
+
+PLACE_TIMEOUT_S = 1.0
+PLACE_RETRY_S = 0.1
+SETTLE_RETRY_S = 0.5
+SETTLE_FOR_S = 30.0
+REMEMBER_S = 120.0
+MAX_OPEN = 10_000
+MAX_REMEMBERED = 20_000
+
+
+class _Phase(StrEnum):
+    PLACING = "placing"
+    RUNNING = "running"
+    WITHDRAWN = "withdrawn"
+    FINISHED = "finished"
+
+
+@dataclass(slots=True)
+class _Attempt:
+    id: AttemptId
+    request: RequestId
+    key: ClaimKey
+    fingerprint: str
+    give_up_at: float
+    revision: int
+    replicas: Replicas
+    phase: _Phase = _Phase.PLACING
+    votes: dict[VmId, Placed] = field(default_factory=dict)
+    failed: set[VmId] = field(default_factory=set)
+    next_at: float = 0.0
+    asked: set[VmId] = field(default_factory=set)
+    unsettled: set[VmId] = field(default_factory=set)
+    settle_until: float = 0.0
+    outcome: Store | None = None
+
+    def settlement(self) -> Withdraw | Store:
+        """Return what the replicas have to learn at the end."""
+        return self.outcome or Withdraw(self.key, self.id)
+
+
+class Coordinator:
+    """Attempts of this VM's requests, from placing to settled.
+
+    An attempt runs only if a majority of one set of replicas accepted it
+    before ``give_up_at`` on this VM's clock. One that gave up never runs, so
+    its claims may be withdrawn whenever that message arrives.
+    """
+
+    def __init__(self, vm: VmId):
+        self.vm = vm
+        self._n_attempts = 0
+        self._open: dict[RequestId, _Attempt] = {}
+        self._attempts: dict[AttemptId, _Attempt] = {}
+        self._settling: dict[AttemptId, None] = {}
+        self._closed: deque[tuple[float, AttemptId]] = deque()
+
+    @property
+    def n_open(self) -> int:
+        """The requests that are being claimed or run."""
+        return len(self._open)
+
+    @property
+    def settled(self) -> bool:
+        """Whether the replicas know the end of every attempt."""
+        return not self._open and not self._settling
+
+    def begin(
+        self,
+        now: float,
+        request: RequestId,
+        key: ClaimKey,
+        fingerprint: str,
+        deadline_at: float,
+        revision: int,
+        replicas: Replicas,
+    ) -> tuple[OnceAction, ...]:
+        """Start to place a claim."""
+        if len(self._open) >= MAX_OPEN:
+            detail = f"{len(self._open)} claims are open"
+            return (Reject(request, ErrorKind.IDEMPOTENCY_BUSY, detail),)
+        ensure(request not in self._open, "request-claimed-once", request=request)
+        self._n_attempts += 1
+        attempt = _Attempt(
+            id=AttemptId(self.vm, self._n_attempts),
+            request=request,
+            key=key,
+            fingerprint=fingerprint,
+            give_up_at=min(deadline_at, now + PLACE_TIMEOUT_S),
+            revision=revision,
+            replicas=replicas,
+        )
+        self._open[request] = attempt
+        self._attempts[attempt.id] = attempt
+        return self._place(now, attempt, replicas)
+
+    def finish(
+        self,
+        now: float,
+        request: RequestId,
+        outcome: RunOutcome,
+        answer: StoredAnswer | None,
+        replicas: Replicas,
+    ) -> tuple[OnceAction, ...]:
+        """Tell the replicas how a run ended; an unknown request is ignored."""
+        attempt = self._open.get(request)
+        if attempt is None or attempt.phase is not _Phase.RUNNING:
+            return ()
+        if outcome is RunOutcome.NOT_RUN:
+            return self._close(now, attempt, _Phase.WITHDRAWN, replicas)
+        known = outcome is RunOutcome.ANSWERED and answer is not None
+        attempt.outcome = Store(
+            key=attempt.key,
+            fingerprint=attempt.fingerprint,
+            attempt=attempt.id,
+            state=ClaimState.DONE if known else ClaimState.UNKNOWN,
+            answer=answer if known else None,
+        )
+        return self._close(now, attempt, _Phase.FINISHED, replicas)
+
+    def key_of(self, request: RequestId) -> ClaimKey | None:
+        """Return the key of an open request."""
+        attempt = self._open.get(request)
+        return None if attempt is None else attempt.key
+
+    def on_placed(
+        self, now: float, vm: VmId, message: Place, reply: Placed
+    ) -> tuple[OnceAction, ...]:
+        """Count a vote."""
+        attempt = self._attempts.get(message.attempt)
+        if attempt is None:
+            return ()
+        if attempt.phase in (_Phase.WITHDRAWN, _Phase.FINISHED):
+            if reply.vote is not Vote.ACCEPTED:
+                return ()
+            return (SendPeer(vm, attempt.settlement()),)
+        if attempt.phase is _Phase.RUNNING or message.revision != attempt.revision:
+            return ()
+        attempt.votes[vm] = reply
+        attempt.failed.discard(vm)
+        return self._decide(now, attempt)
+
+    def on_place_failed(
+        self, now: float, vm: VmId, message: Place
+    ) -> tuple[OnceAction, ...]:
+        """Note that a vote is missing."""
+        attempt = self._attempts.get(message.attempt)
+        if attempt is None or attempt.phase is not _Phase.PLACING:
+            return ()
+        if message.revision == attempt.revision and vm not in attempt.votes:
+            attempt.failed.add(vm)
+        return self._decide(now, attempt)
+
+    def on_settled(self, vm: VmId, reply: Settled) -> None:
+        """Note that a replica knows the end of an attempt."""
+        attempt = self._attempts.get(reply.attempt)
+        if attempt is None or not reply.kept:
+            return
+        attempt.unsettled.discard(vm)
+        if not attempt.unsettled:
+            self._settling.pop(attempt.id, None)
+
+    def on_ask(self, message: AskAttempt) -> AttemptStatus:
+        """Tell a replica what became of an attempt."""
+        attempt = self._attempts.get(message.attempt)
+        if attempt is None:
+            state = AttemptState.FORGOTTEN
+            return AttemptStatus(message.key, message.attempt, state)
+        states = {
+            _Phase.WITHDRAWN: AttemptState.WITHDRAWN,
+            _Phase.FINISHED: AttemptState.FINISHED,
+        }
+        state = states.get(attempt.phase, AttemptState.OPEN)
+        return AttemptStatus(message.key, message.attempt, state, attempt.outcome)
+
+    def on_roster(
+        self, now: float, revision: int, replicas_of: dict[ClaimKey, Replicas]
+    ) -> tuple[OnceAction, ...]:
+        """Place open claims again under a new roster, and settle there too."""
+        actions: tuple[OnceAction, ...] = ()
+        for attempt in list(self._open.values()):
+            if attempt.phase is _Phase.PLACING:
+                actions += self._restart(
+                    now, attempt, revision, replicas_of[attempt.key]
+                )
+        for attempt_id in list(self._settling):
+            attempt = self._attempts[attempt_id]
+            attempt.unsettled |= set(replicas_of[attempt.key])
+        return actions
+
+    def live_keys(self) -> Iterable[ClaimKey]:
+        """Return the keys whose replicas matter to this VM at present."""
+        for attempt in self._open.values():
+            yield attempt.key
+        for attempt_id in self._settling:
+            yield self._attempts[attempt_id].key
+
+    def tick(self, now: float) -> tuple[OnceAction, ...]:
+        """Repeat what was lost, and give up what takes too long."""
+        actions: tuple[OnceAction, ...] = ()
+        for attempt in list(self._open.values()):
+            if attempt.phase is not _Phase.PLACING:
+                continue
+            actions += self._decide(now, attempt)
+            if attempt.phase is _Phase.PLACING and now >= attempt.next_at:
+                actions += self._place(now, attempt, self._retried(attempt))
+        for attempt_id in list(self._settling):
+            actions += self._settle(now, self._attempts[attempt_id])
+        self._forget(now)
+        return actions
+
+    # Placing
+
+    def _place(
+        self, now: float, attempt: _Attempt, replicas: Iterable[VmId]
+    ) -> tuple[OnceAction, ...]:
+        attempt.next_at = now + PLACE_RETRY_S
+        chosen = tuple(replicas)
+        attempt.failed -= set(chosen)
+        attempt.asked |= set(chosen)
+        message = Place(attempt.revision, attempt.key, attempt.fingerprint, attempt.id)
+        return tuple(SendPeer(vm, message) for vm in chosen)
+
+    def _retried(self, attempt: _Attempt) -> list[VmId]:
+        """Return the replicas whose vote may still change."""
+        passing = (Vote.REVISION, Vote.NOT_SYNCED)
+        return [
+            vm
+            for vm in attempt.replicas
+            if vm in attempt.failed
+            or (vm in attempt.votes and attempt.votes[vm].vote in passing)
+        ]
+
+    def _restart(
+        self, now: float, attempt: _Attempt, revision: int, replicas: Replicas
+    ) -> tuple[OnceAction, ...]:
+        if replicas == attempt.replicas:
+            return ()
+        attempt.revision = revision
+        attempt.replicas = replicas
+        attempt.votes = {}
+        attempt.failed = set()
+        return self._place(now, attempt, replicas)
+
+    def _decide(self, now: float, attempt: _Attempt) -> tuple[OnceAction, ...]:
+        """Run, replay, refuse, or wait for more votes."""
+        if attempt.phase is not _Phase.PLACING:
+            return ()
+        if now < attempt.give_up_at and self._accepted(attempt):
+            attempt.phase = _Phase.RUNNING
+            return (Run(attempt.request),)
+        in_the_way = [
+            vote.claim for vote in attempt.votes.values() if vote.claim is not None
+        ]
+        for claim in in_the_way:
+            end = self._end_by_claim(attempt, claim)
+            if end is not None:
+                return self._give_up(now, attempt, end)
+        if now >= attempt.give_up_at or self._lost(attempt):
+            return self._give_up(now, attempt, self._refusal(attempt, in_the_way))
+        return ()
+
+    def _accepted(self, attempt: _Attempt) -> bool:
+        accepted = [
+            vm
+            for vm, vote in attempt.votes.items()
+            if vote.vote is Vote.ACCEPTED and vm in attempt.replicas
+        ]
+        return len(accepted) >= majority(attempt.replicas)
+
+    def _lost(self, attempt: _Attempt) -> bool:
+        """Return whether all replicas answered, or failed to, without a chance."""
+        heard = attempt.failed | set(attempt.votes)
+        if not heard.issuperset(attempt.replicas):
+            return False
+        retried = self._retried(attempt)
+        n_accepted = sum(vote.vote is Vote.ACCEPTED for vote in attempt.votes.values())
+        return n_accepted + len(retried) < majority(attempt.replicas)
+
+    def _end_by_claim(self, attempt: _Attempt, claim: Claim) -> Replay | Reject | None:
+        """Return the outcome that one claim in the way settles alone."""
+        if claim.fingerprint != attempt.fingerprint:
+            detail = f"key {attempt.key.key!r} came with another request"
+            return Reject(attempt.request, ErrorKind.IDEMPOTENCY_MISMATCH, detail)
+        if claim.state is ClaimState.DONE and claim.answer is not None:
+            return Replay(attempt.request, claim.answer)
+        return None
+
+    def _refusal(self, attempt: _Attempt, in_the_way: list[Claim]) -> Reject:
+        states = {claim.state for claim in in_the_way}
+        votes = {vote.vote for vote in attempt.votes.values()}
+        key = attempt.key.key
+        if ClaimState.UNKNOWN in states:
+            kind, detail = ErrorKind.OUTCOME_UNKNOWN, f"key {key!r} may have run"
+        elif states:
+            kind, detail = ErrorKind.IN_PROGRESS, f"key {key!r} is claimed"
+        elif Vote.FULL in votes:
+            kind, detail = ErrorKind.IDEMPOTENCY_BUSY, "the replicas are full"
+        else:
+            kind = ErrorKind.IDEMPOTENCY_UNAVAILABLE
+            detail = f"no majority of {len(attempt.replicas)} replicas voted"
+        return Reject(attempt.request, kind, detail)
+
+    def _give_up(
+        self, now: float, attempt: _Attempt, end: Replay | Reject
+    ) -> tuple[OnceAction, ...]:
+        ensure(
+            attempt.phase is _Phase.PLACING,
+            "only-placing-attempts-give-up",
+            phase=attempt.phase,
+        )
+        return (end, *self._close(now, attempt, _Phase.WITHDRAWN, ()))
+
+    # Settling
+
+    def _close(
+        self, now: float, attempt: _Attempt, phase: _Phase, replicas: Replicas
+    ) -> tuple[OnceAction, ...]:
+        del self._open[attempt.request]
+        attempt.phase = phase
+        attempt.votes = {}
+        attempt.unsettled = attempt.asked | set(replicas)
+        attempt.settle_until = now + SETTLE_FOR_S
+        attempt.next_at = now
+        self._settling[attempt.id] = None
+        self._closed.append((now, attempt.id))
+        return self._settle(now, attempt)
+
+    def _settle(self, now: float, attempt: _Attempt) -> tuple[OnceAction, ...]:
+        if now >= attempt.settle_until:
+            self._settling.pop(attempt.id, None)
+            return ()
+        if now < attempt.next_at:
+            return ()
+        attempt.next_at = now + SETTLE_RETRY_S
+        message = attempt.settlement()
+        return tuple(SendPeer(vm, message) for vm in sorted(attempt.unsettled))
+
+    def _forget(self, now: float) -> None:
+        while self._closed:
+            closed_at, attempt_id = self._closed[0]
+            old = now - closed_at >= REMEMBER_S
+            if not old and len(self._closed) <= MAX_REMEMBERED:
+                return
+            self._closed.popleft()
+            self._attempts.pop(attempt_id, None)
+            self._settling.pop(attempt_id, None)
--- a/packages/once/src/wagtailpaddle_once/keeper.py
+++ b/packages/once/src/wagtailpaddle_once/keeper.py
@@ -1,25 +1,86 @@
 """At-most-once claims: coordinator and replica of one VM."""
 
-from wagtailpaddle_core import AccountId, RequestId, VmId
+from dataclasses import dataclass
 
+from wagtailpaddle_core import AccountId, ErrorKind, RequestId, VmId
+
+from wagtailpaddle_once.coordinator import Coordinator
 from wagtailpaddle_once.messages import (
+    AskAttempt,
+    AttemptStatus,
+    ClaimKey,
+    HandOverClaims,
+    HandOverTaken,
     OnceAction,
     OnceMessage,
     OnceReply,
+    Place,
+    Placed,
+    Reject,
     Roster,
     RunOutcome,
+    SendPeer,
+    Settled,
+    Store,
     StoredAnswer,
+    Sync,
+    SyncPage,
+    Withdraw,
 )
+from wagtailpaddle_once.replica import Replica
+from wagtailpaddle_once.store import ClaimStore, answer_bytes
+from wagtailpaddle_once.table import Replicas, ReplicaTable
+
+N_PARTITIONS = 256
+CLAIM_TTL_S = 900.0
+MAX_CLAIM_BYTES = 32 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class OnceStatus:
+    """Counts for operators."""
+
+    n_claims: int
+    n_claim_bytes: int
+    n_open: int
+    n_partitions_syncing: int
+    n_bad_messages: int
 
 
 class ClaimKeeper:
     """Places claims for this VM's requests and keeps claims of others.
 
-    Interface only so far.
+    ``ttl_s`` is how long an outcome is kept, ``max_bytes`` the memory for
+    claims, ``max_answer_bytes`` the largest answer that is replayed; the
+    repeat of a request with a larger one is told that the outcome is unknown.
+
+    >>> keeper = ClaimKeeper(VmId("a"))
+    >>> keeper.begin(
+    ...     0.0, RequestId("r"), AccountId("kiosk"), "k", "f", deadline_at=1.0
+    ... )[0].kind.value
+    'idempotency-unavailable'
     """
 
-    def __init__(self, vm: VmId, *, seed: int = 0):
+    def __init__(
+        self,
+        vm: VmId,
+        *,
+        n_partitions: int = N_PARTITIONS,
+        ttl_s: float = CLAIM_TTL_S,
+        max_bytes: int = MAX_CLAIM_BYTES,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ):
         self.vm = vm
+        self._max_answer_bytes = max_answer_bytes
+        self._n_partitions = n_partitions
+        self._store = ClaimStore(ttl_s=ttl_s, max_bytes=max_bytes)
+        self._replica = Replica(
+            vm, store=self._store, n_partitions=n_partitions, ttl_s=ttl_s
+        )
+        self._coordinator = Coordinator(vm)
+        self._roster: Roster | None = None
+        self._n_bad_messages = 0
 
     def on_roster(
         self,
@@ -28,11 +89,19 @@
         previous: Roster | None = None,
         gone: frozenset[VmId] = frozenset(),
     ) -> tuple[OnceAction, ...]:
-        """Take in a roster; ``previous`` is the one of the revision before.
+        """Take in a roster and the one of the revision before.
 
-        ``gone`` names VMs that are proven gone.
+        ``previous`` is None only if no roster was ever in force before.
+        ``gone`` names all VMs that are proven gone and were replicas lately.
         """
-        raise NotImplementedError
+        self._replica.on_roster(now, roster, previous, gone)
+        if self._roster is not None and roster.revision <= self._roster.revision:
+            return ()
+        self._roster = roster
+        live = self._coordinator.live_keys()
+        replicas_of = {key: self._replicas(key) for key in live}
+        actions = self._coordinator.on_roster(now, roster.revision, replicas_of)
+        return self._local(now, actions + self._replica.ask_sync(now))
 
     def begin(
         self,
@@ -43,8 +112,26 @@
         fingerprint: str,
         deadline_at: float,
     ) -> tuple[OnceAction, ...]:
-        """Start to claim ``key``; exactly one outcome follows."""
-        raise NotImplementedError
+        """Start to claim ``key``; one Run, Replay or Reject follows.
+
+        After ``Run`` the request is dispatched at once, and ``finish`` is
+        called in any case.
+        """
+        claim_key = ClaimKey(account, key)
+        replicas = self._replicas(claim_key)
+        if self._roster is None or not replicas:
+            kind = ErrorKind.IDEMPOTENCY_UNAVAILABLE
+            return (Reject(request, kind, "no roster is known yet"),)
+        actions = self._coordinator.begin(
+            now,
+            request,
+            claim_key,
+            fingerprint,
+            deadline_at,
+            self._roster.revision,
+            replicas,
+        )
+        return self._local(now, actions)
 
     def finish(
         self,
@@ -54,28 +141,112 @@
         answer: StoredAnswer | None = None,
     ) -> tuple[OnceAction, ...]:
         """Take in the end of a request for which ``Run`` was returned."""
-        raise NotImplementedError
+        key = self._coordinator.key_of(request)
+        if key is None:
+            return ()
+        if answer_bytes(answer) > self._max_answer_bytes:
+            answer = None
+        replicas = self._replicas(key)
+        actions = self._coordinator.finish(now, request, outcome, answer, replicas)
+        return self._local(now, actions)
 
     def on_message(self, now: float, sender: VmId, message: OnceMessage) -> OnceReply:
         """Answer a peer."""
-        raise NotImplementedError
+        if isinstance(message, Place):
+            return self._replica.on_place(now, message)
+        if isinstance(message, Withdraw):
+            return self._replica.on_withdraw(message)
+        if isinstance(message, Store):
+            return self._replica.on_store(now, message)
+        if isinstance(message, AskAttempt):
+            return self._coordinator.on_ask(message)
+        if isinstance(message, Sync):
+            return self._replica.on_sync(now, message)
+        taken = self._replica.on_hand_over(now, sender, message)
+        return HandOverTaken(message.partition, message.page, taken)
 
     def on_reply(
         self, now: float, vm: VmId, message: OnceMessage, reply: OnceReply
     ) -> tuple[OnceAction, ...]:
         """Take in the reply of ``vm`` to ``message``."""
-        raise NotImplementedError
+        actions: tuple[OnceAction, ...] = ()
+        if isinstance(message, Place) and isinstance(reply, Placed):
+            actions = self._coordinator.on_placed(now, vm, message, reply)
+        elif isinstance(message, Withdraw | Store) and isinstance(reply, Settled):
+            self._coordinator.on_settled(vm, reply)
+        elif isinstance(message, AskAttempt) and isinstance(reply, AttemptStatus):
+            self._replica.on_status(now, message, reply)
+        elif isinstance(message, Sync) and isinstance(reply, SyncPage):
+            actions = self._replica.on_sync_page(now, vm, message, reply)
+        elif isinstance(message, HandOverClaims) and isinstance(reply, HandOverTaken):
+            self._replica.on_hand_over_reply(message)
+        else:
+            self._n_bad_messages += 1
+        return self._local(now, actions)
 
     def on_call_failed(
         self, now: float, vm: VmId, message: OnceMessage
     ) -> tuple[OnceAction, ...]:
         """Take in that the call of ``vm`` failed; it may have been received."""
-        raise NotImplementedError
+        if not isinstance(message, Place):
+            return ()
+        actions = self._coordinator.on_place_failed(now, vm, message)
+        return self._local(now, actions)
 
     def tick(self, now: float) -> tuple[OnceAction, ...]:
         """Act on the passing of time; called several times a second."""
-        raise NotImplementedError
+        self._store.expire(now)
+        actions = self._coordinator.tick(now)
+        actions += self._replica.ask_sync(now)
+        actions += self._replica.ask_attempts(now)
+        actions += self._replica.send_hand_overs(now)
+        return self._local(now, actions)
 
     def release(self, now: float) -> tuple[OnceAction, ...]:
-        """Hand claims over at a graceful stop."""
-        raise NotImplementedError
+        """Hand claims over at a graceful stop; ``tick`` goes on with it.
+
+        Call it when the last request has ended. The stop may go on once
+        ``released`` is True.
+        """
+        if self._roster is None or self._replica.leaving:
+            return ()
+        members = tuple(item for item in self._roster.members if item.vm != self.vm)
+        table = ReplicaTable(n_partitions=self._n_partitions)
+        successors = table.update(Roster(self._roster.revision, members))
+        heirs = self._replica.heirs(lambda partition: successors[partition])
+        self._replica.hand_over(now, heirs)
+        return self._replica.send_hand_overs(now)
+
+    @property
+    def released(self) -> bool:
+        """Whether other VMs know all that this one was asked to keep."""
+        replica = self._replica
+        return replica.leaving and replica.handed_over and self._coordinator.settled
+
+    def status(self) -> OnceStatus:
+        """Return counts for operators."""
+        return OnceStatus(
+            n_claims=len(self._store),
+            n_claim_bytes=self._store.n_bytes,
+            n_open=self._coordinator.n_open,
+            n_partitions_syncing=len(self._replica.syncing),
+            n_bad_messages=self._n_bad_messages,
+        )
+
+    def _replicas(self, key: ClaimKey) -> Replicas:
+        return self._replica.replicas(self._replica.partition(key))
+
+    def _local(
+        self, now: float, actions: tuple[OnceAction, ...]
+    ) -> tuple[OnceAction, ...]:
+        """Deliver the messages to this VM itself, and return the rest."""
+        left: list[OnceAction] = []
+        waiting = list(actions)
+        while waiting:
+            action = waiting.pop(0)
+            if not isinstance(action, SendPeer) or action.vm != self.vm:
+                left.append(action)
+                continue
+            reply = self.on_message(now, self.vm, action.message)
+            waiting += self.on_reply(now, self.vm, action.message, reply)
+        return tuple(left)
--- a/packages/once/src/wagtailpaddle_once/store.py
+++ b/packages/once/src/wagtailpaddle_once/store.py
@@ -116,8 +116,7 @@
         if _ORDER[claim.state] > _ORDER[entry.state]:
             self._replace(now, entry, claim)
         elif claim.state is entry.state is ClaimState.PLACED:
-            if claim.attempt not in entry.attempts:
-                entry.attempts = tuple(sorted((*entry.attempts, claim.attempt)))
+            entry.attempts = tuple(sorted({*entry.attempts, claim.attempt}))
         return True
 
     def lose_outcome(self, now: float, entry: Entry) -> None:
--- a/packages/quota/src/wagtailpaddle_quota/allowance.py
+++ b/packages/quota/src/wagtailpaddle_quota/allowance.py
@@ -107,7 +107,7 @@
         self._loans[borrower] = loan
         back = min(returned, max(0.0, loan.amount - held))
         loan.amount = held
-        self._tokens += back
+        self._tokens = min(self._tokens + back, max(0.0, self._room()))
         granted = float(max(0, int(min(wanted, self._tokens - reserve))))
         self._tokens -= granted
         loan.amount += granted
