--- a/packages/config/src/wagtailpaddle_config/__init__.py
+++ b/packages/config/src/wagtailpaddle_config/__init__.py
@@ -49,6 +49,7 @@
 from wagtailpaddle_config.snapshots import (
     Snapshot,
     SnapshotCollector,
+    SnapshotOffer,
     SnapshotWatch,
     cut_snapshot,
 )
@@ -93,6 +94,7 @@
     "SnapshotCollector",
     "SnapshotError",
     "SnapshotItem",
+    "SnapshotOffer",
     "SnapshotWatch",
     "TooManyAppendsError",
     "Void",
--- a/packages/config/src/wagtailpaddle_config/snapshots.py
+++ b/packages/config/src/wagtailpaddle_config/snapshots.py
@@ -1,6 +1,6 @@
 """Snapshots in the log: when to write them, how to cut and collect them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -13,6 +13,7 @@
 SNAPSHOT_RECORDS = 5_000
 SNAPSHOT_AGE_S = 6 * 3600.0
 SNAPSHOT_JITTER_S = 30.0
+OFFER_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,3 +141,33 @@
             return False
         self._write_at = wall_s + 2 * self._jitter_s
         return True
+
+
+class SnapshotOffer:
+    """Serves chunks of this VM's own state to VMs that start without a log.
+
+    ``take`` returns the next offset and the items of the whole state. One cut
+    serves all who ask within ``OFFER_S`` seconds.
+    """
+
+    def __init__(
+        self, take: Callable[[], tuple[Offset, Iterable[SnapshotItem]]], *, writer: str
+    ):
+        self._take = take
+        self._writer = writer
+        self._chunks: tuple[SnapshotChunk, ...] = ()
+        self._cut_at = float("-inf")
+
+    def chunk(self, now: float, upto: Offset, index: int) -> SnapshotChunk | None:
+        """Return one chunk of the snapshot at ``upto``, -1 for the latest.
+
+        None if there is no such chunk or it is no longer offered.
+        """
+        if upto == -1 and now - self._cut_at > OFFER_S:
+            offset, items = self._take()
+            self._chunks = cut_snapshot(offset, items, writer=self._writer, at=now)
+            self._cut_at = now
+        if not 0 <= index < len(self._chunks):
+            return None
+        chunk = self._chunks[index]
+        return chunk if upto in (-1, chunk.upto) else None
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/fakes.py
@@ -0,0 +1,134 @@
+"""In-memory fakes of the clock, the log, the list of VMs and the network."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+
+import msgspec
+from wagtailpaddle_core import Offset
+from wagtailpaddle_fleet import ListedVm
+
+
+class Clock:
+    """Runs callbacks in the order of their times."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._n_events = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+
+    def at(self, time: float, run: Callable[[], None]) -> None:
+        """Run a callback at ``time``, or at once if that is past."""
+        self._n_events += 1
+        heappush(self._events, (max(time, self.now), self._n_events, run))
+
+    def run_until(self, time: float) -> None:
+        """Run everything that is due up to ``time``."""
+        while self._events and self._events[0][0] <= time:
+            self.now, _, run = heappop(self._events)
+            run()
+        self.now = time
+
+
+class FakeLog:
+    """One stream with retention, which may be down or lose answers."""
+
+    def __init__(self) -> None:
+        self.is_up = True
+        self.first: Offset = 0
+        self.records: list[bytes] = []
+        self.retention: int | None = None
+        self.loss = 0.0
+
+    @property
+    def head(self) -> Offset:
+        """The offset of the next append."""
+        return len(self.records)
+
+    def append(self, data: bytes) -> Offset:
+        """Append a record and return its offset."""
+        self.records.append(data)
+        if self.retention is not None:
+            self.first = max(self.first, self.head - self.retention)
+        return self.head - 1
+
+    def read(self, start: Offset, limit: int) -> list[tuple[Offset, bytes]]:
+        """Return up to ``limit`` records from ``start`` on."""
+        stop = min(start + limit, self.head)
+        return [(offset, self.records[offset]) for offset in range(start, stop)]
+
+
+class FakeList:
+    """The platform's list, which shows what was true ``lag_s`` ago."""
+
+    def __init__(self, clock: Clock, *, lag_s: float):
+        self._clock = clock
+        self.lag_s = lag_s
+        self._entries: dict[str, ListedVm] = {}
+        self._history: list[tuple[float, tuple[ListedVm, ...]]] = [(0.0, ())]
+
+    def put(self, entry: ListedVm) -> None:
+        """A VM started, or its entry changed."""
+        self._entries[entry.peer_address] = entry
+        self._note()
+
+    def remove(self, address: str) -> None:
+        """A VM was taken away."""
+        self._entries.pop(address, None)
+        self._note()
+
+    def entries(self) -> tuple[ListedVm, ...]:
+        """Return the list as it was ``lag_s`` ago."""
+        until = self._clock.now - self.lag_s
+        past = [entries for at, entries in self._history if at <= until]
+        return past[-1] if past else ()
+
+    def _note(self) -> None:
+        self._history.append((self._clock.now, tuple(self._entries.values())))
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Messages and bytes that were sent, by kind."""
+
+    n_messages: dict[str, int] = field(default_factory=dict)
+    n_bytes: dict[str, int] = field(default_factory=dict)
+
+    def count(self, kind: str, size: int) -> None:
+        """Count one message."""
+        self.n_messages[kind] = self.n_messages.get(kind, 0) + 1
+        self.n_bytes[kind] = self.n_bytes.get(kind, 0) + size
+
+
+class Network:
+    """Delays and loses messages; ``cuts`` holds one-way (source, target) pairs."""
+
+    def __init__(self, rng: Random, *, delay_s: tuple[float, float] = (0.001, 0.01)):
+        self.rng = rng
+        self.delay_s = delay_s
+        self.loss = 0.0
+        self.cuts: set[tuple[str, str]] = set()
+        self.traffic = Traffic()
+
+    def carries(self, source: str, target: str, body: object) -> bool:
+        """Count a message and return whether it arrives."""
+        size = len(msgspec.msgpack.encode(body))
+        self.traffic.count(type(body).__name__, size)
+        if (source, target) in self.cuts:
+            return False
+        return self.rng.random() >= self.loss
+
+    def delay(self) -> float:
+        """Return how long a message is under way, in seconds."""
+        return self.rng.uniform(*self.delay_s)
+
+    def cut(self, sources: Iterable[str], targets: Iterable[str]) -> None:
+        """Drop all messages from ``sources`` to ``targets``."""
+        listed = list(targets)
+        self.cuts |= {(source, target) for source in sources for target in listed}
+
+    def heal(self) -> None:
+        """Carry everything again."""
+        self.cuts.clear()
+        self.loss = 0.0
