--- a/packages/daemon/src/wagtailpaddle_daemon/admin/ports.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/ports.py
@@ -74,7 +74,7 @@
     """Return an acceptance that knows of this VM's confirmation only."""
 
     def state_of(offset: Offset) -> ChangeState:
-        n_needed = port.cfg.n_vms // 2 + 1
+        n_needed = 1
         n_confirmed = int(port.node.configuration.revision > offset)
         done = n_confirmed >= n_needed
         name = StateName.IN_FORCE if done else StateName.RECORDED
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
@@ -24,7 +24,7 @@
         "site": port.cfg.site,
         "zone": port.cfg.zone,
         "revision": cfg.revision,
-        "fresh": node.freshness.is_fresh(context.now()),
+        "fresh": node.is_fresh(context.now()),
         "draining": node.draining,
         "in_flight": port.gateway.n_in_flight,
         "n_accounts": len(cfg.accounts),
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -1,25 +1,37 @@
 """The gateway: carries out the node's actions on callers and servers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 from twisted.web.http import NO_BODY_CODES
-from wagtailpaddle_core import ErrorKind, RequestId
-from wagtailpaddle_node import Node, RequestHead
+from wagtailpaddle_core import ErrorKind, RequestId, ServerId, ServiceId
+from wagtailpaddle_node import (
+    Append,
+    CallPeer,
+    Node,
+    NodeAction,
+    Replay,
+    RequestHead,
+)
+from wagtailpaddle_once import StoredAnswer
 from wagtailpaddle_routing import (
-    Action,
     AttemptOutcome,
     AttemptResult,
     CancelAttempt,
     Deliver,
     Dispatch,
     Refuse,
+    interpret,
+    is_leaving,
+    parse_load,
 )
 
-from wagtailpaddle_daemon.headers import end_to_end
+from wagtailpaddle_daemon.headers import Header, end_to_end
 from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.metrics import Metrics
 from wagtailpaddle_daemon.upstream import (
     AnswerHead,
     BodyReader,
@@ -65,6 +77,11 @@
 
     caller: Caller
     out: Outgoing
+    arrived_at: float = 0.0
+    queued_s: float = 0.0
+    n_attempts: int = 0
+    server: tuple[ServiceId, ServerId] = (ServiceId(""), ServerId(""))
+    load: float | None = None
     attempt: int = 0
     started_at: float = 0.0
     pending: Deferred[Any] | None = None
@@ -79,11 +96,22 @@
 class Gateway:
     """Joins callers, the node's decisions and backend servers."""
 
-    def __init__(self, reactor: Any, node: Node, upstream: Upstream):
+    def __init__(self, reactor: Any, node: Node, upstream: Upstream, metrics: Metrics):
         self._reactor = reactor
         self._node = node
         self._upstream = upstream
+        self._metrics = metrics
         self._exchanges: dict[RequestId, _Exchange] = {}
+        self._call_peer: Callable[[CallPeer], None] = _not_connected
+        self._append: Callable[[Append], None] = _not_connected
+        self._wake: Any = None
+
+    def connect(
+        self, call_peer: Callable[[CallPeer], None], append: Callable[[Append], None]
+    ) -> None:
+        """State who carries out calls of peers and appends to the log."""
+        self._call_peer = call_peer
+        self._append = append
 
     @property
     def n_in_flight(self) -> int:
@@ -92,18 +120,22 @@
 
     def take(self, head: RequestHead, out: Outgoing, caller: Caller) -> None:
         """Take in a whole request from a caller."""
-        self._exchanges[head.id] = _Exchange(caller, out)
-        self.carry_out(self._node.on_request(self._reactor.seconds(), head))
+        now = self._reactor.seconds()
+        self._exchanges[head.id] = _Exchange(caller, out, arrived_at=now)
+        self.carry_out(self._node.on_request(now, head))
 
     def caller_gone(self, request: RequestId) -> None:
         """The caller's connection is lost; nobody waits for the answer."""
         exchange = self._exchanges.get(request)
         if exchange is None:
             return
-        self.carry_out(self._node.on_cancel(self._reactor.seconds(), request))
-        self._drop(request)
+        exchange.caller = NobodyThere()
+        goes_on, actions = self._node.on_cancel(self._reactor.seconds(), request)
+        self.carry_out(actions)
+        if not goes_on:
+            self._exchanges.pop(request, None)
 
-    def carry_out(self, actions: tuple[Action, ...]) -> None:
+    def carry_out(self, actions: tuple[NodeAction, ...]) -> None:
         """Carry out actions in order."""
         for action in actions:
             match action:
@@ -115,12 +147,37 @@
                     self._refuse(action)
                 case CancelAttempt():
                     self._cancel(action)
+                case CallPeer():
+                    self._call_peer(action)
+                case Append():
+                    self._append(action)
+                case Replay():
+                    self._replay(action)
+        self._plan_wake()
+
+    def _plan_wake(self) -> None:
+        """Call the node's tick early if it has something to do before."""
+        at = self._node.next_wake(self._reactor.seconds())
+        if at is None:
+            return
+        if self._wake is not None and self._wake.active():
+            if self._wake.getTime() <= at:
+                return
+            self._wake.cancel()
+        delay_s = max(0.0, at - self._reactor.seconds())
+        self._wake = self._reactor.callLater(delay_s, self._wake_up)
+
+    def _wake_up(self) -> None:
+        self.carry_out(self._node.on_tick(self._reactor.seconds()))
 
     def _dispatch(self, action: Dispatch) -> None:
         exchange = self._exchanges[action.request]
+        exchange.server = (action.service, action.server)
+        exchange.queued_s += action.queued_s
         address, port = self._node.server_address(action.service, action.server)
         now = self._reactor.seconds()
         exchange.attempt = action.attempt
+        exchange.n_attempts = action.attempt
         exchange.started_at = now
         exchange.head = None
         exchange.buffer = []
@@ -191,8 +248,20 @@
         if exchange is None:
             return
         assert exchange.head is not None
-        outcome = AttemptOutcome.CUT_SHORT if reason else AttemptOutcome.ANSWERED
-        self._finish(request, exchange, outcome, exchange.head.status)
+        if reason is not None:
+            self._finish(request, exchange, AttemptOutcome.CUT_SHORT)
+            return
+        status = exchange.head.status
+        headers = lowered(exchange.head.headers)
+        exchange.load = parse_load(headers)
+        self._note_leaving(exchange, headers)
+        self._finish(request, exchange, interpret(status, headers), status)
+
+    def _note_leaving(self, exchange: _Exchange, headers: dict[str, str]) -> None:
+        if is_leaving(headers):
+            service, server = exchange.server
+            now = self._reactor.seconds()
+            self.carry_out(self._node.on_server_leaving(now, service, server))
 
     def _failed(self, request: RequestId, attempt: int, failure: Failure) -> None:
         exchange = self._current(request, attempt)
@@ -225,13 +294,17 @@
         exchange.pending = None
         exchange.reader = None
         exchange.attempt = 0
+        latency_s = now - exchange.started_at
         result = AttemptResult(
-            outcome, now - exchange.started_at, status, committed=exchange.committed
+            outcome, latency_s, status, exchange.load, committed=exchange.committed
         )
-        self.carry_out(self._node.on_attempt(now, request, result))
+        self._metrics.attempt_done(now, *exchange.server, latency_s, outcome)
+        answer = stored_answer(exchange) if outcome is AttemptOutcome.ANSWERED else None
+        self.carry_out(self._node.on_attempt(now, request, result, answer))
 
     def _deliver(self, request: RequestId) -> None:
-        exchange = self._drop(request)
+        exchange = self._exchanges.pop(request)
+        self._measure(request, exchange, None)
         if not exchange.committed:
             assert exchange.head is not None
             body = b"".join(exchange.buffer)
@@ -244,8 +317,21 @@
             exchange.caller.write(body)
         exchange.caller.end()
 
+    def _replay(self, action: Replay) -> None:
+        exchange = self._exchanges.pop(action.request)
+        self._measure(action.request, exchange, None)
+        headers = tuple(
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in action.answer.headers
+        )
+        body = action.answer.body
+        exchange.caller.begin(AnswerHead(action.answer.status, b"", headers, len(body)))
+        exchange.caller.write(body)
+        exchange.caller.end()
+
     def _refuse(self, action: Refuse) -> None:
-        exchange = self._drop(action.request)
+        exchange = self._exchanges.pop(action.request)
+        self._measure(action.request, exchange, action.kind)
         if exchange.committed:
             exchange.caller.abort()
             return
@@ -271,8 +357,66 @@
             return None
         return exchange
 
-    def _drop(self, request: RequestId) -> _Exchange:
-        return self._exchanges.pop(request)
+    def _measure(
+        self, request: RequestId, exchange: _Exchange, kind: ErrorKind | None
+    ) -> None:
+        now = self._reactor.seconds()
+        view = self._node.request_view(request)
+        self._metrics.request_done(
+            now,
+            view.account,
+            view.route,
+            now - exchange.arrived_at,
+            kind,
+            n_attempts=exchange.n_attempts,
+        )
+        if exchange.n_attempts and view.account and view.route:
+            self._metrics.queue_wait(now, view.account, view.route, exchange.queued_s)
+
+
+class NobodyThere:
+    """Takes the place of a caller that went away."""
+
+    def begin(self, head: AnswerHead) -> None:
+        """Nobody reads the headers."""
+
+    def follow(self, producer: Any) -> None:
+        """Nobody slows the producer down."""
+
+    def write(self, data: bytes) -> None:
+        """Nobody reads the body."""
+
+    def end(self) -> None:
+        """Nobody waits for the end."""
+
+    def refuse(self, kind: ErrorKind, detail: str, retry_after_s: float | None) -> None:
+        """Nobody reads the refusal."""
+
+    def abort(self) -> None:
+        """There is no connection to close."""
+
+
+def _not_connected(action: object) -> None:
+    raise RuntimeError(f"nobody carries out {action!r}")
+
+
+def lowered(headers: tuple[Header, ...]) -> dict[str, str]:
+    """Return headers by lower-case name; the last of equal ones counts."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in headers
+    }
+
+
+def stored_answer(exchange: _Exchange) -> StoredAnswer | None:
+    """Return a whole answer for repeats, None if a part of it is gone."""
+    if exchange.committed or exchange.head is None:
+        return None
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in exchange.head.headers
+    )
+    return StoredAnswer(exchange.head.status, headers, b"".join(exchange.buffer))
 
 
 def is_crossed(out: Outgoing, headers: Any) -> bool:
--- a/packages/daemon/src/wagtailpaddle_daemon/logs.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/logs.py
@@ -6,6 +6,9 @@
 
 import structlog
 
+NOISY_LOGGERS = ("asyncio", "grpclib")
+"""Their lines tell of peers that went away, which the peer link reports itself."""
+
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -16,6 +19,8 @@
 
 def setup_logs(*, format: str = "console", level: str = "info") -> None:
     """Send log lines to standard error as text or JSON."""
+    for name in NOISY_LOGGERS:
+        logging.getLogger(name).setLevel(logging.CRITICAL)
     renderer: Any
     if format == "json":
         renderer = structlog.processors.JSONRenderer()
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/peerlink.py
@@ -0,0 +1,100 @@
+"""Peer link: carries out the node's calls of other daemons."""
+
+import asyncio
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from wagtailpaddle_core import VmId
+from wagtailpaddle_node import CallPeer, Node, NodeAction
+from wagtailpaddle_peer import PeerClient, PeerError, PeerServer, Security
+
+from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.settings import Settings
+
+log = get_logger("peers")
+
+
+class PeerLink:
+    """Serves calls of other daemons and makes calls to them."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        node: Node,
+        security: Security,
+        carry_out: Callable[[tuple[NodeAction, ...]], None],
+    ):
+        self._reactor = reactor
+        self._node = node
+        self._carry_out = carry_out
+        self._server = PeerServer(node.vm.id, self._on_message, security)
+        self._client = PeerClient(node.vm.id, security, reactor.seconds)
+        self._tasks: set[Any] = set()
+
+    def start(self, host: str, port: int) -> Deferred[None]:
+        """Listen on ``host:port``."""
+        return as_deferred(self._server.start(host, port))
+
+    def stop(self) -> Deferred[None]:
+        """End every call and close every connection."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        self._client.close()
+        return as_deferred(self._server.stop())
+
+    def call(self, action: CallPeer) -> None:
+        """Make a call and report its reply, or that none came."""
+        task = asyncio.ensure_future(self._call(action))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close_idle(self) -> None:
+        """Close connections that were not used for a while."""
+        self._client.close_idle()
+
+    async def _call(self, action: CallPeer) -> None:
+        try:
+            reply = await self._client.call(
+                action.address,
+                action.body,
+                receiver=action.receiver,
+                timeout_s=action.timeout_s,
+            )
+        except PeerError as exc:
+            log.debug("Call failed.", error=str(exc))
+            actions = self._node.on_peer_failed(self._reactor.seconds(), action.call)
+        except Exception as exc:
+            log.error("Call broke.", error=repr(exc))
+            actions = self._node.on_peer_failed(self._reactor.seconds(), action.call)
+        else:
+            now = self._reactor.seconds()
+            actions = self._node.on_peer_reply(now, action.call, reply)
+        self._carry_out(actions)
+
+    def _on_message(self, sender: VmId, body: Any) -> Any:
+        return self._node.on_message(self._reactor.seconds(), sender, body)
+
+
+def security_of(cfg: Settings) -> Security:
+    """Return how daemons make sure of each other, as the settings say.
+
+    Raises ``OSError`` if a file of certificates cannot be read.
+    """
+    if not cfg.peer_tls_cert:
+        return Security(secret=cfg.fleet_secret.encode())
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    client = ssl.create_default_context(ssl.Purpose.SERVER_AUTH)
+    client.check_hostname = False
+    server.verify_mode = ssl.CERT_REQUIRED
+    for context in (server, client):
+        context.load_cert_chain(cfg.peer_tls_cert, cfg.peer_tls_key)
+        context.load_verify_locations(cfg.peer_tls_ca)
+        context.set_alpn_protocols(["h2"])
+    return Security(cfg.fleet_secret.encode(), server, client)
+
+
+def as_deferred(coroutine: Any) -> Deferred[Any]:
+    """Run an asyncio coroutine on the loop that the reactor shares."""
+    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -1,35 +1,37 @@
 """The daemon: wires the node to the network and the clock."""
 
-import asyncio
 import json
+import time
+from random import SystemRandom
 from typing import Any
-from uuid import uuid4
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import LoopingCall
-from wagtailpaddle_core import Offset, VmId
+from wagtailpaddle_core import Offset, VmId, ZoneId
+from wagtailpaddle_fleet import Vm, new_incarnation, vm_id
 from wagtailpaddle_node import Node
-from wagtailpaddle_peer import (
-    Acknowledged,
-    PeerClient,
-    PeerServer,
-    RecordError,
-    decode_record,
-)
-
-from wagtailpaddle_daemon.admin import Admin
+from wagtailpaddle_peer import LogCodec
+
+from wagtailpaddle_daemon.admin import Admin, ChangeState, StateName, VmView
+from wagtailpaddle_daemon.feed import Feed, start_coroutine
 from wagtailpaddle_daemon.front import FrontFactory, Limits
 from wagtailpaddle_daemon.gateway import Gateway
-from wagtailpaddle_daemon.logclient import LOG_ADAPTERS, LogError
+from wagtailpaddle_daemon.lifecycle import Lifecycle
+from wagtailpaddle_daemon.logclient import LOG_ADAPTERS
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
+from wagtailpaddle_daemon.peerlink import PeerLink, security_of
 from wagtailpaddle_daemon.settings import Settings
 from wagtailpaddle_daemon.upstream import Upstream
+from wagtailpaddle_daemon.vmlist import VmListClient
 
-TICK_S = 0.1
+TICK_S = 0.05
 LOG_POLL_S = 0.5
-DRAIN_POLL_S = 0.05
+VM_LIST_POLL_S = 1.0
+HOUSEKEEPING_S = 1.0
+STOP_POLL_S = 0.02
+HAND_OVER_S = 5.0
 
 log = get_logger("daemon")
 
@@ -40,51 +42,97 @@
     def __init__(self, reactor: Any, cfg: Settings):
         self._reactor = reactor
         self.cfg = cfg
-        self.vm = VmId(f"{cfg.peer_address}/{uuid4().hex[:8]}")
-        self.node = Node(site=cfg.site, n_vms=cfg.n_vms)
+        self.life = Lifecycle()
+        self.node = Node(make_vm(cfg), LogCodec(), site=cfg.site)
+        self.vm: VmId = self.node.vm.id
         self.log_client = LOG_ADAPTERS[cfg.log_adapter](reactor, cfg.log_url)
-        self.gateway = Gateway(reactor, self.node, Upstream(reactor))
         self.metrics = Metrics()
-        self._peers = PeerServer(self.vm, self._on_peer, secret=cfg.fleet_secret)
-        self._peer_client = PeerClient(self.vm, secret=cfg.fleet_secret)
-        self._ports: list[Any] = []
+        self.gateway = Gateway(reactor, self.node, Upstream(reactor), self.metrics)
+        self._feed = Feed(
+            reactor,
+            self.node,
+            self.log_client,
+            VmListClient(reactor, cfg.vm_list_url),
+            self.gateway.carry_out,
+        )
+        self._peers = PeerLink(
+            reactor, self.node, security_of(cfg), self.gateway.carry_out
+        )
+        self.gateway.connect(self._peers.call, self._feed.append)
+        limits = Limits(body_bytes=cfg.max_body_bytes)
+        self._front = FrontFactory(
+            reactor, self.gateway, self._directory, limits=limits
+        )
+        self._caller_port: Any = None
+        self._admin_port: Any = None
         self._loops: list[LoopingCall] = []
 
     async def start(self) -> None:
         """Listen and begin to follow the log."""
-        limits = Limits(body_bytes=self.cfg.max_body_bytes)
-        self._front = FrontFactory(
-            self._reactor, self.gateway, self._directory, limits=limits
-        )
-        await self._listen(self.cfg.caller_address, self._front)
-        await self._listen(self.cfg.admin_address, Site(Admin(self).app.resource()))
         host, port = split_address(self.cfg.peer_address)
-        await as_deferred(self._peers.start(host, port))
+        await self._peers.start(host, port)
+        admin = Admin(
+            self,
+            self._reactor,
+            metrics=self.metrics,
+            acceptance=self._acceptance,
+            fleet=self._fleet,
+        )
+        self._admin_port = await self._listen(self.cfg.admin_address, admin.site())
+        self._caller_port = await self._listen(self.cfg.caller_address, self._front)
         self._loop(TICK_S, self._tick)
         self._loop(LOG_POLL_S, self._poll_log)
+        self._loop(VM_LIST_POLL_S, lambda: start_coroutine(self._feed.read_vm_list()))
+        self._loop(HOUSEKEEPING_S, self._keep_house)
+        self.life.started()
         log.info("Started.", vm=self.vm, callers=self.cfg.caller_address)
 
     async def stop(self) -> None:
-        """Finish what is in flight, then close everything."""
-        log.info("Draining.", in_flight=self.gateway.n_in_flight)
-        self.node.draining = True
+        """Send callers elsewhere, finish what is in flight, hand over, close."""
+        if self.life.state in ("leaving", "draining", "stopped"):
+            return
+        self.life.leave()
+        log.info("Leaving.", in_flight=self.gateway.n_in_flight)
         self._front.draining = True
+        self.gateway.carry_out(self.node.leave(self._reactor.seconds()))
+        await sleep(self._reactor, self.cfg.linger_s)
+        self.life.drain()
+        self.node.draining = True
+        if self._caller_port is not None:
+            await self._caller_port.stopListening()
+        await self._wait(lambda: not self.gateway.n_in_flight, self.cfg.drain_s)
+        self.gateway.carry_out(self.node.release(self._reactor.seconds()))
+        await self._wait(
+            lambda: self.node.has_released and self.node.has_left, HAND_OVER_S
+        )
         self._front.close_idle()
-        give_up_at = self._reactor.seconds() + self.cfg.drain_s
-        while self.gateway.n_in_flight and self._reactor.seconds() < give_up_at:
-            await sleep(self._reactor, DRAIN_POLL_S)
+        await self._close()
+        self.life.stopped()
+        log.info("Stopped.", in_flight=self.gateway.n_in_flight)
+
+    async def catch_up(self) -> Offset | None:
+        """Fold what the log has; return its head, None if it did not answer."""
+        return await self._feed.catch_up()
+
+    async def _close(self) -> None:
         for loop in self._loops:
             loop.stop()
-        for port in self._ports:
-            await port.stopListening()
-        self._peer_client.close()
-        await as_deferred(self._peers.stop())
-        log.info("Stopped.", in_flight=self.gateway.n_in_flight)
+        if self._admin_port is not None:
+            await self._admin_port.stopListening()
+        await self._peers.stop()
 
-    async def _listen(self, address: str, factory: Any) -> None:
+    async def _listen(self, address: str, factory: Any) -> Any:
         host, port = split_address(address)
         endpoint = TCP4ServerEndpoint(self._reactor, port, interface=host)
-        self._ports.append(await endpoint.listen(factory))
+        return await endpoint.listen(factory)
+
+    async def _wait(self, condition: Any, limit_s: float) -> bool:
+        give_up_at = self._reactor.seconds() + limit_s
+        while not condition():
+            if self._reactor.seconds() >= give_up_at:
+                return False
+            await sleep(self._reactor, STOP_POLL_S)
+        return True
 
     def _loop(self, interval_s: float, function: Any) -> None:
         loop = LoopingCall(function)
@@ -97,35 +145,67 @@
     def _tick(self) -> None:
         now = self._reactor.seconds()
         self.gateway.carry_out(self.node.on_tick(now))
-        self._front.close_slow(now)
+        self.metrics.flush()
+
+    def _poll_log(self) -> Deferred[Any]:
+        reads = (self._feed.catch_up(), self._feed.read_shares())
+        return gatherResults([start_coroutine(read) for read in reads])
+
+    def _keep_house(self) -> None:
+        self._front.close_slow(self._reactor.seconds())
+        self._peers.close_idle()
+        self._feed.write_snapshots()
+        for event in self.node.health.events():
+            log.info(
+                f"Server {event.kind.value}.",
+                service=event.service,
+                server=event.server,
+                reason=event.reason,
+                score=round(event.score, 2),
+            )
 
     def _directory(self, key_hash: str | None, zone: str | None) -> bytes:
-        document = {"addresses": [self.cfg.caller_address], "keep_s": 10.0}
+        now = self._reactor.seconds()
+        found = self.node.addresses(now, key_hash, ZoneId(zone) if zone else None)
+        document = {"addresses": found.addresses, "keep_s": found.keep_s}
         return json.dumps(document).encode()
 
-    def _poll_log(self) -> Deferred[Offset | None]:
-        return Deferred.fromCoroutine(self.catch_up())
+    def _acceptance(self, offset: Offset) -> ChangeState:
+        membership = self.node.control.membership
+        now = self._reactor.seconds()
+        self.gateway.carry_out(self.node.track(now, offset))
+        state = membership.acceptance(offset)
+        name = StateName.IN_FORCE if state.in_force else StateName.RECORDED
+        return ChangeState(name, state.n_confirmed, state.n_seats // 2 + 1)
 
-    async def catch_up(self) -> Offset | None:
-        """Fold what the log has beyond this VM's revision.
-
-        Returns the head of the log, None if the log did not answer.
-        """
-        sent_at = self._reactor.seconds()
-        try:
-            read = await self.log_client.read("config", self.node.fold.next_offset)
-            records = tuple(
-                (offset, decode_record(data)) for offset, data in read.records
-            )
-        except (LogError, RecordError) as exc:
-            log.warning("Log read failed.", error=str(exc))
-            return None
+    def _fleet(self) -> tuple[VmView, ...]:
+        membership = self.node.control.membership
         now = self._reactor.seconds()
-        self.gateway.carry_out(self.node.on_log(now, sent_at, records, read.head))
-        return read.head
+        return tuple(
+            VmView(vm.id, vm.zone, vm.caller_address, state_of(self, vm, now))
+            for vm in membership.vms(now)
+        )
+
+
+def state_of(daemon: Daemon, vm: Vm, now: float) -> str:
+    """Return in a word how a VM fares, as far as this one knows."""
+    if vm.id != daemon.vm:
+        return "known"
+    if daemon.life.state != "serving":
+        return daemon.life.state
+    return "serving" if daemon.node.is_fresh(now) else "not-fresh"
 
-    def _on_peer(self, sender: VmId, body: Any) -> Any:
-        return Acknowledged()
+
+def make_vm(cfg: Settings) -> Vm:
+    """Return this VM with a new incarnation."""
+    incarnation = new_incarnation(time.time(), SystemRandom())
+    return Vm(
+        id=vm_id(cfg.peer_address, incarnation),
+        zone=ZoneId(cfg.zone),
+        caller_address=cfg.caller_address,
+        peer_address=cfg.peer_address,
+        incarnation=incarnation,
+    )
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -134,11 +214,6 @@
     return host, int(port)
 
 
-def as_deferred(coroutine: Any) -> Deferred[Any]:
-    """Run an asyncio coroutine on the loop that the reactor shares."""
-    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
-
-
 def sleep(reactor: Any, seconds: float) -> Deferred[None]:
     """Return a Deferred that fires after ``seconds``."""
     waiter: Deferred[None] = Deferred()
--- a/packages/daemon/src/wagtailpaddle_daemon/settings.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/settings.py
@@ -16,6 +16,7 @@
     read_seconds,
     read_text,
     read_url,
+    read_yes_no,
 )
 
 ENVIRONMENT_PREFIX = "WAGTAILPADDLE_"
@@ -85,14 +86,30 @@
     fleet_secret: str = option(
         read_any_text, "", "secret that daemons show to each other", secret=True
     )
-    n_vms: int = option(read_count, "1", "number of VMs among which rates are shared")
+    peer_tls_cert: str = option(
+        read_any_text, "", "PEM file of the certificate shown to other daemons"
+    )
+    peer_tls_key: str = option(
+        read_any_text, "", "PEM file of the key of that certificate"
+    )
+    peer_tls_ca: str = option(
+        read_any_text, "", "PEM file of the authority of all daemons' certificates"
+    )
+    peer_plain: bool = option(
+        read_yes_no, "no", "yes: no secret or certificates between daemons"
+    )
     max_body_bytes: int = option(
         read_count, "1048576", "largest body of a caller's request, in bytes"
     )
     admin_max_body_bytes: int = option(
         read_count, "8388608", "largest body of an operator's request, in bytes"
     )
-    drain_s: float = option(read_seconds, "30", "longest graceful stop, in seconds")
+    linger_s: float = option(
+        read_seconds, "1", "seconds in which a leaving daemon still serves"
+    )
+    drain_s: float = option(
+        read_seconds, "30", "longest wait for requests in flight, in seconds"
+    )
     log_format: str = option(one_of("console", "json"), "console", "form of log lines")
     log_level: str = option(
         one_of("debug", "info", "warning", "error"), "info", "least level that is shown"
@@ -145,6 +162,7 @@
             shown = "(hidden)" if item.secret else repr(raw)
             faults.append(f"{item.flag} ({item.variable}) is {shown}; allowed: {exc}")
     faults.extend(_shared_addresses(values))
+    faults.extend(_peer_security(values))
     if faults:
         raise SettingError("\n".join(faults))
     return Settings(**values)
@@ -167,6 +185,18 @@
     return faults
 
 
+def _peer_security(values: Mapping[str, Any]) -> list[str]:
+    tls = ("peer_tls_cert", "peer_tls_key", "peer_tls_ca")
+    given = [name for name in tls if values.get(name)]
+    if given and len(given) < len(tls):
+        missing = sorted(set(tls) - set(given))
+        flags = ", ".join("--" + name.replace("_", "-") for name in missing)
+        return [f"{flags} is required with the other TLS settings"]
+    if given or values.get("fleet_secret") or values.get("peer_plain"):
+        return []
+    return ["--fleet-secret, TLS settings or --peer-plain=yes is required"]
+
+
 def parse(argv: Sequence[str] | None = None) -> tuple[Settings, bool]:
     """Return the settings and whether only a check was asked for.
 
--- a/packages/daemon/src/wagtailpaddle_daemon/settings_values.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/settings_values.py
@@ -97,3 +97,10 @@
             )
         operators[name] = digest
     return operators
+
+
+def read_yes_no(value: str) -> bool:
+    """Read ``yes`` or ``no``."""
+    if value not in ("yes", "no"):
+        raise SettingError("yes or no")
+    return value == "yes"
--- a/packages/fleet/src/wagtailpaddle_fleet/roster.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/roster.py
@@ -34,6 +34,10 @@
     whoever stands anywhere in the log and asks a majority of the seats that it
     knows meets one that confirmed the next change.
 
+    ``members`` are the VMs in the seats; ``members_revision`` rises whenever
+    they change, and ``former_members`` are those before the last change. Equal
+    revisions mean equal members on every VM.
+
     >>> roster = Roster()
     >>> roster.next_offset, len(roster.seats)
     (0, 0)
@@ -46,6 +50,10 @@
         self.change: Offset | None = None
         self.change_author: VmId | None = None
         self.version = 0
+        self.members: tuple[Vm, ...] = ()
+        self.members_revision: Offset = 0
+        self.former_members: tuple[Vm, ...] = ()
+        self.former_members_revision: Offset = 0
         self.n_void = 0
         self._joining: dict[SeatId, Seat] = {}
         self._departing: set[SeatId] = set()
@@ -61,6 +69,7 @@
             return
         self.version += 1
         self._begin_change(offset, record.author)
+        self._note_members(offset + 1)
 
     def seat(self, seat: SeatId) -> Seat | None:
         """Return a seat that is registered or about to be."""
@@ -95,6 +104,8 @@
     def items(self) -> tuple[tuple[str, dict[str, Any]], ...]:
         """Return the state as (name, table) pairs for a snapshot."""
         head = {
+            "members_revision": self.members_revision,
+            "former_members_revision": self.former_members_revision,
             "change": self.change,
             "author": self.change_author,
             "departing": sorted(self._departing),
@@ -109,7 +120,10 @@
             for part, seats in parts.items()
             for name in sorted(seats)
         ]
-        return (("head", head), *rows)
+        former = [
+            (f"former_member/{vm.id}", _seat_table(vm)) for vm in self.former_members
+        ]
+        return (("head", head), *rows, *former)
 
     def restore(
         self, upto: Offset, items: Iterable[tuple[str, Mapping[str, Any]]]
@@ -121,6 +135,7 @@
             "current": {},
             "former": {},
             "joining": {},
+            "former_member": {},
         }
         try:
             for name, table in items:
@@ -131,6 +146,8 @@
                 parts[part][seat] = Seat(seat, _vm_from(table))
             change, author = head.get("change"), head.get("author")
             departing = set(head.get("departing", ()))
+            members_revision = int(head.get("members_revision", 0))
+            former_revision = int(head.get("former_members_revision", 0))
         except (LookupError, TypeError) as exc:
             raise ValueError(f"roster of the snapshot at {upto}: {exc!r}") from None
         self.seats = parts["current"]
@@ -139,9 +156,29 @@
         self.change_author = author
         self._joining = parts["joining"]
         self._departing = departing
+        self.members = self._seated()
+        self.members_revision = members_revision
+        self.former_members_revision = former_revision
+        self.former_members = tuple(
+            seat.vm for _, seat in sorted(parts["former_member"].items())
+        )
         self.next_offset = upto
         self.version += 1
 
+    def _note_members(self, revision: Offset) -> None:
+        """Keep the VMs that hold seats, their revision, and those before."""
+        members = self._seated()
+        if members == self.members:
+            return
+        self.former_members = self.members
+        self.former_members_revision = self.members_revision
+        self.members = members
+        self.members_revision = revision
+
+    def _seated(self) -> tuple[Vm, ...]:
+        vms = {seat.vm.id: seat.vm for seat in self.seats.values()}
+        return tuple(vms[vm] for vm in sorted(vms))
+
     def _begin_change(self, offset: Offset, author: VmId) -> None:
         if self.change is not None or not (self._joining or self._departing):
             return
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/backends.py
@@ -0,0 +1,174 @@
+"""Backend servers: joins the judgement on them with the choice among them."""
+
+from dataclasses import dataclass
+
+from wagtailpaddle_config import Configuration, Service
+from wagtailpaddle_core import RequestId, ServiceId
+from wagtailpaddle_health import (
+    HealthBook,
+    Observation,
+    Pool,
+    PoolServer,
+    ServerHealth,
+    Verdict,
+)
+from wagtailpaddle_routing import (
+    Action,
+    AttemptOutcome,
+    AttemptResult,
+    Dispatch,
+    Dispatcher,
+    ServerView,
+)
+
+VERDICTS: dict[AttemptOutcome, Verdict] = {
+    AttemptOutcome.ANSWERED: Verdict.SUCCESS,
+    AttemptOutcome.SHED: Verdict.NEUTRAL,
+    AttemptOutcome.NOT_SENT: Verdict.UNREACHABLE,
+    AttemptOutcome.FAILED: Verdict.FAILURE,
+    AttemptOutcome.TIMED_OUT: Verdict.FAILURE,
+    AttemptOutcome.CUT_SHORT: Verdict.FAILURE,
+    AttemptOutcome.CANCELLED: Verdict.NEUTRAL,
+}
+FIRST_SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    dispatch: Dispatch
+    started_at: float
+    overdue_at: float
+    overdue: bool = False
+
+
+class Backends:
+    """Feeds evidence to the health book and its verdicts to the dispatcher."""
+
+    def __init__(self, health: HealthBook, dispatcher: Dispatcher):
+        self.health = health
+        self.dispatcher = dispatcher
+        self._services: dict[ServiceId, Service] = {}
+        self._running: dict[RequestId, _Running] = {}
+        self._n_users = 1
+
+    def configure(self, now: float, cfg: Configuration) -> tuple[Action, ...]:
+        """Take in the services in force; the cost follows from what changed."""
+        actions: tuple[Action, ...] = ()
+        for name in [name for name in self._services if name not in cfg.services]:
+            del self._services[name]
+            self.health.remove_pool(now, name)
+            actions += self.dispatcher.remove_service(now, name)
+        for name, service in cfg.services.items():
+            if self._services.get(name) is service:
+                continue
+            self._services[name] = service
+            self.health.set_pool(now, pool_of(service))
+            actions += self.refresh(now, name)
+        return actions
+
+    def set_users(self, now: float, n_users: int) -> tuple[Action, ...]:
+        """State how many VMs share the connections of the servers."""
+        if n_users == self._n_users:
+            return ()
+        self._n_users = n_users
+        actions: tuple[Action, ...] = ()
+        for name in self._services:
+            actions += self.refresh(now, name)
+        return actions
+
+    def refresh(self, now: float, name: ServiceId) -> tuple[Action, ...]:
+        """Hand the present standing of a service's servers to the dispatcher."""
+        service = self._services.get(name)
+        if service is None:
+            return ()
+        standing = {item.id: item for item in self.health.standing(now, name)}
+        views = tuple(
+            ServerView(
+                id=server.id,
+                zone=server.zone,
+                slots=server.slots,
+                connections=server.connections,
+                weight=standing[server.id].weight,
+                probation=standing[server.id].idempotent_only,
+                leaving=server.leaving,
+            )
+            for server in service.servers
+            if server.id in standing
+        )
+        return self.dispatcher.set_servers(now, name, views, n_users=self._n_users)
+
+    def started(self, now: float, dispatch: Dispatch) -> None:
+        """An attempt begins."""
+        limit_s = self.health.overdue_after(now, dispatch.service)
+        self._running[dispatch.request] = _Running(dispatch, now, now + limit_s)
+
+    def finished(
+        self, now: float, request: RequestId, result: AttemptResult
+    ) -> tuple[Action, ...]:
+        """An attempt ended; return what follows for requests that wait."""
+        running = self._running.pop(request, None)
+        if running is None:
+            return ()
+        dispatch = running.dispatch
+        if result.load is not None:
+            self.health.report_load(now, dispatch.service, dispatch.server, result.load)
+        verdict = VERDICTS[result.outcome]
+        if verdict is Verdict.SUCCESS and result.status >= FIRST_SERVER_ERROR:
+            verdict = Verdict.FAILURE
+        observation = Observation(
+            dispatch.service,
+            dispatch.server,
+            verdict,
+            result.latency_s,
+            overdue=running.overdue,
+        )
+        if self.health.observe(now, observation):
+            return self.refresh(now, dispatch.service)
+        return ()
+
+    def forget(self, request: RequestId) -> None:
+        """The attempt of ``request`` was cancelled and says nothing."""
+        self._running.pop(request, None)
+
+    def tick(self, now: float) -> tuple[Action, ...]:
+        """Report attempts that run too long, and act on what time changed."""
+        self._report_overdue(now)
+        actions: tuple[Action, ...] = ()
+        for name in sorted(self.health.tick(now)):
+            actions += self.refresh(now, name)
+        return actions
+
+    def standing(self, now: float, name: ServiceId) -> tuple[ServerHealth, ...]:
+        """Return the standing of the servers of a service."""
+        return self.health.standing(now, name)
+
+    def _report_overdue(self, now: float) -> None:
+        for request, running in list(self._running.items()):
+            if running.overdue or now < running.overdue_at:
+                continue
+            dispatch = running.dispatch
+            self._running[request] = _Running(
+                dispatch, running.started_at, running.overdue_at, overdue=True
+            )
+            self.health.observe(
+                now,
+                Observation(
+                    dispatch.service,
+                    dispatch.server,
+                    Verdict.OVERDUE,
+                    now - running.started_at,
+                ),
+            )
+
+
+def pool_of(service: Service) -> Pool:
+    """Return what the health book needs to know of a service."""
+    return Pool(
+        service=service.id,
+        servers=tuple(
+            PoolServer(server.id, server.zone, server.leaving)
+            for server in service.servers
+        ),
+        floor=service.floor,
+        sensitivity=service.sensitivity,
+    )
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/calls.py
@@ -0,0 +1,70 @@
+"""Calls of other VMs that wait for their replies."""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from wagtailpaddle_core import VmId
+from wagtailpaddle_fleet import split_vm_id
+
+from wagtailpaddle_node.messages import CallPeer
+
+CALL_TIMEOUT_S = 1.0
+
+
+class Part(Enum):
+    """The decision package that a call belongs to."""
+
+    FLEET = auto()
+    HEALTH = auto()
+    ONCE = auto()
+    QUOTA = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call in flight. ``vm`` is empty if only the address is known."""
+
+    part: Part
+    vm: VmId
+    address: str
+    body: object
+    sent_at: float
+
+
+class Calls:
+    """Numbers calls and remembers what each of them asked."""
+
+    def __init__(self) -> None:
+        self._last = 0
+        self._open: dict[int, Call] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def to_vm(
+        self,
+        now: float,
+        part: Part,
+        vm: VmId,
+        body: object,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> CallPeer:
+        """Return the action that calls one incarnation of a VM."""
+        address, _ = split_vm_id(vm)
+        return self._begin(Call(part, vm, address, body, now), timeout_s)
+
+    def to_address(
+        self, now: float, part: Part, address: str, body: object, timeout_s: float
+    ) -> CallPeer:
+        """Return the action that calls whichever VM runs at ``address``."""
+        return self._begin(Call(part, VmId(""), address, body, now), timeout_s)
+
+    def end(self, number: int) -> Call | None:
+        """Return the call that ended, None if it is not in flight."""
+        return self._open.pop(number, None)
+
+    def _begin(self, call: Call, timeout_s: float) -> CallPeer:
+        self._last += 1
+        self._open[self._last] = call
+        return CallPeer(self._last, call.address, call.vm, call.body, timeout_s)
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -0,0 +1,457 @@
+"""The control side of a node: log, fleet, shares, claims, evidence."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Any, Protocol
+
+from wagtailpaddle_config import (
+    ConfigFold,
+    Configuration,
+    SnapshotChunk,
+    SnapshotCollector,
+    SnapshotOffer,
+)
+from wagtailpaddle_core import AccountId, Offset, ServiceId, VmId
+from wagtailpaddle_fleet import (
+    AppendRecord,
+    FoldRecords,
+    ListedVm,
+    Membership,
+    RestoreSnapshot,
+    SnapshotAnswer,
+    Vm,
+)
+from wagtailpaddle_fleet import SendPeer as FleetCall
+from wagtailpaddle_health import HealthDigest, watchers
+from wagtailpaddle_once import ClaimKeeper, Member, OnceAction, Reject, Roster, Run
+from wagtailpaddle_once import Replay as ClaimReplay
+from wagtailpaddle_once import SendPeer as OnceCall
+from wagtailpaddle_quota import (
+    AskFolded,
+    AskShares,
+    Borrow,
+    ChangeShares,
+    Folded,
+    HandOver,
+    Limit,
+    QuotaAction,
+    QuotaKeeper,
+    ShareSnapshot,
+    SharesState,
+)
+from wagtailpaddle_quota import SendPeer as QuotaCall
+
+from wagtailpaddle_node.backends import Backends
+from wagtailpaddle_node.calls import Call, Calls, Part
+from wagtailpaddle_node.follow import ConfigStream, RawLogRecord
+from wagtailpaddle_node.limits import RecentLimits
+from wagtailpaddle_node.messages import Append, NodeAction
+from wagtailpaddle_node.sharestate import share_items, shares_from
+
+CONFIG_STREAM = "config"
+SHARES_STREAM = "shares"
+SHARES_SNAPSHOT_RECORDS = 5000
+FLEET_TICK_S = 0.2
+N_CLAIM_PARTITIONS = 32
+ROSTER_CHECK_S = 0.5
+
+ControlAction = NodeAction | Run | Reject | ClaimReplay
+
+
+class Codec(Protocol):
+    """Turns records of the log into bytes and back."""
+
+    def encode(self, record: Any) -> bytes:
+        """Return the bytes of a record."""
+
+    def decode(self, data: bytes) -> Any:
+        """Return the record that ``data`` encodes. Raises ``ValueError``."""
+
+
+class Control:
+    """Everything of a node that does not belong to one request.
+
+    Events come in with the present time; actions go out, and with them the
+    outcomes of claims, which the node turns into what follows for requests.
+    """
+
+    def __init__(
+        self, vm: Vm, backends: Backends, codec: Codec, *, site: str, seed: int
+    ):
+        self.vm = vm
+        self.backends = backends
+        self.fold = ConfigFold(site=site)
+        self.membership = Membership(vm, seed=seed, snapshot_chunk=self._offer_chunk)
+        self.stream = ConfigStream(self.fold, self.membership, codec.decode, seed=seed)
+        window_s = self.membership.freshness.window_s
+        self.quota = QuotaKeeper(vm.id, limits=self.limit_of, freshness_s=window_s)
+        self.claims = ClaimKeeper(vm.id, n_partitions=N_CLAIM_PARTITIONS)
+        self.calls = Calls()
+        self.n_bad_messages = 0
+        self._codec = codec
+        self._offer = SnapshotOffer(self._whole_state, writer=vm.id)
+        self._limits = RecentLimits(keep_s=2 * window_s)
+        self._shares_first: Offset = 0
+        self._shares_head: Offset = 0
+        self._shares_snapshot_at: Offset = 0
+        self._roster_key: object = None
+        self._members_revision: Offset = -1
+        self._fleet_tick_at = float("-inf")
+        self._roster_check_at = float("-inf")
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force on this VM."""
+        return self.fold.configuration
+
+    # The log
+
+    def on_config_read(
+        self,
+        now: float,
+        sent_at: float,
+        records: Iterable[RawLogRecord],
+        first: Offset,
+        head: Offset,
+    ) -> tuple[ControlAction, ...]:
+        """Take in what the log answered about the ``config`` stream."""
+        before = self.configuration
+        self.stream.on_read(now, records, first, head)
+        actions = self._fleet(now, self.membership.on_log_head(now, sent_at, head))
+        return self._reconfigure(now, before) + actions
+
+    def on_shares_read(
+        self,
+        now: float,
+        sent_at: float,
+        records: Iterable[RawLogRecord],
+        first: Offset,
+        head: Offset,
+    ) -> None:
+        """Take in what the log answered about the ``shares`` stream."""
+        self._shares_first, self._shares_head = first, head
+        for raw in records:
+            try:
+                record = self._codec.decode(raw.data)
+            except ValueError:
+                record = None
+            if not isinstance(record, ChangeShares | ShareSnapshot):
+                self.n_bad_messages += 1
+                record = ChangeShares(f"unreadable/{raw.offset}", VmId(""), ())
+            if isinstance(record, ShareSnapshot):
+                self._shares_snapshot_at = max(self._shares_snapshot_at, raw.offset)
+            self.quota.on_record(now, raw.offset, record)
+        self.quota.confirmed(now, sent_at, head)
+
+    def snapshots(self, wall_s: float) -> tuple[Append, ...]:
+        """Return the snapshot records that this VM should append now."""
+        chunks = self.stream.due_snapshot(wall_s)
+        appends = tuple(Append(CONFIG_STREAM, chunk) for chunk in chunks)
+        if not self._shares_snapshot_is_due():
+            return appends
+        self._shares_snapshot_at = self._shares_head
+        records = self.quota.snapshot_records()
+        return appends + tuple(Append(SHARES_STREAM, record) for record in records)
+
+    def on_append_failed(self, now: float, append: Append) -> None:
+        """An append was not confirmed; it may stand in the log all the same."""
+        if isinstance(append.record, ChangeShares):
+            self.quota.on_append_failed(now, append.record.id)
+
+    # Peers
+
+    def on_message(self, now: float, sender: VmId, body: Any) -> Any:
+        """Return the reply to a peer's message, None if there is nothing to say."""
+        match body:
+            case HealthDigest():
+                self.backends.health.merge(now, body)
+                return None
+            case Borrow() | HandOver() | AskFolded():
+                return self.quota.on_message(now, sender, body)
+            case AskShares():
+                return SharesState(self.quota.next_offset, self.quota.state())
+        reply = self.membership.on_message(now, sender, body)
+        if reply is not None:
+            return reply
+        return self.claims.on_message(now, sender, body)
+
+    def on_peer_reply(
+        self, now: float, number: int, reply: Any
+    ) -> tuple[ControlAction, ...]:
+        """A peer answered the call ``number``."""
+        call = self.calls.end(number)
+        if call is None:
+            return ()
+        match call.part:
+            case Part.FLEET:
+                return self._fleet_reply(now, call, reply)
+            case Part.QUOTA:
+                return self._quota_reply(now, call, reply)
+            case Part.ONCE:
+                body: Any = call.body
+                return self._once(now, self.claims.on_reply(now, call.vm, body, reply))
+        return ()
+
+    def on_peer_failed(self, now: float, number: int) -> tuple[ControlAction, ...]:
+        """The call ``number`` brought no reply; it may have arrived."""
+        call = self.calls.end(number)
+        if call is None:
+            return ()
+        body: Any = call.body
+        match call.part:
+            case Part.FLEET:
+                failed = self.membership.on_call_failed(now, call.address, body)
+                return self._fleet(now, failed)
+            case Part.QUOTA:
+                if not isinstance(body, AskShares):
+                    self.quota.on_call_failed(now, call.vm, body)
+            case Part.ONCE:
+                return self._once(now, self.claims.on_call_failed(now, call.vm, body))
+        return ()
+
+    def on_vm_list(
+        self, now: float, entries: Iterable[ListedVm]
+    ) -> tuple[ControlAction, ...]:
+        """The platform answered with its list of VMs."""
+        return self._fleet(now, self.membership.on_vm_list(now, entries))
+
+    # Time
+
+    def on_stall(self, now: float, stalled_s: float) -> None:
+        """The loop stood still for ``stalled_s`` seconds."""
+        self.quota.on_stall(now, stalled_s)
+
+    def tick(self, now: float) -> tuple[ControlAction, ...]:
+        """Act on the passing of time; called about 20 times a second."""
+        actions: tuple[ControlAction, ...] = ()
+        if now - self._fleet_tick_at >= FLEET_TICK_S:
+            self._fleet_tick_at = now
+            actions += self._fleet(now, self.membership.tick(now))
+            actions += self._tell_health(now)
+            actions += self._once(now, self.claims.tick(now))
+        if now - self._roster_check_at >= ROSTER_CHECK_S:
+            self._roster_check_at = now
+            self._limits.expire(now)
+            actions += self._check_roster(now)
+        return actions + self._quota(now, self.quota.tick(now))
+
+    def track(self, now: float, offset: Offset) -> tuple[ControlAction, ...]:
+        """Begin to count the VMs that confirm the change at ``offset``."""
+        tracked = self.membership.track(now, offset)
+        return self._fleet(now, tracked + self.membership.tick(now))
+
+    # Graceful stop
+
+    def release(self, now: float) -> tuple[ControlAction, ...]:
+        """Hand over shares and claims; call it when the last request ended."""
+        return self._quota(now, self.quota.release(now)) + self._once(
+            now, self.claims.release(now)
+        )
+
+    def leave(self, now: float) -> tuple[ControlAction, ...]:
+        """Hand over the seats; call it last."""
+        return self._fleet(now, self.membership.leave(now))
+
+    # Requests
+
+    def limit_of(self, account: AccountId) -> Limit | None:
+        """Return the rate and burst of an active client account.
+
+        After a change the smaller burst counts until every fresh VM must know
+        of it.
+        """
+        known = self.configuration.accounts.get(account)
+        if known is None or not known.active:
+            return None
+        return self._limits.get(account) or Limit(known.rate, known.burst)
+
+    def borrow(self, now: float, account: AccountId) -> tuple[ControlAction, ...]:
+        """Ask other holders for the tokens that an account lacks here."""
+        return self._quota(now, self.quota.borrow(now, account))
+
+    def outcomes(
+        self, now: float, actions: Iterable[OnceAction]
+    ) -> tuple[ControlAction, ...]:
+        """Turn the claims' calls into the node's; pass on the outcomes."""
+        return self._once(now, actions)
+
+    # Parts
+
+    def _reconfigure(
+        self, now: float, before: Configuration
+    ) -> tuple[ControlAction, ...]:
+        after = self.configuration
+        if after.accounts is not before.accounts:
+            names = self.stream.take_changed_accounts()
+            self._limits.note(now, before.accounts, after.accounts, names)
+        if after.services is before.services:
+            return ()
+        return self.backends.configure(now, after)
+
+    def _fleet(self, now: float, actions: Iterable[Any]) -> tuple[ControlAction, ...]:
+        found: list[ControlAction] = []
+        for action in actions:
+            match action:
+                case FleetCall():
+                    found.append(
+                        self.calls.to_address(
+                            now,
+                            Part.FLEET,
+                            action.address,
+                            action.body,
+                            action.timeout_s,
+                        )
+                    )
+                case AppendRecord():
+                    found.append(Append(CONFIG_STREAM, action.record))
+                case FoldRecords():
+                    found += self._fold_from_peer(now, action)
+                case RestoreSnapshot():
+                    found += self._restore_from_peer(now, action)
+        return tuple(found)
+
+    def _fold_from_peer(
+        self, now: float, action: FoldRecords
+    ) -> tuple[ControlAction, ...]:
+        before = self.configuration
+        raw = [RawLogRecord(item.offset, item.data) for item in action.records]
+        self.stream.fold_records(now, raw)
+        return self._reconfigure(now, before)
+
+    def _restore_from_peer(
+        self, now: float, action: RestoreSnapshot
+    ) -> tuple[ControlAction, ...]:
+        before = self.configuration
+        collector = SnapshotCollector()
+        for data in action.chunks:
+            try:
+                chunk = self._codec.decode(data)
+            except ValueError:
+                chunk = None
+            if not isinstance(chunk, SnapshotChunk):
+                self.n_bad_messages += 1
+                return ()
+            snapshot = collector.add(chunk)
+            if snapshot is None:
+                continue
+            try:
+                next_offset, entries = shares_from(snapshot.items)
+            except ValueError:
+                self.n_bad_messages += 1
+                return ()
+            self.stream.restore(now, snapshot)
+            self.quota.load(now, next_offset, entries)
+        return self._reconfigure(now, before)
+
+    def _whole_state(self) -> tuple[Offset, tuple[Any, ...]]:
+        upto, items = self.stream.items()
+        shares = share_items(self.quota.next_offset, self.quota.state())
+        return upto, items + shares
+
+    def _offer_chunk(self, now: float, upto: Offset, index: int) -> SnapshotAnswer:
+        chunk = self._offer.chunk(now, upto, index)
+        if chunk is None:
+            return SnapshotAnswer(upto, index, 0, b"")
+        data = self._codec.encode(chunk)
+        return SnapshotAnswer(chunk.upto, chunk.index, chunk.n_chunks, data)
+
+    def _fleet_reply(
+        self, now: float, call: Call, reply: Any
+    ) -> tuple[ControlAction, ...]:
+        body: Any = call.body
+        answered = self.membership.on_reply(
+            now, call.sent_at, call.address, body, reply
+        )
+        return self._fleet(now, answered)
+
+    def _quota(
+        self, now: float, actions: Iterable[QuotaAction]
+    ) -> tuple[ControlAction, ...]:
+        found: list[ControlAction] = []
+        for action in actions:
+            if isinstance(action, QuotaCall):
+                call = self.calls.to_vm(now, Part.QUOTA, action.vm, action.message)
+                found.append(call)
+            else:
+                found.append(Append(action.stream, action.record))
+        return tuple(found)
+
+    def _quota_reply(
+        self, now: float, call: Call, reply: Any
+    ) -> tuple[ControlAction, ...]:
+        if isinstance(reply, SharesState):
+            self.quota.load(now, reply.next_offset, reply.entries)
+            return ()
+        body: Any = call.body
+        actions = self._quota(now, self.quota.on_reply(now, call.vm, body, reply))
+        if isinstance(reply, Folded) and reply.next_offset > self.quota.next_offset:
+            ask = self.calls.to_vm(now, Part.QUOTA, call.vm, AskShares())
+            actions += (ask,)
+        return actions
+
+    def _once(
+        self, now: float, actions: Iterable[OnceAction]
+    ) -> tuple[ControlAction, ...]:
+        return tuple(
+            self.calls.to_vm(now, Part.ONCE, action.vm, action.message)
+            if isinstance(action, OnceCall)
+            else action
+            for action in actions
+        )
+
+    def _tell_health(self, now: float) -> tuple[ControlAction, ...]:
+        digests = self.backends.health.digests(now)
+        if not digests:
+            return ()
+        vms = [vm.id for vm in self.membership.vms(now)]
+        return tuple(
+            self.calls.to_vm(now, Part.HEALTH, vm, replace(digest, to=()))
+            for digest in digests
+            for vm in digest.to or self._watchers(digest.service, vms)
+            if vm != self.vm.id
+        )
+
+    def _watchers(self, service: ServiceId, vms: list[VmId]) -> tuple[VmId, ...]:
+        return watchers(service, vms)
+
+    def _check_roster(self, now: float) -> tuple[ControlAction, ...]:
+        roster = self.membership.roster
+        vms = frozenset(vm.id for vm in self.membership.vms(now))
+        gone = self.membership.gone(now)
+        key = (vms, gone, roster.members_revision)
+        if key == self._roster_key:
+            return ()
+        self._roster_key = key
+        registered = [vm.id for vm in roster.members]
+        self.quota.on_roster(now, vms, gone, registered or None)
+        actions: tuple[ControlAction, ...] = self.backends.set_users(
+            now, max(1, len(vms))
+        )
+        return actions + self._tell_claims(now, gone)
+
+    def _tell_claims(
+        self, now: float, gone: frozenset[VmId]
+    ) -> tuple[ControlAction, ...]:
+        roster = self.membership.roster
+        if not roster.members:
+            return ()
+        former = None
+        if roster.former_members:
+            former = Roster(
+                roster.former_members_revision, _members(roster.former_members)
+            )
+        present = Roster(roster.members_revision, _members(roster.members))
+        return self._once(now, self.claims.on_roster(now, present, former, gone))
+
+    def _shares_snapshot_is_due(self) -> bool:
+        if self.quota.next_offset < self._shares_head:
+            return False
+        since = self._shares_head - self._shares_snapshot_at
+        if since >= SHARES_SNAPSHOT_RECORDS:
+            return True
+        halfway = (self._shares_snapshot_at + self._shares_head) // 2
+        return self._shares_first > 0 and self._shares_first >= halfway
+
+
+def _members(vms: Iterable[Vm]) -> tuple[Member, ...]:
+    return tuple(Member(vm.id, vm.zone) for vm in vms)
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/follow.py
@@ -0,0 +1,172 @@
+"""Following the ``config`` stream: configuration and seats in one order."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+
+from wagtailpaddle_config import (
+    CancelAccount,
+    Change,
+    ConfigFold,
+    LogFollower,
+    PublishBase,
+    PublishOverlay,
+    PutAccount,
+    Record,
+    RestoreAccount,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotError,
+    SnapshotItem,
+    SnapshotWatch,
+    cut_snapshot,
+)
+from wagtailpaddle_core import AccountId, Offset, ensure
+from wagtailpaddle_fleet import FleetRecord, Membership
+
+ROSTER_SECTION = "roster"
+
+Decode = Callable[[bytes], object]
+"""Returns the record that bytes of the log encode. Raises ``ValueError``."""
+
+
+@dataclass(frozen=True, slots=True)
+class RawLogRecord:
+    """A record as it stands in a stream of the log."""
+
+    offset: Offset
+    data: bytes
+
+
+class ConfigStream:
+    """Keeps the configuration and the seats at the same place of the log.
+
+    ``n_unreadable`` counts records that could not be decoded; they are passed
+    over by every VM alike.
+    """
+
+    def __init__(
+        self, fold: ConfigFold, membership: Membership, decode: Decode, *, seed: int
+    ):
+        self.fold = fold
+        self.membership = membership
+        self.n_unreadable = 0
+        self.first: Offset = 0
+        self.head: Offset = 0
+        self._changed_accounts: set[AccountId] | None = set()
+        self._decode = decode
+        self._follower = LogFollower()
+        self._watch = SnapshotWatch(rng=Random(f"{seed}/{membership.vm.id}"))
+
+    @property
+    def read_from(self) -> Offset:
+        """The offset at which the log is to be read next."""
+        return self._follower.next_read(self.fold.next_offset).start
+
+    def on_trimmed(self, first: Offset) -> None:
+        """The log holds nothing before ``first``."""
+        self._follower.trimmed(first, self.fold.next_offset)
+
+    def on_read(
+        self, now: float, records: Iterable[RawLogRecord], first: Offset, head: Offset
+    ) -> None:
+        """Take in what the log answered to a read from ``read_from`` on."""
+        self.first, self.head = first, head
+        if self._follower.is_searching:
+            decoded = [(raw.offset, self._read(raw.data)) for raw in records]
+            snapshot = self._follower.searched(
+                decoded, first, head, self.fold.next_offset
+            )
+            if snapshot is not None:
+                self.restore(now, snapshot)
+            return
+        self.fold_records(now, records)
+
+    def fold_records(self, now: float, records: Iterable[RawLogRecord]) -> None:
+        """Fold the records that continue what was folded; pass over others."""
+        for raw in records:
+            if raw.offset == self.fold.next_offset:
+                self._fold_one(now, raw)
+        self._follower.caught_up(self.fold.next_offset, self.first)
+
+    def restore(self, now: float, snapshot: Snapshot) -> None:
+        """Continue from a snapshot; one that is malformed changes nothing."""
+        if snapshot.upto <= self.fold.next_offset:
+            return
+        roster = [
+            (item.name, item.table)
+            for item in snapshot.items
+            if item.section == ROSTER_SECTION
+        ]
+        try:
+            self.membership.restored(now, snapshot.upto, roster)
+            self.fold.restore(snapshot.upto, snapshot.items)
+        except (SnapshotError, ValueError):
+            self.n_unreadable += 1
+            return
+        self._changed_accounts = None
+        self._check_together()
+
+    def items(self) -> tuple[Offset, tuple[SnapshotItem, ...]]:
+        """Return the next offset and the whole state before it."""
+        roster = tuple(
+            SnapshotItem(ROSTER_SECTION, name, table)
+            for name, table in self.membership.snapshot_items()
+        )
+        return self.fold.next_offset, self.fold.snapshot_items() + roster
+
+    def take_changed_accounts(self) -> set[AccountId] | None:
+        """Return the accounts changed since the last call, None if any may be."""
+        changed = self._changed_accounts
+        self._changed_accounts = set()
+        return changed
+
+    def due_snapshot(self, wall_s: float) -> tuple[SnapshotChunk, ...]:
+        """Return the chunks that this VM should append now, mostly none."""
+        if self.fold.next_offset < self.head:
+            return ()
+        if not self._watch.should_write(wall_s, self.first, self.head):
+            return ()
+        upto, items = self.items()
+        return cut_snapshot(upto, items, writer=self.membership.vm.id, at=wall_s)
+
+    def _fold_one(self, now: float, raw: RawLogRecord) -> None:
+        record = self._read(raw.data)
+        seats: FleetRecord | None = None
+        match record:
+            case Record():
+                self.fold.apply(raw.offset, record)
+                self._note_accounts(record.change)
+            case FleetRecord():
+                self.fold.skip(raw.offset)
+                seats = record
+            case SnapshotChunk():
+                self.fold.skip(raw.offset)
+                self._watch.on_chunk(record)
+            case _:
+                self.fold.skip(raw.offset)
+        self.membership.on_folded(now, raw.offset, raw.data, seats)
+        self._check_together()
+
+    def _note_accounts(self, change: Change) -> None:
+        match change:
+            case PutAccount() | CancelAccount() | RestoreAccount():
+                if self._changed_accounts is not None:
+                    self._changed_accounts.add(change.account)
+            case PublishBase() | PublishOverlay():
+                self._changed_accounts = None
+
+    def _read(self, data: bytes) -> object:
+        try:
+            return self._decode(data)
+        except ValueError:
+            self.n_unreadable += 1
+            return None
+
+    def _check_together(self) -> None:
+        ensure(
+            self.fold.next_offset == self.membership.roster.next_offset,
+            "config-and-seats-together",
+            config=self.fold.next_offset,
+            seats=self.membership.roster.next_offset,
+        )
--- a/packages/peer/src/wagtailpaddle_peer/__init__.py
+++ b/packages/peer/src/wagtailpaddle_peer/__init__.py
@@ -3,6 +3,7 @@
 from wagtailpaddle_peer.codec import MessageError
 from wagtailpaddle_peer.messages import Acknowledged, Failed
 from wagtailpaddle_peer.records import (
+    LogCodec,
     LogRecord,
     RecordError,
     decode_log_record,
@@ -10,16 +11,18 @@
     encode_log_record,
     encode_record,
 )
-from wagtailpaddle_peer.service import PeerClient, PeerError, PeerServer
+from wagtailpaddle_peer.service import PeerClient, PeerError, PeerServer, Security
 
 __all__ = [
     "Acknowledged",
     "Failed",
+    "LogCodec",
     "LogRecord",
     "MessageError",
     "PeerClient",
     "PeerError",
     "PeerServer",
+    "Security",
     "RecordError",
     "decode_log_record",
     "decode_record",
--- a/packages/peer/src/wagtailpaddle_peer/codec.py
+++ b/packages/peer/src/wagtailpaddle_peer/codec.py
@@ -13,9 +13,9 @@
     """An envelope that carries no known or no valid message."""
 
 
-def encode_envelope(sender: VmId, body: Any) -> pb.Envelope:
-    """Return the envelope that carries ``body``."""
-    envelope = pb.Envelope(sender=sender)
+def encode_envelope(sender: VmId, body: Any, *, receiver: str = "") -> pb.Envelope:
+    """Return the envelope that carries ``body`` to ``receiver``, if one is meant."""
+    envelope = pb.Envelope(sender=sender, receiver=receiver)
     held = getattr(envelope, FIELD_OF[type(body)])
     held.SetInParent()
     fill(held, body)
--- a/packages/peer/src/wagtailpaddle_peer/records.py
+++ b/packages/peer/src/wagtailpaddle_peer/records.py
@@ -1,4 +1,4 @@
-"""JSON codec of the records in the ``config`` stream of the log."""
+"""JSON codec of the records in the streams of the log."""
 
 from typing import Any
 
@@ -26,8 +26,9 @@
     Settle,
     TakeSeat,
 )
+from wagtailpaddle_quota import ChangeShares, ShareSnapshot
 
-LogRecord = Record | FleetRecord | SnapshotChunk
+LogRecord = Record | FleetRecord | SnapshotChunk | ChangeShares | ShareSnapshot
 
 CHANGES: Registry[type] = Registry("change")
 for _kind in (
@@ -47,7 +48,9 @@
 for _seat_change in (Join, Depart, TakeSeat, Settle):
     SEAT_CHANGES.register(_seat_change.__name__)(_seat_change)
 
-SNAPSHOT_TYPE = SnapshotChunk.__name__
+WHOLE_RECORDS: Registry[type] = Registry("record")
+for _whole in (SnapshotChunk, ChangeShares, ShareSnapshot):
+    WHOLE_RECORDS.register(_whole.__name__)(_whole)
 
 
 class RecordError(ValueError):
@@ -55,12 +58,12 @@
 
 
 def encode_log_record(record: LogRecord) -> bytes:
-    """Return the JSON form of whatever stands in the ``config`` stream."""
+    """Return the JSON form of whatever stands in a stream of the log."""
     table = msgspec.to_builtins(record)
-    if isinstance(record, SnapshotChunk):
-        table["type"] = SNAPSHOT_TYPE
-    else:
+    if isinstance(record, Record | FleetRecord):
         table["type"] = type(record.change).__name__
+    else:
+        table["type"] = type(record).__name__
     return msgspec.json.encode(table)
 
 
@@ -72,8 +75,8 @@
     try:
         table: dict[str, Any] = msgspec.json.decode(data, type=dict)
         name = table.pop("type")
-        if name == SNAPSHOT_TYPE:
-            return msgspec.convert(table, SnapshotChunk)
+        if name in WHOLE_RECORDS:
+            return msgspec.convert(table, WHOLE_RECORDS[name])
         if name in SEAT_CHANGES:
             return _fleet_record(table, SEAT_CHANGES[name])
         return _record(table, CHANGES[name])
@@ -81,6 +84,18 @@
         raise RecordError(f"not a record: {exc}") from None
 
 
+class LogCodec:
+    """Both directions of the codec as one object."""
+
+    def encode(self, record: LogRecord) -> bytes:
+        """Return the bytes of a record."""
+        return encode_log_record(record)
+
+    def decode(self, data: bytes) -> LogRecord:
+        """Return the record that ``data`` encodes. Raises ``RecordError``."""
+        return decode_log_record(data)
+
+
 def encode_record(record: Record) -> bytes:
     """Return the JSON form of a change of configuration."""
     return encode_log_record(record)
--- a/packages/peer/src/wagtailpaddle_peer/service.py
+++ b/packages/peer/src/wagtailpaddle_peer/service.py
@@ -1,7 +1,9 @@
 """The gRPC service between daemons and its client."""
 
+import hmac
 from collections.abc import Callable
-from hmac import compare_digest
+from dataclasses import dataclass
+from ssl import SSLContext
 from typing import Any
 
 from grpclib.client import Channel
@@ -16,12 +18,13 @@
     decode_envelope,
     encode_envelope,
 )
-from wagtailpaddle_peer.messages import Failed
+from wagtailpaddle_peer.messages import Acknowledged, Failed
 from wagtailpaddle_peer.peer_grpc import PeerBase, PeerStub
 
-MAX_MESSAGE_BYTES = 1 << 20
+MAX_MESSAGE_BYTES = 4 << 20
 CALL_TIMEOUT_S = 1.0
-SECRET_HEADER = "x-fleet-secret"
+CHANNEL_IDLE_S = 60.0
+MAC_HEADER = "x-fleet-mac"
 
 Handler = Callable[[VmId, Any], Any]
 
@@ -30,22 +33,51 @@
     """A peer did not answer, or answered with an error."""
 
 
+@dataclass(frozen=True, slots=True)
+class Security:
+    """How daemons make sure of each other.
+
+    With a ``secret`` each message and each reply carries a keyed digest, so
+    the secret itself never travels. With ``tls`` contexts the connections are
+    encrypted, and certificates decide who may call.
+    """
+
+    secret: bytes = b""
+    server_tls: SSLContext | None = None
+    client_tls: SSLContext | None = None
+
+    def mac(self, *parts: bytes) -> str:
+        """Return the keyed digest of ``parts``, empty without a secret."""
+        if not self.secret:
+            return ""
+        keyed = hmac.new(self.secret, digestmod="sha256")
+        for part in parts:
+            keyed.update(len(part).to_bytes(8, "big"))
+            keyed.update(part)
+        return keyed.hexdigest()
+
+    def is_valid(self, presented: object, *parts: bytes) -> bool:
+        """Return whether ``presented`` is the keyed digest of ``parts``."""
+        expected = self.mac(*parts)
+        return hmac.compare_digest(str(presented or "").encode(), expected.encode())
+
+
 class PeerServer(PeerBase):
     """Serves the calls of other daemons.
 
-    ``handler`` gets the sender and the message and returns the reply. With a
-    ``secret``, calls that do not carry it are refused.
+    ``handler`` gets the sender and the message and returns the reply, or None
+    if there is nothing to say.
     """
 
-    def __init__(self, vm: VmId, handler: Handler, *, secret: str = ""):
+    def __init__(self, vm: VmId, handler: Handler, security: Security):
         self._vm = vm
         self._handler = handler
-        self._secret = secret
+        self._security = security
         self._server = Server([self])
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host:port``. Raises ``OSError``."""
-        await self._server.start(host, port)
+        await self._server.start(host, port, ssl=self._security.server_tls)
 
     async def stop(self) -> None:
         """Close the listener and every connection."""
@@ -54,44 +86,63 @@
 
     async def Call(self, stream: Stream[pb.Envelope, pb.Envelope]) -> None:  # noqa: N802
         """Answer one message of a peer."""
-        presented = str((stream.metadata or {}).get(SECRET_HEADER, ""))
-        if not compare_digest(presented.encode(), self._secret.encode()):
-            raise GRPCError(Status.UNAUTHENTICATED, "wrong fleet secret")
         envelope = await stream.recv_message()
         if envelope is None:
             raise GRPCError(Status.INVALID_ARGUMENT, "no message")
-        await stream.send_message(encode_envelope(self._vm, self._answer(envelope)))
+        data = envelope.SerializeToString(deterministic=True)
+        presented = (stream.metadata or {}).get(MAC_HEADER, "")
+        if not self._security.is_valid(presented, data):
+            raise GRPCError(Status.UNAUTHENTICATED, "wrong fleet secret")
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "the message is too large")
+        reply = encode_envelope(self._vm, self._answer(envelope))
+        mac = self._security.mac(data, reply.SerializeToString(deterministic=True))
+        await stream.send_initial_metadata(metadata={MAC_HEADER: mac})
+        await stream.send_message(reply)
 
     def _answer(self, envelope: pb.Envelope) -> Any:
+        if envelope.receiver not in ("", self._vm):
+            return Failed(f"{envelope.receiver!r} does not run here")
         try:
             sender, body = decode_envelope(envelope)
         except MessageError as exc:
             return Failed(str(exc))
-        return self._handler(sender, body)
+        reply = self._handler(sender, body)
+        return Acknowledged() if reply is None else reply
+
+
+@dataclass(slots=True)
+class _Link:
+    channel: Channel
+    used_at: float
 
 
 class PeerClient:
     """Calls other daemons over kept connections."""
 
-    def __init__(self, vm: VmId, *, secret: str = ""):
+    def __init__(self, vm: VmId, security: Security, clock: Callable[[], float]):
         self._vm = vm
-        self._metadata = {SECRET_HEADER: secret}
-        self._channels: dict[str, Channel] = {}
+        self._security = security
+        self._clock = clock
+        self._links: dict[str, _Link] = {}
 
     async def call(
-        self, address: str, body: Any, *, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        address: str,
+        body: Any,
+        *,
+        receiver: str = "",
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> Any:
         """Return the reply of the daemon at ``address`` (``host:port``).
 
-        Raises ``PeerError`` when none comes within ``timeout_s`` seconds.
+        With a ``receiver`` only that incarnation of the VM answers. Raises
+        ``PeerError`` when no valid reply comes within ``timeout_s`` seconds.
         """
-        stub = PeerStub(self._channel(address))
-        request = encode_envelope(self._vm, body)
+        envelope = encode_envelope(self._vm, body, receiver=receiver)
         try:
-            envelope = await stub.Call(
-                request, timeout=timeout_s, metadata=self._metadata
-            )
-            reply = decode_envelope(envelope)[1]
+            answer = await self._exchange(address, envelope, timeout_s)
+            reply = decode_envelope(answer)[1]
         except (
             GRPCError,
             ProtocolError,
@@ -105,16 +156,42 @@
             raise PeerError(f"peer {address!r}: {reply.reason}")
         return reply
 
+    async def _exchange(
+        self, address: str, envelope: pb.Envelope, timeout_s: float
+    ) -> pb.Envelope:
+        data = envelope.SerializeToString(deterministic=True)
+        stub = PeerStub(self._channel(address))
+        mac = {MAC_HEADER: self._security.mac(data)}
+        async with stub.Call.open(timeout=timeout_s, metadata=mac) as stream:
+            await stream.send_message(envelope, end=True)
+            answer = await stream.recv_message()
+            presented = (stream.initial_metadata or {}).get(MAC_HEADER, "")
+        if answer is None:
+            raise MessageError("no reply")
+        told = answer.SerializeToString(deterministic=True)
+        if not self._security.is_valid(presented, data, told):
+            raise MessageError("the reply does not carry the fleet secret")
+        return answer
+
+    def close_idle(self) -> None:
+        """Close connections that were not used for a while."""
+        oldest = self._clock() - CHANNEL_IDLE_S
+        for address, link in list(self._links.items()):
+            if link.used_at < oldest:
+                link.channel.close()
+                del self._links[address]
+
     def close(self) -> None:
         """Close every connection."""
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        for link in self._links.values():
+            link.channel.close()
+        self._links.clear()
 
     def _channel(self, address: str) -> Channel:
-        channel = self._channels.get(address)
-        if channel is None:
+        link = self._links.get(address)
+        if link is None:
             host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port))
-            self._channels[address] = channel
-        return channel
+            channel = Channel(host, int(port), ssl=self._security.client_tls)
+            link = self._links[address] = _Link(channel, 0.0)
+        link.used_at = self._clock()
+        return link.channel
--- a/packages/peer/tests/test_codec.py
+++ b/packages/peer/tests/test_codec.py
@@ -1,7 +1,6 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-
 from wagtailpaddle_core import VmId
 from wagtailpaddle_peer import MessageError
 from wagtailpaddle_peer import peer_pb2 as pb
--- a/packages/quota/src/wagtailpaddle_quota/__init__.py
+++ b/packages/quota/src/wagtailpaddle_quota/__init__.py
@@ -6,6 +6,7 @@
     NEVER,
     AppendRecord,
     AskFolded,
+    AskShares,
     Borrow,
     BucketState,
     ChangeShares,
@@ -26,6 +27,7 @@
     ShareId,
     ShareRecord,
     ShareSnapshot,
+    SharesState,
     WaitUntil,
 )
 
@@ -33,6 +35,7 @@
     "NEVER",
     "AppendRecord",
     "AskFolded",
+    "AskShares",
     "Borrow",
     "BucketState",
     "ChangeShares",
@@ -55,6 +58,7 @@
     "ShareId",
     "ShareRecord",
     "ShareSnapshot",
+    "SharesState",
     "TokenBucket",
     "WaitUntil",
 ]
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -160,6 +160,19 @@
     next_offset: Offset
 
 
+@dataclass(frozen=True, slots=True)
+class AskShares:
+    """Ask for the holders of all shares, when the log does not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class SharesState:
+    """Answer to ``AskShares``: the state after all records before an offset."""
+
+    next_offset: Offset
+    entries: tuple[ShareEntry, ...]
+
+
 QuotaMessage = Borrow | HandOver | AskFolded
 QuotaReply = Lent | HandOverTaken | Folded
 
