Let the tests of the administration API follow the node's interface

Cause: the node takes raw records and a VM, and the setting for the number of VMs is gone, since the roster tells it.

Change: the tests use both; the check of wrong settings uses another count.

--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -13,9 +13,10 @@
 from wagtailpaddle_daemon.admin import Admin
 from wagtailpaddle_daemon.logclient import LogError, LogRead
 from wagtailpaddle_daemon.metrics import Metrics
+from wagtailpaddle_daemon.service import make_vm
 from wagtailpaddle_daemon.settings import build_parser, read_settings
-from wagtailpaddle_node import Node
-from wagtailpaddle_peer import decode_record
+from wagtailpaddle_node import Node, RawLogRecord
+from wagtailpaddle_peer import LogCodec
 
 TOKEN = "operator-token"
 BASE = {
@@ -99,8 +100,8 @@
             read = await self.log_client.read("config", start)
         except LogError:
             return None
-        records = tuple((offset, decode_record(data)) for offset, data in read.records)
-        self.node.on_log(0.0, 0.0, records, read.head)
+        records = tuple(RawLogRecord(offset, data) for offset, data in read.records)
+        self.node.on_config_read(0.0, 0.0, records, read.first, read.head)
         return read.head
 
 
@@ -173,9 +174,10 @@
         "--vm-list-url=http://127.0.0.1:9000/vms",
         f"--operators=anna={hash_secret(TOKEN)}",
         "--admin-max-body-bytes=5000",
+        "--fleet-secret=secret",
     ]
     cfg = read_settings(build_parser().parse_args(flags), {})
-    return Port(cfg, Node(site="namur"), log)
+    return Port(cfg, Node(make_vm(cfg), LogCodec(), site="namur"), log)
 
 
 @pytest.fixture
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -20,6 +20,7 @@
     "WAGTAILPADDLE_ADMIN_ADDRESS": "127.0.0.1:8082",
     "WAGTAILPADDLE_LOG_URL": "http://127.0.0.1:9000",
     "WAGTAILPADDLE_VM_LIST_URL": "http://127.0.0.1:9000/vms",
+    "WAGTAILPADDLE_FLEET_SECRET": "secret of the fleet",
 }
 
 
@@ -41,7 +42,7 @@
 
 def test_every_wrong_setting_is_named_at_once(read):
     with pytest.raises(SettingError) as caught:
-        read("--drain-s=-1", "--caller-address=here", LOG_LEVEL="loud", N_VMS="²")
+        read("--drain-s=-1", "--caller-address=here", LOG_LEVEL="loud", MAX_BODY_BYTES="²")
     lines = str(caught.value).split("\n")
     assert len(lines) == 4
     assert any("--drain-s" in line and "'-1'" in line for line in lines)
