Bound attempts in vain by pauses; measure fairness

Cause: shed answers come back fast, so limits on what is in flight do not bound their rate; the retry budget then starved accounts inside their rate. Change: a shed answer or a failed connect closes the server to this VM for a short, doubling pause and sends the request back to its queue, without a token of the budget; a limit on the service as a whole makes VMs with slow requests and VMs with quick ones come to equal parts; the queue stays inside its bound when shed requests return (found by the invariant queue-bounded). Measure 'fairness' drives dispatchers against modelled servers.

--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -19,7 +19,7 @@
     ServerView,
     ServiceStatus,
 )
-from wagtailpaddle_routing.policy import Policy
+from wagtailpaddle_routing.policy import RESERVED, Policy
 from wagtailpaddle_routing.pool import ServicePool
 from wagtailpaddle_routing.retry import Pending, State
 
@@ -50,16 +50,20 @@
         zone: ZoneId = ZoneId(""),  # noqa: B008
         chooser: str = "zone-aware",
         limiter: str = "aimd",
+        service_limiter: str = "aimd",
         queue: str = "virtual-time",
         max_waiting: int = 1024,
+        reserved: float = RESERVED,
         seed: int = 0,
     ):
         self._policy = Policy(
             zone=zone,
             chooser=chooser,
             limiter=limiter,
+            service_limiter=service_limiter,
             queue=queue,
             max_waiting=max_waiting,
+            reserved=reserved,
         )
         self._random = Random(seed)
         self._views: dict[ServiceId, tuple[tuple[ServerView, ...], int]] = {}
--- a/packages/routing/src/wagtailpaddle_routing/limits.py
+++ b/packages/routing/src/wagtailpaddle_routing/limits.py
@@ -1,9 +1,9 @@
 """Limits on the requests that one VM keeps in flight at one server.
 
 A server's slots are shared by all VMs, and none of them knows how many slots
-there are or what the others send. Limits are fractions: the limits of a
-service's servers are added up to bound the VM as a whole, so a VM that may
-have a quarter of a request at each of twelve servers has three in flight.
+there are or what the others send. A limiter for each server adapts to that
+server; a service limiter bounds what the VM has in flight at all of them, so
+that VMs which share the servers come to equal parts.
 """
 
 from typing import Protocol
@@ -12,10 +12,15 @@
 
 from wagtailpaddle_routing.messages import AttemptOutcome
 
-MIN_LIMIT = 0.25
+MIN_LIMIT = 1.0
+MIN_SERVICE_LIMIT = 8.0
+SERVICE_INCREASE = 1.0
 DECREASE = 0.7
+SERVICE_DECREASE = 0.85
 DECREASE_INTERVAL_S = 0.1
-INCREASE = 0.2
+INCREASE_PER_S = 0.25
+MAX_STEP_S = 1.0
+GRADIENT_INCREASE = 0.2
 GRADIENT_SAMPLES = 8
 GRADIENT_TOLERANCE = 2.0
 GRADIENT_SMOOTHING = 0.2
@@ -62,36 +67,44 @@
 
 @LIMITERS.register("aimd")
 class AimdLimiter:
-    """Additive increase on answers, multiplicative decrease on shed or timeout.
+    """Additive increase by time, multiplicative decrease on shed or timeout.
 
-    A burst of shed answers counts once per ``DECREASE_INTERVAL_S``. The limit
-    grows past the start value only while it is used.
+    Growth by time and not by answers lets a VM that floods the servers grow
+    no faster than one that sends little. The limit grows only while it is
+    used, and a shed answer brings it under what was in flight. A burst of shed
+    answers counts once per ``DECREASE_INTERVAL_S``.
     """
 
-    __slots__ = ("_decreased_at", "_start", "cap", "limit")
+    __slots__ = ("_decreased_at", "_grown_at", "cap", "limit")
 
     def __init__(self, *, start: float, cap: float):
         self.cap = cap
-        self._start = min(start, cap)
+        self.limit = min(start, cap)
         self._decreased_at = float("-inf")
-        self.limit = self._start
+        self._grown_at = float("-inf")
 
     def update(
         self, now: float, outcome: AttemptOutcome, latency_s: float, in_flight: int
     ) -> None:
         """Adapt to the end of one attempt."""
         if outcome in CONGESTION:
-            self._decrease(now)
+            self._decrease(now, in_flight)
         elif outcome is AttemptOutcome.ANSWERED:
-            ceiling = min(self.cap, max(self._start, 2.0 * in_flight))
-            grown = self.limit + INCREASE / max(1.0, self.limit)
-            self.limit = max(self.limit, min(ceiling, grown))
+            self._grow(now, in_flight)
+
+    def _grow(self, now: float, in_flight: int) -> None:
+        step_s = min(MAX_STEP_S, now - self._grown_at)
+        self._grown_at = now
+        ceiling = min(self.cap, 2.0 * in_flight)
+        if self.limit < ceiling:
+            self.limit = min(ceiling, self.limit + INCREASE_PER_S * step_s)
 
-    def _decrease(self, now: float) -> None:
+    def _decrease(self, now: float, in_flight: int) -> None:
         if now - self._decreased_at < DECREASE_INTERVAL_S:
             return
         self._decreased_at = now
-        self.limit = max(MIN_LIMIT, self.limit * DECREASE)
+        self._grown_at = now
+        self.limit = max(MIN_LIMIT, min(self.limit, in_flight) * DECREASE)
 
 
 @LIMITERS.register("gradient")
@@ -143,6 +156,64 @@
         drifted_s = self._baseline_s * (1.0 + BASELINE_DRIFT)
         self._baseline_s = max(1e-6, min(mean_s, drifted_s))
         gradient = self._baseline_s * GRADIENT_TOLERANCE / max(mean_s, 1e-6)
-        target = self.limit * min(1.0, max(0.5, gradient)) + self.limit**0.5 * INCREASE
+        target = (
+            self.limit * min(1.0, max(0.5, gradient))
+            + self.limit**0.5 * GRADIENT_INCREASE
+        )
         smoothed = self.limit + GRADIENT_SMOOTHING * (target - self.limit)
         self.limit = min(self.cap, max(MIN_LIMIT, smoothed))
+
+
+class ServiceLimiter(Protocol):
+    """Bounds what a VM has in flight at all servers of a service."""
+
+    limit: float
+
+    def update(self, now: float, outcome: AttemptOutcome, n_running: int) -> None:
+        """Take in an attempt; ``n_running`` counts it as still running."""
+
+
+SERVICE_LIMITERS: Registry[type[ServiceLimiter]] = Registry("service limiter")
+
+
+@SERVICE_LIMITERS.register("none")
+class NoServiceLimiter:
+    """Leaves the bound to the limits of the servers."""
+
+    def __init__(self) -> None:
+        self.limit = float("inf")
+
+    def update(self, now: float, outcome: AttemptOutcome, n_running: int) -> None:
+        """Change nothing."""
+
+
+@SERVICE_LIMITERS.register("aimd")
+class AimdServiceLimiter:
+    """Grows by answers, so that slow requests do not win slots over time.
+
+    With an increase of a / limit for an answer and a fixed part off for a shed
+    one, the limit at a given share of shed answers does not depend on how long
+    requests run: VMs with slow requests and VMs with quick ones come to the
+    same number of slots.
+    """
+
+    __slots__ = ("_decreased_at", "limit")
+
+    def __init__(self) -> None:
+        self.limit = float("inf")
+        self._decreased_at = float("-inf")
+
+    def update(self, now: float, outcome: AttemptOutcome, n_running: int) -> None:
+        """Adapt to the end of one attempt."""
+        if outcome is AttemptOutcome.ANSWERED:
+            if self.limit < 2.0 * n_running:
+                self.limit += SERVICE_INCREASE / self.limit
+        elif outcome is AttemptOutcome.SHED:
+            self._decrease(now, n_running)
+
+    def _decrease(self, now: float, n_running: int) -> None:
+        if now - self._decreased_at < DECREASE_INTERVAL_S:
+            return
+        self._decreased_at = now
+        lowered = min(self.limit, n_running) * SERVICE_DECREASE
+        self.limit = max(MIN_SERVICE_LIMIT, lowered)
--- a/packages/routing/src/wagtailpaddle_routing/policy.py
+++ b/packages/routing/src/wagtailpaddle_routing/policy.py
@@ -18,6 +18,7 @@
     zone: ZoneId = ZoneId("")
     chooser: str = "zone-aware"
     limiter: str = "aimd"
+    service_limiter: str = "aimd"
     queue: str = "virtual-time"
     max_waiting: int = 1024
     reserved: float = RESERVED
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -15,7 +15,7 @@
 from wagtailpaddle_routing.accounts import Accounts, LatencyMeter
 from wagtailpaddle_routing.budget import RetryBudget
 from wagtailpaddle_routing.choose import CHOOSERS
-from wagtailpaddle_routing.limits import LIMITERS
+from wagtailpaddle_routing.limits import LIMITERS, SERVICE_LIMITERS
 from wagtailpaddle_routing.messages import (
     Action,
     AttemptOutcome,
@@ -34,7 +34,6 @@
     Pending,
     State,
     Step,
-    backoff_s,
     deadline_kind,
     failure_kind,
     next_step,
@@ -45,6 +44,8 @@
 from wagtailpaddle_routing.serverset import ServerSet
 from wagtailpaddle_routing.waiting import WaitingRoom
 
+SHARED_S = 5.0
+
 
 @dataclass(slots=True)
 class _Turn:
@@ -75,6 +76,7 @@
             zone=policy.zone,
             chooser=CHOOSERS[policy.chooser](),
             limiter=LIMITERS[policy.limiter],
+            service_limiter=SERVICE_LIMITERS[policy.service_limiter](),
             random=random,
         )
         self.used_at = now
@@ -86,6 +88,9 @@
         self._accounts = Accounts()
         self._budget = RetryBudget(now=now)
         self._latency = LatencyMeter()
+        self._open_at: float | None = None
+        self._last_account: AccountId | None = None
+        self._shared_at = float("-inf")
 
     @property
     def is_idle(self) -> bool:
@@ -113,6 +118,10 @@
         if refusal is not None:
             return [refusal]
         self._pending[job.id] = pending
+        if job.account != self._last_account:
+            if self._last_account is not None:
+                self._shared_at = now
+            self._last_account = job.account
         self._accounts.join(job.account, self._latency.mean_s)
         self._budget.earn()
         if not self._room.n_queued:
@@ -166,21 +175,22 @@
         actions: list[Action] = [
             self._refuse_late(pending) for pending in self._room.expired(now)
         ]
-        for pending in self._room.ready(now):
-            actions += self._unpark(now, pending)
         if self.servers.expire(now) or self._room.n_queued:
             actions += self._pump(now)
         return actions
 
     def next_wake(self) -> float | None:
         """Return when ``tick`` has something to do."""
-        return self._room.next_wake()
+        if not self._room.n_queued:
+            return None
+        times = (self._room.next_deadline(), self._open_at)
+        return min((at for at in times if at is not None), default=None)
 
     def status(self, now: float) -> ServiceStatus:
         """Return the state of this service."""
         return ServiceStatus(
             service=self.service,
-            n_queued=self._room.n_waiting,
+            n_queued=self._room.n_queued,
             n_running=self.servers.n_running,
             n_accounts=len(self._accounts),
             capacity=self.servers.capacity,
@@ -206,23 +216,27 @@
         if wait_s > pending.job.deadline_at - now:
             detail = f"the wait is about {wait_s:.1f} s, longer than the deadline"
             return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
-        actions: list[Action] = []
-        if self._room.n_waiting >= self._room.max_waiting:
-            victim = self._room.overlong(account)
-            if victim is None:
-                detail = f"{self._room.n_waiting} requests wait already"
-                return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
-            self._room.remove(victim)
-            detail = f"client account {victim.job.account!r} has the longest queue"
-            kind = truthful(victim, ErrorKind.OVERLOADED)
-            actions.append(self._refuse(victim, kind, detail, wait_s))
-        self._room.enqueue(pending)
+        is_full = self._room.n_queued >= self._room.max_waiting
+        if is_full and self._room.is_longest(account):
+            detail = f"{self._room.n_queued} requests wait already"
+            return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
+        return self._enqueue(pending) + self._pump(now)
+
+    def _enqueue(self, pending: Pending, *, first: bool = False) -> list[Action]:
+        """Queue a request, giving up another if there are too many."""
+        self._room.enqueue(pending, first=first)
+        victim = self._room.evict()
         ensure(
-            self._room.n_waiting <= self._room.max_waiting + self.servers.n_running,
+            self._room.n_queued <= self._room.max_waiting,
             "queue-bounded",
-            n_waiting=self._room.n_waiting,
+            n_queued=self._room.n_queued,
         )
-        return actions + self._pump(now)
+        if victim is None:
+            return []
+        detail = f"client account {victim.job.account!r} has the longest queue"
+        wait_s = self._wait_s(self._room.n_queued)
+        kind = truthful(victim, ErrorKind.OVERLOADED)
+        return [self._refuse(victim, kind, detail, wait_s)]
 
     def _wait_s(self, n_ahead: int) -> float:
         return n_ahead * self._latency.mean_s / self.servers.capacity
@@ -230,14 +244,21 @@
     def _place(self, now: float, pending: Pending) -> Server | None:
         """Return a server for the request if it may go now."""
         n_free = self.servers.capacity - self.servers.n_running
-        if n_free <= 0 or not self._may_take_slot(pending.job.account, n_free):
+        if n_free <= 0 or not self._may_take_slot(now, pending.job.account, n_free):
             return None
         return self.servers.choose(now, pending)
 
-    def _may_take_slot(self, account: AccountId, n_free: int) -> bool:
-        """Keep the last slots for accounts with less than an equal part."""
+    def _may_take_slot(self, now: float, account: AccountId, n_free: int) -> bool:
+        """Keep the last slots for accounts with less than an equal part.
+
+        Only while several accounts use the service here; one alone may have
+        all of the capacity.
+        """
         capacity = self.servers.capacity
-        if n_free > capacity * self._policy.reserved:
+        part = self._policy.reserved
+        if not part or n_free > max(1.0, capacity * part):
+            return True
+        if now - self._shared_at > SHARED_S:
             return True
         equal_part = capacity / max(2, len(self._accounts))
         return self._accounts[account].n_running < equal_part
@@ -261,6 +282,7 @@
                 actions.append(self._refuse_late(pending))
             else:
                 actions.append(self._start(now, pending, turn.server))
+        self._open_at = self.servers.next_open(now) if self._room.n_queued else None
         return actions
 
     def _start(self, now: float, pending: Pending, server: Server) -> Dispatch:
@@ -326,9 +348,8 @@
             return [Deliver(pending.job.id)]
         if step is Step.REFUSE:
             return [self._refuse_after(now, pending, result)]
-        if result.outcome is AttemptOutcome.SHED:
-            return self._after_shed(now, pending, step)
-        if not self.servers.can_serve(pending) or not self._budget.take(now):
+        may_go = step is Step.WAIT or self._budget.take(now)
+        if not may_go or not self.servers.can_serve(pending):
             return [self._refuse_after(now, pending, result)]
         return self._retry(now, pending)
 
@@ -336,8 +357,7 @@
         server = self._place(now, pending)
         if server is not None:
             return [self._start(now, pending, server)]
-        self._room.enqueue(pending, first=True)
-        return []
+        return self._enqueue(pending, first=True)
 
     def _retry_or_deliver(self, now: float, pending: Pending) -> Action:
         """Try another server that is free at once, or keep the answer."""
@@ -347,31 +367,6 @@
         self._over(pending)
         return Deliver(pending.job.id)
 
-    def _after_shed(self, now: float, pending: Pending, step: Step) -> list[Action]:
-        """Go to another server at once, the first time; pause later."""
-        if (
-            step is Step.RETRY
-            and self.servers.can_serve(pending)
-            and self._budget.take(now)
-        ):
-            return self._retry(now, pending)
-        self._park(now, pending)
-        return []
-
-    def _park(self, now: float, pending: Pending) -> None:
-        pause_s = backoff_s(pending.n_shed, self._random.random())
-        self._room.park(pending, now + pause_s)
-
-    def _unpark(self, now: float, pending: Pending) -> list[Action]:
-        pending.tried = pending.failed_on
-        if not self.servers.can_serve(pending):
-            return [self._refuse_hopeless(pending)]
-        if not self._budget.take(now):
-            self._park(now, pending)
-            return []
-        self._room.enqueue(pending, first=True)
-        return []
-
     def _give_up_hopeless(self) -> list[Action]:
         """Refuse the waiting requests that no server can take any more."""
         hopeless = [
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -14,9 +14,7 @@
 from wagtailpaddle_routing.server import Server
 
 MAX_ATTEMPTS = 3
-MAX_SHED_ATTEMPTS = 12
-BACKOFF_S = 0.02
-MAX_BACKOFF_S = 0.25
+MAX_NOT_SENT = 10
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -24,7 +22,6 @@
     """Where a pending request is."""
 
     QUEUED = "queued"
-    PARKED = "parked"
     RUNNING = "running"
     OVER = "over"
 
@@ -44,7 +41,7 @@
     n_attempts: int = 0
     n_shed: int = 0
     n_failed: int = 0
-    tried: frozenset[ServerId] = frozenset()
+    n_not_sent: int = 0
     failed_on: frozenset[ServerId] = frozenset()
     may_have_run: bool = False
     timeout_at: float = 0.0
@@ -64,8 +61,8 @@
 
     DELIVER = "deliver"
     RETRY = "retry"
+    WAIT = "wait"
     RETRY_OR_DELIVER = "retry-or-deliver"
-    PARK = "park"
     REFUSE = "refuse"
 
 
@@ -80,9 +77,9 @@
     if not pending.job.idempotent and pending.may_have_run:
         return Step.REFUSE
     if result.outcome is AttemptOutcome.SHED:
-        if pending.n_shed >= MAX_SHED_ATTEMPTS:
-            return Step.REFUSE
-        return Step.RETRY if pending.n_shed == 1 else Step.PARK
+        return Step.WAIT
+    if result.outcome is AttemptOutcome.NOT_SENT:
+        return Step.WAIT if pending.n_not_sent < MAX_NOT_SENT else Step.REFUSE
     return Step.RETRY if pending.n_failed < MAX_ATTEMPTS else Step.REFUSE
 
 
@@ -107,9 +104,11 @@
 def note(pending: Pending, result: AttemptResult) -> None:
     """Record in ``pending`` what the end of its attempt tells."""
     server = pending.running_on.id
-    pending.tried |= {server}
     if result.outcome is AttemptOutcome.SHED:
         pending.n_shed += 1
+    elif result.outcome is AttemptOutcome.NOT_SENT:
+        pending.n_not_sent += 1
+        pending.failed_on |= {server}
     elif is_failure(result):
         pending.n_failed += 1
         pending.failed_on |= {server}
@@ -120,7 +119,7 @@
 def failure_kind(pending: Pending) -> ErrorKind:
     """Return the truthful kind when no further attempt is made."""
     if not pending.may_have_run:
-        shed_only = pending.n_shed and not pending.n_failed
+        shed_only = pending.n_shed and not pending.n_not_sent
         return ErrorKind.OVERLOADED if shed_only else ErrorKind.NO_HEALTHY_SERVER
     if not pending.job.idempotent:
         return ErrorKind.OUTCOME_UNKNOWN
@@ -144,15 +143,3 @@
     if not pending.may_have_run or ANSWERS[kind].outcome is not Outcome.NOT_RUN:
         return kind
     return failure_kind(pending)
-
-
-def backoff_s(n_shed: int, jitter: float) -> float:
-    """Return the pause before a shed request is sent again.
-
-    ``jitter`` in [0, 1) spreads the pause over half of its length.
-
-    >>> backoff_s(2, 0.0)
-    0.02
-    """
-    longest_s = min(MAX_BACKOFF_S, BACKOFF_S * 2.0 ** max(0, n_shed - 1))
-    return longest_s * (0.5 + 0.5 * jitter)
--- a/packages/routing/src/wagtailpaddle_routing/server.py
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -5,11 +5,21 @@
 from wagtailpaddle_core import ensure
 
 from wagtailpaddle_routing.limits import Limiter
-from wagtailpaddle_routing.messages import AttemptOutcome, AttemptResult, ServerView
+from wagtailpaddle_routing.messages import (
+    SURELY_NOT_RUN,
+    AttemptOutcome,
+    AttemptResult,
+    ServerView,
+)
 
 LOAD_VALID_S = 2.0
 NO_REPORT_LOAD = 0.5
 SHED_HALF_LIFE_S = 1.0
+SHED_PAUSE_S = 0.01
+MAX_SHED_PAUSE_S = 0.16
+CONNECT_PAUSE_S = 0.1
+MAX_CONNECT_PAUSE_S = 2.0
+MAX_DOUBLINGS = 16
 PROBATION_IN_FLIGHT = 1
 LEAVING_HOLD_S = 600.0
 
@@ -24,9 +34,11 @@
     __slots__ = (
         "_load",
         "_load_at",
+        "_n_in_vain",
         "_shed",
         "_shed_at",
         "cap",
+        "closed_until",
         "id",
         "in_flight",
         "limiter",
@@ -43,6 +55,8 @@
         self.share = 1.0
         self.cap = 1
         self.usable = False
+        self.closed_until = float("-inf")
+        self._n_in_vain = 0
         self._load = NO_REPORT_LOAD
         self._load_at = float("-inf")
         self._shed = 0.0
@@ -92,10 +106,27 @@
         if result.load is not None and 0.0 <= result.load <= 1.0:
             self._load = result.load
             self._load_at = now
-        if result.outcome is AttemptOutcome.SHED:
+        if result.outcome is AttemptOutcome.ANSWERED:
+            self._n_in_vain = 0
+        elif result.outcome in SURELY_NOT_RUN:
             self._shed = (1.0 + self._shed_level(now)) / 2
             self._shed_at = now
 
+    def pause(self, now: float, outcome: AttemptOutcome, jitter: float) -> None:
+        """Send no more for a moment, after a shed answer or a failed connect.
+
+        The pause doubles until a request is answered; ``jitter`` in [0, 1)
+        spreads it over half of its length. So the rate of attempts that come
+        to nothing is bounded for each server.
+        """
+        if outcome is AttemptOutcome.SHED:
+            longest_s = min(MAX_SHED_PAUSE_S, SHED_PAUSE_S * 2.0**self._n_in_vain)
+        else:
+            doubled_s = CONNECT_PAUSE_S * 2.0**self._n_in_vain
+            longest_s = min(MAX_CONNECT_PAUSE_S, doubled_s)
+        self._n_in_vain = min(MAX_DOUBLINGS, self._n_in_vain + 1)
+        self.closed_until = now + longest_s * (0.5 + 0.5 * jitter)
+
     def _shed_level(self, now: float) -> float:
         if self._shed < 0.01:
             return 0.0
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -6,8 +6,13 @@
 from wagtailpaddle_core import ServerId, ZoneId, ensure
 
 from wagtailpaddle_routing.choose import Chooser, Sides
-from wagtailpaddle_routing.limits import Limiter
-from wagtailpaddle_routing.messages import AttemptResult, ServerStatus, ServerView
+from wagtailpaddle_routing.limits import Limiter, ServiceLimiter
+from wagtailpaddle_routing.messages import (
+    SURELY_NOT_RUN,
+    AttemptResult,
+    ServerStatus,
+    ServerView,
+)
 from wagtailpaddle_routing.retry import Pending
 from wagtailpaddle_routing.server import LEAVING_HOLD_S, Server
 
@@ -25,13 +30,20 @@
     """The servers of one service and the attempts that run there."""
 
     def __init__(
-        self, *, zone: ZoneId, chooser: Chooser, limiter: type[Limiter], random: Random
+        self,
+        *,
+        zone: ZoneId,
+        chooser: Chooser,
+        limiter: type[Limiter],
+        service_limiter: ServiceLimiter,
+        random: Random,
     ):
         self.n_running = 0
         self.capacity = 1
         self._zone = zone
         self._chooser = chooser
         self._limiter = limiter
+        self._service_limiter = service_limiter
         self._random = random
         self._views: tuple[ServerView, ...] = ()
         self._n_users = 1
@@ -109,7 +121,11 @@
         """Return a server with room for the request, or None."""
 
         def fits(server: Server) -> bool:
-            return server.in_flight < server.cap and _may_take(server, pending)
+            return (
+                server.in_flight < server.cap
+                and server.closed_until <= now
+                and _may_take(server, pending)
+            )
 
         return self._chooser.choose(now, self._sides, fits, self._random)
 
@@ -134,9 +150,17 @@
         """Take in how an attempt ended, before it is released."""
         before = server.limit
         server.learn(now, result)
-        if server.usable and server.limit != before:
+        if server.usable:
             self._limit += server.limit - before
-            self.capacity = max(1, int(self._limit + 1e-6))
+        self._service_limiter.update(now, result.outcome, self.n_running)
+        self._bound()
+        if result.outcome in SURELY_NOT_RUN:
+            server.pause(now, result.outcome, self._random.random())
+
+    def next_open(self, now: float) -> float | None:
+        """Return when a paused server takes work again, or None."""
+        times = [server.closed_until for server in self._usable]
+        return min((at for at in times if at > now), default=None)
 
     def status(self, now: float) -> tuple[ServerStatus, ...]:
         """Return the state of every server."""
@@ -166,12 +190,16 @@
         )
         self._sides = split(self._usable, self._zone)
         self._limit = sum(server.limit for server in self._usable)
-        self.capacity = max(1, int(self._limit + 1e-6))
+        self._bound()
+
+    def _bound(self) -> None:
+        limit = min(self._limit, self._service_limiter.limit)
+        self.capacity = max(1, int(limit + 1e-6))
 
 
 def _may_take(server: Server, pending: Pending) -> bool:
     """Return whether the server suits the request, busy or not."""
-    if server.id in pending.tried:
+    if server.id in pending.failed_on:
         return False
     return pending.job.idempotent or not server.view.probation
 
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/fairness.py
@@ -0,0 +1,166 @@
+"""How the worst-served client account fares, and wrongful refusals."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from wagtailpaddle_core import AccountId, RequestId, ServerId, rank
+from wagtailpaddle_routing import Job
+
+from wagtailpaddle_standins.measure.registry import MEASURES
+from wagtailpaddle_standins.measure.servermodel import SERVICE, Model, ModelVm, Tally
+
+N_VMS = 36
+N_HOMES = 3
+MEAN_SERVICE_S = 0.05
+SLOW_FACTOR = 60.0
+TIMEOUT_S = 3.0
+RUN_S = 6.0
+DRAIN_S = 4.0
+IN_RATE_USE = 0.5
+HALF_USE = 0.75
+DEAD_FROM_S = 3.0
+DETECTED_AT_S = 4.0
+ACCOUNT_PARTS = (0.3, 0.25, 0.2, 0.1, 0.05, 0.04, 0.03, 0.03)
+OFFENDER = 2
+
+BARE = {"limiter": "fixed", "service_limiter": "none", "reserved": 0.0}
+VARIANTS: dict[str, dict[str, Any]] = {
+    "this project": {},
+    "deficit rr": {"queue": "deficit-round-robin"},
+    "servers' limits": {"service_limiter": "none"},
+    "gradient": {"limiter": "gradient"},
+    "fifo": {"queue": "fifo", **BARE},
+    "round robin": {"queue": "round-robin", "chooser": "round-robin", **BARE},
+}
+COMPARED = ("this project", "round robin")
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What the client accounts send; ``use`` is the part of all slots."""
+
+    use: float = IN_RATE_USE
+    rate_factor: float = 1.0
+    slow_factor: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Figures of one run, the offending account left out."""
+
+    worst_served: float
+    refused: float
+    p50_s: float
+    p99_s: float
+    shed_attempts: float
+
+
+class Traffic:
+    """Poisson arrivals of the client accounts at their home VMs."""
+
+    def __init__(self, model: Model, load: Load, n_slots: int):
+        self._model = model
+        self._load = load
+        self._total = load.use * n_slots / MEAN_SERVICE_S
+        self._n_sent = 0
+        names = [str(index) for index in range(len(model.vms))]
+        for index, part in enumerate(ACCOUNT_PARTS):
+            account = AccountId(f"account-{index}")
+            model.tallies[account] = Tally()
+            homes = [model.vms[int(n)] for n in rank(account, names)[:N_HOMES]]
+            rate = self._total * part
+            if index == OFFENDER:
+                rate *= load.rate_factor
+            self._plan(account, homes, rate)
+
+    def _plan(self, account: AccountId, homes: list[ModelVm], rate: float) -> None:
+        model = self._model
+        at = model.clock.now + model.random.expovariate(rate)
+        if at < RUN_S:
+            model.clock.at(at, self._send, account, homes, rate)
+
+    def _send(self, account: AccountId, homes: list[ModelVm], rate: float) -> None:
+        model = self._model
+        now = model.clock.now
+        self._n_sent += 1
+        model.tallies[account].n_sent += 1
+        service_s = model.random.expovariate(1 / MEAN_SERVICE_S)
+        if account == f"account-{OFFENDER}":
+            service_s *= self._load.slow_factor
+        name = RequestId(str(self._n_sent))
+        idempotent = model.random.random() < 0.7
+        job = Job(name, account, SERVICE, idempotent, now, now + TIMEOUT_S)
+        model.random.choice(homes).arrive(job, service_s)
+        self._plan(account, homes, rate)
+
+
+def run(
+    load: Load,
+    options: dict[str, Any],
+    *,
+    n_servers: int,
+    seed: int,
+    dead: bool = False,
+) -> Outcome:
+    """Run one load against one variant."""
+    model = Model(n_vms=N_VMS, n_servers=n_servers, seed=seed, options=options)
+    Traffic(model, load, n_servers * 4)
+    if dead:
+        names = list(model.servers)[::2]
+        model.clock.at(DEAD_FROM_S, _kill, model, names)
+        model.clock.at(DETECTED_AT_S, model.set_weights, dict.fromkeys(names, 0.0))
+    model.clock.run(RUN_S + DRAIN_S)
+    is_offended = load.rate_factor > 1 or load.slow_factor > 1
+    others = [
+        tally
+        for account, tally in model.tallies.items()
+        if not is_offended or account != f"account-{OFFENDER}"
+    ]
+    latencies_s = sorted(value for tally in others for value in tally.latencies_s)
+    n_shed = sum(server.n_shed for server in model.servers.values())
+    n_sent = sum(tally.n_sent for tally in others)
+    return Outcome(
+        worst_served=min(tally.served for tally in others),
+        refused=sum(tally.n_refused for tally in others) / n_sent,
+        p50_s=latencies_s[len(latencies_s) // 2],
+        p99_s=latencies_s[len(latencies_s) * 99 // 100],
+        shed_attempts=n_shed / sum(t.n_sent for t in model.tallies.values()),
+    )
+
+
+def _kill(model: Model, names: list[ServerId]) -> None:
+    for name in names:
+        model.servers[name].refuses = True
+
+
+LOADS: dict[str, tuple[Load, bool]] = {
+    "all in rate": (Load(), False),
+    "one at 10x": (Load(rate_factor=10.0), False),
+    "one holds slow": (Load(slow_factor=SLOW_FACTOR), False),
+    "half dead": (Load(use=HALF_USE / 2), True),
+}
+
+
+@MEASURES.register("fairness")
+def fairness(seed: int) -> Iterator[str]:
+    """Yield one line for each service size, load and variant.
+
+    ``refused`` is the share of the in-rate requests that got no answer,
+    ``shed`` the shed attempts per request.
+    """
+    yield (
+        f"{'service':10} {'load':14} {'variant':15} {'worst served':>12} "
+        f"{'refused':>8} {'p50 ms':>7} {'p99 ms':>7} {'shed':>6}"
+    )
+    for n_servers in (12, 15, 10):
+        for load_name, (load, dead) in LOADS.items():
+            for variant in VARIANTS if n_servers == 12 else COMPARED:
+                options = VARIANTS[variant]
+                got = run(load, options, n_servers=n_servers, seed=seed, dead=dead)
+                yield (
+                    f"{n_servers:2} servers {load_name:14} {variant:15} "
+                    f"{got.worst_served:12.4f} {got.refused:8.4f} "
+                    f"{got.p50_s * 1000:7.1f} {got.p99_s * 1000:7.1f} "
+                    f"{got.shed_attempts:6.2f}"
+                )
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/servermodel.py
@@ -0,0 +1,261 @@
+"""A small model of VMs and backend servers for measures of routing."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from wagtailpaddle_core import ServerId, ServiceId, ZoneId
+from wagtailpaddle_routing import (
+    Action,
+    AttemptOutcome,
+    AttemptResult,
+    Deliver,
+    Dispatch,
+    Dispatcher,
+    Job,
+    Refuse,
+    ServerView,
+)
+
+SERVICE = ServiceId("service")
+NEAR_S = 0.0005
+FAR_S = 0.003
+SHED_S = 0.001
+
+
+@dataclass(slots=True)
+class Clock:
+    """Runs callbacks in the order of their times."""
+
+    now: float = 0.0
+    _events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = field(
+        default_factory=list
+    )
+    _n_events: int = 0
+
+    def at(self, when: float, call: Callable[..., None], *args: Any) -> None:
+        """Call ``call(*args)`` at ``when``."""
+        self._n_events += 1
+        heappush(self._events, (when, self._n_events, call, args))
+
+    def run(self, until: float) -> None:
+        """Run the callbacks up to ``until``."""
+        while self._events and self._events[0][0] <= until:
+            when, _, call, args = heappop(self._events)
+            self.now = when
+            call(*args)
+        self.now = until
+
+
+@dataclass(slots=True)
+class ModelServer:
+    """A server with slots that sheds what does not fit.
+
+    ``report`` stands in for the true load in its answers, if given.
+    """
+
+    id: ServerId
+    zone: ZoneId
+    n_slots: int = 4
+    n_busy: int = 0
+    n_served: int = 0
+    n_shed: int = 0
+    refuses: bool = False
+    report: float | None = None
+
+    def load(self) -> float:
+        """Return the load that the server reports."""
+        return self.n_busy / self.n_slots if self.report is None else self.report
+
+
+@dataclass(slots=True)
+class Tally:
+    """What became of the requests of one client account."""
+
+    n_sent: int = 0
+    n_served: int = 0
+    n_refused: int = 0
+    latencies_s: list[float] = field(default_factory=list)
+
+    @property
+    def served(self) -> float:
+        """The share of the requests that got their answer."""
+        return self.n_served / self.n_sent if self.n_sent else 1.0
+
+
+class ModelVm:
+    """One VM: a dispatcher whose attempts go to the model's servers."""
+
+    def __init__(
+        self, model: "Model", zone: ZoneId, seed: int, options: dict[str, Any]
+    ):
+        self.zone = zone
+        self.dispatcher = Dispatcher(zone=zone, seed=seed, **options)
+        self._model = model
+        self._jobs: dict[str, tuple[Job, float]] = {}
+        self._running: dict[str, tuple[int, ModelServer | None]] = {}
+        self._wake_at = float("inf")
+
+    def arrive(self, job: Job, service_s: float) -> None:
+        """Take in a request that keeps a slot for ``service_s``."""
+        self._jobs[job.id] = job, service_s
+        self.carry_out(self.dispatcher.arrive(self._model.clock.now, job))
+
+    def carry_out(self, actions: tuple[Action, ...]) -> None:
+        """Carry out actions and see to the next wake."""
+        for action in actions:
+            match action:
+                case Dispatch():
+                    self._dispatch(action)
+                case Deliver():
+                    self._answered(action.request, True)
+                case Refuse():
+                    self._answered(action.request, False)
+        clock = self._model.clock
+        wake_at = self.dispatcher.next_wake(clock.now)
+        if wake_at is not None and wake_at < self._wake_at:
+            self._wake_at = wake_at
+            clock.at(wake_at, self._wake, wake_at)
+
+    def _wake(self, wake_at: float) -> None:
+        if wake_at == self._wake_at:
+            self._wake_at = float("inf")
+            self.carry_out(self.dispatcher.tick(self._model.clock.now))
+
+    def _dispatch(self, action: Dispatch) -> None:
+        clock = self._model.clock
+        server = self._model.servers[action.server]
+        self._model.note_dispatch(self, server)
+        delay_s = NEAR_S if server.zone == self.zone else FAR_S
+        self._running[action.request] = action.attempt, None
+        token = action.request, action.attempt
+        clock.at(clock.now + delay_s, self._reach, server, token, clock.now, delay_s)
+        if action.timeout_at - clock.now < 1e6:
+            clock.at(action.timeout_at, self._time_out, token, clock.now)
+
+    def _reach(
+        self,
+        server: ModelServer,
+        token: tuple[str, int],
+        sent_at: float,
+        delay_s: float,
+    ) -> None:
+        if self._running.get(token[0]) != (token[1], None):
+            return
+        clock = self._model.clock
+        if server.refuses:
+            outcome = AttemptOutcome.NOT_SENT
+            clock.at(clock.now + delay_s, self._finish, token, outcome, sent_at)
+            return
+        if server.n_busy >= server.n_slots:
+            server.n_shed += 1
+            back_at = clock.now + SHED_S + delay_s
+            load = server.load()
+            clock.at(back_at, self._finish, token, AttemptOutcome.SHED, sent_at, load)
+            return
+        server.n_busy += 1
+        self._running[token[0]] = token[1], server
+        done_at = clock.now + self._jobs[token[0]][1]
+        clock.at(done_at, self._done, token, sent_at, delay_s)
+
+    def _done(self, token: tuple[str, int], sent_at: float, delay_s: float) -> None:
+        attempt, server = self._running.get(token[0], (0, None))
+        if attempt != token[1] or server is None:
+            return
+        load = server.load()
+        server.n_busy -= 1
+        server.n_served += 1
+        self._running[token[0]] = attempt, None
+        clock = self._model.clock
+        outcome = AttemptOutcome.ANSWERED
+        clock.at(clock.now + delay_s, self._finish, token, outcome, sent_at, load)
+
+    def _time_out(self, token: tuple[str, int], sent_at: float) -> None:
+        attempt, server = self._running.get(token[0], (0, None))
+        if attempt != token[1]:
+            return
+        if server is not None:
+            server.n_busy -= 1
+        self._finish(token, AttemptOutcome.TIMED_OUT, sent_at)
+
+    def _finish(
+        self,
+        token: tuple[str, int],
+        outcome: AttemptOutcome,
+        sent_at: float,
+        load: float | None = None,
+    ) -> None:
+        if self._running.get(token[0], (0, None))[0] != token[1]:
+            return
+        del self._running[token[0]]
+        now = self._model.clock.now
+        result = AttemptResult(outcome, now - sent_at, load=load)
+        job = self._jobs[token[0]][0]
+        self.carry_out(self.dispatcher.finish(now, job.id, result))
+
+    def _answered(self, request: str, served: bool) -> None:
+        job, _ = self._jobs.pop(request)
+        self._model.answered(job, served)
+
+
+class Model:
+    """A fleet of VMs before the servers of one service."""
+
+    def __init__(
+        self,
+        *,
+        n_vms: int,
+        n_servers: int,
+        n_zones: int = 3,
+        seed: int,
+        options: dict[str, Any],
+    ):
+        self.clock = Clock()
+        self.random = Random(seed)
+        self.tallies: dict[str, Tally] = {}
+        self.n_near = 0
+        self.n_far = 0
+        zones = [ZoneId(f"zone-{index}") for index in range(n_zones)]
+        self.servers = {
+            name: ModelServer(name, zones[index % n_zones])
+            for index, name in enumerate(
+                ServerId(f"server-{index}") for index in range(n_servers)
+            )
+        }
+        self.vms = [
+            ModelVm(self, zones[index % n_zones], seed * 1000 + index, options)
+            for index in range(n_vms)
+        ]
+        self.set_weights({})
+
+    def set_weights(self, weights: dict[ServerId, float]) -> None:
+        """Tell every VM the weights of the servers; 1 if not named."""
+        views = tuple(
+            ServerView(
+                server.id, server.zone, 4, 300, weight=weights.get(server.id, 1.0)
+            )
+            for server in self.servers.values()
+        )
+        for vm in self.vms:
+            now = self.clock.now
+            vm.carry_out(
+                vm.dispatcher.set_servers(now, SERVICE, views, n_users=len(self.vms))
+            )
+
+    def note_dispatch(self, vm: ModelVm, server: ModelServer) -> None:
+        """Count an attempt by zone."""
+        if vm.zone == server.zone:
+            self.n_near += 1
+        else:
+            self.n_far += 1
+
+    def answered(self, job: Job, served: bool) -> None:
+        """Count an answer."""
+        tally = self.tallies[job.account]
+        if served:
+            tally.n_served += 1
+            tally.latencies_s.append(self.clock.now - job.arrived_at)
+        else:
+            tally.n_refused += 1
