--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -24,12 +24,15 @@
     ServiceStatus,
 )
 from wagtailpaddle_routing.queues import QUEUES
+from wagtailpaddle_routing.serverset import connection_cap
+from wagtailpaddle_routing.subset import SUBSETTERS, subset, subset_size
 
 __all__ = [
     "CHOOSERS",
     "LIMITERS",
     "QUEUES",
     "SHED_ANSWERS",
+    "SUBSETTERS",
     "SURELY_NOT_RUN",
     "Action",
     "AttemptOutcome",
@@ -44,6 +47,9 @@
     "ServerView",
     "ServiceStatus",
     "interpret",
+    "connection_cap",
     "is_leaving",
     "parse_load",
+    "subset",
+    "subset_size",
 ]
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -113,10 +113,10 @@
     def arrive(self, now: float, job: Job) -> list[Action]:
         """Take in an admitted request."""
         self.used_at = now
+        if now >= job.deadline_at:
+            detail = "the deadline passed before the request arrived"
+            return [Refuse(job.id, ErrorKind.DEADLINE_EXCEEDED, detail)]
         pending = Pending(job, now)
-        refusal = self._refuse_at_the_door(now, pending)
-        if refusal is not None:
-            return [refusal]
         self._pending[job.id] = pending
         if job.account != self._last_account:
             if self._last_account is not None:
@@ -129,6 +129,8 @@
             if server is not None:
                 self._queue.pass_by(job.account)
                 return [self._start(now, pending, server)]
+        if not self.servers.can_serve(pending):
+            return [self._refuse_hopeless(pending)]
         return self._wait(now, pending)
 
     def finish(
@@ -199,16 +201,6 @@
             servers=self.servers.status(now),
         )
 
-    def _refuse_at_the_door(self, now: float, pending: Pending) -> Refuse | None:
-        job = pending.job
-        if now >= job.deadline_at:
-            detail = "the deadline passed before the request arrived"
-            return Refuse(job.id, ErrorKind.DEADLINE_EXCEEDED, detail)
-        if not self.servers.can_serve(pending):
-            detail = f"service {job.service!r} has no server to try"
-            return Refuse(job.id, ErrorKind.NO_HEALTHY_SERVER, detail)
-        return None
-
     def _wait(self, now: float, pending: Pending) -> list[Action]:
         """Queue a new request if it can be served in time."""
         account = pending.job.account
@@ -379,7 +371,7 @@
         return [self._refuse_hopeless(pending) for pending in hopeless]
 
     def _refuse_hopeless(self, pending: Pending) -> Refuse:
-        detail = f"service {self.service!r} has no other server to try"
+        detail = f"service {self.service!r} has no server to try"
         return self._refuse(pending, failure_kind(pending), detail)
 
     def _refuse_late(self, pending: Pending) -> Refuse:
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/subset.py
@@ -0,0 +1,128 @@
+"""Subsets: which servers of a large service one VM uses.
+
+Few VMs for each server keep its connections under their limit, and few
+servers for each VM keep the VM's state small.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Protocol
+
+from wagtailpaddle_core import Registry, ServerId, VmId, ZoneId, rank, score
+
+MIN_SUBSET = 6
+
+
+class Placed(Protocol):
+    """A server with its availability zone."""
+
+    @property
+    def id(self) -> ServerId:
+        """The server's id."""
+
+    @property
+    def zone(self) -> ZoneId:
+        """The server's availability zone."""
+
+
+Subsetter = Callable[[VmId, Sequence[VmId], Sequence[ServerId], int], list[ServerId]]
+SUBSETTERS: Registry[Subsetter] = Registry("subsetter")
+
+
+@SUBSETTERS.register("rendezvous")
+def rendezvous(
+    vm: VmId, vms: Sequence[VmId], servers: Sequence[ServerId], size: int
+) -> list[ServerId]:
+    """Return the servers with the highest scores for ``vm``.
+
+    Depends on no other VM: one that comes or goes moves nothing, and one
+    server that goes moves only those VMs that used it.
+    """
+    return rank(vm, servers)[:size]
+
+
+@SUBSETTERS.register("slices")
+def slices(
+    vm: VmId, vms: Sequence[VmId], servers: Sequence[ServerId], size: int
+) -> list[ServerId]:
+    """Return one slice of a shuffled list for each VM of a round.
+
+    Balances best, but one VM that comes or goes shifts the ones after it.
+    """
+    ordered = sorted(servers)
+    n_slices = max(1, len(ordered) // size)
+    position = sorted(vms).index(vm)
+    Random(position // n_slices).shuffle(ordered)
+    start = position % n_slices * size
+    return ordered[start : start + size]
+
+
+def subset(
+    vm: VmId,
+    vms: Sequence[VmId],
+    servers: Sequence[Placed],
+    size: int,
+    *,
+    method: str = "rendezvous",
+) -> tuple[ServerId, ...]:
+    """Return the ids of the servers that ``vm`` uses, equal on every VM.
+
+    Takes ``size`` servers, but ``MIN_SUBSET`` at least, or all if there are
+    no more. The zones are represented in proportion to their servers, as far
+    as ``size`` allows with one of each; which zones get the odd servers
+    differs from VM to VM. Raises ``ValueError`` if ``size`` is under 1.
+    """
+    if size < 1:
+        raise ValueError(f"subset size {size} is under 1")
+    wanted = max(size, MIN_SUBSET)
+    if len(servers) <= wanted:
+        return tuple(sorted(server.id for server in servers))
+    by_zone: dict[ZoneId, list[ServerId]] = defaultdict(list)
+    for server in servers:
+        by_zone[server.zone].append(server.id)
+    choose = SUBSETTERS[method]
+    chosen: list[ServerId] = []
+    for zone, part in zone_parts(vm, by_zone, wanted).items():
+        if part:
+            chosen += choose(vm, vms, by_zone[zone], part)
+    return tuple(sorted(chosen))
+
+
+def zone_parts(
+    vm: VmId, by_zone: dict[ZoneId, list[ServerId]], wanted: int
+) -> dict[ZoneId, int]:
+    """Return how many servers of each zone ``vm`` uses, ``wanted`` in all.
+
+    Whole parts go by the number of servers; the rest goes to the zones with
+    the highest random keys for this VM, weighted by what they lack, so that
+    over many VMs every zone gets what is due to it.
+    """
+    n_servers = sum(len(servers) for servers in by_zone.values())
+    due = {zone: wanted * len(by_zone[zone]) / n_servers for zone in sorted(by_zone)}
+    parts = {zone: int(part) for zone, part in due.items()}
+    n_left = wanted - sum(parts.values())
+
+    def key(zone: ZoneId) -> tuple[bool, float]:
+        lack = due[zone] - parts[zone]
+        chance = (score(f"{vm}/zone", zone) + 1) / 2**64
+        return parts[zone] == 0, chance ** (1 / lack) if lack else 0.0
+
+    for zone in sorted(parts, key=key, reverse=True)[:n_left]:
+        parts[zone] += 1
+    return parts
+
+
+def subset_size(n_servers: int, connections: int, n_vms: int, *, per_vm: int) -> int:
+    """Return how many servers a VM may use so that connections suffice.
+
+    ``per_vm`` is how many connections a VM wants to one server. A subset
+    keeps at least ``MIN_SUBSET`` servers; with more VMs than that allows, the
+    connections for each VM shrink instead (see ``connection_cap``).
+
+    >>> subset_size(100, 300, 1000, per_vm=4)
+    7
+    """
+    n_users = max(1, connections // per_vm)
+    size = n_servers * n_users // max(1, n_vms)
+    return min(n_servers, max(MIN_SUBSET, size))
--- /dev/null
+++ b/packages/routing/tests/test_machine.py
@@ -0,0 +1,234 @@
+"""Random histories against a model of what may have run."""
+
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from wagtailpaddle_core import (
+    ANSWERS,
+    AccountId,
+    ErrorKind,
+    Outcome,
+    RequestId,
+    ServerId,
+    ServiceId,
+    ZoneId,
+)
+from wagtailpaddle_routing import (
+    LIMITERS,
+    QUEUES,
+    SURELY_NOT_RUN,
+    AttemptOutcome,
+    AttemptResult,
+    CancelAttempt,
+    Deliver,
+    Dispatch,
+    Dispatcher,
+    Job,
+    Refuse,
+    ServerView,
+)
+
+SERVICE = ServiceId("s")
+N_SERVERS = 4
+MAX_WAITING = 6
+TIMEOUT_S = 2.0
+
+
+@dataclass
+class Model:
+    job: Job
+    server: ServerId | None = None
+    may_have_run: bool = False
+    servers: list[ServerId] = field(default_factory=list)
+
+
+class Routing(RuleBasedStateMachine):
+    @initialize(
+        queue=st.sampled_from(QUEUES.names()),
+        limiter=st.sampled_from(LIMITERS.names()),
+        seed=st.integers(0, 9),
+    )
+    def start(self, queue, limiter, seed):
+        self.now = 0.0
+        self.dispatcher = Dispatcher(
+            zone=ZoneId("a"),
+            queue=queue,
+            limiter=limiter,
+            max_waiting=MAX_WAITING,
+            seed=seed,
+        )
+        self.requests = {}
+        self.n_requests = 0
+        self.views = {}
+        self.marked = set()
+        self.set_servers([(1.0, False, False)] * N_SERVERS)
+
+    def carry_out(self, actions, answered=None):
+        for action in actions:
+            match action:
+                case Dispatch():
+                    self.dispatched(action)
+                case Deliver():
+                    assert action.request == answered
+                    del self.requests[action.request]
+                case Refuse():
+                    self.refused(action)
+                case CancelAttempt():
+                    raise AssertionError("only a cancelled request is cancelled")
+
+    def dispatched(self, action):
+        model = self.requests[action.request]
+        assert model.server is None
+        assert model.job.idempotent or not model.may_have_run
+        assert action.timeout_at <= model.job.deadline_at
+        assert self.now < model.job.deadline_at
+        view = self.views[action.server]
+        assert view.weight > 0 and not view.leaving
+        assert action.server not in self.marked
+        assert model.job.idempotent or not view.probation
+        model.server = action.server
+        model.servers.append(action.server)
+
+    def refused(self, action):
+        model = self.requests.pop(action.request)
+        assert model.server is None
+        outcome = ANSWERS[action.kind].outcome
+        assert (outcome is Outcome.NOT_RUN) == (not model.may_have_run)
+
+    def running(self):
+        return [name for name, model in self.requests.items() if model.server]
+
+    @rule(
+        account=st.sampled_from("xyz"),
+        idempotent=st.booleans(),
+        timeout_s=st.sampled_from([0.0, 0.05, 0.5, TIMEOUT_S]),
+    )
+    def arrive(self, account, idempotent, timeout_s):
+        self.n_requests += 1
+        name = RequestId(str(self.n_requests))
+        deadline_at = self.now + timeout_s
+        job = Job(name, AccountId(account), SERVICE, idempotent, self.now, deadline_at)
+        self.requests[name] = Model(job)
+        self.carry_out(self.dispatcher.arrive(self.now, job))
+
+    @precondition(lambda self: self.running())
+    @rule(
+        data=st.data(),
+        outcome=st.sampled_from(AttemptOutcome),
+        status=st.sampled_from([200, 404, 503]),
+        committed=st.booleans(),
+        load=st.sampled_from([None, 0.0, 1.0, -5.0, float("nan")]),
+    )
+    def finish(self, data, outcome, status, committed, load):
+        name = data.draw(st.sampled_from(self.running()))
+        self.end(name, outcome, status, committed, load)
+
+    def end(self, name, outcome, status=200, committed=False, load=None):
+        model = self.requests[name]
+        committed = committed and outcome not in SURELY_NOT_RUN
+        if outcome not in SURELY_NOT_RUN:
+            model.may_have_run = True
+        model.server = None
+        result = AttemptResult(outcome, 0.01, status, load, committed)
+        actions = self.dispatcher.finish(self.now, name, result)
+        answered = name if outcome is AttemptOutcome.ANSWERED else None
+        if committed:
+            assert name not in [a.request for a in actions if isinstance(a, Dispatch)]
+        self.carry_out(actions, answered)
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data())
+    def cancel(self, data):
+        name = data.draw(st.sampled_from(sorted(self.requests)))
+        model = self.requests.pop(name)
+        actions = list(self.dispatcher.cancel(self.now, name))
+        if model.server:
+            cancelled = actions.pop(0)
+            assert cancelled == CancelAttempt(name, model.server, len(model.servers))
+        self.carry_out(actions)
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data())
+    def drop(self, data):
+        name = data.draw(st.sampled_from(sorted(self.requests)))
+        kind = ErrorKind.KEY_UNKNOWN
+        actions = self.dispatcher.drop(self.now, name, kind, "withdrawn")
+        assert bool(actions) == (self.requests[name].server is None)
+        self.carry_out(actions)
+
+    @rule(step_s=st.sampled_from([0.001, 0.02, 0.2, 1.0]))
+    def tick(self, step_s):
+        self.now += step_s
+        self.carry_out(self.dispatcher.tick(self.now))
+
+    @rule(
+        standings=st.lists(
+            st.tuples(st.sampled_from([0.0, 0.1, 1.0]), st.booleans(), st.booleans()),
+            max_size=N_SERVERS,
+        )
+    )
+    def set_servers(self, standings):
+        views = tuple(
+            ServerView(ServerId(f"s{i}"), ZoneId("ab"[i % 2]), 1, 300, *standing)
+            for i, standing in enumerate(standings)
+        )
+        self.views = {view.id: view for view in views}
+        self.marked &= set(self.views)
+        self.carry_out(
+            self.dispatcher.set_servers(self.now, SERVICE, views, n_users=300)
+        )
+
+    @precondition(lambda self: self.views)
+    @rule(data=st.data(), leaving=st.booleans())
+    def mark_leaving(self, data, leaving):
+        server = data.draw(st.sampled_from(sorted(self.views)))
+        (self.marked.add if leaving else self.marked.discard)(server)
+        self.carry_out(
+            self.dispatcher.mark_leaving(self.now, SERVICE, server, leaving=leaving)
+        )
+
+    @rule()
+    def remove_service(self):
+        self.views = {}
+        self.marked = set()
+        self.carry_out(self.dispatcher.remove_service(self.now, SERVICE))
+        assert set(self.requests) == set(self.running())
+
+    @invariant()
+    def status_matches(self):
+        assert self.dispatcher.n_pending == len(self.requests)
+        n_running = len(self.running())
+        for status in self.dispatcher.status(self.now):
+            assert status.n_running == n_running
+            assert status.n_queued == len(self.requests) - n_running <= MAX_WAITING
+            accounts = {model.job.account for model in self.requests.values()}
+            assert status.n_accounts == len(accounts)
+            assert sum(item.in_flight for item in status.servers) == n_running
+
+    @invariant()
+    def nothing_waits_in_vain(self):
+        wake_at = self.dispatcher.next_wake(self.now)
+        n_queued = len(self.requests) - len(self.running())
+        assert (wake_at is not None) == (n_queued > 0)
+
+    def teardown(self):
+        self.now += TIMEOUT_S
+        self.carry_out(self.dispatcher.tick(self.now))
+        for name in self.running():
+            self.end(name, AttemptOutcome.TIMED_OUT)
+        assert not self.requests
+        assert self.dispatcher.n_pending == 0
+
+
+TestRouting = Routing.TestCase
+TestRouting.settings = settings(
+    derandomize=True, deadline=None, max_examples=200, stateful_step_count=40
+)
