--- a/packages/health/src/wagtailpaddle_health/admission.py
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -1,5 +1,6 @@
 """The life cycle of one backend server between trusted and ejected."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -18,13 +19,14 @@
 RAMP_S = 10.0
 COLD_RAMP_S = 30.0
 
+OUT = (ServerState.EJECTED, ServerState.AVOIDED)
+RECOVERING = (ServerState.PROBATION, ServerState.RAMPING)
+WORKING = (ServerState.HEALTHY, ServerState.SUSPECT, *RECOVERING)
+
 
 class Admission(Protocol):
     """Inputs of the life cycle."""
 
-    def state(self) -> ServerState:
-        """Return the present state."""
-
     def doubt(self) -> None:
         """Evidence speaks against a working server."""
 
@@ -60,6 +62,7 @@
     """
 
     server: ServerId
+    state: ServerState = ServerState.HEALTHY
     evidence: Evidence = field(default_factory=Evidence)
     since: float = 0.0
     until: float = 0.0
@@ -78,15 +81,10 @@
     def __post_init__(self) -> None:
         self.admission = _AdmissionMachine(self)
 
-    @property
-    def state(self) -> ServerState:
-        """Where the server stands."""
-        return self.admission.state()
-
     @property
     def is_out(self) -> bool:
         """Whether the server is ejected or avoided."""
-        return self.state in (ServerState.EJECTED, ServerState.AVOIDED)
+        return self.state in OUT
 
     @property
     def ramp_s(self) -> float:
@@ -116,28 +114,32 @@
         return min(MAX_EJECTION_S, EJECTION_S * 2.0 ** (self.n_ejections - 1))
 
 
+MOVES = (
+    (Admission.doubt, (ServerState.HEALTHY,), ServerState.SUSPECT),
+    (Admission.trust, (ServerState.SUSPECT, ServerState.RAMPING), ServerState.HEALTHY),
+    (Admission.eject, (*WORKING, ServerState.AVOIDED), ServerState.EJECTED),
+    (Admission.avoid, WORKING, ServerState.AVOIDED),
+    (Admission.test, OUT, ServerState.PROBATION),
+    (Admission.ramp, (ServerState.PROBATION, ServerState.HEALTHY), ServerState.RAMPING),
+    (Admission.hold, (*OUT, *RECOVERING), ServerState.SUSPECT),
+)
+"""Every move of the life cycle: the input, the states it leaves, the new one."""
+
+
 def _build_machine() -> TypeMachineBuilder[Admission, Track]:
     builder = TypeMachineBuilder(Admission, Track)
-    names = {state: builder.state(state.value) for state in ServerState}
-    healthy, suspect = names[ServerState.HEALTHY], names[ServerState.SUSPECT]
-    ejected, avoided = names[ServerState.EJECTED], names[ServerState.AVOIDED]
-    probation, ramping = names[ServerState.PROBATION], names[ServerState.RAMPING]
-    for kind, state in names.items():
-        state.upon(Admission.state).loop().returns(kind)
-    healthy.upon(Admission.doubt).to(suspect).returns(None)
-    suspect.upon(Admission.trust).to(healthy).returns(None)
-    ramping.upon(Admission.trust).to(healthy).returns(None)
-    for working in (healthy, suspect, probation, ramping):
-        working.upon(Admission.eject).to(ejected).returns(None)
-        working.upon(Admission.avoid).to(avoided).returns(None)
-    avoided.upon(Admission.eject).to(ejected).returns(None)
-    for out in (ejected, avoided):
-        out.upon(Admission.test).to(probation).returns(None)
-        out.upon(Admission.hold).to(suspect).returns(None)
-    for recovering in (probation, ramping):
-        recovering.upon(Admission.hold).to(suspect).returns(None)
-    probation.upon(Admission.ramp).to(ramping).returns(None)
-    healthy.upon(Admission.ramp).to(ramping).returns(None)
+    states = {kind: builder.state(kind.value) for kind in ServerState}
+
+    def add(
+        move: Callable[[Admission], None], before: ServerState, after: ServerState
+    ) -> None:
+        @states[before].upon(move).to(states[after])
+        def enter(admission: Admission, track: Track) -> None:
+            track.state = after
+
+    for move, left, after in MOVES:
+        for before in left:
+            add(move, before, after)
     return builder
 
 
--- a/packages/health/src/wagtailpaddle_health/policies.py
+++ b/packages/health/src/wagtailpaddle_health/policies.py
@@ -42,6 +42,10 @@
     def verifies(self) -> bool:
         """Whether suspects are asked for work that can be repeated."""
 
+    @property
+    def shares(self) -> bool:
+        """Whether VMs tell each other their evidence."""
+
     def local(self, case: Case) -> Judgement:
         """Judge a server by this VM's own evidence."""
 
@@ -63,6 +67,7 @@
     """Ejects nobody."""
 
     verifies: bool = False
+    shares: bool = False
 
     def local(self, case: Case) -> Judgement:
         """Find nothing."""
@@ -79,6 +84,7 @@
     """Avoids a server after some failures in a row on this VM."""
 
     verifies: bool = False
+    shares: bool = False
 
     def local(self, case: Case) -> Judgement:
         """Judge by the streak of own failures."""
@@ -95,19 +101,24 @@
 class _Scan:
     def local(self, case: Case) -> Judgement:
         """Judge by own evidence, whoever else saw it."""
-        second = case.second
-        scan = case.evidence.own.scan(second)
-        others = [other.own.scan(second) for other in case.others]
-        return judge(scan, others, (), threshold(case.sensitivity), _channels(case))
+        return judge(
+            case.second,
+            case.evidence.own,
+            [other.own for other in case.others],
+            threshold=threshold(case.sensitivity),
+            channels=_channels(case),
+        )
 
     def fleet(self, case: Case) -> Judgement:
         """Judge by all evidence, less the VM that saw most of the failures."""
-        second = case.second
-        scan = case.evidence.pooled.scan(second)
-        others = [other.pooled.scan(second) for other in case.others]
-        origins = [window.scan(second) for window in case.evidence.origins.values()]
-        bar = threshold(case.sensitivity)
-        return judge(scan, others, origins, bar, _channels(case))
+        return judge(
+            case.second,
+            case.evidence.pooled,
+            [other.pooled for other in case.others],
+            threshold=threshold(case.sensitivity),
+            origins=tuple(case.evidence.origins.values()),
+            channels=_channels(case),
+        )
 
 
 @POLICIES.register("previous")
@@ -116,6 +127,7 @@
     """Waits for evidence as traffic brings it."""
 
     verifies: bool = False
+    shares: bool = True
 
 
 @POLICIES.register("scan")
@@ -124,6 +136,7 @@
     """Asks for idempotent work on suspects, so that evidence comes sooner."""
 
     verifies: bool = True
+    shares: bool = True
 
 
 def _channels(case: Case) -> tuple[int, ...]:
--- a/packages/health/src/wagtailpaddle_health/poolbook.py
+++ b/packages/health/src/wagtailpaddle_health/poolbook.py
@@ -4,7 +4,12 @@
 
 from wagtailpaddle_core import ServerId, VmId
 
-from wagtailpaddle_health.admission import MAX_PROBATION_S, PROBATION_S, Track
+from wagtailpaddle_health.admission import (
+    MAX_PROBATION_S,
+    PROBATION_S,
+    RECOVERING,
+    Track,
+)
 from wagtailpaddle_health.evidence import Pending
 from wagtailpaddle_health.exchange import (
     Exchange,
@@ -39,7 +44,6 @@
 LOAD_LIFE_S = 5.0
 MAX_OTHERS = 24
 FAILED = (Verdict.FAILURE, Verdict.UNREACHABLE)
-RECOVERING = (ServerState.PROBATION, ServerState.RAMPING)
 
 
 class PoolBook:
@@ -189,8 +193,9 @@
         if not counts:
             return
         evidence.add_own(now, self.vm, counts)
-        pending = self._pending.setdefault(track.server, Pending())
-        pending.add(counts, observation.latency_s)
+        if self._policy.shares:
+            pending = self._pending.setdefault(track.server, Pending())
+            pending.add(counts, observation.latency_s)
 
     def _take_lines(self, now: float, digest: HealthDigest) -> dict[ServerId, Track]:
         dirty = {}
--- a/packages/health/src/wagtailpaddle_health/scan.py
+++ b/packages/health/src/wagtailpaddle_health/scan.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from wagtailpaddle_health.window import NO_COUNTS, SCAN_S, Counts
+from wagtailpaddle_health.window import SCAN_S, Counts, Window
 
 FAILURE, UNREACHABLE, SLOW = CHANNELS = (1, 2, 3)
 """Kinds of bad attempts, as positions in ``Counts``."""
@@ -18,8 +18,7 @@
 PRIOR_ATTEMPTS = 20
 MAX_RATE = 0.95
 CORROBORATION = 2.5
-
-Scan = tuple[Counts, ...]
+LEAST_SHARE = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,53 +75,53 @@
     return n_attempts, sum(counts[channel] for counts in kept)
 
 
-def usual_rates(others: Sequence[Scan], channel: int) -> list[float]:
-    """Return the pool's usual rate of a channel for each window of ``SCAN_S``.
+def usual_rate(
+    second: int, others: Sequence[Window], length_s: int, channel: int
+) -> float:
+    """Return the pool's usual rate of bad attempts in the last ``length_s``.
 
-    The rate over the whole window stands in where a short one has little
-    evidence; the higher of the two counts, so that an incident of the whole
-    service raises the bar at once.
+    The rate over the whole window stands in where the short one holds little;
+    the higher of the two counts, so that an incident of the whole service
+    raises the bar at once.
     """
-    n_long, k_long = trusted_counts([scan[-1] for scan in others], channel)
+    n_long, k_long = trusted_counts([win.total(second) for win in others], channel)
     long_rate = max(FLOOR_RATES[channel], (k_long + 0.5) / (n_long + 1))
-    rates = []
-    for index in range(len(SCAN_S)):
-        n, k = trusted_counts([scan[index] for scan in others], channel)
-        short_rate = (k + PRIOR_ATTEMPTS * long_rate) / (n + PRIOR_ATTEMPTS)
-        rates.append(min(MAX_RATE, max(long_rate, short_rate)))
-    return rates
+    recent = [win.recent(second, length_s) for win in others]
+    n, k = trusted_counts(recent, channel)
+    short_rate = (k + PRIOR_ATTEMPTS * long_rate) / (n + PRIOR_ATTEMPTS)
+    return min(MAX_RATE, max(long_rate, short_rate))
 
 
 def judge(
-    scan: Scan,
-    others: Sequence[Scan],
-    origins: Sequence[Scan],
+    second: int,
+    window: Window,
+    others: Sequence[Window],
+    *,
     threshold: float,
+    origins: Sequence[Window] = (),
     channels: Sequence[int] = CHANNELS,
 ) -> Judgement:
     """Judge a server by the worst of its windows and channels.
 
-    ``others`` are the scans of the pool's other servers, ``origins`` those of
-    this server's failures by the VM that saw them. ``threshold`` is in nats.
+    ``others`` are the windows of the pool's other servers, ``origins`` those of
+    this server's bad attempts by the VM that saw them. ``threshold`` is in nats.
+    Evidence below ``LEAST_SHARE`` of it is taken for none.
     """
     best = NOTHING
     suspicion = 0.0
-    for channel in channels:
-        if not scan[-1][channel]:
-            continue
-        rates = usual_rates(others, channel)
-        for index, counts in enumerate(scan):
-            share = log_ratio(counts[0], counts[channel], rates[index]) / threshold
-            if share <= 0:
+    for index, counts in enumerate(window.scan(second)):
+        for channel in channels:
+            n_attempts, n_bad = counts[0], counts[channel]
+            most = log_ratio(n_attempts, n_bad, FLOOR_RATES[channel])
+            if most < LEAST_SHARE * threshold:
                 continue
+            usual = usual_rate(second, others, SCAN_S[index], channel)
+            share = log_ratio(n_attempts, n_bad, usual) / threshold
+            tops = [win.recent(second, SCAN_S[index])[channel] for win in origins]
+            top = max(tops, default=0)
+            rest = log_ratio(n_attempts - top, n_bad - top, usual) / threshold
+            score = min(share, CORROBORATION * rest)
             suspicion = max(suspicion, share)
-            top = max((origin[index][channel] for origin in origins), default=0)
-            rest = log_ratio(counts[0] - top, counts[channel] - top, rates[index])
-            score = min(share, CORROBORATION * rest / threshold)
             if (score, share) > (best.score, best.suspicion):
-                n_bad, n_attempts = counts[channel], counts[0]
                 best = Judgement(share, score, REASONS[channel], n_bad, n_attempts)
     return replace(best, suspicion=suspicion)
-
-
-EMPTY_SCAN: Scan = (NO_COUNTS,) * len(SCAN_S)
--- a/packages/health/src/wagtailpaddle_health/window.py
+++ b/packages/health/src/wagtailpaddle_health/window.py
@@ -76,6 +76,21 @@
             self._scan_second = second
         return self._scan
 
+    def recent(self, second: int, length_s: int) -> Counts:
+        """Return the counts of the last ``length_s`` seconds up to ``second``."""
+        oldest = second - length_s
+        if length_s >= WINDOW_S:
+            return self.total(second)
+        n_attempts = n_failure = n_unreachable = n_slow = 0
+        for bucket in reversed(self._buckets):
+            if bucket[0] <= oldest:
+                break
+            n_attempts += bucket[1]
+            n_failure += bucket[2]
+            n_unreachable += bucket[3]
+            n_slow += bucket[4]
+        return Counts(n_attempts, n_failure, n_unreachable, n_slow)
+
     def copy(self) -> "Window":
         """Return a window with the same counts."""
         twin = Window()
--- a/packages/standins/src/wagtailpaddle_standins/measure/__main__.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/__main__.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 import wagtailpaddle_standins.measure as package
-from wagtailpaddle_standins.measure.registry import MEASURES
+from wagtailpaddle_standins.measure.registry import LONG_MEASURES, MEASURES
 
 
 def load_measures() -> None:
@@ -20,7 +20,9 @@
 def parse(argv: Sequence[str] | None) -> argparse.Namespace:
     """Return the names and the seed of the command line."""
     parser = argparse.ArgumentParser(prog="wagtailpaddle_standins.measure")
-    parser.add_argument("names", nargs="*", help="measures to run; default all")
+    parser.add_argument(
+        "names", nargs="*", help="measures to run; default all but long ones"
+    )
     parser.add_argument("--seed", type=int, default=1, help="seed of every measure")
     return parser.parse_args(argv)
 
@@ -32,7 +34,8 @@
     for name in args.names or MEASURES.names():
         started_at = time.monotonic()
         print(f"== {name} (seed {args.seed})", flush=True)
-        for line in MEASURES[name](args.seed):
+        registry = LONG_MEASURES if name in LONG_MEASURES else MEASURES
+        for line in registry[name](args.seed):
             print(line, flush=True)
         print(f"-- {name} took {time.monotonic() - started_at:.1f} s", flush=True)
 
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/background.py
@@ -0,0 +1,170 @@
+"""Long runs of the judgement alone, to count false ejections."""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import accumulate
+from random import Random
+
+from wagtailpaddle_core import VmId
+from wagtailpaddle_health.evidence import Evidence
+from wagtailpaddle_health.latency import SLOW_FACTOR
+from wagtailpaddle_health.policies import POLICIES, Case, Policy
+from wagtailpaddle_health.window import Counts
+
+from wagtailpaddle_standins.measure.faults import (
+    BACKGROUND_ERRORS,
+    LATENCY_SIGMA,
+    OUTLIER_FACTOR,
+    OUTLIER_SHARE,
+)
+
+DAY_S = 86_400
+CONFIDENCE = 0.95
+MOST_PER_SECOND = 40
+OBSERVER = VmId("vm-00")
+
+
+@dataclass(frozen=True, slots=True)
+class FalseEjections:
+    """False ejections counted over simulated server-days."""
+
+    n_false: int
+    server_days: float
+
+    @property
+    def rate(self) -> float:
+        """False ejections per server-day."""
+        return self.n_false / self.server_days
+
+    @property
+    def upper(self) -> float:
+        """The one-sided 95 % upper confidence bound of the rate."""
+        return poisson_upper(self.n_false) / self.server_days
+
+    def __str__(self) -> str:
+        return (
+            f"{self.rate:.4f} per server-day ({self.n_false} in"
+            f" {self.server_days:.1f}; 95 % upper bound {self.upper:.4f})"
+        )
+
+
+def poisson_upper(n_seen: int) -> float:
+    """Return the greatest mean under which ``n_seen`` or fewer is not unlikely.
+
+    >>> round(poisson_upper(0), 2)
+    3.0
+    """
+    low, high = 0.0, 10.0 + 3.0 * n_seen
+    for _ in range(60):
+        mean = (low + high) / 2
+        terms = (mean**k / math.factorial(k) for k in range(n_seen + 1))
+        if math.exp(-mean) * sum(terms) > 1 - CONFIDENCE:
+            low = mean
+        else:
+            high = mean
+    return high
+
+
+def slow_share() -> float:
+    """Return the share of usual answers beyond the limit for slow ones."""
+
+    def beyond(factor: float) -> float:
+        return 0.5 * math.erfc(math.log(factor) / LATENCY_SIGMA / math.sqrt(2))
+
+    rare = beyond(SLOW_FACTOR / OUTLIER_FACTOR)
+    return (1 - OUTLIER_SHARE) * beyond(SLOW_FACTOR) + OUTLIER_SHARE * rare
+
+
+def arrivals(random: Random, rate: float) -> Iterator[int]:
+    """Yield the number of attempts in each second at ``rate`` a second."""
+    weights = [
+        math.exp(-rate + k * math.log(rate) - math.lgamma(k + 1))
+        for k in range(MOST_PER_SECOND)
+    ]
+    bounds = list(accumulate(weights))
+    while True:
+        yield from random.choices(range(MOST_PER_SECOND), cum_weights=bounds, k=4096)
+
+
+def bad_ones(random: Random, share: float) -> Iterator[int]:
+    """Yield how many good attempts go before each next bad one."""
+    scale = 1 / math.log(1 - share)
+    while True:
+        yield int(math.log(1 - random.random()) * scale)
+
+
+class Server:
+    """Draws the usual evidence of one healthy server, second by second."""
+
+    def __init__(self, random: Random, rate: float) -> None:
+        self.evidence = Evidence()
+        self._random = random
+        self._arrivals = arrivals(random, rate)
+        self._gaps = [
+            bad_ones(random, BACKGROUND_ERRORS),
+            bad_ones(random, slow_share()),
+        ]
+        self._left = [next(gaps) for gaps in self._gaps]
+
+    def step(self, second: int, vms: list[VmId]) -> bool:
+        """Draw one second; return whether something bad was in it."""
+        n_attempts = next(self._arrivals)
+        if not n_attempts:
+            return False
+        n_failure, n_slow = self._draw(0, n_attempts), self._draw(1, n_attempts)
+        if not n_failure + n_slow:
+            self.evidence.own.add(second, Counts(n_attempts))
+            return False
+        bad = Counts(n_attempts, n_failure, 0, n_slow)
+        self.evidence.add_own(second, self._random.choice(vms), bad)
+        return True
+
+    def _draw(self, kind: int, n_attempts: int) -> int:
+        n_bad = 0
+        self._left[kind] -= n_attempts
+        while self._left[kind] < 0:
+            n_bad += 1
+            self._left[kind] += 1 + next(self._gaps[kind])
+        return n_bad
+
+
+@dataclass(frozen=True, slots=True)
+class Background:
+    """A pool under background errors and latency noise only.
+
+    ``rate`` is in attempts a second to each server. With ``fleet`` the evidence
+    of ``n_vms`` VMs is judged as a watcher does, else that of one VM alone.
+    """
+
+    policy: str
+    n_servers: int
+    rate: float
+    sensitivity: float
+    fleet: bool = True
+    n_vms: int = 36
+
+    def run(self, seed: int, server_days: float) -> FalseEjections:
+        """Count servers that would have been ejected."""
+        random = Random(seed)
+        policy: Policy = POLICIES[self.policy]()
+        vms = [VmId(f"vm-{index:02d}") for index in range(self.n_vms)]
+        servers = [Server(random, self.rate) for _ in range(self.n_servers)]
+        n_seconds = int(server_days * DAY_S / self.n_servers)
+        n_false = 0
+        for second in range(n_seconds):
+            for server in servers:
+                if server.step(second, vms) and self._ejects(
+                    second, policy, server, servers
+                ):
+                    n_false += 1
+                    server.evidence.forget()
+        return FalseEjections(n_false, n_seconds * self.n_servers / DAY_S)
+
+    def _ejects(
+        self, second: int, policy: Policy, server: Server, servers: list[Server]
+    ) -> bool:
+        others = tuple(item.evidence for item in servers if item is not server)
+        case = Case(second, server.evidence, others, self.sensitivity)
+        judge = policy.fleet if self.fleet else policy.local
+        return judge(case).score >= 1
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/health.py
@@ -0,0 +1,114 @@
+"""Measures of the health decisions for the two deployments' sizes."""
+
+from collections.abc import Iterable, Iterator
+
+from wagtailpaddle_standins.measure.background import Background
+from wagtailpaddle_standins.measure.registry import LONG_MEASURES, MEASURES
+from wagtailpaddle_standins.measure.trials import (
+    Plan,
+    quantile,
+    report,
+    run_cold_start,
+    run_half_down,
+    run_incident,
+    run_path,
+    run_trials,
+    show,
+)
+
+KINDS = (
+    "down",
+    "hang",
+    "fails-all-work",
+    "errors-20%",
+    "slow-20%",
+    "slow-x5",
+    "hang-20%",
+    "flapping",
+)
+POOLS = {"namur": (12, 10), "returhuset": (15, 10)}
+BASELINES = ("previous", "consecutive", "none")
+SERVICE_RATE = 50.0
+N_VMS = 36
+SENSITIVITIES = (0.1, 0.3, 0.5, 0.7, 0.9, 1.0)
+
+
+@MEASURES.register("health")
+def health(seed: int) -> Iterator[str]:
+    """Compare the policies on few trials, in well under a minute."""
+    for site, sizes in POOLS.items():
+        yield f"{site}: {sizes[0]} servers, {SERVICE_RATE:.0f} requests/s, 36 VMs"
+        yield from detection("scan", sizes[0], seed, n_trials=4)
+    yield "baselines: 12 servers"
+    for policy in BASELINES:
+        yield from detection(policy, 12, seed, n_trials=1)
+    yield from harmless("scan", 12, seed, n_trials=1)
+    yield from false_ejections("scan", 12, seed, server_days=6, vm_days=30)
+
+
+@LONG_MEASURES.register("health-long")
+def health_long(seed: int) -> Iterator[str]:
+    """Repeat the comparison with enough trials for a p95."""
+    for site, sizes in POOLS.items():
+        for size in sizes:
+            yield f"{site}: {size} servers, {SERVICE_RATE:.0f} requests/s, 36 VMs"
+            yield from detection("scan", size, seed, n_trials=20)
+    for policy in BASELINES:
+        yield from detection(policy, 12, seed, n_trials=8)
+    for policy in ("scan", *BASELINES):
+        yield from harmless(policy, 12, seed, n_trials=4)
+
+
+@LONG_MEASURES.register("health-false")
+def health_false(seed: int) -> Iterator[str]:
+    """Count false ejections over enough server-days for a useful bound."""
+    for policy in ("scan", "consecutive"):
+        yield from false_ejections(policy, 12, seed, server_days=120, vm_days=300)
+
+
+@LONG_MEASURES.register("health-curves")
+def health_curves(seed: int) -> Iterator[str]:
+    """Show what sensitivity trades, at the default floor."""
+    for sensitivity in SENSITIVITIES:
+        yield from curve(seed, sensitivity)
+
+
+def detection(
+    policy: str, n_servers: int, seed: int, *, n_trials: int
+) -> Iterator[str]:
+    """Run every kind of fault that should be detected."""
+    for kind in KINDS:
+        plan = Plan(policy, kind, n_servers, n_trials, seed, SERVICE_RATE)
+        yield report(plan, run_trials(plan))
+
+
+def harmless(policy: str, n_servers: int, seed: int, *, n_trials: int) -> Iterable[str]:
+    """Run what should eject nobody, or on one VM only."""
+    for kind in ("incident-30%", "incident-slow"):
+        yield run_incident(Plan(policy, kind, n_servers, n_trials, seed))
+    yield run_path(Plan(policy, "path", n_servers, n_trials, seed))
+    yield run_cold_start(Plan(policy, "cold", n_servers, n_trials, seed))
+    yield run_half_down(Plan(policy, "half", n_servers, n_trials, seed))
+
+
+def false_ejections(
+    policy: str, n_servers: int, seed: int, *, server_days: float, vm_days: float
+) -> Iterator[str]:
+    """Count false ejections by the fleet and by single VMs."""
+    rate = SERVICE_RATE / n_servers
+    fleet = Background(policy, n_servers, rate, 0.5).run(seed, server_days)
+    yield f"false ejections, fleet, {policy}: {fleet}"
+    alone = Background(policy, n_servers, rate / N_VMS, 0.5, fleet=False)
+    yield f"false ejections, one VM, {policy}: {alone.run(seed, vm_days)}"
+
+
+def curve(seed: int, sensitivity: float) -> Iterator[str]:
+    """Return detection times and false ejections at one sensitivity."""
+    times = []
+    for kind in ("fails-all-work", "errors-20%"):
+        plan = Plan("scan", kind, 12, 10, seed, SERVICE_RATE, sensitivity)
+        detected = [trial.detected_s for trial in run_trials(plan)]
+        p50, p95 = (show(quantile(detected, share)) for share in (0.5, 0.95))
+        times.append(f"{kind} p50 {p50} s p95 {p95} s")
+    background = Background("scan", 12, SERVICE_RATE / 12, sensitivity)
+    yield f"sensitivity {sensitivity}: {'; '.join(times)}; false {background.run(seed, 24)}"
--- a/packages/standins/src/wagtailpaddle_standins/measure/pools.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/pools.py
@@ -42,6 +42,7 @@
     n_requests: int = 0
     n_failed_attempts: int = 0
     n_failed_requests: int = 0
+    n_refused: int = 0
 
     @property
     def servers(self) -> tuple[ServerId, ...]:
@@ -106,6 +107,15 @@
         }
         self._at(self.now, lambda: self._arrive(pool))
 
+    def warm(self, pool: FakePool, n_each: int = 20) -> None:
+        """Let every VM have seen ``n_each`` usual answers of every server."""
+        for vm, book in self.books.items():
+            for server in pool.servers:
+                for _ in range(n_each):
+                    latency_s = usual(Moment(0.0, vm, self.random)).latency_s
+                    seen = Observation(pool.service, server, Verdict.SUCCESS, latency_s)
+                    book.observe(self.now, seen)
+
     def configure(self, pool: FakePool, *, floor: float, sensitivity: float) -> None:
         """Tell every VM the pool's present servers."""
         for vm, book in self.books.items():
@@ -186,6 +196,7 @@
         server = self._choose(pool, vm, idempotent, tried)
         if server is None:
             pool.n_failed_requests += 1
+            pool.n_refused += not tried
             return
         age_s, fault = self._fault(pool, vm, server)
         attempt = fault(Moment(age_s, vm, self.random))
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/trials.py
@@ -0,0 +1,223 @@
+"""Detection trials: one fault in one pool, watched until most VMs react."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from statistics import fmean
+
+from wagtailpaddle_core import ServerId, ServiceId
+from wagtailpaddle_health import ServerState
+
+from wagtailpaddle_standins.measure.faults import FAULTS, incident, incident_slow
+from wagtailpaddle_standins.measure.pools import OUT, FakeFleet, FakePool
+
+SETTLE_S = 12.0
+WATCH_S = 15.0
+STEP_S = 0.05
+DETECTED_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What one set of trials runs with; ``rate`` is requests/s to the service."""
+
+    policy: str
+    kind: str
+    n_servers: int
+    n_trials: int
+    seed: int
+    rate: float = 50.0
+    sensitivity: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """One trial's outcome; times in seconds, None if it never came.
+
+    ``detected_s`` is when half of the VMs gave the server no more work,
+    ``first_s`` when the first did. ``n_failed_requests`` counts requests that
+    their caller saw fail until then, ``n_failed_attempts`` also those that a
+    retry saved. ``n_wrong`` is the number of healthy servers out, averaged over
+    the VMs.
+    """
+
+    detected_s: float | None
+    first_s: float | None
+    n_failed_attempts: int
+    n_failed_requests: int
+    n_wrong: float
+
+
+def quantile(times: Sequence[float | None], share: float) -> float | None:
+    """Return a quantile of times in which None stands for never."""
+    ranked = sorted(times, key=lambda item: (item is None, item or 0.0))
+    return ranked[min(len(ranked) - 1, int(share * len(ranked)))]
+
+
+def show(seconds: float | None, most_s: float = WATCH_S) -> str:
+    """Return a time for a report."""
+    return f">{most_s:.0f}" if seconds is None else f"{seconds:.2f}"
+
+
+def start(plan: Plan) -> tuple[FakeFleet, list[FakePool]]:
+    """Return a fleet with one settled pool for each trial."""
+    fleet = FakeFleet(policy=plan.policy, seed=plan.seed)
+    pools = []
+    for index in range(plan.n_trials):
+        pool = FakePool(ServiceId(f"{plan.kind}-{index}"), plan.n_servers, plan.rate)
+        fleet.add(pool, sensitivity=plan.sensitivity)
+        fleet.warm(pool, 2)
+        pools.append(pool)
+    fleet.run_until(SETTLE_S)
+    return fleet, pools
+
+
+def run_trials(plan: Plan) -> list[Trial]:
+    """Put the plan's fault into one server of each pool and watch."""
+    fleet, pools = start(plan)
+    fault = FAULTS[plan.kind]
+    for pool in pools:
+        pool.faults[pool.servers[0]] = (fleet.now, fault)
+    return watch(fleet, pools)
+
+
+def watch(fleet: FakeFleet, pools: Sequence[FakePool]) -> list[Trial]:
+    """Watch the first server of each pool until it is detected."""
+    began = fleet.now
+    before = {pool.service: counted(pool) for pool in pools}
+    first: dict[ServiceId, float] = {}
+    found: dict[ServiceId, Trial] = {}
+    while fleet.now < began + WATCH_S and len(found) < len(pools):
+        fleet.run_until(fleet.now + STEP_S)
+        for pool in pools:
+            if pool.service in found:
+                continue
+            share = fleet.share_out(pool.service, pool.servers[0])
+            age_s = fleet.now - began
+            if share > 0:
+                first.setdefault(pool.service, age_s)
+            if share >= DETECTED_SHARE:
+                start_s = first[pool.service]
+                was = before[pool.service]
+                found[pool.service] = outcome(fleet, pool, age_s, start_s, was)
+                pool.stopped = True
+    return [
+        found.get(pool.service)
+        or outcome(fleet, pool, None, first.get(pool.service), before[pool.service])
+        for pool in pools
+    ]
+
+
+def counted(pool: FakePool) -> tuple[int, int]:
+    """Return the failed attempts and failed requests of a pool so far."""
+    return pool.n_failed_attempts, pool.n_failed_requests
+
+
+def outcome(
+    fleet: FakeFleet,
+    pool: FakePool,
+    detected_s: float | None,
+    first_s: float | None,
+    before: tuple[int, int],
+) -> Trial:
+    """Return the outcome of a trial that ends now."""
+    n_attempts, n_requests = counted(pool)
+    return Trial(
+        detected_s,
+        first_s,
+        n_attempts - before[0],
+        n_requests - before[1],
+        n_wrong(fleet, pool, pool.servers[1:]),
+    )
+
+
+def n_wrong(fleet: FakeFleet, pool: FakePool, healthy: Sequence[ServerId]) -> float:
+    """Return how many of the ``healthy`` servers are out, averaged over VMs."""
+    return sum(fleet.share_out(pool.service, server) for server in healthy)
+
+
+def report(plan: Plan, trials: Sequence[Trial]) -> str:
+    """Return one line on a set of trials."""
+    detected = [trial.detected_s for trial in trials]
+    p50, p95 = (show(quantile(detected, share)) for share in (0.5, 0.95))
+    failed = fmean(trial.n_failed_requests for trial in trials)
+    attempts = fmean(trial.n_failed_attempts for trial in trials)
+    wrong = sum(trial.n_wrong for trial in trials)
+    return (
+        f"{plan.kind:15} {plan.policy:12} n={len(trials):3} detected p50 {p50:>5} s"
+        f" p95 {p95:>5} s, before it failed: {attempts:6.1f} attempts,"
+        f" {failed:5.1f} requests; healthy ones out {wrong:.2f}"
+    )
+
+
+def run_incident(plan: Plan) -> str:
+    """Put a fault into every server and count ejections."""
+    fleet, pools = start(plan)
+    fault = {"incident-30%": incident, "incident-slow": incident_slow}[plan.kind]
+    for pool in pools:
+        for server in pool.servers:
+            pool.faults[server] = (fleet.now, fault)
+    fleet.run_until(fleet.now + WATCH_S)
+    wrong = sum(n_wrong(fleet, pool, pool.servers) for pool in pools)
+    return (
+        f"{plan.kind:15} {plan.policy:12} n={len(pools):3} service-wide for"
+        f" {WATCH_S:.0f} s; out at its end, averaged over VMs: {wrong:.2f} servers"
+    )
+
+
+def run_path(plan: Plan) -> str:
+    """Cut one VM off from one server; return who reacts."""
+    fleet, pools = start(plan)
+    vm = fleet.vms[0]
+    for pool in pools:
+        pool.cut_vms = frozenset([vm])
+        pool.faults[pool.servers[0]] = (fleet.now, FAULTS["down"])
+    began = fleet.now
+    times: dict[ServiceId, float] = {}
+    n_others = 0
+    while fleet.now < began + WATCH_S:
+        fleet.run_until(fleet.now + STEP_S)
+        for pool in pools:
+            states = fleet.states(pool.service, pool.servers[0])
+            if states[0] in OUT:
+                times.setdefault(pool.service, fleet.now - began)
+            n_others = max(n_others, sum(state in OUT for state in states[1:]))
+    found = [times.get(pool.service) for pool in pools]
+    return (
+        f"{'path of one VM':15} {plan.policy:12} n={len(pools):3} avoided there p50"
+        f" {show(quantile(found, 0.5)):>5} s; other VMs that react: {n_others}"
+    )
+
+
+def run_cold_start(plan: Plan) -> str:
+    """Add a slowly starting server to each pool and count its ejections."""
+    fleet, pools = start(plan)
+    for pool in pools:
+        pool.n_servers += 1
+        pool.faults[pool.servers[-1]] = (fleet.now, FAULTS["cold-start"])
+        fleet.configure(pool, floor=0.5, sensitivity=plan.sensitivity)
+    fleet.run_until(fleet.now + WATCH_S)
+    n_out = sum(n_wrong(fleet, pool, pool.servers) for pool in pools)
+    new = [fleet.states(pool.service, pool.servers[-1])[0] for pool in pools]
+    return (
+        f"{'cold start':15} {plan.policy:12} n={len(pools):3} out after"
+        f" {WATCH_S:.0f} s, averaged over VMs: {n_out:.2f}; ramping on the first VM:"
+        f" {sum(state is ServerState.RAMPING for state in new)}"
+    )
+
+
+def run_half_down(plan: Plan) -> str:
+    """Take half of each pool down; return refusals of the other half's work."""
+    fleet, pools = start(plan)
+    for pool in pools:
+        for server in pool.servers[: pool.n_servers // 2]:
+            pool.faults[server] = (fleet.now, FAULTS["down"])
+    before = [(pool.n_requests, pool.n_refused) for pool in pools]
+    fleet.run_until(fleet.now + WATCH_S)
+    n_requests = sum(pool.n_requests for pool in pools) - sum(b[0] for b in before)
+    n_refused = sum(pool.n_refused for pool in pools) - sum(b[1] for b in before)
+    n_failed = sum(pool.n_failed_requests for pool in pools)
+    return (
+        f"{'half down':15} {plan.policy:12} n={len(pools):3} refused for want of a"
+        f" server {n_refused} of {n_requests} ({100 * n_refused / n_requests:.3f} %);"
+        f" failed {n_failed}"
+    )
