Run claim keepers at random

Change: a fake fleet with zones, roster changes, pauses, cuts and repeats; the audit counts runs per key and compares replayed answers.

--- /dev/null
+++ b/packages/once/tests/test_random_run.py
@@ -0,0 +1,89 @@
+"""Seeded randomised runs of several claim keepers under faults."""
+
+import pytest
+from wagtailpaddle_standins.fakes.fabric import Disorder
+from wagtailpaddle_standins.fakes.once_fleet import OnceFleet
+
+DISORDER = Disorder(loss=0.03, duplicate=0.05, slow=0.03, slow_s=4.0)
+
+
+class Run:
+    """A fleet with repeated requests and random faults."""
+
+    def __init__(self, seed, *, disorder=DISORDER, n_vms=6, fault_gap_s=2.0):
+        self.fleet = OnceFleet(seed, n_vms=n_vms, disorder=disorder)
+        self.rng = self.fleet.rng
+        self.fault_gap_s = fault_gap_s
+        self.n_keys = 0
+        self.faults = {
+            name: getattr(self, name) for name in sorted(dir(self)) if "fault_" in name
+        }
+        del self.faults["fault_gap_s"]
+
+    def later(self, delay, run):
+        self.fleet.fabric.at(self.fleet.fabric.now + delay, run)
+
+    def next_key(self):
+        self.n_keys += 1
+        key = f"k{self.n_keys}"
+        for _ in range(self.rng.randint(1, 5)):
+            delay = self.rng.choice([0.0, 0.001, 0.05, 1.0, 4.0, 12.0, 30.0])
+            delay *= self.rng.uniform(0.9, 1.1)
+            fingerprint = "g" if self.rng.random() < 0.03 else "f"
+            self.later(delay, lambda p=fingerprint: self.repeat(key, p))
+        self.later(self.rng.expovariate(4.0), self.next_key)
+
+    def repeat(self, key, fingerprint):
+        place = self.rng.choice(self.fleet.places)
+        self.fleet.request(place, key, fingerprint)
+
+    def fault_cut(self):
+        self.fleet.fabric.cuts.add(tuple(self.rng.sample(self.fleet.places, 2)))
+
+    def fault_isolate(self):
+        place = self.rng.choice(self.fleet.places)
+        for other in self.fleet.places:
+            self.fleet.fabric.cuts.add((place, other))
+
+    def fault_heal(self):
+        self.fleet.fabric.cuts.clear()
+
+    def fault_pause(self):
+        place = self.rng.choice(self.fleet.places)
+        self.fleet.pause(place, self.rng.choice([0.3, 1.5, 6.0, 15.0]))
+
+    def fault_crash(self):
+        place = self.rng.choice(self.fleet.places)
+        self.fleet.crash(place)
+        self.later(self.rng.uniform(0.1, 8), lambda: self.revive(place))
+
+    def fault_replace(self):
+        for place in self.rng.sample(self.fleet.places, self.rng.choice([1, 1, 2])):
+            self.fleet.replace(place)
+
+    def fault_lag(self):
+        self.fleet.roster_lag_s = self.rng.choice([0.05, 0.5, 3.0])
+
+    def revive(self, place):
+        if place not in self.fleet.instances:
+            self.fleet.start(place)
+
+    def next_fault(self):
+        self.faults[self.rng.choice(sorted(self.faults))]()
+        if self.rng.random() < 0.4:
+            self.fault_heal()
+        self.later(self.rng.expovariate(1 / self.fault_gap_s), self.next_fault)
+
+    def go(self, seconds):
+        self.next_key()
+        self.later(5.0, self.next_fault)
+        self.fleet.fabric.run_until(seconds)
+        assert not self.fleet.audit.faults, self.fleet.audit.faults[:5]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_key_runs_twice(seed):
+    run = Run(seed)
+    run.go(90.0)
+    assert run.fleet.audit.ends["run"] > 50
+    assert run.fleet.audit.ends["replay"] > 20
