--- a/packages/cli/src/wagtailpaddle_cli/status.py
+++ b/packages/cli/src/wagtailpaddle_cli/status.py
@@ -10,6 +10,7 @@
 
 KINDS = ("accounts", "routes", "servers")
 QUANTILES = ("p50", "p90", "p99", "max")
+NO_LATENCY: dict[str, Any] = {"n": 0}
 SERIES_COLUMNS = (
     "name",
     "answered",
@@ -72,11 +73,13 @@
 async def _services(session: Session) -> tuple[Any, str]:
     services = await session.ask_all("services")
     measured = await session.ask("metrics", "servers")
-    latency = {item["name"]: item["latency"] for item in measured["servers"]}
+    latency: dict[str, dict[str, Any]] = {
+        item["name"]: item["latency"] for item in measured["servers"]
+    }
     rows = []
     for service in services:
         for server in service["servers"]:
-            known = latency.get(f"{service['id']}/{server['id']}", {})
+            known = latency.get(f"{service['id']}/{server['id']}", NO_LATENCY)
             rows.append(
                 [
                     service["id"],
@@ -85,9 +88,8 @@
                     server["state"],
                     server["weight"],
                     server["leaving"],
-                    known.get("n", 0),
-                    render_ms(known.get("p50", 0.0)),
-                    render_ms(known.get("p99", 0.0)),
+                    known["n"],
+                    *_quantiles(known, ("p50", "p99")),
                     server["reason"],
                 ]
             )
@@ -99,12 +101,19 @@
     for item in series:
         n_ends = sum(item["outcomes"].values())
         n_answered = item["outcomes"].get("answered", 0)
-        latency = [render_ms(item["latency"][name]) for name in QUANTILES]
-        row = [item["name"], n_answered, n_ends - n_answered, *latency]
-        rows.append([*row, render_ms(item["queue_wait"]["p99"])] if waits else row)
+        row = [item["name"], n_answered, n_ends - n_answered]
+        row += _quantiles(item["latency"], QUANTILES)
+        row += _quantiles(item["queue_wait"], ("p99",)) if waits else []
+        rows.append(row)
     return render_table(SERIES_COLUMNS if waits else SERIES_COLUMNS[:-1], rows)
 
 
+def _quantiles(summary: dict[str, Any], names: tuple[str, ...]) -> list[str | None]:
+    if not summary["n"]:
+        return [None] * len(names)
+    return [render_ms(summary[name]) for name in names]
+
+
 def _summary(status: dict[str, Any]) -> str:
     fresh = "fresh" if status["fresh"] else "not fresh"
     draining = ", draining" if status["draining"] else ""
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/commit.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/commit.py
@@ -28,8 +28,8 @@
 
 MAX_IN_FLIGHT = 64
 MAX_APPENDS = 3
-MAX_LOOKUPS = 5
-FIRST_LOOKUP_DELAY_S = 0.02
+MAX_LOOKUPS = 3
+FIRST_LOOKUP_DELAY_S = 0.05
 
 
 class _Next(Enum):
--- a/packages/daemon/src/wagtailpaddle_daemon/logs.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/logs.py
@@ -39,6 +39,35 @@
     return structlog.get_logger(part=part)
 
 
+class Throttle:
+    """Lets one line of a kind pass in a while and counts those held back.
+
+    >>> throttle = Throttle(every_s=60.0)
+    >>> throttle.take(0.0, "read"), throttle.take(1.0, "read")
+    (0, None)
+    >>> throttle.take(61.0, "read")
+    1
+    """
+
+    def __init__(self, *, every_s: float = 60.0):
+        self._every_s = every_s
+        self._last_at: dict[str, float] = {}
+        self._n_held: dict[str, int] = {}
+
+    def take(self, now: float, kind: str) -> int | None:
+        """Return how many lines were held back, None to hold this one too."""
+        if now - self._last_at.get(kind, float("-inf")) < self._every_s:
+            self._n_held[kind] = self._n_held.get(kind, 0) + 1
+            return None
+        self._last_at[kind] = now
+        return self._n_held.pop(kind, 0)
+
+    def reset(self, kind: str) -> int:
+        """Forget a kind whose cause is over; return how many were held back."""
+        self._last_at.pop(kind, None)
+        return self._n_held.pop(kind, 0)
+
+
 def _prefix(_logger: Any, _method: str, event: Any) -> Any:
     part = event.pop("part", None)
     if part:
--- /dev/null
+++ b/packages/daemon/tests/test_logs.py
@@ -0,0 +1,28 @@
+import json
+
+import pytest
+from wagtailpaddle_daemon.logs import Throttle, get_logger, setup_logs
+
+
+@pytest.fixture
+def restored():
+    yield
+    setup_logs()
+
+
+def test_line_starts_with_its_part(restored, capsys):
+    setup_logs(format="json", level="info")
+    get_logger("admin").info("Changed.", operator="anna")
+    get_logger("admin").debug("Hidden.")
+    line = json.loads(capsys.readouterr().err)
+    assert line["event"] == "admin: Changed."
+    assert line["operator"] == "anna"
+
+
+def test_throttle_holds_back_and_counts():
+    throttle = Throttle(every_s=10.0)
+    taken = [throttle.take(now, "read") for now in (0.0, 1.0, 9.0, 10.0, 11.0)]
+    assert taken == [0, None, None, 2, None]
+    assert throttle.take(11.0, "append") == 0
+    assert throttle.reset("read") == 1
+    assert throttle.take(12.0, "read") == 0
