--- a/packages/daemon/src/wagtailpaddle_daemon/admin/accounts.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/accounts.py
@@ -12,7 +12,7 @@
 from wagtailpaddle_core import AccountId
 
 from wagtailpaddle_daemon.admin.bodies import read_table
-from wagtailpaddle_daemon.admin.context import HANDLERS, Context, find, one_page
+from wagtailpaddle_daemon.admin.context import HANDLERS, Context, one_page
 from wagtailpaddle_daemon.admin.errors import bad_request, not_found
 from wagtailpaddle_daemon.admin.ports import Command, Reply
 
@@ -22,16 +22,16 @@
     """List client accounts in order of name."""
     accounts = context.port.node.configuration.accounts
 
-    def show(name: str) -> Any:
-        return _shown(context, find(accounts, name))
+    def show(name: AccountId) -> Any:
+        return _shown(context, accounts[name])
 
-    return one_page(command, accounts, show, "accounts")
+    return await one_page(context, command, accounts, show, "accounts")
 
 
 @HANDLERS.register("GET /v1/accounts/<name>")
 async def show_account(context: Context, command: Command, name: str) -> Reply:
     """Show one client account."""
-    account = find(context.port.node.configuration.accounts, name)
+    account = context.port.node.configuration.accounts.get(AccountId(name))
     if account is None:
         raise not_found("client account", name)
     value = _shown(context, account)
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/context.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/context.py
@@ -1,8 +1,9 @@
 """What the handlers of commands share."""
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from heapq import nsmallest
+from itertools import islice
 from typing import Any
 
 import msgspec
@@ -21,6 +22,9 @@
 )
 from wagtailpaddle_daemon.metrics import Metrics
 
+PART = 2048
+"""How many names are looked at before requests go on."""
+
 
 @dataclass(frozen=True, slots=True)
 class Context:
@@ -81,16 +85,26 @@
 """By method and path, as in ``GET /v1/accounts/<name>``."""
 
 
-def one_page(
-    command: Command, names: Iterable[str], show: Callable[[str], Any], label: str
+async def one_page(
+    context: Context,
+    command: Command,
+    names: Iterable[str],
+    show: Callable[[Any], Any],
+    label: str,
+    *,
+    keep: Callable[[Any], bool] = lambda name: True,
 ) -> Reply:
-    """Return one page of a list in order of name."""
+    """Return one page of a list in order of name.
+
+    Only names that ``keep`` are listed. ``names`` must not change meanwhile;
+    requests go on between two parts of them.
+    """
     after, limit = read_page(command)
-    found = nsmallest(limit + 1, (name for name in names if name > after))
+    found: list[str] = []
+    rest = iter(names)
+    while part := list(islice(rest, PART)):
+        found += [name for name in part if name > after and keep(name)]
+        found = nsmallest(limit + 1, found)
+        await context.breathe()
     more = found[limit - 1] if len(found) > limit else None
     return Reply({label: [show(name) for name in found[:limit]], "next": more})
-
-
-def find(objects: Mapping[Any, Any], name: str) -> Any:
-    """Return the object called ``name``, None if there is none."""
-    return objects.get(name)
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/keys.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/keys.py
@@ -6,7 +6,7 @@
 from wagtailpaddle_core import AccountId, KeyId
 
 from wagtailpaddle_daemon.admin.bodies import read_secret_hash
-from wagtailpaddle_daemon.admin.context import HANDLERS, Context, find, one_page
+from wagtailpaddle_daemon.admin.context import HANDLERS, Context, one_page
 from wagtailpaddle_daemon.admin.errors import bad_request, not_found
 from wagtailpaddle_daemon.admin.ports import Command, Reply
 
@@ -20,12 +20,14 @@
     cfg = context.port.node.configuration
     if name not in cfg.accounts:
         raise not_found("client account", name)
-    names = [key.id for key in cfg.keys.values() if key.account == name]
 
-    def show(key: str) -> Any:
-        return _shown(context, find(cfg.keys, key))
+    def keep(key: KeyId) -> bool:
+        return cfg.keys[key].account == name
 
-    return one_page(command, names, show, "keys")
+    def show(key: KeyId) -> Any:
+        return _shown(context, cfg.keys[key])
+
+    return await one_page(context, command, cfg.keys, show, "keys", keep=keep)
 
 
 @HANDLERS.register("POST /v1/accounts/<name>/keys")
@@ -54,7 +56,7 @@
 @HANDLERS.register("GET /v1/keys/<name>")
 async def show_key(context: Context, command: Command, name: str) -> Reply:
     """Show one key without its secret."""
-    key = find(context.port.node.configuration.keys, name)
+    key = context.port.node.configuration.keys.get(KeyId(name))
     if key is None:
         raise not_found("key", name)
     value = _shown(context, key)
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/routes.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/routes.py
@@ -7,7 +7,7 @@
 from wagtailpaddle_core import RouteId
 
 from wagtailpaddle_daemon.admin.bodies import read_table
-from wagtailpaddle_daemon.admin.context import HANDLERS, Context, find, one_page
+from wagtailpaddle_daemon.admin.context import HANDLERS, Context, one_page
 from wagtailpaddle_daemon.admin.errors import not_found
 from wagtailpaddle_daemon.admin.ports import Command, Reply
 
@@ -17,16 +17,16 @@
     """List routes in order of name."""
     routes = context.port.node.configuration.routes
 
-    def show(name: str) -> Any:
-        return _shown(context, find(routes, name))
+    def show(name: RouteId) -> Any:
+        return _shown(context, routes[name])
 
-    return one_page(command, routes, show, "routes")
+    return await one_page(context, command, routes, show, "routes")
 
 
 @HANDLERS.register("GET /v1/routes/<name>")
 async def show_route(context: Context, command: Command, name: str) -> Reply:
     """Show one route."""
-    route = find(context.port.node.configuration.routes, name)
+    route = context.port.node.configuration.routes.get(RouteId(name))
     if route is None:
         raise not_found("route", name)
     value = _shown(context, route)
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
@@ -4,9 +4,9 @@
 
 import msgspec
 from wagtailpaddle_config import Applied, Service, Void
-from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_core import ErrorKind, ServiceId
 
-from wagtailpaddle_daemon.admin.context import HANDLERS, Context, find, one_page
+from wagtailpaddle_daemon.admin.context import HANDLERS, Context, one_page
 from wagtailpaddle_daemon.admin.errors import AdminError, not_found, of_void
 from wagtailpaddle_daemon.admin.ports import Command, Reply
 from wagtailpaddle_daemon.metrics import VIEWS
@@ -46,16 +46,16 @@
     """List services with the standing of their servers on this VM."""
     services = context.port.node.configuration.services
 
-    def show(name: str) -> Any:
-        return _shown(context, find(services, name))
+    def show(name: ServiceId) -> Any:
+        return _shown(context, services[name])
 
-    return one_page(command, services, show, "services")
+    return await one_page(context, command, services, show, "services")
 
 
 @HANDLERS.register("GET /v1/services/<name>")
 async def show_service(context: Context, command: Command, name: str) -> Reply:
     """Show one service with the standing of its servers on this VM."""
-    service = find(context.port.node.configuration.services, name)
+    service = context.port.node.configuration.services.get(ServiceId(name))
     if service is None:
         raise not_found("service", name)
     return Reply(_shown(context, service))
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -43,13 +43,16 @@
     """A log in memory whose answers can be lost.
 
     ``lost`` appends take effect and bring no answer, ``dropped`` ones do
-    nothing, ``refused`` ones find nobody there. ``is_down`` fails reads.
+    nothing, ``refused`` ones find nobody there, ``late`` ones take effect at
+    the next append. ``is_down`` fails reads.
     """
 
     records: list[bytes] = field(default_factory=list)
     lost: int = 0
     dropped: int = 0
     refused: int = 0
+    late: int = 0
+    on_their_way: list[bytes] = field(default_factory=list)
     is_down: bool = False
     n_appends: int = 0
 
@@ -59,6 +62,11 @@
         found = tuple(enumerate(self.records))[start:]
         return succeed(LogRead(0, len(self.records), found))
 
+    def arrive(self):
+        """Let the late appends take effect."""
+        self.records.extend(self.on_their_way)
+        self.on_their_way.clear()
+
     def append(self, stream, data):
         self.n_appends += 1
         if self.refused:
@@ -69,6 +77,11 @@
         if self.dropped:
             self.dropped -= 1
             return fail(LogError("no answer"))
+        if self.late:
+            self.late -= 1
+            self.on_their_way.append(data)
+            return fail(LogError("no answer"))
+        self.arrive()
         self.records.append(data)
         if self.lost:
             self.lost -= 1
