--- a/packages/cli/src/wagtailpaddle_cli/keys.py
+++ b/packages/cli/src/wagtailpaddle_cli/keys.py
@@ -5,7 +5,7 @@
 from wagtailpaddle_config import issue_key
 
 from wagtailpaddle_cli.commands import WAIT, arg, command
-from wagtailpaddle_cli.exits import Exit
+from wagtailpaddle_cli.exits import CommandError, Exit
 from wagtailpaddle_cli.session import Session
 
 ACCOUNT = arg("account", help="name of the client account")
@@ -15,12 +15,19 @@
 async def issue(session: Session, args: Namespace) -> Exit:
     """Make a secret here, send its hash and print the secret."""
     key = issue_key()
-    done = await session.change(
-        "POST",
-        ("accounts", args.account, "keys"),
-        {"secret_hash": key.secret_hash},
-        wait_s=args.wait,
-    )
+    try:
+        done = await session.change(
+            "POST",
+            ("accounts", args.account, "keys"),
+            {"secret_hash": key.secret_hash},
+            wait_s=args.wait,
+        )
+    except CommandError as exc:
+        if exc.status is not Exit.UNKNOWN:
+            raise
+        detail = f"{exc}; withdraw key {key.id} if it was issued"
+        problem = {**exc.problem, "key": key.id}
+        raise CommandError(exc.status, detail, problem) from None
     done["secret"] = key.secret
     what = f"key {done.get('key', key.id)}\nsecret {key.secret}\nkey"
     return session.finish(what, done, wait_s=args.wait)
--- a/packages/cli/src/wagtailpaddle_cli/main.py
+++ b/packages/cli/src/wagtailpaddle_cli/main.py
@@ -1,6 +1,7 @@
 """Entry point of ``wagtailpaddle``."""
 
 import argparse
+import os
 import sys
 from collections.abc import Coroutine, Sequence
 from typing import Any
@@ -20,6 +21,9 @@
         return run_local(args.command.run(plain, args))
     except CommandError as exc:
         return plain.fail(exc, sys.stderr)
+    except BrokenPipeError:
+        sys.stdout = open(os.devnull, "w")  # noqa: SIM115
+        return Exit.OK
 
 
 def run_local(coroutine: Coroutine[Any, Any, Exit]) -> Exit:
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -15,12 +15,15 @@
     pages: dict = field(default_factory=dict)
     changes: list = field(default_factory=list)
     states: list = field(default_factory=lambda: ["in-force"])
+    failure: Exception | None = None
 
     async def ask(self, path):
         page = self.pages[path]
         return Answer(200, page.pop(0) if isinstance(page, list) else page)
 
     async def change(self, method, path, body, *, record_id, headers):
+        if self.failure is not None:
+            raise self.failure
         self.changes.append((method, path, body, headers))
         done = {
             "record": record_id,
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -73,67 +73,40 @@
     assert run("key", "withdraw", "k1").status == Exit.OK
 
 
+def test_unknown_issue_names_the_key_to_withdraw(run, client):
+    client.failure = CommandError(Exit.UNKNOWN, "record r1 may take effect")
+    with pytest.raises(CommandError, match="withdraw key k") as caught:
+        run("key", "issue", "x")
+    assert caught.value.problem["key"].startswith("k")
+
+
 def test_status_shows_servers_and_accounts(run, client):
     summary = {"n": 4, "mean": 0.02, "p50": 0.02, "p90": 0.03, "p99": 0.04, "max": 0.05}
+    state = dict.fromkeys(["vm", "site", "zone"], "a")
+    counts = ("revision", "in_flight", "n_accounts", "n_routes", "n_services", "n_keys")
+    state |= dict.fromkeys(counts, 1) | {"fresh": True, "draining": False}
+    vm = dict.fromkeys(("id", "zone", "caller_address", "state", "revision"))
+    server = {"id": "b1", "zone": "a", "reason": "slow"}
+    server |= {"state": "ejected", "weight": 0.0, "leaving": False}
+    account = {"name": "dumont", "outcomes": {"answered": 4, "rate-exceeded": 2}}
+    account |= dict.fromkeys(("latency", "queue_wait", "attempts"), summary)
     client.pages = {
-        "/v1/status": {
-            **dict.fromkeys(("vm", "site", "zone"), "a"),
-            **dict.fromkeys(
-                (
-                    "revision",
-                    "in_flight",
-                    "n_accounts",
-                    "n_routes",
-                    "n_services",
-                    "n_keys",
-                ),
-                1,
-            ),
-            "fresh": True,
-            "draining": False,
-        },
-        "/v1/fleet": {
-            "vms": [
-                dict.fromkeys(("id", "zone", "caller_address", "state", "revision"))
-            ]
-        },
+        "/v1/status": state,
+        "/v1/fleet": {"vms": [vm]},
         "/v1/services?limit=1000": {
-            "services": [
-                {
-                    "id": "booking",
-                    "servers": [
-                        {
-                            **dict.fromkeys(("zone", "reason"), "a"),
-                            "id": "b1",
-                            "state": "ejected",
-                            "weight": 0.0,
-                            "leaving": False,
-                        }
-                    ],
-                }
-            ],
+            "services": [{"id": "booking", "servers": [server]}],
             "next": None,
         },
         "/v1/metrics/servers": {
             "servers": [{"name": "booking/b1", "latency": summary}]
         },
-        "/v1/metrics/accounts": {
-            "accounts": [
-                {
-                    "name": "dumont",
-                    "latency": summary,
-                    "queue_wait": summary,
-                    "attempts": summary,
-                    "outcomes": {"answered": 4, "rate-exceeded": 2},
-                }
-            ]
-        },
+        "/v1/metrics/accounts": {"accounts": [account]},
     }
     text = run("status").text
     assert "a at a in zone a: fresh, revision 1, 1 requests in flight" in text
-    row = next(line for line in text.splitlines() if line.startswith("dumont"))
-    assert row.split() == ["dumont", "4", "2", "20", "30", "40", "50", "40"]
-    assert "ejected" in text
+    rows = {line.split()[0]: line.split() for line in text.splitlines() if line}
+    assert rows["dumont"] == ["dumont", "4", "2", "20", "30", "40", "50", "40"]
+    assert " ".join(rows["booking"]) == "booking b1 a ejected 0 no 4 20 40 slow"
 
 
 @pytest.mark.parametrize(
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/app.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/app.py
@@ -36,7 +36,7 @@
     fleet_here,
 )
 from wagtailpaddle_daemon.headers import bearer_key
-from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.logs import Throttle, get_logger
 from wagtailpaddle_daemon.metrics import Metrics
 
 PROBLEM_CONTENT_TYPE = b"application/problem+json"
@@ -115,6 +115,7 @@
             now=reactor.seconds,
             breathe=self._breathe,
         )
+        self._throttle = Throttle()
         self.app = self._build()
 
     def site(self, **kwargs: Any) -> AdminSite:
@@ -185,8 +186,16 @@
 
     def _on_refusal(self, request: Any, failure: Failure) -> bytes:
         exc: Any = failure.value
+        if exc.kind is ErrorKind.KEY_UNKNOWN:
+            self._note_stranger(request)
         return _write_problem(request, problem_document(exc))
 
+    def _note_stranger(self, request: Any) -> None:
+        n_held = self._throttle.take(self._reactor.seconds(), "token")
+        if n_held is not None:
+            host = getattr(request.getClientAddress(), "host", "")
+            log.warning("Token refused.", host=host, unlogged=n_held)
+
     def _on_fault(self, request: Any, failure: Failure) -> bytes:
         log.error("Command failed.", failure=failure.getTraceback())
         exc = WagtailError(ErrorKind.INTERNAL, "see the log of this daemon")
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/context.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/context.py
@@ -22,7 +22,7 @@
 )
 from wagtailpaddle_daemon.metrics import Metrics
 
-PART = 2048
+N_NAMES_AT_ONCE = 2048
 """How many names are looked at before requests go on."""
 
 
@@ -102,7 +102,7 @@
     after, limit = read_page(command)
     found: list[str] = []
     rest = iter(names)
-    while part := list(islice(rest, PART)):
+    while part := list(islice(rest, N_NAMES_AT_ONCE)):
         found += [name for name in part if name > after and keep(name)]
         found = nsmallest(limit + 1, found)
         await context.breathe()
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from wagtailpaddle_daemon.main import main
 from wagtailpaddle_daemon.settings import (
     OPTIONS,
     SettingError,
@@ -91,6 +92,13 @@
         assert str(exc)
 
 
+def test_check_says_that_the_settings_are_valid(capsys, monkeypatch):
+    for name, value in REQUIRED.items():
+        monkeypatch.setenv(name, value)
+    assert main(["--check"]) == 0
+    assert "valid" in capsys.readouterr().out
+
+
 def test_page_and_help_agree_with_the_options():
     assert SETTINGS_PAGE.read_text() == render_settings_page()
     help_text = " ".join(build_parser().format_help().split())
