--- a/packages/daemon/src/wagtailpaddle_daemon/admin/app.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/app.py
@@ -10,7 +10,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
-from twisted.web.server import Request, Site
+from twisted.web.resource import EncodingResourceWrapper
+from twisted.web.server import GzipEncoderFactory, Request, Site
 from wagtailpaddle_config import hash_secret
 from wagtailpaddle_core import ErrorKind, Offset, WagtailError
 from werkzeug.exceptions import HTTPException
@@ -35,7 +36,7 @@
     fleet_here,
 )
 from wagtailpaddle_daemon.headers import bearer_key
-from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.logs import Throttle, get_logger
 from wagtailpaddle_daemon.metrics import Metrics
 
 PROBLEM_CONTENT_TYPE = b"application/problem+json"
@@ -70,6 +71,12 @@
             self.content.write(data)
 
 
+class FastGzip(GzipEncoderFactory):
+    """Compresses answers for clients that accept it, metrics above all."""
+
+    compressLevel = 1  # noqa: N815
+
+
 class AdminSite(Site):
     """Accepts operators' connections."""
 
@@ -108,12 +115,14 @@
             now=reactor.seconds,
             breathe=self._breathe,
         )
+        self._throttle = Throttle()
         self.app = self._build()
 
     def site(self, **kwargs: Any) -> AdminSite:
         """Return the factory of operators' connections."""
         limit = self._port.cfg.admin_max_body_bytes
-        return AdminSite(self.app.resource(), max_body_bytes=limit, **kwargs)
+        resource = EncodingResourceWrapper(self.app.resource(), [FastGzip()])
+        return AdminSite(resource, max_body_bytes=limit, **kwargs)
 
     def _build(self) -> Klein:
         app = Klein()
@@ -177,8 +186,16 @@
 
     def _on_refusal(self, request: Any, failure: Failure) -> bytes:
         exc: Any = failure.value
+        if exc.kind is ErrorKind.KEY_UNKNOWN:
+            self._note_stranger(request)
         return _write_problem(request, problem_document(exc))
 
+    def _note_stranger(self, request: Any) -> None:
+        n_held = self._throttle.take(self._reactor.seconds(), "token")
+        if n_held is not None:
+            host = getattr(request.getClientAddress(), "host", "")
+            log.warning("Token refused.", host=host, unlogged=n_held)
+
     def _on_fault(self, request: Any, failure: Failure) -> bytes:
         log.error("Command failed.", failure=failure.getTraceback())
         exc = WagtailError(ErrorKind.INTERNAL, "see the log of this daemon")
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -46,7 +46,11 @@
         self.node = Node(make_vm(cfg), LogCodec(), site=cfg.site)
         self.vm: VmId = self.node.vm.id
         self.log_client = LOG_ADAPTERS[cfg.log_adapter](reactor, cfg.log_url)
-        self.metrics = Metrics()
+        self.metrics = Metrics(
+            max_accounts=cfg.metrics_accounts,
+            max_routes=cfg.metrics_routes,
+            max_servers=cfg.metrics_servers,
+        )
         self.gateway = Gateway(reactor, self.node, Upstream(reactor), self.metrics)
         self._feed = Feed(
             reactor,
