--- a/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
@@ -31,6 +31,9 @@
         "n_routes": len(cfg.routes),
         "n_services": len(cfg.services),
         "n_keys": len(cfg.keys),
+        "ready": node.is_ready(context.now()),
+        "rates": msgspec.to_builtins(node.control.quota.status(context.now())),
+        "idempotency": msgspec.to_builtins(node.control.claims.status()),
     }
     return Reply(value)
 
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -81,7 +81,7 @@
         for name, value in out.headers:
             headers.addRawHeader(name, value)
         uri = b"http://%s:%d%s" % (address.encode(), port, out.uri)
-        producer = _Body(out.body) if out.body else None
+        producer = BytesProducer(out.body) if out.body else None
         agent = self._safe if out.method in SAFE_METHODS else self._unsafe
         return agent.request(out.method, uri, headers, producer)
 
@@ -144,7 +144,7 @@
         )
 
 
-class _Body:
+class BytesProducer:
     """A body that is at hand as bytes."""
 
     def __init__(self, body: bytes):
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -98,6 +98,12 @@
         """Return whether this VM may serve at ``now``."""
         return self.control.membership.is_fresh(now)
 
+    def is_ready(self, now: float) -> bool:
+        """Return whether this VM serves and its shares of rates are usable."""
+        status = self.control.quota.status(now)
+        settled = not (status.n_waiting or status.n_vacant)
+        return self.is_fresh(now) and status.may_spend and settled
+
     def request_view(self, request: RequestId) -> RequestView:
         """Return whose request it is, or was if it ended a short time ago."""
         return self._requests.view(request)
@@ -309,12 +315,13 @@
                 self._requests.wait(admitted.head.id, decision.at)
                 borrowed = self.control.borrow(now, admitted.account)
                 return self._settle(now, borrowed)
+        kind = ErrorKind.RATE_EXCEEDED
         detail = f"client account {admitted.account!r} is over its rate"
+        if not quota.may_spend(now):
+            kind = ErrorKind.NOT_FRESH
+            detail = "this VM cannot confirm its shares of rates"
         refusal = Refuse(
-            admitted.head.id,
-            ErrorKind.RATE_EXCEEDED,
-            detail,
-            retry_after_s=decision.retry_after_s,
+            admitted.head.id, kind, detail, retry_after_s=decision.retry_after_s
         )
         return self._settle(now, (refusal,))
 
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/attempts.py
@@ -0,0 +1,50 @@
+"""What a caller makes of one attempt."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet import error
+from twisted.web.client import RequestNotSent
+
+NOT_SENT = (
+    error.ConnectError,
+    error.ConnectionRefusedError,
+    error.TimeoutError,
+    RequestNotSent,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The end of one attempt; ``kind`` names the refusal or the failure."""
+
+    status: int
+    kind: str
+    may_have_run: bool
+    retry_elsewhere: bool = True
+
+    @classmethod
+    def of_answer(cls, status: int, headers: Any, body: bytes) -> "Outcome":
+        """Return the outcome that an answer states."""
+        if status == 200:
+            return cls(status, "served", may_have_run=True)
+        outcome = (headers.getRawHeaders("X-Outcome") or ["unknown"])[0]
+        try:
+            problem = json.loads(body)
+        except ValueError:
+            problem = {}
+        kind = str(problem.get("type", "unnamed")).rpartition(":")[2]
+        elsewhere = bool(problem.get("retry_elsewhere"))
+        return cls(status, kind, outcome != "not-run", elsewhere)
+
+    def should_retry(self, repeatable: bool) -> bool:
+        """Return whether a careful caller sends the request again."""
+        if self.may_have_run:
+            return repeatable
+        return self.retry_elsewhere
+
+
+def outcome_of(exc: Exception) -> Outcome:
+    """Return the outcome of an attempt that brought no answer."""
+    return Outcome(0, type(exc).__name__, not isinstance(exc, NOT_SENT))
--- a/packages/standins/src/wagtailpaddle_standins/client.py
+++ b/packages/standins/src/wagtailpaddle_standins/client.py
@@ -43,9 +43,27 @@
 
         Raises ``OSError`` or ``http.client.HTTPException``.
         """
+        self.begin(method, path, body, headers, timeout_s=timeout_s)
+        return self.end()
+
+    def begin(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        *,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> None:
+        """Send one request whose answer ``end`` waits for."""
         self._conn.timeout = timeout_s
+        if self._conn.sock is not None:
+            self._conn.sock.settimeout(timeout_s)
         merged = {**self._headers, **(headers or {})}
         self._conn.request(method, path, body=body, headers=merged)
+
+    def end(self) -> Reply:
+        """Return the whole answer to the request that was begun."""
         answer = self._conn.getresponse()
         lowered = {name.lower(): value for name, value in answer.getheaders()}
         return Reply(answer.status, lowered, answer.read())
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/load.py
@@ -0,0 +1,243 @@
+"""A load of callers that ask the directory, keep its answer and connect.
+
+Reads a plan as JSON from a file and writes one JSON line for each request.
+Arrivals are open-loop: a slow answer does not delay the next request.
+"""
+
+import argparse
+import json
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from random import Random
+from typing import Any, TextIO
+
+import msgspec
+import treq
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.task import deferLater
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+from wagtailpaddle_daemon.upstream import BytesProducer
+
+from wagtailpaddle_standins.attempts import Outcome, outcome_of
+
+DIRECTORY_PATH = "/.well-known/wagtailpaddle/addresses"
+DIRECTORY_TIMEOUT_S = 2.0
+MAX_TRIES = 6
+RETRY_DELAY_S = 0.1
+IDLE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerPlan:
+    """One client account's caller: ``rate`` requests a second in all.
+
+    ``paths`` are tried in turn as "METHOD /path"; a number that is unique in
+    the run is added to each path. With ``keyed`` every POST has its own
+    idempotency key.
+    """
+
+    account: str
+    secret: str
+    rate: float
+    paths: tuple[str, ...]
+    timeout_s: float = 5.0
+    keyed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a load does: for ``duration_s`` seconds, from ``seeds`` addresses.
+
+    ``label`` keeps the paths of several loads on one system apart.
+    """
+
+    seeds: tuple[str, ...]
+    callers: tuple[CallerPlan, ...]
+    duration_s: float
+    seed: int = 1
+    label: str = "load"
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """How one request ended. ``at`` is wall-clock seconds of its start."""
+
+    number: int
+    account: str
+    method: str
+    path: str
+    at: float
+    latency_s: float
+    status: int
+    kind: str
+    n_tries: int
+    address: str
+
+
+class Addresses:
+    """What the directory answered, and how long it may be kept."""
+
+    def __init__(self, seeds: Sequence[str]):
+        self._seeds = tuple(seeds)
+        self.listed: tuple[str, ...] = ()
+        self.good_until = 0.0
+
+    def candidates(self) -> tuple[str, ...]:
+        """Return addresses in the order to try; the seeds come last."""
+        others = [seed for seed in self._seeds if seed not in self.listed]
+        return (*self.listed, *others)
+
+    def keep(self, now: float, answer: dict[str, Any]) -> None:
+        """Take in an answer of the directory."""
+        self.listed = tuple(answer["addresses"])
+        self.good_until = now + float(answer["keep_s"])
+
+
+class Caller:
+    """Sends the requests of one client account."""
+
+    def __init__(self, plan: CallerPlan, whole: Plan, out: TextIO):
+        self._plan = plan
+        self._label = whole.label
+        self._out = out
+        self._addresses = Addresses(whole.seeds)
+        pool = HTTPConnectionPool(reactor)
+        pool.retryAutomatically = False
+        pool.cachedConnectionTimeout = IDLE_S
+        pool.maxPersistentPerHost = 32
+        self._agent = Agent(reactor, pool=pool, connectTimeout=1.0)
+
+    async def run(self, numbers: Sequence[int], starts: Sequence[float]) -> None:
+        """Send one request at each of the given times of the reactor."""
+        loop: Any = reactor
+        running = []
+        for index, (number, start) in enumerate(zip(numbers, starts, strict=True)):
+            await deferLater(loop, max(0.0, start - loop.seconds()))
+            method, _, path = self._plan.paths[index % len(self._plan.paths)].partition(
+                " "
+            )
+            running.append(Deferred.fromCoroutine(self._request(number, method, path)))
+        await gatherResults(running)
+
+    async def _request(self, number: int, method: str, path: str) -> None:
+        started = time.monotonic()
+        at = time.time()
+        path = f"{path}/{self._label}-{number}"
+        give_up_at = started + self._plan.timeout_s
+        outcome = Outcome(0, "no-address", may_have_run=False)
+        address = ""
+        n_tries = 0
+        while n_tries < MAX_TRIES and time.monotonic() < give_up_at:
+            address = await self._next_address(n_tries)
+            n_tries += 1
+            left_s = give_up_at - time.monotonic()
+            outcome = await self._try(address, method, path, number, left_s)
+            repeatable = method == "GET" or self._plan.keyed
+            if outcome.status == 200 or not outcome.should_retry(repeatable):
+                break
+            await deferLater(reactor, RETRY_DELAY_S)
+        done = Done(
+            number,
+            self._plan.account,
+            method,
+            path,
+            at,
+            time.monotonic() - started,
+            outcome.status,
+            outcome.kind,
+            n_tries,
+            address,
+        )
+        self._out.write(json.dumps(asdict(done)) + "\n")
+
+    async def _next_address(self, n_tries: int) -> str:
+        now = time.monotonic()
+        if now >= self._addresses.good_until or n_tries:
+            await self._ask_directory(now)
+        candidates = self._addresses.candidates()
+        return candidates[n_tries % len(candidates)]
+
+    async def _ask_directory(self, now: float) -> None:
+        for address in self._addresses.candidates():
+            headers = Headers({"Authorization": [f"Bearer {self._plan.secret}"]})
+            url = f"http://{address}{DIRECTORY_PATH}".encode()
+            try:
+                asked = self._agent.request(b"GET", url, headers)
+                asked.addTimeout(DIRECTORY_TIMEOUT_S, reactor)
+                answer = await asked
+                body = await treq.content(answer)
+                self._addresses.keep(now, json.loads(body))
+                return
+            except Exception:  # noqa: S112
+                continue
+
+    async def _try(
+        self, address: str, method: str, path: str, number: int, left_s: float
+    ) -> Outcome:
+        headers = Headers({"Authorization": [f"Bearer {self._plan.secret}"]})
+        headers.addRawHeader("X-Request-Timeout-Ms", str(max(1, int(left_s * 1000))))
+        producer = None
+        if method == "POST":
+            producer = BytesProducer(b"request %d" % number)
+            if self._plan.keyed:
+                headers.addRawHeader("Idempotency-Key", f"{self._label}-{number}")
+        url = f"http://{address}{path}".encode()
+        try:
+            sent = self._agent.request(method.encode(), url, headers, producer)
+            sent.addTimeout(left_s + 0.5, reactor)
+            answer = await sent
+            body = await treq.content(answer)
+        except Exception as exc:
+            return outcome_of(exc)
+        return Outcome.of_answer(answer.code, answer.headers, body)
+
+
+def arrivals(rate: float, duration_s: float, random: Random) -> list[float]:
+    """Return Poisson arrival times within ``duration_s`` seconds."""
+    times = []
+    at = random.expovariate(rate)
+    while at < duration_s:
+        times.append(at)
+        at += random.expovariate(rate)
+    return times
+
+
+async def run(plan: Plan, out: TextIO) -> None:
+    """Carry out a plan."""
+    loop: Any = reactor
+    random = Random(plan.seed)
+    begin = loop.seconds() + 0.1
+    running = []
+    n_requests = 0
+    for caller_plan in plan.callers:
+        starts = arrivals(caller_plan.rate, plan.duration_s, random)
+        numbers = range(n_requests, n_requests + len(starts))
+        n_requests += len(starts)
+        caller = Caller(caller_plan, plan, out)
+        coroutine = caller.run(numbers, [begin + start for start in starts])
+        running.append(Deferred.fromCoroutine(coroutine))
+    await gatherResults(running)
+
+
+def main() -> None:
+    """Carry out the plan of a file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("plan", help="file with the plan as JSON")
+    parser.add_argument("--output", default="-", help="file for the lines")
+    args = parser.parse_args()
+    with open(args.plan, "rb") as source:
+        plan = msgspec.json.decode(source.read(), type=Plan)
+    loop: Any = reactor
+    with sys.stdout if args.output == "-" else open(args.output, "w") as out:
+        running = Deferred.fromCoroutine(run(plan, out))
+        running.addErrback(lambda failure: failure.printTraceback())
+        running.addBoth(lambda _: loop.stop())
+        loop.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/standins/src/wagtailpaddle_standins/processes.py
+++ b/packages/standins/src/wagtailpaddle_standins/processes.py
@@ -65,6 +65,16 @@
         ]
         self.start(name, "wagtailpaddle_daemon.main", args)
 
+    def kill(self, name: str) -> None:
+        """End one process without notice."""
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def wait(self, name: str, *, timeout_s: float) -> int:
+        """Wait for a process that ends by itself; return its exit status."""
+        return self.running.pop(name).wait(timeout_s)
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to one process."""
         self.running[name].send_signal(number)
--- a/packages/standins/src/wagtailpaddle_standins/system.py
+++ b/packages/standins/src/wagtailpaddle_standins/system.py
@@ -1,6 +1,7 @@
 """A small whole system on loopback: platform, backend servers and daemons."""
 
 from functools import partial
+from itertools import count
 from typing import Any
 
 from wagtailpaddle_standins.backend import CONTROL_PATH, SEEN_PATH
@@ -17,6 +18,7 @@
 ZONES = ("a", "b", "c")
 N_BOOKING = 12
 N_INVENTORY = 10
+READY_TIMEOUT_S = 30.0
 
 
 class System:
@@ -24,6 +26,7 @@
 
     def __init__(self, *, n_daemons: int = 3):
         self.processes = Processes()
+        self.load_numbers = count(1)
         ports = free_ports(1 + N_BOOKING + N_INVENTORY + 3 * n_daemons)
         self.log_port = ports.pop()
         self.servers = {
@@ -59,8 +62,8 @@
         self.processes.start("backends", "wagtailpaddle_standins.backend", servers)
         self._await(lambda: Client(f"127.0.0.1:{self.log_port}").request("GET", "/vms"))
         self.list_vms()
-        for index, address in enumerate(self.daemons):
-            self.processes.start_daemon(f"daemon-{index}", address, self.log_port)
+        for index in range(len(self.daemons)):
+            self.start(index)
         for index in range(len(self.daemons)):
             self._await(partial(self._probe, index))
 
@@ -123,6 +126,37 @@
         if not wait_for(lambda: self.revision(index) >= revision):
             raise RuntimeError(f"daemon {index} did not reach {revision}")
 
+    def wait_until_ready(self, *indices: int) -> None:
+        """Wait until daemons (default: all) serve and can spend their shares."""
+        for index in indices or range(len(self.daemons)):
+            ready = partial(self._is_ready, index)
+            if not wait_for(ready, timeout_s=READY_TIMEOUT_S):
+                raise RuntimeError(f"daemon {index} did not become ready")
+
+    def _is_ready(self, index: int) -> bool:
+        return self.operator(index).request("GET", "/v1/status").json()["ready"]
+
+    def issue(self, account: str, *, index: int = 0) -> dict[str, str]:
+        """Issue a key and wait until every daemon knows it."""
+        path = f"/v1/accounts/{account}/keys"
+        reply = self.operator(index).send("POST", path, {}).json()
+        for each in range(len(self.daemons)):
+            self.wait_for_revision(each, reply["revision"] + 1)
+        return reply
+
+    def kill(self, index: int) -> None:
+        """End a daemon without notice."""
+        self.processes.kill(f"daemon-{index}")
+
+    def start(self, index: int) -> None:
+        """Start a daemon, a new incarnation on its address."""
+        address = self.daemons[index]
+        self.processes.start_daemon(f"daemon-{index}", address, self.log_port)
+
+    def stop(self, index: int) -> int:
+        """Stop a daemon gracefully and return its exit status."""
+        return self.processes.stop(f"daemon-{index}")
+
     def base_document(self) -> dict[str, Any]:
         """Return the base document of a small deployment."""
         accounts = {
