health: compare a suspect with the others from the moment of doubt

Change: the score takes the rate at the other servers since the doubt began into account, with a prior that they fare no better; the baseline leaves out at most a third of the others, and only doubtful ones; digests carry all pending evidence while some server is watched. The tests let the other servers answer meanwhile, as the judgement now asks for it. Conclusion: a trimmed mean of the others by rate was ruled out: with one or two requests each it hides an incident.

--- a/packages/health/src/wagtailpaddle_health/admission.py
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -7,7 +7,7 @@
 from automat import TypeMachineBuilder
 from wagtailpaddle_core import ServerId
 
-from wagtailpaddle_health.evidence import Evidence
+from wagtailpaddle_health.evidence import Evidence, Mark
 from wagtailpaddle_health.messages import ServerState
 from wagtailpaddle_health.scan import NOTHING, Judgement
 
@@ -58,7 +58,8 @@
     length and is forgiven over time. ``kept`` says that the floor alone keeps
     the server working; ``cold`` that it is new and may be slow at first.
     ``pooled`` is this VM's judgement of all evidence told to it, ``fleet`` what
-    the watchers agree on.
+    the watchers agree on. ``marks`` holds the evidence on the other servers when
+    the present doubt began.
     """
 
     server: ServerId
@@ -76,6 +77,7 @@
     local: Judgement = NOTHING
     fleet: Judgement = NOTHING
     pooled: Judgement = NOTHING
+    marks: dict[ServerId, Mark] | None = None
     admission: Admission = field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/health/src/wagtailpaddle_health/evidence.py
+++ b/packages/health/src/wagtailpaddle_health/evidence.py
@@ -1,9 +1,11 @@
 """What a VM knows of one server: its own evidence and that of others."""
 
+from dataclasses import dataclass
+
 from wagtailpaddle_core import ServerId, VmId
 
 from wagtailpaddle_health.messages import ServerDigest
-from wagtailpaddle_health.window import Counts, Window
+from wagtailpaddle_health.window import NO_COUNTS, Counts, Window
 
 MAX_ORIGINS = 64
 
@@ -47,6 +49,10 @@
         self._pooled.add(second, counts)
         self._attribute(second, vm, counts)
 
+    def mark(self) -> "Mark":
+        """Return how much evidence there is now."""
+        return Mark(self.own.seen, self.pooled.seen)
+
     def forget(self) -> None:
         """Drop the windows: what they say is out of date."""
         self.own = Window()
@@ -70,6 +76,17 @@
             del self.origins[vm]
 
 
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """How much evidence on a server there was at some moment."""
+
+    own: Counts
+    pooled: Counts
+
+
+NO_MARK = Mark(NO_COUNTS, NO_COUNTS)
+
+
 class Pending:
     """Own evidence that no digest has told yet."""
 
--- a/packages/health/src/wagtailpaddle_health/exchange.py
+++ b/packages/health/src/wagtailpaddle_health/exchange.py
@@ -1,7 +1,7 @@
 """Evidence and opinions that VMs tell each other about one service."""
 
 import math
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, replace
 
 from wagtailpaddle_core import ServerId, ServiceId, VmId
@@ -115,15 +115,15 @@
         self,
         now: float,
         pending: dict[ServerId, Pending],
-        watched: Container[ServerId],
+        watched: Collection[ServerId],
     ) -> tuple[ServerDigest, ...]:
         """Take the lines of the next digest out of ``pending``.
 
-        Evidence on servers that failed or are watched goes at once, all other
-        once per interval.
+        Bad news goes at once, and everything while some server is ``watched``,
+        for judging it takes evidence on the others too; else once per interval.
         """
         is_due = now - self.last_sent_at >= DIGEST_INTERVAL_S
-        urgent = [s for s, item in pending.items() if item.is_urgent or s in watched]
+        urgent = [s for s, item in pending.items() if watched or item.is_urgent]
         if not urgent and not is_due:
             return ()
         if is_due:
--- a/packages/health/src/wagtailpaddle_health/policies.py
+++ b/packages/health/src/wagtailpaddle_health/policies.py
@@ -5,13 +5,14 @@
 
 from wagtailpaddle_core import Registry
 
-from wagtailpaddle_health.evidence import Evidence
+from wagtailpaddle_health.evidence import Evidence, Mark
 from wagtailpaddle_health.scan import (
     FAILURE,
     NOTHING,
     SLOW,
     UNREACHABLE,
     Judgement,
+    Reference,
     judge,
 )
 
@@ -20,17 +21,26 @@
 THRESHOLD_RANGE = 11.0
 
 
+@dataclass(frozen=True, slots=True)
+class Other:
+    """The evidence on another server, and what it was when the doubt began."""
+
+    evidence: Evidence
+    mark: Mark | None
+    suspicion: float
+
+
 @dataclass(frozen=True, slots=True)
 class Case:
     """One server to be judged in the second ``second``.
 
-    ``others`` is the evidence on the other servers of its pool. A ``cold``
-    server is new and may be slow.
+    ``others`` is what it is compared with. A ``cold`` server is new and may be
+    slow.
     """
 
     second: int
     evidence: Evidence
-    others: tuple[Evidence, ...]
+    others: tuple[Other, ...]
     sensitivity: float
     cold: bool = False
 
@@ -99,14 +109,24 @@
 
 
 class _Scan:
+    controlled: bool
+
     def local(self, case: Case) -> Judgement:
         """Judge by own evidence, whoever else saw it."""
         return judge(
             case.second,
             case.evidence.own,
-            [other.own for other in case.others],
+            [
+                Reference(
+                    other.evidence.own,
+                    other.mark.own if other.mark else None,
+                    other.suspicion,
+                )
+                for other in case.others
+            ],
             threshold=threshold(case.sensitivity),
             channels=_channels(case),
+            controlled=self.controlled,
         )
 
     def fleet(self, case: Case) -> Judgement:
@@ -114,10 +134,18 @@
         return judge(
             case.second,
             case.evidence.pooled,
-            [other.pooled for other in case.others],
+            [
+                Reference(
+                    other.evidence.pooled,
+                    other.mark.pooled if other.mark else None,
+                    other.suspicion,
+                )
+                for other in case.others
+            ],
             threshold=threshold(case.sensitivity),
             origins=tuple(case.evidence.origins.values()),
             channels=_channels(case),
+            controlled=self.controlled,
         )
 
 
@@ -128,6 +156,7 @@
 
     verifies: bool = False
     shares: bool = True
+    controlled: bool = False
 
 
 @POLICIES.register("scan")
@@ -137,6 +166,7 @@
 
     verifies: bool = True
     shares: bool = True
+    controlled: bool = True
 
 
 def _channels(case: Case) -> tuple[int, ...]:
--- a/packages/health/src/wagtailpaddle_health/poolbook.py
+++ b/packages/health/src/wagtailpaddle_health/poolbook.py
@@ -10,7 +10,7 @@
     RECOVERING,
     Track,
 )
-from wagtailpaddle_health.evidence import Pending
+from wagtailpaddle_health.evidence import NO_MARK, Pending
 from wagtailpaddle_health.exchange import (
     Exchange,
     counts_of,
@@ -29,7 +29,7 @@
     ServerState,
     Verdict,
 )
-from wagtailpaddle_health.policies import Case, Policy
+from wagtailpaddle_health.policies import Case, Other, Policy
 from wagtailpaddle_health.roster import Roster
 from wagtailpaddle_health.scan import NOTHING
 from wagtailpaddle_health.standing import health, restricted, wants_verification
@@ -242,7 +242,7 @@
         others = []
         for other in self._roster.tracks.values():
             if other is not track and not other.is_out:
-                others.append(other.evidence)
+                others.append(self._other(track, other))
             if len(others) == MAX_OTHERS:
                 break
         return Case(
@@ -253,6 +253,12 @@
             cold=track.cold,
         )
 
+    def _other(self, track: Track, other: Track) -> Other:
+        mark = None
+        if track.marks is not None:
+            mark = track.marks.get(other.server, NO_MARK)
+        return Other(other.evidence, mark, other.suspicion)
+
     def _act(self, now: float, track: Track) -> bool:
         is_recovering = track.state in RECOVERING and not track.cold
         bar = READMITTED_BAR if is_recovering else 1.0
--- a/packages/health/src/wagtailpaddle_health/roster.py
+++ b/packages/health/src/wagtailpaddle_health/roster.py
@@ -78,8 +78,13 @@
             track.kept = False
         if track.state is ServerState.HEALTHY:
             self.watched.pop(track.server, None)
-        else:
-            self.watched[track.server] = track
+            track.marks = None
+            return
+        self.watched[track.server] = track
+        if track.marks is None or track.state is not ServerState.SUSPECT:
+            track.marks = {
+                server: other.evidence.mark() for server, other in self.tracks.items()
+            }
 
     def put_out(
         self, now: float, track: Track, why: Judgement, state: ServerState
--- a/packages/health/src/wagtailpaddle_health/scan.py
+++ b/packages/health/src/wagtailpaddle_health/scan.py
@@ -1,10 +1,10 @@
 """Sequential test of one server against the others of its pool."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
-from wagtailpaddle_health.window import SCAN_S, Counts, Window
+from wagtailpaddle_health.window import NO_COUNTS, SCAN_S, Counts, Window
 
 FAILURE, UNREACHABLE, SLOW = CHANNELS = (1, 2, 3)
 """Kinds of bad attempts, as positions in ``Counts``."""
@@ -12,9 +12,12 @@
 FLOOR_RATES = {FAILURE: 0.01, UNREACHABLE: 0.0005, SLOW: 0.01}
 """Least rates of bad attempts that are taken as usual."""
 
+CONTROL_PRIORS = {FAILURE: 0.3, UNREACHABLE: 0.05, SLOW: 0.3}
+"""Weight, in attempts, of the belief that the others fare no better."""
+
 REASONS = {FAILURE: "failures", UNREACHABLE: "unreachable", SLOW: "slow"}
 LEAST_EXCESS = 0.03
-TRUSTED_SHARE = 2 / 3
+DOUBTFUL_SHARE = 0.5
 PRIOR_ATTEMPTS = 20
 MAX_RATE = 0.95
 CORROBORATION = 2.5
@@ -66,49 +69,100 @@
     return max(0.0, ratio)
 
 
-def trusted_counts(others: Sequence[Counts], channel: int) -> tuple[int, int]:
-    """Return attempts and bad ones summed over the better two thirds."""
-    active = [counts for counts in others if counts[0]]
-    active.sort(key=lambda counts: (counts[channel] / counts[0], -counts[0]))
-    kept = active[: max(1, int(len(active) * TRUSTED_SHARE))]
-    n_attempts = sum(counts[0] for counts in kept)
-    return n_attempts, sum(counts[channel] for counts in kept)
+@dataclass(frozen=True, slots=True)
+class Reference:
+    """Another server of the pool, to compare with.
+
+    ``mark`` is what had been counted on it when the doubt about the judged
+    server began, None without a doubt. ``suspicion`` is the one about itself.
+    """
+
+    window: Window
+    mark: Counts | None = None
+    suspicion: float = 0.0
+
+    def since_mark(self) -> Counts:
+        """Return what was counted since the doubt began."""
+        if self.mark is None:
+            return NO_COUNTS
+        seen = self.window.seen
+        if seen.n_attempts < self.mark.n_attempts:
+            return seen
+        return Counts(*(now - then for now, then in zip(seen, self.mark, strict=True)))
+
+
+def trusted(others: Sequence[Reference]) -> list[Reference]:
+    """Return ``others`` without the worst of those that are doubtful themselves.
+
+    At most a third goes, so that an incident of the whole service stays visible.
+    """
+    ranked = sorted(others, key=lambda other: other.suspicion)
+    n_least = len(ranked) - len(ranked) // 3
+    return [
+        other
+        for index, other in enumerate(ranked)
+        if index < n_least or other.suspicion < DOUBTFUL_SHARE
+    ]
+
+
+def summed(counts: Iterable[Counts], channel: int) -> tuple[int, int]:
+    """Return all attempts and the bad ones of a channel."""
+    n_attempts = n_bad = 0
+    for item in counts:
+        n_attempts += item[0]
+        n_bad += item[channel]
+    return n_attempts, n_bad
 
 
 def usual_rate(
-    second: int, others: Sequence[Window], length_s: int, channel: int
+    second: int, others: Sequence[Reference], length_s: int, channel: int
 ) -> float:
     """Return the pool's usual rate of bad attempts in the last ``length_s``.
 
     The rate over the whole window stands in where the short one holds little;
     the higher of the two counts, so that an incident of the whole service
-    raises the bar at once.
+    raises the bar.
     """
-    n_long, k_long = trusted_counts([win.total(second) for win in others], channel)
+    n_long, k_long = summed((other.window.total(second) for other in others), channel)
     long_rate = max(FLOOR_RATES[channel], (k_long + 0.5) / (n_long + 1))
-    recent = [win.recent(second, length_s) for win in others]
-    n, k = trusted_counts(recent, channel)
+    recent = (other.window.recent(second, length_s) for other in others)
+    n, k = summed(recent, channel)
     short_rate = (k + PRIOR_ATTEMPTS * long_rate) / (n + PRIOR_ATTEMPTS)
     return min(MAX_RATE, max(long_rate, short_rate))
 
 
+def control_rate(others: Sequence[Reference], channel: int) -> float:
+    """Return the rate of bad attempts at the others since the doubt began.
+
+    A suspect gets more requests than the others for a moment, so in an incident
+    of the whole service it shows the most failures at first. Without evidence on
+    the others from the same time the rate is taken for one half.
+    """
+    n, k = summed((other.since_mark() for other in others), channel)
+    prior = CONTROL_PRIORS[channel]
+    return min(MAX_RATE, (k + prior / 2) / (n + prior))
+
+
 def judge(
     second: int,
     window: Window,
-    others: Sequence[Window],
+    others: Sequence[Reference],
     *,
     threshold: float,
     origins: Sequence[Window] = (),
     channels: Sequence[int] = CHANNELS,
+    controlled: bool = True,
 ) -> Judgement:
     """Judge a server by the worst of its windows and channels.
 
-    ``others`` are the windows of the pool's other servers, ``origins`` those of
-    this server's bad attempts by the VM that saw them. ``threshold`` is in nats.
-    Evidence below ``LEAST_SHARE`` of it is taken for none.
+    ``others`` are the pool's other servers, ``origins`` this server's bad
+    attempts by the VM that saw them. ``threshold`` is in nats; evidence below
+    ``LEAST_SHARE`` of it is taken for none. A ``controlled`` score takes the
+    ``control_rate`` into account.
     """
     best = NOTHING
     suspicion = 0.0
+    others = trusted(others)
     for index, counts in enumerate(window.scan(second)):
         for channel in channels:
             n_attempts, n_bad = counts[0], counts[channel]
@@ -116,12 +170,15 @@
             if most < LEAST_SHARE * threshold:
                 continue
             usual = usual_rate(second, others, SCAN_S[index], channel)
-            share = log_ratio(n_attempts, n_bad, usual) / threshold
+            doubt = log_ratio(n_attempts, n_bad, usual) / threshold
+            suspicion = max(suspicion, doubt)
+            if controlled:
+                usual = max(usual, control_rate(others, channel))
             tops = [win.recent(second, SCAN_S[index])[channel] for win in origins]
             top = max(tops, default=0)
+            share = log_ratio(n_attempts, n_bad, usual) / threshold
             rest = log_ratio(n_attempts - top, n_bad - top, usual) / threshold
             score = min(share, CORROBORATION * rest)
-            suspicion = max(suspicion, share)
-            if (score, share) > (best.score, best.suspicion):
-                best = Judgement(share, score, REASONS[channel], n_bad, n_attempts)
+            if (score, doubt) > (best.score, best.suspicion):
+                best = Judgement(doubt, score, REASONS[channel], n_bad, n_attempts)
     return replace(best, suspicion=suspicion)
--- a/packages/health/src/wagtailpaddle_health/window.py
+++ b/packages/health/src/wagtailpaddle_health/window.py
@@ -40,11 +40,12 @@
     10
     """
 
-    __slots__ = ("_buckets", "_scan", "_scan_second", "_total")
+    __slots__ = ("_buckets", "_scan", "_scan_second", "_seen", "_total")
 
     def __init__(self) -> None:
         self._buckets: deque[list[int]] = deque()
         self._total = [0, 0, 0, 0]
+        self._seen = [0, 0, 0, 0]
         self._scan: tuple[Counts, ...] | None = None
         self._scan_second = 0
 
@@ -58,10 +59,11 @@
             self._trim(second)
             buckets.append([second, 0, 0, 0, 0])
         bucket = buckets[-1]
-        total = self._total
+        total, seen = self._total, self._seen
         for index in range(4):
             bucket[index + 1] += counts[index]
             total[index] += counts[index]
+            seen[index] += counts[index]
         self._scan = None
 
     def total(self, second: int) -> Counts:
@@ -69,6 +71,11 @@
         self._trim(second)
         return Counts(*self._total)
 
+    @property
+    def seen(self) -> Counts:
+        """All that was ever counted here, older than the window or not."""
+        return Counts(*self._seen)
+
     def scan(self, second: int) -> tuple[Counts, ...]:
         """Return the counts of each window of ``SCAN_S`` ending at ``second``."""
         if self._scan is None or self._scan_second != second:
@@ -96,6 +103,7 @@
         twin = Window()
         twin._buckets = deque(list(bucket) for bucket in self._buckets)
         twin._total = list(self._total)
+        twin._seen = list(self._seen)
         return twin
 
     def _compute_scan(self, second: int) -> tuple[Counts, ...]:
--- a/packages/health/tests/conftest.py
+++ b/packages/health/tests/conftest.py
@@ -48,6 +48,13 @@
             if server.id not in but:
                 self.see(server.id, Verdict.SUCCESS, n)
 
+    def see_failing(self, *servers, verdict=Verdict.FAILURE, n=5, latency_s=0.02):
+        for _ in range(n):
+            self.see_all_succeed(4, but=servers)
+            for server in servers:
+                if server not in self.out():
+                    self.see(server, verdict, latency_s=latency_s)
+
     def tell(self, vm, server, n_success, n_failure, **more):
         line = ServerDigest(server, n_success, n_failure, 0.02, **more)
         return self.tell_lines(vm, (line,))
