--- a/packages/health/src/wagtailpaddle_health/window.py
+++ b/packages/health/src/wagtailpaddle_health/window.py
@@ -24,7 +24,7 @@
 
 
 class Window:
-    """Counts of the last ``WINDOW_S`` seconds in bounded memory.
+    """Counts of the last ``length_s`` seconds in bounded memory.
 
     Memory and the cost of one ``add`` do not depend on the request rate: each
     second with traffic has one bucket. ``total`` is kept as buckets come and
@@ -40,9 +40,10 @@
     10
     """
 
-    __slots__ = ("_buckets", "_scan", "_scan_second", "_seen", "_total")
+    __slots__ = ("_buckets", "_length_s", "_scan", "_scan_second", "_seen", "_total")
 
-    def __init__(self) -> None:
+    def __init__(self, length_s: int = WINDOW_S) -> None:
+        self._length_s = length_s
         self._buckets: deque[list[int]] = deque()
         self._total = [0, 0, 0, 0]
         self._seen = [0, 0, 0, 0]
@@ -86,7 +87,7 @@
     def recent(self, second: int, length_s: int) -> Counts:
         """Return the counts of the last ``length_s`` seconds up to ``second``."""
         oldest = second - length_s
-        if length_s >= WINDOW_S:
+        if length_s >= self._length_s:
             return self.total(second)
         n_attempts = n_failure = n_unreachable = n_slow = 0
         for bucket in reversed(self._buckets):
@@ -100,7 +101,7 @@
 
     def copy(self) -> "Window":
         """Return a window with the same counts."""
-        twin = Window()
+        twin = Window(self._length_s)
         twin._buckets = deque(list(bucket) for bucket in self._buckets)
         twin._total = list(self._total)
         twin._seen = list(self._seen)
@@ -121,7 +122,7 @@
         return tuple(scan)
 
     def _trim(self, second: int) -> None:
-        oldest = second - WINDOW_S
+        oldest = second - self._length_s
         buckets = self._buckets
         while buckets and buckets[0][0] <= oldest:
             gone = buckets.popleft()
--- a/packages/standins/src/wagtailpaddle_standins/measure/background.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/background.py
@@ -9,7 +9,8 @@
 from wagtailpaddle_core import VmId
 from wagtailpaddle_health.evidence import NO_MARK, Evidence
 from wagtailpaddle_health.latency import SLOW_FACTOR
-from wagtailpaddle_health.policies import POLICIES, Case, Other, Policy
+from wagtailpaddle_health.policies import POLICIES, Case, Other, Policy, threshold
+from wagtailpaddle_health.scan import FAILURE, FLOOR_RATES, SLOW, log_ratio
 from wagtailpaddle_health.window import Counts
 
 from wagtailpaddle_standins.measure.faults import (
@@ -129,9 +130,22 @@
         return n_bad
 
 
+def could_eject(second: int, evidence: Evidence, sensitivity: float) -> bool:
+    """Return whether the evidence reaches the threshold at the floor rates.
+
+    No pool's usual rate is lower, so it is safe to judge only these in full.
+    """
+    bar = threshold(sensitivity)
+    return any(
+        log_ratio(counts.n_attempts, counts[channel], FLOOR_RATES[channel]) >= bar
+        for counts in evidence.pooled.scan(second)
+        for channel in (FAILURE, SLOW)
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Background:
-    """A pool under background errors and latency noise only.
+    """A pool judged by likelihood ratios under errors and latency noise only.
 
     ``rate`` is in attempts a second to each server. With ``fleet`` the evidence
     of ``n_vms`` VMs is judged as a watcher does, else that of one VM alone.
@@ -164,6 +178,10 @@
     def _ejects(
         self, second: int, policy: Policy, server: Server, servers: list[Server]
     ) -> bool:
+        if self.policy == "scan" and not could_eject(
+            second, server.evidence, self.sensitivity
+        ):
+            return False
         others = tuple(
             Other(item.evidence, NO_MARK, 0.0) for item in servers if item is not server
         )
