--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -1,8 +1,16 @@
 """Choice of backend server, fair queues, concurrency limits, retries."""
 
-from wagtailpaddle_routing.choose import CHOOSERS, Candidate
+from wagtailpaddle_routing.answers import (
+    SHED_ANSWERS,
+    interpret,
+    is_leaving,
+    parse_load,
+)
+from wagtailpaddle_routing.choose import CHOOSERS
 from wagtailpaddle_routing.dispatcher import Dispatcher
+from wagtailpaddle_routing.limits import LIMITERS
 from wagtailpaddle_routing.messages import (
+    SURELY_NOT_RUN,
     Action,
     AttemptOutcome,
     AttemptResult,
@@ -11,20 +19,37 @@
     Dispatch,
     Job,
     Refuse,
+    ServerStatus,
     ServerView,
+    ServiceStatus,
 )
+from wagtailpaddle_routing.queues import QUEUES
+from wagtailpaddle_routing.serverset import connection_cap
+from wagtailpaddle_routing.subset import SUBSETTERS, subset, subset_size
 
 __all__ = [
     "CHOOSERS",
+    "LIMITERS",
+    "QUEUES",
+    "SHED_ANSWERS",
+    "SUBSETTERS",
+    "SURELY_NOT_RUN",
     "Action",
     "AttemptOutcome",
     "AttemptResult",
     "CancelAttempt",
-    "Candidate",
     "Deliver",
     "Dispatch",
     "Dispatcher",
     "Job",
     "Refuse",
+    "ServerStatus",
     "ServerView",
+    "ServiceStatus",
+    "interpret",
+    "connection_cap",
+    "is_leaving",
+    "parse_load",
+    "subset",
+    "subset_size",
 ]
