routing, node: send suspects the next idempotent request

Cause: the health book asks for evidence on suspects, but nothing passed the wish on to the dispatcher. Change: ServerView.verify; the server set prefers such a server for the first try of an idempotent request while none runs there.

--- a/packages/node/src/wagtailpaddle_node/backends.py
+++ b/packages/node/src/wagtailpaddle_node/backends.py
@@ -91,6 +91,7 @@
                 weight=standing[server.id].weight,
                 probation=standing[server.id].idempotent_only,
                 leaving=server.leaving,
+                verify=standing[server.id].verify,
             )
             for server in service.servers
             if server.id in standing
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -37,7 +37,9 @@
 
     ``weight`` in [0, 1] scales its share of the work: 0 takes none, less than
     1 is slow start or reduced trust. A ``probation`` server takes idempotent
-    requests only. A ``leaving`` one takes no new work.
+    requests only. A ``leaving`` one takes no new work. A server to ``verify``
+    is under suspicion: it gets the next idempotent request while this VM has
+    none in flight there, whatever its weight.
     """
 
     id: ServerId
@@ -47,6 +49,7 @@
     weight: float = 1.0
     probation: bool = False
     leaving: bool = False
+    verify: bool = False
 
 
 class AttemptOutcome(StrEnum):
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -49,6 +49,7 @@
         self._n_users = 1
         self._servers: dict[ServerId, Server] = {}
         self._usable: tuple[Server, ...] = ()
+        self._to_verify: tuple[Server, ...] = ()
         self._sides = Sides()
         self._limit = 0.0
         self._leaving: dict[ServerId, float] = {}
@@ -127,6 +128,10 @@
                 and _may_take(server, pending)
             )
 
+        for server in self._to_verify:
+            is_first = pending.job.idempotent and not pending.failed_on
+            if is_first and not server.in_flight and fits(server):
+                return server
         return self._chooser.choose(now, self._sides, fits, self._random)
 
     def start(self, server: Server) -> None:
@@ -188,6 +193,7 @@
         self._usable = tuple(
             server for server in self._servers.values() if server.usable
         )
+        self._to_verify = tuple(server for server in self._usable if server.view.verify)
         self._sides = split(self._usable, self._zone)
         self._limit = sum(server.limit for server in self._usable)
         self._bound()
