Estimate the wait from service time by account

Cause: one account with slow requests raised the mean latency of the service, so that requests of others inside their rate were refused early. Change: the estimate adds up what each waiting request is expected to take, and counts the turns of the accounts.

--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -196,7 +196,7 @@
             n_running=self.servers.n_running,
             n_accounts=len(self._accounts),
             capacity=self.servers.capacity,
-            wait_s=self._wait_s(self._room.n_queued),
+            wait_s=self._room.work_s / self.servers.capacity,
             retry_tokens=self._budget.tokens(now),
             servers=self.servers.status(now),
         )
@@ -204,7 +204,8 @@
     def _wait(self, now: float, pending: Pending) -> list[Action]:
         """Queue a new request if it can be served in time."""
         account = pending.job.account
-        wait_s = self._wait_s(self._room.n_ahead(account))
+        mean_s = self._accounts[account].mean_s
+        wait_s = self._room.work_ahead_s(account, mean_s) / self.servers.capacity
         if wait_s > pending.job.deadline_at - now:
             detail = f"the wait is about {wait_s:.1f} s, longer than the deadline"
             return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
@@ -216,6 +217,7 @@
 
     def _enqueue(self, pending: Pending, *, first: bool = False) -> list[Action]:
         """Queue a request, giving up another if there are too many."""
+        pending.expected_s = self._accounts[pending.job.account].mean_s
         self._room.enqueue(pending, first=first)
         victim = self._room.evict()
         ensure(
@@ -226,13 +228,10 @@
         if victim is None:
             return []
         detail = f"client account {victim.job.account!r} has the longest queue"
-        wait_s = self._wait_s(self._room.n_queued)
+        wait_s = self._room.work_s / self.servers.capacity
         kind = truthful(victim, ErrorKind.OVERLOADED)
         return [self._refuse(victim, kind, detail, wait_s)]
 
-    def _wait_s(self, n_ahead: int) -> float:
-        return n_ahead * self._latency.mean_s / self.servers.capacity
-
     def _place(self, now: float, pending: Pending) -> Server | None:
         """Return a server for the request if it may go now."""
         n_free = self.servers.capacity - self.servers.n_running
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -47,6 +47,7 @@
     timeout_at: float = 0.0
     started_at: float = 0.0
     charged_s: float = 0.0
+    expected_s: float = 0.0
 
     @property
     def running_on(self) -> Server:
--- a/packages/routing/src/wagtailpaddle_routing/waiting.py
+++ b/packages/routing/src/wagtailpaddle_routing/waiting.py
@@ -9,11 +9,15 @@
 
 
 class WaitingRoom:
-    """The queued requests, with their deadlines and a bound on their number."""
+    """The queued requests, with their deadlines and a bound on their number.
+
+    ``work_s`` is the service time that they are expected to take.
+    """
 
     def __init__(self, *, queue: Queue, max_waiting: int):
         self.max_waiting = max_waiting
         self._queue = queue
+        self.work_s = 0.0
         self._queued: dict[RequestId, Pending] = {}
         self._lengths = Lengths()
         self._deadlines = Timers()
@@ -23,14 +27,16 @@
         """How many requests wait for a server."""
         return len(self._queued)
 
-    def n_ahead(self, account: AccountId) -> int:
-        """Return how many requests go before a new one of ``account``.
+    def work_ahead_s(self, account: AccountId, mean_s: float) -> float:
+        """Return the service time before a new request of ``account``.
 
-        Accounts take turns, so an account with few requests of its own waits
-        for few of the others'.
+        Accounts take turns by service time, so an account that has used
+        little of its own waits for little of the others'. ``mean_s`` is what
+        a request of this account takes.
         """
-        n_turns = (self._lengths.of(account) + 1) * max(1, len(self._lengths))
-        return min(len(self._queued), n_turns)
+        n_own = self._lengths.of(account)
+        n_turns = len(self._lengths) + (n_own == 0)
+        return min(self.work_s, (n_own + 1) * n_turns * mean_s)
 
     def is_longest(self, account: AccountId) -> bool:
         """Return whether no queue is longer than that of ``account``."""
@@ -56,6 +62,7 @@
         ensure(request not in self._queued, "waits-once", request=request)
         pending.state = State.QUEUED
         self._queued[request] = pending
+        self.work_s += pending.expected_s
         self._lengths.grow(pending.job.account)
         self._queue.push(pending, first=first)
         self._deadlines.set(request, pending.job.deadline_at)
@@ -91,5 +98,6 @@
 
     def _unlist(self, pending: Pending) -> None:
         del self._queued[pending.job.id]
+        self.work_s = self.work_s - pending.expected_s if self._queued else 0.0
         self._lengths.shrink(pending.job.account)
         self._deadlines.clear(pending.job.id)
--- a/packages/routing/tests/test_admission.py
+++ b/packages/routing/tests/test_admission.py
@@ -117,6 +117,21 @@
     assert dispatcher.arrive(1.0, job("other", "y", at=1.0, timeout_s=3.0)) == ()
 
 
+def test_wait_behind_slow_requests_of_others_is_not_overestimated(one_slot, job, ended):
+    dispatcher = one_slot()
+    dispatcher.arrive(0.0, job("slow0", "slow"))
+    dispatcher.arrive(0.0, job("quick0", "quick"))
+    for index in range(1, 8):
+        dispatcher.arrive(0.0, job(f"slow{index}", "slow"))
+        dispatcher.arrive(0.0, job(f"quick{index}", "quick"))
+    dispatcher.finish(4.0, RequestId("slow0"), ended(latency_s=4.0))
+    for index in range(4):
+        dispatcher.finish(4.01, RequestId(f"quick{index}"), ended(latency_s=0.01))
+    assert dispatcher.arrive(4.1, job("r", "quick", at=4.1, timeout_s=2.0)) == ()
+    (refusal,) = dispatcher.arrive(4.1, job("s", "slow", at=4.1, timeout_s=2.0))
+    assert refusal.kind is ErrorKind.OVERLOADED
+
+
 def test_last_slots_are_kept_for_accounts_that_use_less(make_dispatcher, view, job):
     dispatcher = make_dispatcher((view("s0"),), limiter="fixed")
     dispatcher.arrive(0.0, job("other", "y"))
