Learn service times from attempts that ran only

Cause: shed attempts end in milliseconds and lowered the expected service time of their account, so the estimated wait was too short. Change: attempts that surely did not run teach nothing; limits are asserted where an attempt starts.

--- a/packages/routing/src/wagtailpaddle_routing/accounts.py
+++ b/packages/routing/src/wagtailpaddle_routing/accounts.py
@@ -52,7 +52,10 @@
     def learn(self, name: AccountId, used_s: float) -> None:
         """Take in how long a request of the account kept a server busy."""
         account = self._accounts[name]
-        account.mean_s += MEAN_SMOOTHING * (used_s - account.mean_s)
+        if account.mean_s:
+            account.mean_s += MEAN_SMOOTHING * (used_s - account.mean_s)
+        else:
+            account.mean_s = used_s
 
 
 class LatencyMeter:
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -17,6 +17,7 @@
 from wagtailpaddle_routing.choose import CHOOSERS
 from wagtailpaddle_routing.limits import LIMITERS, SERVICE_LIMITERS
 from wagtailpaddle_routing.messages import (
+    SURELY_NOT_RUN,
     Action,
     AttemptOutcome,
     AttemptResult,
@@ -143,6 +144,8 @@
         if result.outcome is AttemptOutcome.ANSWERED:
             self._latency.add(result.latency_s)
         self._stop(now, pending)
+        if result.outcome not in SURELY_NOT_RUN:
+            self._accounts.learn(pending.job.account, now - pending.started_at)
         actions = self._follow(now, pending, result)
         if self._room.n_queued:
             actions += self._pump(now)
@@ -322,7 +325,6 @@
         account = self._accounts[job.account]
         account.n_running -= 1
         ensure(account.n_running >= 0, "account-running-not-negative")
-        self._accounts.learn(job.account, used_s)
         self._queue.charge(job.account, used_s - pending.charged_s, job.weight)
         pending.server = None
         pending.waiting_since = now
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -44,7 +44,6 @@
     n_not_sent: int = 0
     failed_on: frozenset[ServerId] = frozenset()
     may_have_run: bool = False
-    timeout_at: float = 0.0
     started_at: float = 0.0
     charged_s: float = 0.0
     expected_s: float = 0.0
--- a/packages/routing/src/wagtailpaddle_routing/server.py
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -91,7 +91,7 @@
 
     def start(self) -> None:
         """Count an attempt that begins."""
-        ensure(self.in_flight >= 0, "in-flight-not-negative", server=self.id)
+        ensure(self.in_flight < self.cap, "server-limit-kept", server=self.id)
         self.in_flight += 1
 
     def release(self) -> None:
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -137,6 +137,7 @@
             "dispatch-to-usable-server",
             server=server.id,
         )
+        ensure(self.n_running < self.capacity, "capacity-kept", n=self.n_running)
         server.start()
         self.n_running += 1
 
--- a/packages/routing/tests/test_admission.py
+++ b/packages/routing/tests/test_admission.py
@@ -132,6 +132,17 @@
     assert refusal.kind is ErrorKind.OVERLOADED
 
 
+def test_shed_attempts_do_not_lower_the_estimate(one_slot, job, ended):
+    dispatcher = one_slot()
+    dispatcher.arrive(0.0, job("r0"))
+    dispatcher.arrive(0.0, job("r1"))
+    dispatcher.finish(4.0, RequestId("r0"), ended(latency_s=4.0))
+    dispatcher.finish(4.001, RequestId("r1"), ended("shed", 0.001))
+    dispatcher.arrive(4.002, job("r2", at=4.002))
+    (status,) = dispatcher.status(4.002)
+    assert status.wait_s == pytest.approx(8.0)
+
+
 def test_last_slots_are_kept_for_accounts_that_use_less(make_dispatcher, view, job):
     dispatcher = make_dispatcher((view("s0"),), limiter="fixed")
     dispatcher.arrive(0.0, job("other", "y"))
