--- a/packages/standins/src/wagtailpaddle_standins/measure/fairness.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/fairness.py
@@ -19,7 +19,7 @@
 DRAIN_S = 4.0
 IN_RATE_USE = 0.5
 HALF_USE = 0.75
-DEAD_FROM_S = 2.0
+BROKEN_FROM_S = 2.0
 DETECTED_AT_S = 3.0
 ACCOUNT_PARTS = (0.3, 0.25, 0.2, 0.1, 0.05, 0.04, 0.03, 0.03)
 OFFENDER = 2
@@ -50,6 +50,7 @@
 
     worst_served: float
     refused: float
+    unknown: float
     p50_s: float
     p99_s: float
     shed_attempts: float
@@ -100,14 +101,14 @@
     *,
     n_servers: int,
     seed: int,
-    dead: bool = False,
+    fault: str = "",
 ) -> Outcome:
     """Run one load against one variant."""
     model = Model(n_vms=N_VMS, n_servers=n_servers, seed=seed, options=options)
     Traffic(model, load, n_servers * 4)
-    if dead:
+    if fault:
         names = list(model.servers)[::2]
-        model.clock.at(DEAD_FROM_S, _kill, model, names)
+        model.clock.at(BROKEN_FROM_S, _break, model, names, fault)
         model.clock.at(DETECTED_AT_S, model.set_weights, dict.fromkeys(names, 0.0))
     model.clock.run(RUN_S + DRAIN_S)
     is_offended = load.rate_factor > 1 or load.slow_factor > 1
@@ -122,22 +123,24 @@
     return Outcome(
         worst_served=min(tally.served for tally in others),
         refused=sum(tally.n_refused for tally in others) / n_sent,
+        unknown=sum(tally.n_unknown for tally in others) / n_sent,
         p50_s=latencies_s[len(latencies_s) // 2],
         p99_s=latencies_s[len(latencies_s) * 99 // 100],
         shed_attempts=n_shed / sum(t.n_sent for t in model.tallies.values()),
     )
 
 
-def _kill(model: Model, names: list[ServerId]) -> None:
+def _break(model: Model, names: list[ServerId], fault: str) -> None:
     for name in names:
-        model.servers[name].refuses = True
+        setattr(model.servers[name], fault, True)
 
 
-LOADS: dict[str, tuple[Load, bool]] = {
-    "all in rate": (Load(), False),
-    "one at 10x": (Load(rate_factor=10.0), False),
-    "one holds slow": (Load(slow_factor=SLOW_FACTOR), False),
-    "half dead": (Load(use=HALF_USE / 2), True),
+LOADS: dict[str, tuple[Load, str]] = {
+    "all in rate": (Load(), ""),
+    "one at 10x": (Load(rate_factor=10.0), ""),
+    "one holds slow": (Load(slow_factor=SLOW_FACTOR), ""),
+    "half refuses": (Load(use=HALF_USE / 2), "refuses"),
+    "half hangs": (Load(use=HALF_USE / 2), "hangs"),
 }
 
 
@@ -145,22 +148,23 @@
 def fairness(seed: int) -> Iterator[str]:
     """Yield one line for each service size, load and variant.
 
-    ``refused`` is the share of the in-rate requests that got no answer,
-    ``shed`` the shed attempts per request.
+    ``refused`` is the share of the in-rate requests refused as not run,
+    ``unknown`` that of those which may have run; ``shed`` are shed attempts
+    per request.
     """
     yield (
         f"{'service':10} {'load':14} {'variant':15} {'worst served':>12} "
-        f"{'refused':>8} {'p50 ms':>7} {'p99 ms':>7} {'shed':>6}"
+        f"{'refused':>8} {'unknown':>8} {'p50 ms':>7} {'p99 ms':>7} {'shed':>6}"
     )
     for n_servers in (12, 15, 10):
-        for load_name, (load, dead) in LOADS.items():
+        for load_name, (load, fault) in LOADS.items():
             for variant, options in VARIANTS.items():
                 if n_servers != 12 and options:
                     continue
-                got = run(load, options, n_servers=n_servers, seed=seed, dead=dead)
+                got = run(load, options, n_servers=n_servers, seed=seed, fault=fault)
                 yield (
                     f"{n_servers:2} servers {load_name:14} {variant:15} "
-                    f"{got.worst_served:12.4f} {got.refused:8.4f} "
+                    f"{got.worst_served:12.4f} {got.refused:8.4f} {got.unknown:8.4f} "
                     f"{got.p50_s * 1000:7.1f} {got.p99_s * 1000:7.1f} "
                     f"{got.shed_attempts:6.2f}"
                 )
--- a/packages/standins/src/wagtailpaddle_standins/measure/servermodel.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/servermodel.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from wagtailpaddle_core import ServerId, ServiceId, ZoneId
+from wagtailpaddle_core import ANSWERS, Outcome, ServerId, ServiceId, ZoneId
 from wagtailpaddle_routing import (
     Action,
     AttemptOutcome,
@@ -53,7 +53,8 @@
 class ModelServer:
     """A server with slots that sheds what does not fit.
 
-    ``report`` stands in for the true load in its answers, if given.
+    ``report`` stands in for the true load in its answers, if given. One that
+    ``refuses`` takes no connection, one that ``hangs`` never answers.
     """
 
     id: ServerId
@@ -63,6 +64,7 @@
     n_served: int = 0
     n_shed: int = 0
     refuses: bool = False
+    hangs: bool = False
     report: float | None = None
 
     def load(self) -> float:
@@ -77,6 +79,7 @@
     n_sent: int = 0
     n_served: int = 0
     n_refused: int = 0
+    n_unknown: int = 0
     latencies_s: list[float] = field(default_factory=list)
 
     @property
@@ -110,9 +113,9 @@
                 case Dispatch():
                     self._dispatch(action)
                 case Deliver():
-                    self._answered(action.request, True)
+                    self._answered(action.request, None)
                 case Refuse():
-                    self._answered(action.request, False)
+                    self._answered(action.request, ANSWERS[action.kind].outcome)
         clock = self._model.clock
         wake_at = self.dispatcher.next_wake(clock.now)
         if wake_at is not None and wake_at < self._wake_at:
@@ -157,8 +160,9 @@
             return
         server.n_busy += 1
         self._running[token[0]] = token[1], server
-        done_at = clock.now + self._jobs[token[0]][1]
-        clock.at(done_at, self._done, token, sent_at, delay_s)
+        if not server.hangs:
+            done_at = clock.now + self._jobs[token[0]][1]
+            clock.at(done_at, self._done, token, sent_at, delay_s)
 
     def _done(self, token: tuple[str, int], sent_at: float, delay_s: float) -> None:
         attempt, server = self._running.get(token[0], (0, None))
@@ -195,9 +199,9 @@
         job = self._jobs[token[0]][0]
         self.carry_out(self.dispatcher.finish(now, job.id, result))
 
-    def _answered(self, request: str, served: bool) -> None:
+    def _answered(self, request: str, refusal: Outcome | None) -> None:
         job, _ = self._jobs.pop(request)
-        self._model.answered(job, served)
+        self._model.answered(job, refusal)
 
 
 class Model:
@@ -251,11 +255,13 @@
         else:
             self.n_far += 1
 
-    def answered(self, job: Job, served: bool) -> None:
-        """Count an answer."""
+    def answered(self, job: Job, refusal: Outcome | None) -> None:
+        """Count an answer, or a refusal by what it says."""
         tally = self.tallies[job.account]
-        if served:
+        if refusal is None:
             tally.n_served += 1
             tally.latencies_s.append(self.clock.now - job.arrived_at)
-        else:
+        elif refusal is Outcome.NOT_RUN:
             tally.n_refused += 1
+        else:
+            tally.n_unknown += 1
