Move the answers of requests out of the pool

Change: a ledger opens and closes requests, charges accounts and stops refusals that claim too much; behaviour is unchanged.

--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/ledger.py
@@ -0,0 +1,122 @@
+"""The unanswered requests of one service, and the one answer to each."""
+
+from wagtailpaddle_core import AccountId, ErrorKind, RequestId, ServiceId, ensure
+
+from wagtailpaddle_routing.accounts import Account, Accounts
+from wagtailpaddle_routing.messages import AttemptResult, Deliver, Job, Refuse
+from wagtailpaddle_routing.queues import Queue
+from wagtailpaddle_routing.retry import (
+    Pending,
+    State,
+    deadline_kind,
+    failure_kind,
+    truthful,
+)
+
+
+class Ledger:
+    """Opens a request when it arrives and closes it with its answer.
+
+    ``pending`` holds the unanswered requests of all services; a request is in
+    it until its one answer is returned. Refusals that claim too much are
+    stopped here.
+    """
+
+    def __init__(
+        self, service: ServiceId, *, pending: dict[RequestId, Pending], queue: Queue
+    ):
+        self._service = service
+        self._pending = pending
+        self._queue = queue
+        self._accounts = Accounts()
+
+    @property
+    def n_accounts(self) -> int:
+        """How many client accounts have requests here."""
+        return len(self._accounts)
+
+    def account(self, name: AccountId) -> Account:
+        """Return an account that has requests here."""
+        return self._accounts[name]
+
+    def open(self, now: float, job: Job, mean_s: float) -> Pending:
+        """Take in a request; ``mean_s`` is the guess for a new account."""
+        pending = Pending(job, now)
+        self._pending[job.id] = pending
+        self._accounts.join(job.account, mean_s)
+        return pending
+
+    def begin(self, now: float, pending: Pending) -> None:
+        """Charge the account for an attempt that starts."""
+        account = self._accounts[pending.job.account]
+        account.n_running += 1
+        pending.charged_s = account.mean_s
+        pending.started_at = now
+        pending.state = State.RUNNING
+        self._charge(pending, pending.charged_s)
+
+    def end(self, now: float, pending: Pending) -> None:
+        """Correct the charge for an attempt that is over."""
+        account = self._accounts[pending.job.account]
+        account.n_running -= 1
+        ensure(account.n_running >= 0, "account-running-not-negative")
+        used_s = max(0.0, now - pending.started_at)
+        self._charge(pending, used_s - pending.charged_s)
+        pending.server = None
+        pending.waiting_since = now
+
+    def learn(self, now: float, pending: Pending) -> None:
+        """Take in how long an attempt that ran took."""
+        self._accounts.learn(pending.job.account, now - pending.started_at)
+
+    def close(self, pending: Pending) -> None:
+        """Forget a request that is answered or cancelled."""
+        ensure(pending.state is not State.OVER, "answered-once", request=pending.job.id)
+        pending.state = State.OVER
+        del self._pending[pending.job.id]
+        if self._accounts.leave(pending.job.account):
+            self._queue.forget(pending.job.account)
+
+    def deliver(self, pending: Pending) -> Deliver:
+        """Close a request with the answer of its last attempt."""
+        self.close(pending)
+        return Deliver(pending.job.id)
+
+    def refuse(
+        self,
+        pending: Pending,
+        kind: ErrorKind,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> Refuse:
+        """Close a request with an error of ``kind``, which must be truthful."""
+        ensure(
+            truthful(pending, kind) is kind,
+            "refusal-is-truthful",
+            request=pending.job.id,
+            kind=kind,
+        )
+        self.close(pending)
+        return Refuse(pending.job.id, kind, detail, retry_after_s)
+
+    def refuse_hopeless(self, pending: Pending) -> Refuse:
+        """Close a request that no server can take any more."""
+        detail = f"service {self._service!r} has no server to try"
+        return self.refuse(pending, failure_kind(pending), detail)
+
+    def refuse_late(self, pending: Pending) -> Refuse:
+        """Close a request whose deadline passed while it waited."""
+        detail = "no server was free before the deadline"
+        return self.refuse(pending, deadline_kind(pending), detail)
+
+    def refuse_after(
+        self, now: float, pending: Pending, result: AttemptResult
+    ) -> Refuse:
+        """Close a request whose last attempt ended without an answer."""
+        detail = f"attempt {pending.n_attempts} ended: {result.outcome.value}"
+        is_late = now >= pending.job.deadline_at
+        kind = deadline_kind(pending) if is_late else failure_kind(pending)
+        return self.refuse(pending, kind, detail)
+
+    def _charge(self, pending: Pending, used_s: float) -> None:
+        self._queue.charge(pending.job.account, used_s, pending.job.weight)
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -12,9 +12,10 @@
     ensure,
 )
 
-from wagtailpaddle_routing.accounts import Accounts, LatencyMeter
+from wagtailpaddle_routing.accounts import LatencyMeter
 from wagtailpaddle_routing.budget import RetryBudget
 from wagtailpaddle_routing.choose import CHOOSERS
+from wagtailpaddle_routing.ledger import Ledger
 from wagtailpaddle_routing.limits import LIMITERS, SERVICE_LIMITERS
 from wagtailpaddle_routing.messages import (
     SURELY_NOT_RUN,
@@ -22,7 +23,6 @@
     AttemptOutcome,
     AttemptResult,
     CancelAttempt,
-    Deliver,
     Dispatch,
     Job,
     Refuse,
@@ -35,8 +35,6 @@
     Pending,
     State,
     Step,
-    deadline_kind,
-    failure_kind,
     next_step,
     note,
     truthful,
@@ -57,11 +55,7 @@
 
 
 class ServicePool:
-    """The requests of one service on this VM.
-
-    ``pending`` holds the unanswered requests of all services; a request is in
-    it until its one answer is returned.
-    """
+    """Takes the requests of one service on this VM to their answers."""
 
     def __init__(
         self,
@@ -82,11 +76,10 @@
         )
         self.used_at = now
         self._policy = policy
-        self._pending = pending
         self._random = random
         self._queue = QUEUES[policy.queue]()
         self._room = WaitingRoom(queue=self._queue, max_waiting=policy.max_waiting)
-        self._accounts = Accounts()
+        self._ledger = Ledger(service, pending=pending, queue=self._queue)
         self._budget = RetryBudget(now=now)
         self._latency = LatencyMeter()
         self._open_at: float | None = None
@@ -96,7 +89,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether the service has no request here."""
-        return not self._accounts and not self.servers.n_running
+        return not self._ledger.n_accounts
 
     def set_servers(
         self, now: float, views: tuple[ServerView, ...], n_users: int
@@ -117,13 +110,8 @@
         if now >= job.deadline_at:
             detail = "the deadline passed before the request arrived"
             return [Refuse(job.id, ErrorKind.DEADLINE_EXCEEDED, detail)]
-        pending = Pending(job, now)
-        self._pending[job.id] = pending
-        if job.account != self._last_account:
-            if self._last_account is not None:
-                self._shared_at = now
-            self._last_account = job.account
-        self._accounts.join(job.account, self._latency.mean_s)
+        self._note_sharing(now, job.account)
+        pending = self._ledger.open(now, job, self._latency.mean_s)
         self._budget.earn()
         if not self._room.n_queued:
             server = self._place(now, pending)
@@ -131,7 +119,7 @@
                 self._queue.pass_by(job.account)
                 return [self._start(now, pending, server)]
         if not self.servers.can_serve(pending):
-            return [self._refuse_hopeless(pending)]
+            return [self._ledger.refuse_hopeless(pending)]
         return self._wait(now, pending)
 
     def finish(
@@ -145,7 +133,7 @@
             self._latency.add(result.latency_s)
         self._stop(now, pending)
         if result.outcome not in SURELY_NOT_RUN:
-            self._accounts.learn(pending.job.account, now - pending.started_at)
+            self._ledger.learn(now, pending)
         actions = self._follow(now, pending, result)
         if self._room.n_queued:
             actions += self._pump(now)
@@ -155,11 +143,11 @@
         """Drop a request for which nobody waits any more."""
         if pending.state is not State.RUNNING:
             self._room.remove(pending)
-            self._over(pending)
+            self._ledger.close(pending)
             return []
         server = pending.running_on
         self._stop(now, pending)
-        self._over(pending)
+        self._ledger.close(pending)
         cancelled = CancelAttempt(pending.job.id, server.id, pending.n_attempts)
         return [cancelled, *self._pump(now)]
 
@@ -168,7 +156,7 @@
         if pending.state is State.RUNNING:
             return []
         self._room.remove(pending)
-        return [self._refuse(pending, truthful(pending, kind), detail)]
+        return [self._ledger.refuse(pending, truthful(pending, kind), detail)]
 
     def close(self) -> list[Action]:
         """Refuse what waits; what runs there finishes."""
@@ -178,7 +166,7 @@
     def tick(self, now: float) -> list[Action]:
         """Act on deadlines and on pauses that are over."""
         actions: list[Action] = [
-            self._refuse_late(pending) for pending in self._room.expired(now)
+            self._ledger.refuse_late(pending) for pending in self._room.expired(now)
         ]
         if self.servers.expire(now) or self._room.n_queued:
             actions += self._pump(now)
@@ -197,7 +185,7 @@
             service=self.service,
             n_queued=self._room.n_queued,
             n_running=self.servers.n_running,
-            n_accounts=len(self._accounts),
+            n_accounts=self._ledger.n_accounts,
             capacity=self.servers.capacity,
             wait_s=self._room.work_s / self.servers.capacity,
             retry_tokens=self._budget.tokens(now),
@@ -207,20 +195,21 @@
     def _wait(self, now: float, pending: Pending) -> list[Action]:
         """Queue a new request if it can be served in time."""
         account = pending.job.account
-        mean_s = self._accounts[account].mean_s
+        mean_s = self._ledger.account(account).mean_s
         wait_s = self._room.work_ahead_s(account, mean_s) / self.servers.capacity
         if wait_s > pending.job.deadline_at - now:
             detail = f"the wait is about {wait_s:.1f} s, longer than the deadline"
-            return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
+            return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
         is_full = self._room.n_queued >= self._room.max_waiting
         if is_full and self._room.is_longest(account):
             detail = f"{self._room.n_queued} requests wait already"
-            return [self._refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
+            return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
         return self._enqueue(pending) + self._pump(now)
 
     def _enqueue(self, pending: Pending, *, first: bool = False) -> list[Action]:
         """Queue a request, giving up another if there are too many."""
-        pending.expected_s = self._accounts[pending.job.account].mean_s
+        account = self._ledger.account(pending.job.account)
+        pending.expected_s = account.mean_s
         self._room.enqueue(pending, first=first)
         victim = self._room.evict()
         ensure(
@@ -233,7 +222,15 @@
         detail = f"client account {victim.job.account!r} has the longest queue"
         wait_s = self._room.work_s / self.servers.capacity
         kind = truthful(victim, ErrorKind.OVERLOADED)
-        return [self._refuse(victim, kind, detail, wait_s)]
+        return [self._ledger.refuse(victim, kind, detail, wait_s)]
+
+    def _note_sharing(self, now: float, account: AccountId) -> None:
+        """Note when several accounts last used the service on this VM."""
+        if account == self._last_account:
+            return
+        if self._last_account is not None:
+            self._shared_at = now
+        self._last_account = account
 
     def _place(self, now: float, pending: Pending) -> Server | None:
         """Return a server for the request if it may go now."""
@@ -254,8 +251,8 @@
             return True
         if now - self._shared_at > SHARED_S:
             return True
-        equal_part = capacity / max(2, len(self._accounts))
-        return self._accounts[account].n_running < equal_part
+        equal_part = capacity / max(2, self._ledger.n_accounts)
+        return self._ledger.account(account).n_running < equal_part
 
     def _pump(self, now: float) -> list[Action]:
         """Start queued requests while there is room."""
@@ -273,7 +270,7 @@
             if pending is None:
                 break
             if turn.server is None:
-                actions.append(self._refuse_late(pending))
+                actions.append(self._ledger.refuse_late(pending))
             else:
                 actions.append(self._start(now, pending, turn.server))
         self._open_at = self.servers.next_open(now) if self._room.n_queued else None
@@ -288,14 +285,9 @@
         )
         ensure(job.idempotent or not server.view.probation, "probation-is-idempotent")
         self.servers.start(server)
-        account = self._accounts[job.account]
-        account.n_running += 1
-        pending.charged_s = account.mean_s
-        self._queue.charge(job.account, pending.charged_s, job.weight)
-        pending.state = State.RUNNING
+        self._ledger.begin(now, pending)
         pending.server = server
         pending.n_attempts += 1
-        pending.started_at = now
         queued_s = now - pending.waiting_since
         timeout_at = self._timeout_at(now, pending)
         return Dispatch(
@@ -319,15 +311,8 @@
 
     def _stop(self, now: float, pending: Pending) -> None:
         """Count the running attempt as over."""
-        job = pending.job
         self.servers.release(pending.running_on)
-        used_s = max(0.0, now - pending.started_at)
-        account = self._accounts[job.account]
-        account.n_running -= 1
-        ensure(account.n_running >= 0, "account-running-not-negative")
-        self._queue.charge(job.account, used_s - pending.charged_s, job.weight)
-        pending.server = None
-        pending.waiting_since = now
+        self._ledger.end(now, pending)
 
     def _follow(
         self, now: float, pending: Pending, result: AttemptResult
@@ -337,13 +322,12 @@
         if step is Step.RETRY_OR_DELIVER:
             return [self._retry_or_deliver(now, pending)]
         if step is Step.DELIVER:
-            self._over(pending)
-            return [Deliver(pending.job.id)]
+            return [self._ledger.deliver(pending)]
         if step is Step.REFUSE:
-            return [self._refuse_after(now, pending, result)]
+            return [self._ledger.refuse_after(now, pending, result)]
         may_go = step is Step.WAIT or self._budget.take(now)
         if not may_go or not self.servers.can_serve(pending):
-            return [self._refuse_after(now, pending, result)]
+            return [self._ledger.refuse_after(now, pending, result)]
         return self._retry(now, pending)
 
     def _retry(self, now: float, pending: Pending) -> list[Action]:
@@ -357,8 +341,7 @@
         server = self._place(now, pending)
         if server is not None and self._budget.take(now):
             return self._start(now, pending, server)
-        self._over(pending)
-        return Deliver(pending.job.id)
+        return self._ledger.deliver(pending)
 
     def _give_up_hopeless(self) -> list[Action]:
         """Refuse the waiting requests that no server can take any more."""
@@ -369,44 +352,4 @@
         ]
         for pending in hopeless:
             self._room.remove(pending)
-        return [self._refuse_hopeless(pending) for pending in hopeless]
-
-    def _refuse_hopeless(self, pending: Pending) -> Refuse:
-        detail = f"service {self.service!r} has no server to try"
-        return self._refuse(pending, failure_kind(pending), detail)
-
-    def _refuse_late(self, pending: Pending) -> Refuse:
-        detail = "no server was free before the deadline"
-        return self._refuse(pending, deadline_kind(pending), detail)
-
-    def _refuse_after(
-        self, now: float, pending: Pending, result: AttemptResult
-    ) -> Refuse:
-        detail = f"attempt {pending.n_attempts} ended: {result.outcome.value}"
-        is_late = now >= pending.job.deadline_at
-        kind = deadline_kind(pending) if is_late else failure_kind(pending)
-        return self._refuse(pending, kind, detail)
-
-    def _refuse(
-        self,
-        pending: Pending,
-        kind: ErrorKind,
-        detail: str,
-        retry_after_s: float | None = None,
-    ) -> Refuse:
-        ensure(
-            truthful(pending, kind) is kind,
-            "refusal-is-truthful",
-            request=pending.job.id,
-            kind=kind,
-        )
-        self._over(pending)
-        return Refuse(pending.job.id, kind, detail, retry_after_s)
-
-    def _over(self, pending: Pending) -> None:
-        """Forget a request that is answered or cancelled."""
-        ensure(pending.state is not State.OVER, "answered-once", request=pending.job.id)
-        pending.state = State.OVER
-        del self._pending[pending.job.id]
-        if self._accounts.leave(pending.job.account):
-            self._queue.forget(pending.job.account)
+        return [self._ledger.refuse_hopeless(pending) for pending in hopeless]
