--- a/packages/peer/src/wagtailpaddle_peer/__init__.py
+++ b/packages/peer/src/wagtailpaddle_peer/__init__.py
@@ -1,17 +1,31 @@
 """Codec of log records and the gRPC service between daemons."""
 
-from wagtailpaddle_peer.codec import Acknowledged, Failed, MessageError
-from wagtailpaddle_peer.records import RecordError, decode_record, encode_record
-from wagtailpaddle_peer.service import PeerClient, PeerError, PeerServer
+from wagtailpaddle_peer.codec import MessageError
+from wagtailpaddle_peer.messages import Acknowledged, Failed
+from wagtailpaddle_peer.records import (
+    LogCodec,
+    LogRecord,
+    RecordError,
+    decode_log_record,
+    decode_record,
+    encode_log_record,
+    encode_record,
+)
+from wagtailpaddle_peer.service import PeerClient, PeerError, PeerServer, Security
 
 __all__ = [
     "Acknowledged",
     "Failed",
+    "LogCodec",
+    "LogRecord",
     "MessageError",
     "PeerClient",
     "PeerError",
     "PeerServer",
+    "Security",
     "RecordError",
+    "decode_log_record",
     "decode_record",
+    "encode_log_record",
     "encode_record",
 ]
--- a/packages/routing/src/wagtailpaddle_routing/accounts.py
+++ b/packages/routing/src/wagtailpaddle_routing/accounts.py
@@ -5,7 +5,7 @@
 from wagtailpaddle_core import AccountId, ensure
 
 MEAN_SMOOTHING = 0.3
-PATIENCE_SAMPLES = 20
+PATIENCE_SAMPLES = 8
 MIN_PATIENCE_S = 1.0
 PATIENCE_DEVIATIONS = 8.0
 
