--- a/packages/routing/src/wagtailpaddle_routing/accounts.py
+++ b/packages/routing/src/wagtailpaddle_routing/accounts.py
@@ -5,7 +5,7 @@
 from wagtailpaddle_core import AccountId, ensure
 
 MEAN_SMOOTHING = 0.3
-PATIENCE_SAMPLES = 20
+PATIENCE_SAMPLES = 8
 MIN_PATIENCE_S = 1.0
 PATIENCE_DEVIATIONS = 8.0
 
@@ -52,7 +52,10 @@
     def learn(self, name: AccountId, used_s: float) -> None:
         """Take in how long a request of the account kept a server busy."""
         account = self._accounts[name]
-        account.mean_s += MEAN_SMOOTHING * (used_s - account.mean_s)
+        if account.mean_s:
+            account.mean_s += MEAN_SMOOTHING * (used_s - account.mean_s)
+        else:
+            account.mean_s = used_s
 
 
 class LatencyMeter:
