Test the fleet: induction, scenarios, random faults

Cause: the freshness rule and hand-over have to hold in any order of events. Change: a hypothesis state machine over majorities, seats and answers; an auditor outside the VMs (fresh VMs know what was accepted, one voice per seat, revisions never fall, appends apply once, equal prefixes give equal state); random faults from a seed; scenario tests. Adjacent rosters must share a set of seats, asserted in the program. Fixed on the way: failures of a VM that never answered were forgotten, so the directory named it (test_vm_that_leaves_or_is_not_fresh_is_not_named).

--- a/packages/fleet/src/wagtailpaddle_fleet/answers.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/answers.py
@@ -35,6 +35,7 @@
         self.by_address: dict[str, Heard] = {}
         self.by_seat: dict[SeatId, SeatVoice] = {}
         self.n_failures: dict[str, int] = {}
+        self._failed_at: dict[str, float] = {}
         self._confirmed: dict[SeatId, Offset] = {}
 
     def note(
@@ -42,6 +43,7 @@
     ) -> None:
         """Take in an answer to a question sent at ``sent_at``."""
         self.n_failures.pop(address, None)
+        self._failed_at.pop(address, None)
         known = self.by_address.get(address)
         if known is None or known.sent_at <= sent_at:
             self.by_address[address] = Heard(answer, sent_at, now)
@@ -53,9 +55,10 @@
             confirmed = max(self._confirmed.get(seat, 0), answer.next_offset)
             self._confirmed[seat] = confirmed
 
-    def failed(self, address: str) -> None:
+    def failed(self, now: float, address: str) -> None:
         """A question to ``address`` brought no answer."""
         self.n_failures[address] = self.n_failures.get(address, 0) + 1
+        self._failed_at[address] = now
 
     def confirmed(self, seat: SeatId) -> Offset:
         """Return the highest next offset that was ever named for a seat."""
@@ -71,8 +74,13 @@
             for address, heard in self.by_address.items()
             if now - heard.at <= FORGET_ANSWER_S
         }
+        self._failed_at = {
+            address: at
+            for address, at in self._failed_at.items()
+            if now - at <= FORGET_ANSWER_S
+        }
         self.n_failures = {
             address: n
             for address, n in self.n_failures.items()
-            if address in self.by_address
+            if address in self._failed_at
         }
--- a/packages/fleet/src/wagtailpaddle_fleet/membership.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/membership.py
@@ -184,7 +184,7 @@
         match body:
             case OffsetQuery():
                 self._asker.done(address)
-                self._answers.failed(address)
+                self._answers.failed(now, address)
             case RecordsQuery() | SnapshotQuery():
                 self._catch_up.failed(address)
             case HandOverSeats():
@@ -294,9 +294,12 @@
         """
         if now - self._serving_at >= SERVING_CACHE_S:
             self._serving_at = now
-            self.directory.set_vms(
-                [vm for vm in self.vms(now) if self._is_serving(now, vm)]
-            )
+            staying = self.vms(now)
+            serving = [vm for vm in staying if self._is_serving(now, vm)]
+            self.directory.set_vms(serving)
+            left_out = {vm.peer_address for vm in staying}
+            left_out -= {vm.peer_address for vm in serving}
+            self._to_check = sorted(left_out)
         found = self.directory.addresses_for(account=account, zone=zone, homes=homes)
         self._to_check = [*found.vms, *self._to_check][:MAX_TO_CHECK]
         return found.answer
--- a/packages/fleet/src/wagtailpaddle_fleet/roster.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/roster.py
@@ -56,11 +56,17 @@
         self.next_offset = offset + 1
         if record is None:
             return
+        before = self.majorities()
         if not CHANGES[type(record.change).__name__](self, record.change):
             self.n_void += 1
             return
         self.version += 1
         self._begin_change(offset, record.author)
+        ensure(
+            not before[0] or not set(before).isdisjoint(self.majorities()),
+            "roster-majorities-meet",
+            offset=offset,
+        )
 
     def seat(self, seat: SeatId) -> Seat | None:
         """Return a seat that is registered or about to be."""
--- /dev/null
+++ b/packages/fleet/tests/conftest.py
@@ -0,0 +1,43 @@
+import pytest
+from wagtailpaddle_fleet import FleetRecord, Roster, Vm, vm_id
+from wagtailpaddle_standins.fleetaudit import Auditor
+from wagtailpaddle_standins.fleetworld import World
+
+
+def make_vm(name, zone="a", incarnation="1", leaving=False):
+    address = f"{name}:7000"
+    caller = f"{name}:80"
+    return Vm(vm_id(address, incarnation), zone, caller, address, incarnation, leaving)
+
+
+@pytest.fixture
+def vm():
+    return make_vm
+
+
+@pytest.fixture
+def roster():
+    return Roster()
+
+
+@pytest.fixture
+def apply(roster):
+    def append(*changes):
+        for change in changes:
+            offset = roster.next_offset
+            record = FleetRecord(f"r{offset}", "author", 0.0, change)
+            roster.apply(offset, record)
+
+    return append
+
+
+@pytest.fixture
+def world():
+    def build(n_vms, seed=1, **options):
+        made = World(seed=seed, **options)
+        Auditor(made)
+        made.start_fleet(n_vms)
+        made.run(10.0)
+        return made
+
+    return build
--- /dev/null
+++ b/packages/fleet/tests/test_directory.py
@@ -0,0 +1,86 @@
+from random import Random
+
+import pytest
+from wagtailpaddle_fleet.directory import HOME_VMS, MAX_ADDRESSES, Directory
+
+N_ACCOUNTS = 500
+
+
+@pytest.fixture
+def directory(vm):
+    made = Directory(rng=Random(1))
+    made.set_vms([vm(f"v{index}", zone=f"z{index % 3}") for index in range(36)])
+    return made
+
+
+def homes(directory):
+    return [
+        {vm.id for vm in directory.homes(f"account{index}")}
+        for index in range(N_ACCOUNTS)
+    ]
+
+
+def test_homes_lie_in_distinct_zones(directory):
+    assert len({vm.zone for vm in directory.homes("x")}) == HOME_VMS
+
+
+def test_replacing_one_vm_of_n_moves_about_one_nth(directory, vm):
+    before = homes(directory)
+    kept = [item for item in directory.vms if item.peer_address != "v7:7000"]
+    directory.set_vms([*kept, vm("new", zone="z1")])
+    after = homes(directory)
+    n_moved = sum(len(old - new) for old, new in zip(before, after, strict=True))
+    share = n_moved / (N_ACCOUNTS * HOME_VMS)
+    assert share < 3 / 36
+
+
+def test_restarted_vm_stays_home(directory, vm):
+    before = [item.peer_address for item in directory.homes("x")]
+    restarted = [
+        vm(item.peer_address.removesuffix(":7000"), item.zone, incarnation="2")
+        for item in directory.vms
+    ]
+    directory.set_vms(restarted)
+    assert [item.peer_address for item in directory.homes("x")] == before
+
+
+def test_answer_is_bounded_and_names_the_zone_first(directory):
+    answer = directory.addresses_for(account="x", zone="z2").answer
+    near = {item.caller_address for item in directory.vms if item.zone == "z2"}
+    assert len(answer.addresses) == MAX_ADDRESSES
+    assert answer.addresses[0] in near
+    assert answer.keep_s > 0
+
+
+def test_callers_without_an_account_are_spread(directory):
+    firsts = {
+        directory.addresses_for(zone="z0").answer.addresses[0] for _ in range(200)
+    }
+    assert len(firsts) == 12
+
+
+def test_vm_that_leaves_or_is_not_fresh_is_not_named(world):
+    made = world(5)
+    made.vms["v1"].leave()
+    made.net.cut(["v0", "v1", "v2", "v4", "log"], ["v3"])
+    made.vms["v0"].member.addresses_for(made.clock.now)
+    made.run(6.0)
+    made.vms["v0"].member.addresses_for(made.clock.now)
+    made.run(6.0)
+    answer = made.vms["v0"].member.addresses_for(made.clock.now)
+    assert set(answer.addresses) == {"v0", "v2", "v4"}
+
+
+def test_vm_that_answers_again_is_named_again(world):
+    made = world(3)
+    made.net.cut(["v0"], ["v2"])
+    for _ in range(4):
+        made.vms["v0"].member.addresses_for(made.clock.now)
+        made.run(3.0)
+    answer = made.vms["v0"].member.addresses_for(made.clock.now)
+    assert "v2" not in answer.addresses
+    made.net.heal()
+    for _ in range(4):
+        made.vms["v0"].member.addresses_for(made.clock.now)
+        made.run(3.0)
+    assert "v2" in made.vms["v0"].member.addresses_for(made.clock.now).addresses
--- /dev/null
+++ b/packages/fleet/tests/test_majorities.py
@@ -0,0 +1,218 @@
+"""The induction behind the freshness rule, under any order of events.
+
+Time is the number of steps. A question is answered at once and its answer may
+come at any later step, or never.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from wagtailpaddle_fleet import (
+    Depart,
+    FleetRecord,
+    Freshness,
+    HandOverSeats,
+    Join,
+    OffsetAnswer,
+    Roster,
+    Settle,
+    TakeSeat,
+    Vm,
+)
+from wagtailpaddle_fleet.acceptance import Acceptance
+from wagtailpaddle_fleet.answers import Answers
+from wagtailpaddle_fleet.handover import HeldSeats
+
+index = st.integers(0, 63)
+masks = st.integers(0, 511)
+
+
+class Member:
+    def __init__(self, number):
+        name = f"{number}/0"
+        self.vm = Vm(name, "z", name, str(number), "0")
+        self.roster = Roster()
+        self.answers = Answers()
+        self.held = HeldSeats(self.vm)
+        self.freshness = Freshness()
+        self.acceptance = Acceptance(self.roster, self.confirmed)
+        self.open_offer = None
+
+    def confirmed(self, seat):
+        known = self.answers.confirmed(seat)
+        if seat in self.held.seats:
+            return max(known, self.roster.next_offset)
+        return known
+
+    def answer(self, now):
+        seats = self.held.spoken_for()
+        return OffsetAnswer(self.vm, self.roster.next_offset, seats, True, now)
+
+
+class Majorities(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.log = []
+        self.members = []
+        self.on_the_way = []
+        self.accepted = []
+
+    @initialize(n_members=st.integers(2, 4))
+    def start(self, n_members):
+        for _ in range(n_members):
+            self.new_member()
+        for member in self.members:
+            self.append(member, Join(member.vm))
+        first = self.members[0]
+        self.fold_all(first)
+        self.append(first, Settle(0))
+        for member in self.members:
+            self.fold_all(member)
+
+    def new_member(self):
+        self.members.append(Member(len(self.members)))
+
+    def pick(self, number):
+        return self.members[number % len(self.members)]
+
+    def chosen(self, mask):
+        return [item for bit, item in enumerate(self.members) if mask & (1 << bit)]
+
+    def append(self, member, change):
+        record = None
+        if change is not None:
+            record = FleetRecord(str(len(self.log)), member.vm.id, self.now, change)
+        self.log.append(record)
+
+    def fold_all(self, member):
+        for offset in range(member.roster.next_offset, len(self.log)):
+            member.roster.apply(offset, self.log[offset])
+
+    @rule(number=index)
+    def fold_some(self, number):
+        member = self.pick(number)
+        for _ in range(1 + number // 16):
+            offset = member.roster.next_offset
+            if offset < len(self.log):
+                member.roster.apply(offset, self.log[offset])
+
+    @rule(mask=masks)
+    def fold_up(self, mask):
+        for member in self.chosen(mask):
+            self.fold_all(member)
+
+    @rule(number=index, mask=masks)
+    def hear(self, number, mask):
+        member = self.pick(number)
+        for peer in self.chosen(mask):
+            if peer is not member:
+                address = peer.vm.peer_address
+                member.answers.note(self.now, self.now, address, peer.answer(self.now))
+
+    @rule(n_members=st.integers(1, 3))
+    def join_several(self, n_members):
+        for _ in range(n_members):
+            self.join()
+
+    @rule(number=index)
+    def change(self, number):
+        self.append(self.pick(number), None)
+
+    @rule()
+    def join(self):
+        if len(self.members) < 9:
+            self.new_member()
+            member = self.members[-1]
+            self.append(member, Join(member.vm))
+
+    @rule(number=index, other=index)
+    def depart(self, number, other):
+        member = self.pick(number)
+        seats = sorted(member.roster.seats)
+        if seats:
+            seat = seats[other % len(seats)]
+            self.append(member, Depart(seat, member.roster.seats[seat].vm.id))
+
+    @rule(number=index)
+    def ask_all(self, number):
+        member = self.pick(number)
+        for other in self.members:
+            if other is not member:
+                answer = other.answer(self.now)
+                self.on_the_way.append((member, self.now, other, answer))
+
+    @rule(number=index, other=index)
+    def ask(self, number, other):
+        member, peer = self.pick(number), self.pick(other)
+        if member is not peer:
+            answer = peer.answer(self.now)
+            self.on_the_way.append((member, self.now, peer, answer))
+
+    @rule(number=index, n_answers=st.integers(1, 8))
+    def deliver(self, number, n_answers):
+        for _ in range(min(n_answers, len(self.on_the_way))):
+            item = self.on_the_way.pop(number % len(self.on_the_way))
+            member, sent_at, peer, answer = item
+            member.answers.note(self.now, sent_at, peer.vm.peer_address, answer)
+
+    @rule(number=index)
+    def settle(self, number):
+        member = self.pick(number)
+        change = member.roster.change
+        if change is not None and member.roster.has_majority(
+            lambda seat: member.confirmed(seat) > change
+        ):
+            self.append(member, Settle(change))
+
+    @rule(number=index)
+    def accept(self, number):
+        member = self.pick(number)
+        for offset in range(member.roster.next_offset):
+            if member.acceptance.state(offset).in_force:
+                self.accepted.append((self.now, offset))
+
+    @rule(number=index, other=index)
+    def hand_over(self, number, other):
+        giver, taker = self.pick(number), self.pick(other)
+        seats = giver.held.spoken_for()
+        if giver is taker or not seats or giver.held.leaving_since is not None:
+            return
+        giver.held.begin(self.now)
+        heard = taker.answer(self.now)
+        giver.answers.note(self.now, self.now, taker.vm.peer_address, heard)
+        (call,) = giver.held.step(
+            self.now + 1, giver.roster.next_offset, giver.answers.by_address
+        ) or (None,)
+        if call is not None and isinstance(call.body, HandOverSeats):
+            receiver = self.members[int(call.address)]
+            receiver.held.on_offered(self.now, receiver.roster.next_offset, call.body)
+
+    @rule(number=index)
+    def take_seats(self, number):
+        member = self.pick(number)
+        for seat in member.held.spoken_for():
+            self.append(member, TakeSeat(seat, member.vm))
+
+    @invariant()
+    def one_voice_per_seat(self):
+        voices = [seat for member in self.members for seat in member.held.seats]
+        assert len(voices) == len(set(voices))
+
+    @invariant()
+    def whoever_is_fresh_knows_what_was_accepted(self):
+        self.now += 1.0
+        for member in self.members:
+            member.freshness.peers_answered(
+                self.now, member.roster, member.held.seats, member.answers.by_seat
+            )
+            since = member.freshness.confirmed_at
+            for at, offset in self.accepted:
+                if at < since:
+                    assert member.roster.next_offset > offset
+
+
+Majorities.TestCase.settings = settings(
+    max_examples=70, stateful_step_count=70, derandomize=True, deadline=None
+)
+test_majorities = Majorities.TestCase
--- a/packages/standins/src/wagtailpaddle_standins/fakes.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes.py
@@ -102,20 +102,25 @@
 
 
 class Network:
-    """Delays and loses messages; ``cuts`` holds one-way (source, target) pairs."""
+    """Delays and loses messages.
+
+    ``cuts`` holds one-way (source, target) pairs; messages whose class is named
+    in ``lost_kinds`` never arrive.
+    """
 
     def __init__(self, rng: Random, *, delay_s: tuple[float, float] = (0.001, 0.01)):
         self.rng = rng
         self.delay_s = delay_s
         self.loss = 0.0
         self.cuts: set[tuple[str, str]] = set()
+        self.lost_kinds: set[str] = set()
         self.traffic = Traffic()
 
     def carries(self, source: str, target: str, body: object) -> bool:
         """Count a message and return whether it arrives."""
-        size = len(msgspec.msgpack.encode(body))
-        self.traffic.count(type(body).__name__, size)
-        if (source, target) in self.cuts:
+        kind = type(body).__name__
+        self.traffic.count(kind, len(msgspec.msgpack.encode(body)))
+        if (source, target) in self.cuts or kind in self.lost_kinds:
             return False
         return self.rng.random() >= self.loss
 
@@ -131,4 +136,5 @@
     def heal(self) -> None:
         """Carry everything again."""
         self.cuts.clear()
+        self.lost_kinds.clear()
         self.loss = 0.0
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/fleetaudit.py
@@ -0,0 +1,301 @@
+"""What must always hold in a fleet, checked from outside, and random faults."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from wagtailpaddle_config import (
+    AppendState,
+    Applied,
+    CancelAccount,
+    Change,
+    ConfigFold,
+    IssueKey,
+    PublishBase,
+    PutAccount,
+    Record,
+    RestoreAccount,
+    WithdrawKey,
+)
+from wagtailpaddle_core import AccountId, KeyId, Offset, Registry, ensure
+from wagtailpaddle_peer import RecordError, decode_log_record
+
+from wagtailpaddle_standins.fleetworld import SimVm, World
+
+AUDIT_S = 0.1
+FAULT_EVERY_S = (0.5, 6.0)
+SETTLE_S = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """An offset that some VM called in force, and when."""
+
+    at: float
+    offset: Offset
+
+
+class Auditor:
+    """Watches a world and raises ``InvariantError`` when a promise is broken.
+
+    It sees all VMs at once, which no VM can.
+    """
+
+    def __init__(self, world: World):
+        self.world = world
+        self.accepted: list[Accepted] = []
+        self.submitted: set[str] = set()
+        self.n_fresh_checks = 0
+        self._revisions: dict[str, Offset] = {}
+        self._reference = ConfigFold(site="namur")
+        self._step()
+
+    def check(self) -> None:
+        """Check every promise now."""
+        self._note_accepted()
+        frontier = self._frontier()
+        speaking: dict[str, str] = {}
+        for vm in self.world.vms.values():
+            self._check_vm(vm, frontier)
+            for seat in vm.member._held.seats:
+                other = speaking.setdefault(seat, vm.id)
+                ensure(other == vm.id, "one-voice-per-seat", seat=seat, vm=vm.id)
+
+    def check_log(self) -> None:
+        """Fold the whole log afresh and check what the VMs made of it."""
+        self._fold_reference()
+        applied = [
+            result.record_id
+            for result in self._reference._results.all()
+            if isinstance(result, Applied)
+        ]
+        ensure(len(applied) == len(set(applied)), "append-applied-once")
+        for vm in self.world.vms.values():
+            for record_id in sorted(self.submitted):
+                self._check_outcome(vm, record_id)
+            if vm.fold.next_offset == self._reference.next_offset:
+                same = vm.fold.snapshot_items() == self._reference.snapshot_items()
+                ensure(same, "equal-prefix-equal-state", vm=vm.id)
+
+    def _step(self) -> None:
+        self.check()
+        self.world.clock.at(self.world.clock.now + AUDIT_S, self._step)
+
+    def _check_vm(self, vm: SimVm, frontier: Offset) -> None:
+        revision = vm.fold.next_offset
+        before = self._revisions.get(vm.id, 0)
+        ensure(revision >= before, "revision-never-falls", vm=vm.id, revision=revision)
+        self._revisions[vm.id] = revision
+        if vm.member.is_fresh(self.world.clock.now):
+            self.n_fresh_checks += 1
+            ensure(
+                revision >= frontier,
+                "fresh-vm-knows-what-was-accepted",
+                vm=vm.id,
+                revision=revision,
+                frontier=frontier,
+                now=self.world.clock.now,
+            )
+
+    def _note_accepted(self) -> None:
+        now = self.world.clock.now
+        highest = self.accepted[-1].offset if self.accepted else -1
+        for vm in self.world.vms.values():
+            offset = vm.member.roster.next_offset - 1
+            if offset > highest and vm.member.acceptance(offset).in_force:
+                highest = offset
+        if not self.accepted or highest > self.accepted[-1].offset:
+            self.accepted.append(Accepted(now, highest))
+
+    def _frontier(self) -> Offset:
+        """Return up to where each fresh VM must have folded by now."""
+        window_s = next(
+            (vm.member.freshness.window_s for vm in self.world.vms.values()), 0.0
+        )
+        until = self.world.clock.now - window_s
+        known = [item.offset for item in self.accepted if item.at < until]
+        return max(known, default=-1) + 1
+
+    def _fold_reference(self) -> None:
+        for offset in range(self._reference.next_offset, self.world.log.head):
+            try:
+                record = decode_log_record(self.world.log.records[offset])
+            except RecordError:
+                record = None
+            if isinstance(record, Record):
+                self._reference.apply(offset, record)
+            else:
+                self._reference.skip(offset)
+
+    def _check_outcome(self, vm: SimVm, record_id: str) -> None:
+        outcome = vm.tracker.outcome(record_id)
+        if outcome is None:
+            return
+        result = self._reference.result_of(record_id)
+        if outcome.state is AppendState.APPLIED:
+            ensure(isinstance(result, Applied), "applied-is-applied", id=record_id)
+        if outcome.state is AppendState.EXPIRED:
+            is_applied = isinstance(result, Applied)
+            ensure(not is_applied, "expired-never-applies", id=record_id)
+
+
+Fault = Callable[["Chaos"], None]
+FAULTS: Registry[Fault] = Registry("fault")
+"""Random events of a world by name."""
+
+
+FREQUENT = (
+    *("change",) * 4,
+    *("heal", "heal", "log-back", "log-back", "stale-part", "new-vm", "new-vm"),
+)
+"""Events that happen more often than others."""
+
+
+class Chaos:
+    """Makes random faults and changes happen in a world, from a seed."""
+
+    def __init__(self, world: World, auditor: Auditor, *, seed: int):
+        self.world = world
+        self.auditor = auditor
+        self.rng = Random(f"chaos/{seed}")
+        self.n_changes = 0
+        self.happened: list[tuple[float, str]] = []
+
+    def run(self, n_steps: int) -> None:
+        """Let ``n_steps`` events happen, then heal and wait."""
+        for _ in range(n_steps):
+            name = self.rng.choice([*FAULTS.names(), *FREQUENT])
+            self.happened.append((round(self.world.clock.now, 2), name))
+            FAULTS[name](self)
+            self.world.run(self.rng.uniform(*FAULT_EVERY_S))
+        self.heal()
+        self.world.run(SETTLE_S)
+        self.auditor.check_log()
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.world.net.heal()
+        self.world.log.is_up = True
+        self.world.log.loss = 0.0
+
+    def pick(self) -> SimVm | None:
+        """Return any VM, None if there is none."""
+        vms = [vm for _, vm in sorted(self.world.vms.items())]
+        return self.rng.choice(vms) if vms else None
+
+    def part(self) -> list[str]:
+        """Return some of the addresses."""
+        addresses = sorted(self.world.vms)
+        return self.rng.sample(addresses, self.rng.randint(0, len(addresses)))
+
+    def change(self) -> Change:
+        """Return any change of a few accounts and keys."""
+        name = AccountId(self.rng.choice(["x", "y", "z"]))
+        key = KeyId(f"k{self.rng.randrange(40)}")
+        fields = {"rate": self.rng.choice([1.0, 2.0]), "burst": 5.0}
+        choices: list[Change] = [
+            PutAccount(name, fields),
+            PutAccount(name, {"rate": 3.0}),
+            IssueKey(key, name, f"hash-{key}"),
+            WithdrawKey(key),
+            CancelAccount(name),
+            RestoreAccount(name),
+            PublishBase({"accounts": {name: fields}}),
+        ]
+        return self.rng.choice(choices)
+
+
+@FAULTS.register("change")
+def _change(chaos: Chaos) -> None:
+    for _ in range(chaos.rng.randint(1, 5)):
+        vm = chaos.pick()
+        if vm is not None:
+            chaos.n_changes += 1
+            record_id = f"c{chaos.n_changes}"
+            chaos.auditor.submitted.add(record_id)
+            vm.submit(record_id, chaos.change())
+
+
+@FAULTS.register("log-outage")
+def _log_outage(chaos: Chaos) -> None:
+    chaos.world.log.is_up = False
+
+
+@FAULTS.register("log-back")
+def _log_back(chaos: Chaos) -> None:
+    chaos.world.log.is_up = True
+
+
+@FAULTS.register("lost-answers")
+def _lost_answers(chaos: Chaos) -> None:
+    chaos.world.log.loss = chaos.rng.choice([0.0, 0.3, 1.0])
+
+
+@FAULTS.register("partition")
+def _partition(chaos: Chaos) -> None:
+    part = chaos.part()
+    others = [address for address in sorted(chaos.world.vms) if address not in part]
+    chaos.world.net.cut(part, others)
+    if chaos.rng.random() < 0.5:
+        chaos.world.net.cut(others, part)
+
+
+@FAULTS.register("cut-from-log")
+def _cut_from_log(chaos: Chaos) -> None:
+    if chaos.rng.random() < 0.5:
+        chaos.world.net.cut(chaos.part(), ["log"])
+    else:
+        chaos.world.net.cut(["log"], chaos.part())
+
+
+@FAULTS.register("stale-part")
+def _stale_part(chaos: Chaos) -> None:
+    """Cut some VMs from the log while no records pass between VMs."""
+    chaos.world.net.cut(["log"], chaos.part())
+    chaos.world.net.lost_kinds |= {"RecordsAnswer", "SnapshotAnswer"}
+
+
+@FAULTS.register("loss")
+def _loss(chaos: Chaos) -> None:
+    chaos.world.net.loss = chaos.rng.choice([0.0, 0.1, 0.4])
+
+
+@FAULTS.register("heal")
+def _heal(chaos: Chaos) -> None:
+    chaos.world.net.heal()
+
+
+@FAULTS.register("pause")
+def _pause(chaos: Chaos) -> None:
+    vm = chaos.pick()
+    if vm is not None:
+        vm.paused_until = chaos.world.clock.now + chaos.rng.choice([0.5, 4.0, 25.0])
+
+
+@FAULTS.register("kill")
+def _kill(chaos: Chaos) -> None:
+    vm = chaos.pick()
+    if vm is not None and len(chaos.world.vms) > 2:
+        chaos.world.kill(vm.address)
+
+
+@FAULTS.register("restart")
+def _restart(chaos: Chaos) -> None:
+    vm = chaos.pick()
+    if vm is not None:
+        chaos.world.kill(vm.address, delist=False)
+        chaos.world.start(vm.address, vm.member.vm.zone)
+
+
+@FAULTS.register("new-vm")
+def _new_vm(chaos: Chaos) -> None:
+    if len(chaos.world.vms) < 9:
+        number = len(chaos.happened)
+        chaos.world.start(f"n{number}", f"z{number % 3}")
+
+
+@FAULTS.register("leave")
+def _leave(chaos: Chaos) -> None:
+    vm = chaos.pick()
+    if vm is not None and len(chaos.world.vms) > 2:
+        vm.leave()
--- a/packages/standins/src/wagtailpaddle_standins/fleetworld.py
+++ b/packages/standins/src/wagtailpaddle_standins/fleetworld.py
@@ -43,6 +43,7 @@
 POLL_S = 0.5
 LIST_POLL_S = 2.0
 LOG_TIMEOUT_S = 2.0
+DRAIN_S = 20.0
 READ_LIMIT = 500
 LOG = "log"
 ROSTER_SECTION = "roster"
@@ -104,11 +105,12 @@
         self._append(self.tracker.submit(record, self.fold.next_offset))
 
     def leave(self) -> None:
-        """Stop gracefully; the VM ends once it handed everything over."""
+        """Stop gracefully; the VM ends once it left, or after ``DRAIN_S``."""
         self.act(self.member.leave(self.now))
         self.world.listing.put(
             ListedVm(self.address, self.member.vm.zone, leaving=True)
         )
+        self.later(DRAIN_S, lambda: self.world.remove(self))
 
     def act(self, actions: tuple[Any, ...]) -> None:
         """Carry out what the decisions ask for."""
