--- a/packages/standins/src/wagtailpaddle_standins/fleetworld.py
+++ b/packages/standins/src/wagtailpaddle_standins/fleetworld.py
@@ -37,7 +37,7 @@
 )
 from wagtailpaddle_peer import RecordError, decode_log_record, encode_log_record
 
-from wagtailpaddle_standins.fleetfakes import Clock, FakeList, FakeLog, Network
+from wagtailpaddle_standins.fakes.world import Clock, FakeList, FakeLog, Network
 
 TICK_S = 0.1
 POLL_S = 0.5
