--- a/packages/fleet/src/wagtailpaddle_fleet/membership.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/membership.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from wagtailpaddle_core import Offset, VmId, ZoneId
+from wagtailpaddle_core import Offset, VmId, ZoneId, score
 
 from wagtailpaddle_fleet.acceptance import Acceptance
 from wagtailpaddle_fleet.answers import Answers
@@ -49,6 +49,8 @@
 CHECK_EVERY_S = 4.0
 STATUS_S = 12.0
 HOUSEKEEPING_S = 5.0
+ASK_ALL_EVERY_S = 10.0
+SPARE_PART = 8
 SERVING_CACHE_S = 0.5
 MAX_TO_CHECK = 16
 
@@ -214,7 +216,7 @@
             self.freshness.peers_answered(
                 now, self.roster, self._held.seats, self._answers.by_seat
             )
-            actions += self._ask_everyone(now)
+            actions += self._ask_for_freshness(now)
             actions += self._catch_up.step(
                 self.roster.next_offset, self._answers.by_address
             )
@@ -355,9 +357,33 @@
         held = {vm.peer_address for vm in self.roster.holders() if vm.id not in gone}
         return held | set(self.incarnations.listed) | self._callers
 
-    def _ask_everyone(self, now: float) -> tuple[Action, ...]:
-        every_s = self.freshness.window_s / 3
-        return self._asker.ask(now, self._addresses(), every_s=every_s)
+    def _ask_for_freshness(self, now: float) -> tuple[Action, ...]:
+        """Ask a majority and some spare, or everyone if that does not do."""
+        window_s = self.freshness.window_s
+        if now - self.freshness.confirmed_at > window_s / 2:
+            return self._asker.ask(now, self._addresses(), every_s=window_s / 3)
+        chosen = self._preferred_voices()
+        return (
+            *self._asker.ask(now, chosen, every_s=window_s / 3),
+            *self._asker.ask(now, self._addresses(), every_s=ASK_ALL_EVERY_S),
+        )
+
+    def _preferred_voices(self) -> set[str]:
+        """Return VMs that speak for enough seats, those that answer first."""
+        failures = self._answers.n_failures
+        addresses: set[str] = set()
+        for seats in self.roster.majorities():
+            n_wanted = len(seats) // 2 + 1 + len(seats) // SPARE_PART
+            ranked = sorted(
+                seats - self._held.seats,
+                key=lambda seat: (
+                    failures.get(self._address_of(seat), 0),
+                    score(self.vm.id, seat),
+                ),
+            )
+            n_asked = max(0, n_wanted - len(seats & self._held.seats))
+            addresses |= {self._address_of(seat) for seat in ranked[:n_asked]}
+        return addresses - {""}
 
     def _ask_for_confirmations(self, now: float) -> tuple[Action, ...]:
         wanted = self._acceptance.wanted
