--- a/packages/config/src/wagtailpaddle_config/fold.py
+++ b/packages/config/src/wagtailpaddle_config/fold.py
@@ -8,14 +8,20 @@
 
 from wagtailpaddle_config.changes import APPLIERS, Effect, object_of
 from wagtailpaddle_config.dedupe import RecentResults
-from wagtailpaddle_config.document import Layer
+from wagtailpaddle_config.document import DocumentError, Layer
 from wagtailpaddle_config.index import changed_prefixes
 from wagtailpaddle_config.layers import Layers, Objects, build
 from wagtailpaddle_config.model import Configuration, Key
 from wagtailpaddle_config.persistent import PersistentMap
 from wagtailpaddle_config.records import Record, SnapshotItem
 from wagtailpaddle_config.results import Applied, Result, Void, VoidCode, VoidError
-from wagtailpaddle_config.state import Mark, State, decode_state, encode_state
+from wagtailpaddle_config.state import (
+    Mark,
+    SnapshotError,
+    State,
+    decode_state,
+    encode_state,
+)
 
 
 class ConfigFold:
@@ -110,13 +116,11 @@
             new=upto,
         )
         state = decode_state(items)
-        withdrawn = [key for key in self.configuration.keys.values() if key.withdrawn]
-        ensure(
-            all(state.keys[key.id].withdrawn for key in withdrawn),
-            "config-key-stays-withdrawn",
-            upto=upto,
-        )
-        objects = build(state.layers, state.layers.keys_of(self.site), self.site)
+        self._check_keys(state)
+        try:
+            objects = build(state.layers, state.layers.keys_of(self.site), self.site)
+        except DocumentError as exc:
+            raise SnapshotError(f"snapshot at {upto}: {exc}") from None
         self._layers = state.layers
         self._marks = dict(state.marks)
         self._results = RecentResults()
@@ -126,6 +130,13 @@
         self.configuration = replace(_with_objects(empty, objects), revision=upto)
         self._put_keys(state.keys.values())
 
+    def _check_keys(self, state: State) -> None:
+        """Refuse a snapshot in which a withdrawn key is valid or unknown."""
+        for key in self.configuration.keys.values():
+            new = state.keys.get(key.id)
+            if key.withdrawn and (new is None or not new.withdrawn):
+                raise SnapshotError(f"snapshot brings back withdrawn key {key.id!r}")
+
     def _apply(self, offset: Offset, record: Record) -> Result:
         name = object_of(record.change)
         current = self.revision_of(name)
--- a/packages/config/tests/test_fold.py
+++ b/packages/config/tests/test_fold.py
@@ -1,4 +1,6 @@
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from wagtailpaddle_config import (
     DEDUPE_WINDOW,
     Applied,
@@ -17,6 +19,10 @@
     WithdrawKey,
 )
 
+names = st.text(max_size=4) | st.sampled_from(
+    ["id", "rate", "burst", "servers", "service", "path", "accounts", "port", "floor"]
+)
+
 
 def test_overlay_of_another_site_changes_nothing(fold, put):
     put(PublishBase({"accounts": {"x": {"rate": 5.0, "burst": 9.0}}}))
@@ -129,6 +135,32 @@
     assert put(PublishOverlay("namur", document)).code is VoidCode.INVALID
 
 
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(
+    st.dictionaries(
+        st.sampled_from(["accounts", "routes", "services", "x"]),
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+            lambda inner: st.lists(inner) | st.dictionaries(names, inner),
+            max_leaves=12,
+        ),
+    )
+)
+def test_no_document_raises(document):
+    fold = ConfigFold(site="namur")
+    for offset, change in enumerate(
+        [PublishBase(document), PublishOverlay("namur", document)]
+    ):
+        fold.apply(offset, Record(f"r{offset}", "op", 0.0, None, change))
+    for section, tables in document.items():
+        if section in ("accounts", "routes") and isinstance(tables, dict):
+            for name, table in tables.items():
+                kind = PutAccount if section == "accounts" else PutRoute
+                offset = fold.next_offset
+                change = kind(name, table)
+                fold.apply(offset, Record(f"r{offset}", "op", 0.0, None, change))
+
+
 def test_base_that_breaks_an_overlay_is_void_at_every_site(put, base):
     other = ConfigFold(site="lund")
     put(PublishBase(base))
--- a/packages/config/tests/test_snapshots.py
+++ b/packages/config/tests/test_snapshots.py
@@ -92,6 +92,16 @@
     assert fold.configuration is before
 
 
+def test_snapshot_that_brings_a_withdrawn_key_back_is_refused(fold, put, base):
+    put(PublishBase(base))
+    put(IssueKey("k", "x", "hash"))
+    items = fold.snapshot_items()
+    put(WithdrawKey("k"))
+    with pytest.raises(SnapshotError, match="'k'"):
+        fold.restore(9, items)
+    assert fold.configuration.account_for("hash") is None
+
+
 def test_follower_starts_from_the_last_whole_snapshot(fold, put, base):
     put(PublishBase(base))
     chunks = cut_snapshot(1, fold.snapshot_items(), writer="w", at=0.0, chunk_items=2)
