Give up surplus seats; choose home zones before home VMs

Change: a VM keeps one recorded seat and gives up others, and those recorded for it that it does not hold; homes are the best VM of the three best zones.

--- a/packages/fleet/src/wagtailpaddle_fleet/directory.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/directory.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from wagtailpaddle_core import VmId, ZoneId, rank
+from wagtailpaddle_core import VmId, ZoneId, rank, score
 
 from wagtailpaddle_fleet.messages import CallerAddresses, Vm
 
@@ -35,6 +35,9 @@
     def __init__(self, *, rng: Random):
         self._rng = rng
         self._vms: dict[str, Vm] = {}
+        self._by_id: dict[VmId, Vm] = {}
+        self._by_zone: dict[ZoneId, list[str]] = {}
+        self._addresses: list[str] = []
         self._homes: OrderedDict[str, tuple[Vm, ...]] = OrderedDict()
 
     def set_vms(self, vms: Sequence[Vm]) -> None:
@@ -42,6 +45,11 @@
         new = {vm.peer_address: vm for vm in vms}
         if new != self._vms:
             self._vms = new
+            self._by_id = {vm.id: vm for vm in vms}
+            self._by_zone = {}
+            for address in sorted(new):
+                self._by_zone.setdefault(new[address].zone, []).append(address)
+            self._addresses = sorted(new)
             self._homes.clear()
 
     @property
@@ -74,34 +82,34 @@
         ``homes`` names the VMs that hold the account's shares, where they are
         known; they go before the homes by hash.
         """
-        by_id = {vm.id: vm for vm in self._vms.values()}
-        chosen = [by_id[vm] for vm in homes if vm in by_id]
+        chosen = [self._by_id[vm] for vm in homes if vm in self._by_id]
         if account is not None and not chosen:
             chosen = list(self.homes(account))
         chosen.sort(key=lambda vm: vm.zone != zone)
-        known = {vm.id for vm in chosen}
-        others = [vm for vm in self._sample(zone) if vm.id not in known]
-        listed = (chosen + others)[:MAX_ADDRESSES]
+        listed = list(dict.fromkeys([*chosen, *self._sample(zone)]))[:MAX_ADDRESSES]
         keep_s = KEEP_S if len(listed) >= HOME_VMS else KEEP_FEW_S
         answer = CallerAddresses(tuple(vm.caller_address for vm in listed), keep_s)
         return Found(answer, tuple(vm.peer_address for vm in listed))
 
     def _sample(self, zone: ZoneId | None) -> list[Vm]:
         """Return some VMs at random, those of the caller's zone first."""
-        near = [vm for vm in self._vms.values() if vm.zone == zone]
-        far = [vm for vm in self._vms.values() if vm.zone != zone]
+        near = [] if zone is None else self._by_zone.get(zone, [])
         n_wanted = 2 * MAX_ADDRESSES
         return [
-            vm
-            for part in (near, far)
-            for vm in self._rng.sample(part, min(n_wanted, len(part)))
+            self._vms[address]
+            for part in (near, self._addresses)
+            for address in self._rng.sample(part, min(n_wanted, len(part)))
         ]
 
     def _choose_homes(self, account: str) -> tuple[Vm, ...]:
-        ranked = [self._vms[name] for name in rank(f"home/{account}", self._vms)]
-        first_of_zone: dict[ZoneId, Vm] = {}
-        for vm in ranked:
-            first_of_zone.setdefault(vm.zone, vm)
-        spread = list(first_of_zone.values())[:HOME_VMS]
-        rest = [vm for vm in ranked if vm not in spread]
-        return tuple((spread + rest)[:HOME_VMS])
+        """Choose zones first, then the best VM of each, then any others."""
+        name = f"home/{account}"
+        zones = rank(name, self._by_zone)[:HOME_VMS]
+        chosen = [self._best(name, self._by_zone[zone]) for zone in zones]
+        if len(chosen) < HOME_VMS:
+            others = [address for address in self._vms if address not in chosen]
+            chosen += rank(name, others)[: HOME_VMS - len(chosen)]
+        return tuple(self._vms[address] for address in chosen)
+
+    def _best(self, name: str, addresses: Sequence[str]) -> str:
+        return max(addresses, key=lambda address: (score(name, address), address))
--- a/packages/fleet/src/wagtailpaddle_fleet/seating.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/seating.py
@@ -20,7 +20,7 @@
     TakeSeat,
     Vm,
 )
-from wagtailpaddle_fleet.roster import Roster, Seat
+from wagtailpaddle_fleet.roster import Roster
 
 APPEND_AGAIN_S = 2.0
 JOIN_SPREAD_S = 0.3
@@ -61,6 +61,8 @@
         self._n_records = 0
         self._again_at: dict[SeatChange, float] = {}
         self._join_at: float | None = None
+        self._recorded: tuple[int, set[SeatId]] = (-1, set())
+        self._unheld_at: dict[SeatId, float] = {}
         self._seen_change: tuple[int, float] | None = None
         self._settle_at: tuple[int, float] | None = None
         self._depart_at: dict[VmId, float] = {}
@@ -116,26 +118,54 @@
     def _own_seats(self, now: float) -> list[SeatChange]:
         if self._held.leaving_since is not None:
             return self._last_departure(now)
-        changes: list[SeatChange] = []
-        has_seat = any(
-            seat is not None and seat.vm.id == self._vm.id
-            for seat in map(self._roster.seat, self._held.seats)
-        )
+        recorded = self._recorded_seats()
+        kept = sorted(recorded & self._held.seats, key=lambda s: (s != self._vm.id, s))
+        changes = self._surplus(now, recorded, kept)
         for seat_id in self._held.spoken_for():
             seat = self._roster.seat(seat_id)
             if seat is None:
                 if seat_id != self._vm.id:
                     self._held.drop(seat_id)
             elif seat.vm.id != self._vm.id:
-                if not has_seat:
+                if not kept:
+                    kept = [seat_id]
                     changes.append(TakeSeat(seat_id, self._vm))
-                    has_seat = True
                 elif not self._roster.is_departing(seat_id):
                     changes.append(Depart(seat_id, seat.vm.id))
-        if not has_seat and self._vm.id in self._held.seats:
+        if not kept and self._vm.id in self._held.seats:
             changes.extend(self._join(now))
         return changes
 
+    def _recorded_seats(self) -> set[SeatId]:
+        """Return the seats that the log names as this VM's."""
+        if self._recorded[0] != self._roster.version:
+            found = {
+                seat_id
+                for seat_id, seat in self._roster.seats.items()
+                if seat.vm.id == self._vm.id
+            }
+            if self._roster.seat(self._vm.id) is not None:
+                found.add(self._vm.id)
+            self._recorded = (self._roster.version, found)
+        return self._recorded[1]
+
+    def _surplus(
+        self, now: float, recorded: set[SeatId], kept: list[SeatId]
+    ) -> list[SeatChange]:
+        """Give up all recorded seats but one, and those that are not held."""
+        unheld = recorded - self._held.seats
+        self._unheld_at = {seat: self._unheld_at.get(seat, now) for seat in unheld}
+        stranded = [
+            seat
+            for seat, since in self._unheld_at.items()
+            if now - since >= DEPART_DELAY_S and not self._is_spoken_for(now, seat)
+        ]
+        return [
+            Depart(seat, self._vm.id)
+            for seat in sorted(stranded) + kept[1:]
+            if not self._roster.is_departing(seat)
+        ]
+
     def _join(self, now: float) -> list[SeatChange]:
         if self._join_at is None:
             n_listed = len(self._incarnations.listed)
@@ -233,13 +263,13 @@
             if at is None:
                 at = now + DEPART_DELAY_S + self._rng.uniform(0, spread_s)
             found[seat.vm.id] = at
-            if now >= at and not self._is_spoken_for(now, seat):
+            if now >= at and not self._is_spoken_for(now, seat.id):
                 changes.append(Depart(seat.id, seat.vm.id))
         self._depart_at = found
         return changes
 
-    def _is_spoken_for(self, now: float, seat: Seat) -> bool:
-        if seat.id in self._held.seats:
+    def _is_spoken_for(self, now: float, seat: SeatId) -> bool:
+        if seat in self._held.seats:
             return True
-        voice = self._answers.by_seat.get(seat.id)
+        voice = self._answers.by_seat.get(seat)
         return voice is not None and now - voice.sent_at <= SPOKEN_LATELY_S
--- /dev/null
+++ b/packages/fleet/tests/test_seating.py
@@ -0,0 +1,85 @@
+import pytest
+from wagtailpaddle_fleet import (
+    AppendRecord,
+    Depart,
+    FleetRecord,
+    HandOverSeats,
+    Join,
+    Membership,
+    Settle,
+    TakeSeat,
+)
+
+
+@pytest.fixture
+def member(vm):
+    return Membership(vm("b"))
+
+
+@pytest.fixture
+def fold(member):
+    def append(*changes):
+        for change in changes:
+            offset = member.roster.next_offset
+            record = FleetRecord(f"r{offset}", "author", 0.0, change)
+            member.on_folded(0.0, offset, b"", record)
+
+    return append
+
+
+@pytest.fixture
+def written(member):
+    def step(now):
+        member.on_log_head(now, now, member.roster.next_offset)
+        return [
+            action.record.change
+            for action in member.tick(now)
+            if isinstance(action, AppendRecord)
+        ]
+
+    return step
+
+
+def take_over(member, seat):
+    message = HandOverSeats(member.vm.id, (seat,), 0, 0.0)
+    assert member.on_message(0.0, seat, message).accepted
+
+
+def test_vm_without_a_seat_takes_the_one_handed_over(member, fold, written, vm):
+    a = vm("a")
+    fold(Join(a), Settle(0))
+    take_over(member, a.id)
+    assert written(5.0) == [TakeSeat(a.id, member.vm)]
+
+
+def test_vm_with_a_seat_gives_up_the_one_handed_over(member, fold, written, vm):
+    a = vm("a")
+    fold(Join(a), Settle(0), Join(member.vm), Settle(2))
+    take_over(member, a.id)
+    assert written(5.0) == [Depart(a.id, a.id)]
+
+
+def test_vm_that_joined_while_it_took_a_seat_gives_one_up_seed_2005(
+    member, fold, written, vm
+):
+    a = vm("a")
+    fold(Join(a), Settle(0), Join(member.vm), Settle(2), TakeSeat(a.id, member.vm))
+    take_over(member, a.id)
+    assert written(5.0) == [Depart(a.id, member.vm.id)]
+
+
+def test_seat_recorded_for_a_vm_that_does_not_hold_it_is_given_up(
+    member, fold, written, vm
+):
+    a = vm("a")
+    fold(Join(a), Settle(0), Join(member.vm), Settle(2), TakeSeat(a.id, member.vm))
+    assert written(5.0) == []
+    assert written(20.0) == [Depart(a.id, member.vm.id)]
+
+
+def test_unsettled_change_is_settled_by_its_author_only_at_first(
+    member, fold, written, vm
+):
+    fold(Join(member.vm))
+    assert written(5.0) == []
+    assert Settle(0) in written(60.0)
