Split membership; keep a VM that gives up a surplus seat in the directory

Change: KnownVms and Questions; a VM has left when it holds no seat that stays; records are written while the log answered within 10 s; a VM that was delisted speaks and counts its seats again only after it read the log; relays skip VMs that do not answer. Regression: test_vm_that_gives_up_a_surplus_seat_has_not_left, test_slow_log_still_seats_a_new_vm.

--- a/packages/fleet/src/wagtailpaddle_fleet/asking.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/asking.py
@@ -40,6 +40,7 @@
 
     def forget(self, now: float) -> None:
         """Forget VMs that were not asked for long."""
+        self._open = {address: at for address, at in self._open.items() if at > now}
         self._asked_at = {
             address: at
             for address, at in self._asked_at.items()
--- a/packages/fleet/src/wagtailpaddle_fleet/membership.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/membership.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from wagtailpaddle_core import Offset, VmId, ZoneId, score
+from wagtailpaddle_core import Offset, VmId, ZoneId
 
 from wagtailpaddle_fleet.acceptance import Acceptance
 from wagtailpaddle_fleet.answers import Answers
@@ -13,16 +13,15 @@
 from wagtailpaddle_fleet.directory import Directory
 from wagtailpaddle_fleet.freshness import FRESHNESS_S, Freshness
 from wagtailpaddle_fleet.handover import HeldSeats, successors_to_ask
-from wagtailpaddle_fleet.incarnations import LIST_LAG_S, Incarnations, split_vm_id
+from wagtailpaddle_fleet.incarnations import LIST_LAG_S, Incarnations
+from wagtailpaddle_fleet.known import KnownVms
 from wagtailpaddle_fleet.messages import (
     AcceptanceState,
     Action,
     CallerAddresses,
-    Depart,
     FleetRecord,
     HandOverAnswer,
     HandOverSeats,
-    Join,
     ListedVm,
     OffsetAnswer,
     OffsetQuery,
@@ -31,13 +30,12 @@
     RawRecord,
     RecordsAnswer,
     RecordsQuery,
-    SeatChange,
     SeatId,
     SnapshotAnswer,
     SnapshotQuery,
-    TakeSeat,
     Vm,
 )
+from wagtailpaddle_fleet.questions import CONFIRM_EVERY_S, Questions
 from wagtailpaddle_fleet.relay import CatchUp, RecordTail
 from wagtailpaddle_fleet.roster import Roster
 from wagtailpaddle_fleet.seating import Seating
@@ -45,12 +43,10 @@
 SnapshotSource = Callable[[float, Offset, int], SnapshotAnswer]
 
 LOG_SILENT_S = 1.0
-CONFIRM_EVERY_S = 0.4
+LOG_LOST_S = 10.0
 CHECK_EVERY_S = 4.0
 STATUS_S = 12.0
 HOUSEKEEPING_S = 30.0
-ASK_ALL_EVERY_S = 10.0
-SPARE_PART = 8
 SERVING_CACHE_S = 0.5
 MAX_TO_CHECK = 16
 
@@ -101,12 +97,19 @@
             confirmed=self.confirmed,
             rng=rng,
         )
-        self._known: dict[VmId, Vm] = {vm.id: vm}
-        self._departed: set[VmId] = set()
-        self._callers: set[str] = set()
+        self._known = KnownVms(vm, roster=self.roster, incarnations=self.incarnations)
+        self._questions = Questions(
+            vm,
+            roster=self.roster,
+            held=self._held,
+            answers=self._answers,
+            known=self._known,
+            asker=self._asker,
+        )
         self._to_check: list[str] = []
         self._serving_at = float("-inf")
         self._housekeeping_at = float("-inf")
+        self._gone_until = float("-inf")
 
     # Events.
 
@@ -115,11 +118,12 @@
     ) -> tuple[Action, ...]:
         """The record at ``offset`` was folded; None stands for any other kind."""
         self._tail.add(RawRecord(offset, data))
-        if record is not None and isinstance(record.change, TakeSeat):
-            self._departed |= self._holders_of(record.change.seat)
+        if record is None:
+            self.roster.apply(offset, None)
+            return ()
+        loser = self._known.holder_before(record.change)
         self.roster.apply(offset, record)
-        if record is not None:
-            self._learn(now, record.change)
+        self._known.folded(now, record.change, loser)
         return ()
 
     def on_log_head(
@@ -141,8 +145,7 @@
         self, now: float, sender: VmId, body: PeerMessage
     ) -> PeerAnswer | None:
         """Return the answer to a peer's message; None if it is none of ours."""
-        self.incarnations.heard_of(now, sender)
-        self._callers.add(split_vm_id(sender)[0])
+        self._known.note_caller(now, sender)
         next_offset = self.roster.next_offset
         match body:
             case OffsetQuery():
@@ -202,7 +205,7 @@
         """
         self.roster.restore(upto, items)
         for vm in self.roster.holders():
-            self._know(now, vm)
+            self._known.note(now, vm)
         return ()
 
     def tick(self, now: float) -> tuple[Action, ...]:
@@ -210,18 +213,21 @@
         if now - self._housekeeping_at >= HOUSEKEEPING_S:
             self._housekeeping_at = now
             self._tidy(now)
+        if self.incarnations.is_self_gone:
+            self._gone_until = now
         self._acceptance.update()
         actions: list[Action] = []
-        if self._is_log_silent(now):
-            self.freshness.peers_answered(
-                now, self.roster, self._held.seats, self._answers.by_seat
-            )
-            actions += self._ask_for_freshness(now)
-            actions += self._catch_up.step(
-                self.roster.next_offset, self._answers.by_address
+        is_silent = self._is_log_silent(now)
+        if is_silent:
+            self._count_voices(now)
+            actions += self._questions.for_freshness(
+                now,
+                confirmed_at=self.freshness.confirmed_at,
+                window_s=self.freshness.window_s,
             )
-        else:
-            actions += self._seating.step(now)
+            actions += self._step_catch_up()
+        if now - self.freshness.log_at <= LOG_LOST_S:
+            actions += self._seating.step(now, is_current=not is_silent)
         actions += self._ask_for_confirmations(now)
         actions += self._ask_about_status(now)
         if self._held.leaving_since is not None:
@@ -273,9 +279,10 @@
 
     def vms(self, now: float) -> tuple[Vm, ...]:
         """Return the known VMs that are neither gone nor leaving, by id."""
-        return tuple(
-            vm for _, vm in sorted(self._known.items()) if self._is_staying(now, vm)
-        )
+        others = self._known.staying()
+        if self.vm.leaving or self.incarnations.is_self_gone:
+            return others
+        return tuple(sorted((*others, self.vm), key=lambda vm: vm.id))
 
     def snapshot_items(self) -> tuple[tuple[str, dict[str, Any]], ...]:
         """Return the roster's part of a snapshot as (name, table) pairs."""
@@ -312,103 +319,55 @@
         return OffsetAnswer(
             vm=self.vm,
             next_offset=self.roster.next_offset,
-            seats=() if self.incarnations.is_self_gone else self._held.spoken_for(),
+            seats=self._held.spoken_for() if self._may_speak() else (),
             fresh=self.is_fresh(now),
             at=now,
         )
 
+    def _may_speak(self) -> bool:
+        """Return whether others can't have counted this VM as gone.
+
+        One that was taken for gone speaks again once it has read the log.
+        """
+        is_gone = self.incarnations.is_self_gone
+        return not is_gone and self.freshness.log_at >= self._gone_until
+
     def _on_offset(
         self, now: float, sent_at: float, address: str, answer: OffsetAnswer
     ) -> tuple[Action, ...]:
         self._asker.done(address)
         self._answers.note(now, sent_at, address, answer)
-        self._know(now, answer.vm)
+        self._known.note(now, answer.vm)
         self._acceptance.update()
         if not self._is_log_silent(now):
             return ()
-        self.freshness.peers_answered(
-            now, self.roster, self._held.seats, self._answers.by_seat
-        )
-        return self._catch_up.step(self.roster.next_offset, self._answers.by_address)
-
-    def _learn(self, now: float, change: SeatChange) -> None:
-        match change:
-            case Join() | TakeSeat():
-                self._departed.discard(change.vm.id)
-                self._know(now, change.vm)
-            case Depart():
-                self._departed.add(change.holder)
-
-    def _holders_of(self, seat_id: SeatId) -> set[VmId]:
-        seat = self.roster.seat(seat_id)
-        return set() if seat is None else {seat.vm.id}
-
-    def _know(self, now: float, vm: Vm) -> None:
-        if vm.id == self.vm.id:
-            return
-        self.incarnations.heard_of(now, vm.id)
-        self._known[vm.id] = vm
+        self._count_voices(now)
+        return self._step_catch_up()
+
+    def _count_voices(self, now: float) -> None:
+        held = self._held.seats if self._may_speak() else set()
+        self.freshness.peers_answered(now, self.roster, held, self._answers.by_seat)
+
+    def _step_catch_up(self) -> tuple[Action, ...]:
+        reachable = {
+            address: heard
+            for address, heard in self._answers.by_address.items()
+            if address not in self._answers.n_failures
+        }
+        return self._catch_up.step(self.roster.next_offset, reachable)
 
     def _is_log_silent(self, now: float) -> bool:
         return now - self.freshness.log_at > LOG_SILENT_S
 
-    def _addresses(self) -> set[str]:
-        gone = self.incarnations.gone()
-        held = {vm.peer_address for vm in self.roster.holders() if vm.id not in gone}
-        return held | set(self.incarnations.listed) | self._callers
-
-    def _ask_for_freshness(self, now: float) -> tuple[Action, ...]:
-        """Ask a majority and some spare, or everyone if that does not do."""
-        window_s = self.freshness.window_s
-        if now - self.freshness.confirmed_at > window_s / 2:
-            return self._asker.ask(now, self._addresses(), every_s=window_s / 3)
-        chosen = self._preferred_voices()
-        return (
-            *self._asker.ask(now, chosen, every_s=window_s / 3),
-            *self._asker.ask(now, self._addresses(), every_s=ASK_ALL_EVERY_S),
-        )
-
-    def _preferred_voices(self) -> set[str]:
-        """Return VMs that speak for enough seats, those that answer first."""
-        failures = self._answers.n_failures
-        addresses: set[str] = set()
-        for seats in self.roster.majorities():
-            n_wanted = len(seats) // 2 + 1 + len(seats) // SPARE_PART
-            ranked = sorted(
-                seats - self._held.seats,
-                key=lambda seat: (
-                    failures.get(self._address_of(seat), 0),
-                    score(self.vm.id, seat),
-                ),
-            )
-            n_asked = max(0, n_wanted - len(seats & self._held.seats))
-            addresses |= {self._address_of(seat) for seat in ranked[:n_asked]}
-        return addresses - {""}
-
     def _ask_for_confirmations(self, now: float) -> tuple[Action, ...]:
         wanted = self._acceptance.wanted
         if self.roster.change is not None and self._seating.must_confirm(now):
             if self._seating.needs_every_vm(now):
-                return self._asker.ask(now, self._addresses(), every_s=CONFIRM_EVERY_S)
+                return self._questions.of_everyone(now)
             wanted = max(wanted or 0, self.roster.change)
         if wanted is None:
             return ()
-        lacking = {
-            seat
-            for seats in self.roster.majorities()
-            for seat in seats
-            if self.confirmed(seat) <= wanted
-        }
-        addresses = {self._address_of(seat) for seat in lacking} - {""}
-        return self._asker.ask(now, addresses, every_s=CONFIRM_EVERY_S)
-
-    def _address_of(self, seat_id: SeatId) -> str:
-        voice = self._answers.by_seat.get(seat_id)
-        if voice is not None and voice.address not in self._answers.n_failures:
-            return voice.address
-        former = self.roster.former or {}
-        seat = self.roster.seat(seat_id) or former.get(seat_id)
-        return "" if seat is None else seat.vm.peer_address
+        return self._questions.for_confirmations(now, wanted, self.confirmed)
 
     def _ask_about_status(self, now: float) -> tuple[Action, ...]:
         """Ask VMs that the directory lately named whether they serve."""
@@ -416,19 +375,12 @@
         return self._asker.ask(now, addresses, every_s=CHECK_EVERY_S)
 
     def _step_leave(self, now: float) -> tuple[Action, ...]:
-        asked = successors_to_ask(self.vm, self._addresses())
+        asked = successors_to_ask(self.vm, self._known.addresses())
         return (
             *self._asker.ask(now, asked, every_s=CONFIRM_EVERY_S),
             *self._held.step(now, self.roster.next_offset, self._answers.by_address),
         )
 
-    def _is_staying(self, now: float, vm: Vm) -> bool:
-        if vm.id == self.vm.id:
-            return not self.vm.leaving and not self.incarnations.is_self_gone
-        if vm.leaving or vm.id in self._departed or vm.id in self.incarnations.gone():
-            return False
-        return not self.incarnations.is_leaving(vm.peer_address)
-
     def _is_serving(self, now: float, vm: Vm) -> bool:
         if vm.id == self.vm.id:
             return self.is_fresh(now)
@@ -443,13 +395,4 @@
         seats = {seat for part in self.roster.majorities() for seat in part}
         self._answers.keep_only(now, seats)
         self._asker.forget(now)
-        gone = self.incarnations.gone()
-        self._known = {
-            vm: known
-            for vm, known in self._known.items()
-            if vm not in gone or vm == self.vm.id
-        }
-        self._departed &= self._known.keys()
-        self._callers &= {vm.peer_address for vm in self._known.values()} | set(
-            self.incarnations.listed
-        )
+        self._known.forget()
--- a/packages/fleet/src/wagtailpaddle_fleet/roster.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/roster.py
@@ -94,6 +94,14 @@
         }
         return tuple(vms[vm] for vm in sorted(vms))
 
+    def holds_seat(self, vm: VmId) -> bool:
+        """Return whether the log names a VM as holder of a seat that stays."""
+        return any(
+            seat.vm.id == vm and seat.id not in self._departing
+            for seats in (self.seats, self._joining)
+            for seat in seats.values()
+        )
+
     def majorities(self) -> tuple[frozenset[SeatId], ...]:
         """Return the sets of seats of each of which more than half must agree."""
         current = frozenset(self.seats)
--- a/packages/fleet/src/wagtailpaddle_fleet/seating.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/seating.py
@@ -68,11 +68,14 @@
         self._depart_at: dict[VmId, float] = {}
         self._gone_at: dict[VmId, float] = {}
 
-    def step(self, now: float) -> tuple[Action, ...]:
-        """Return the records to write at ``now``, while the log answers."""
+    def step(self, now: float, *, is_current: bool = True) -> tuple[Action, ...]:
+        """Return the records to write at ``now``, while the log answers.
+
+        ``is_current`` says whether the roster is that of the log's head.
+        """
         self._note_gone(now)
         changes = [
-            *self._own_seats(now),
+            *self._own_seats(now, is_current),
             *self._settling(now),
             *self._departures(now),
         ]
@@ -115,7 +118,7 @@
         record_id = f"{self._vm.id}#{self._n_records}"
         return (AppendRecord(FleetRecord(record_id, self._vm.id, now, change)),)
 
-    def _own_seats(self, now: float) -> list[SeatChange]:
+    def _own_seats(self, now: float, is_current: bool) -> list[SeatChange]:
         if self._held.leaving_since is not None:
             return self._last_departure(now)
         recorded = self._recorded_seats()
@@ -124,7 +127,7 @@
         for seat_id in self._held.spoken_for():
             seat = self._roster.seat(seat_id)
             if seat is None:
-                if seat_id != self._vm.id:
+                if seat_id != self._vm.id and is_current:
                     self._held.drop(seat_id)
             elif seat.vm.id != self._vm.id:
                 if not kept:
--- a/packages/fleet/tests/test_fleet.py
+++ b/packages/fleet/tests/test_fleet.py
@@ -182,3 +182,12 @@
     assert not made.vms["v1"].member.is_fresh(made.clock.now)
     answer = made.vms["v1"].member._offset_answer(made.clock.now)
     assert answer.seats == ()
+
+
+def test_slow_log_still_seats_a_new_vm(world):
+    made = world(3)
+    made.net.delay_s = (0.3, 0.7)
+    made.start("n0")
+    made.run(20.0)
+    assert n_fresh(made) == 4
+    assert is_settled(made)
--- a/packages/fleet/tests/test_seating.py
+++ b/packages/fleet/tests/test_seating.py
@@ -77,6 +77,16 @@
     assert written(20.0) == [Depart(a.id, member.vm.id)]
 
 
+def test_vm_that_gives_up_a_surplus_seat_has_not_left(member, fold, vm):
+    a, c = vm("a"), vm("c")
+    fold(Join(a), Settle(0), Join(c), Settle(2), TakeSeat(a.id, c))
+    assert [item.id for item in member.vms(0.0)] == [member.vm.id, c.id]
+    fold(Depart(a.id, c.id))
+    assert [item.id for item in member.vms(0.0)] == [member.vm.id, c.id]
+    fold(Depart(c.id, c.id))
+    assert [item.id for item in member.vms(0.0)] == [member.vm.id]
+
+
 def test_unsettled_change_is_settled_by_its_author_only_at_first(
     member, fold, written, vm
 ):
