--- a/packages/fleet/tests/test_majorities.py
+++ b/packages/fleet/tests/test_majorities.py
@@ -57,6 +57,7 @@
         self.members = []
         self.on_the_way = []
         self.accepted = []
+        self.said = {}
 
     @initialize(n_members=st.integers(2, 4))
     def start(self, n_members):
@@ -199,6 +200,13 @@
         voices = [seat for member in self.members for seat in member.held.seats]
         assert len(voices) == len(set(voices))
 
+    @invariant()
+    def what_is_said_for_a_seat_never_falls(self):
+        for member in self.members:
+            for seat in member.held.seats:
+                assert member.roster.next_offset >= self.said.get(seat, 0)
+                self.said[seat] = member.roster.next_offset
+
     @invariant()
     def whoever_is_fresh_knows_what_was_accepted(self):
         self.now += 1.0
--- a/packages/standins/src/wagtailpaddle_standins/fleetaudit.py
+++ b/packages/standins/src/wagtailpaddle_standins/fleetaudit.py
@@ -47,6 +47,7 @@
         self.submitted: set[str] = set()
         self.n_fresh_checks = 0
         self._revisions: dict[str, Offset] = {}
+        self._said: dict[str, Offset] = {}
         self._reference = ConfigFold(site="namur")
         self._step()
 
@@ -60,6 +61,9 @@
             for seat in vm.member._held.seats:
                 other = speaking.setdefault(seat, vm.id)
                 ensure(other == vm.id, "one-voice-per-seat", seat=seat, vm=vm.id)
+                said, offset = self._said.get(seat, 0), vm.fold.next_offset
+                ensure(offset >= said, "seat-never-falls", seat=seat, vm=vm.id)
+                self._said[seat] = offset
 
     def check_log(self) -> None:
         """Fold the whole log afresh and check what the VMs made of it."""
