--- a/packages/standins/src/wagtailpaddle_standins/measure_state/fleet.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure_state/fleet.py
@@ -13,8 +13,10 @@
     PutAccount,
     Record,
     WithdrawKey,
+    cut_snapshot,
 )
 from wagtailpaddle_core import AccountId, KeyId
+from wagtailpaddle_peer import encode_log_record
 
 from wagtailpaddle_standins.fleetworld import SimVm, World
 from wagtailpaddle_standins.measure_state.registry import MEASURES, Figure
@@ -110,7 +112,9 @@
     figures = []
     for n_accounts in ACCOUNT_SIZES:
         fold = ConfigFold(site="namur")
-        publish_s = _apply_s(fold, [PublishBase(_document(n_accounts))])
+        publish_s = _apply_s(
+            fold, [PublishBase(_document(n_accounts, n_accounts // 7))]
+        )
         stride = n_accounts // N_APPLIED
         puts: list[Change] = [
             PutAccount(AccountId(f"a{index * stride}"), {"rate": 6.0})
@@ -120,10 +124,13 @@
         size = f"{n_accounts} accounts"
         figures.append(Figure(f"{size}: publish the base", publish_s, "s"))
         figures.append(Figure(f"{size}: put one account", put_s * 1e6, "us"))
-    sizes = [n // 8 for n in ACCOUNT_SIZES]
-    memory = [_fold_bytes(n) for n in sizes]
-    slope = linear_regression(sizes, memory).slope
-    figures.append(Figure("memory of a client account with its route", slope, "B"))
+    for kind in ("client account", "route"):
+        sizes = [n // 8 for n in ACCOUNT_SIZES]
+        costs = [_state_bytes(n, kind) for n in sizes]
+        memory = linear_regression(sizes, [cost[0] for cost in costs]).slope
+        snapshot = linear_regression(sizes, [cost[1] for cost in costs]).slope
+        figures.append(Figure(f"memory of a {kind}", memory, "B"))
+        figures.append(Figure(f"snapshot of a {kind}", snapshot, "B"))
     return tuple(figures)
 
 
@@ -227,17 +234,13 @@
     return sum(n for kind, n in counts.items() if kind not in log_kinds)
 
 
-def _document(n_accounts: int) -> dict[str, dict[str, object]]:
+def _document(n_accounts: int, n_routes: int) -> dict[str, dict[str, object]]:
     return {
         "accounts": {f"a{index}": dict(FIELDS) for index in range(n_accounts)},
         "services": {"s": {}},
         "routes": {
-            f"r{index}": {
-                "service": "s",
-                "path": f"/{index}",
-                "accounts": [f"a{index}"],
-            }
-            for index in range(n_accounts // 8)
+            f"r{index}": {"service": "s", "path": f"/{index}"}
+            for index in range(n_routes)
         },
     }
 
@@ -250,13 +253,16 @@
     return perf_counter() - began_at
 
 
-def _fold_bytes(n_accounts: int) -> int:
+def _state_bytes(n_objects: int, kind: str) -> tuple[int, int]:
+    """Return the bytes of a fold in memory and of its snapshot in the log."""
+    counts = (n_objects, 0) if kind == "client account" else (0, n_objects)
     tracemalloc.start()
     fold = ConfigFold(site="namur")
-    _apply_s(fold, [PublishBase(_document(n_accounts))])
+    _apply_s(fold, [PublishBase(_document(*counts))])
     n_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return n_bytes
+    chunks = cut_snapshot(1, fold.snapshot_items(), writer="w", at=0.0)
+    return n_bytes, sum(len(encode_log_record(chunk)) for chunk in chunks)
 
 
 def _spread(name: str, values: list[float], target: float) -> tuple[Figure, ...]:
