--- a/packages/config/src/wagtailpaddle_config/snapshots.py
+++ b/packages/config/src/wagtailpaddle_config/snapshots.py
@@ -13,6 +13,7 @@
 SNAPSHOT_RECORDS = 5_000
 SNAPSHOT_AGE_S = 6 * 3600.0
 SNAPSHOT_JITTER_S = 30.0
+SNAPSHOT_JITTER_S_PER_VM = 1.0
 OFFER_S = 30.0
 
 
@@ -80,9 +81,9 @@
     """Decides when this VM writes a snapshot.
 
     Feed it every chunk that stands in the log. Once a snapshot is due, each
-    VM waits for a random part of ``SNAPSHOT_JITTER_S`` and looks again, so
-    that one or few write; what they write is equal. Times are wall-clock
-    seconds because they outlive a VM.
+    VM waits for a random time, longer in larger fleets, and looks again, so
+    that one or few write; while the chunks of one arrive, the others wait.
+    Times are wall-clock seconds because they outlive a VM.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self._jitter_s = jitter_s
         self._seen: dict[Offset, set[int]] = {}
         self._write_at: float | None = None
+        self._busy_until = float("-inf")
 
     def on_chunk(self, chunk: SnapshotChunk) -> None:
         """Take notice of a chunk in the log."""
@@ -108,6 +110,7 @@
             return
         seen = self._seen.setdefault(chunk.upto, set())
         seen.add(chunk.index)
+        self._busy_until = max(self._busy_until, chunk.at + 2 * self._jitter_s)
         if len(seen) < chunk.n_chunks:
             return
         self.latest_upto = chunk.upto
@@ -130,14 +133,20 @@
             return True
         return wall_s - self.latest_at >= self._age_s
 
-    def should_write(self, wall_s: float, first: Offset, head: Offset) -> bool:
-        """Return whether this VM writes one now; True once for each need."""
+    def should_write(
+        self, wall_s: float, first: Offset, head: Offset, *, n_vms: int = 1
+    ) -> bool:
+        """Return whether this VM writes one now; True once for each need.
+
+        ``n_vms`` is the number of VMs that may write.
+        """
         if not self.is_due(wall_s, first, head):
             self._write_at = None
             return False
         if self._write_at is None:
-            self._write_at = wall_s + self._rng.uniform(0, self._jitter_s)
-        if wall_s < self._write_at:
+            spread_s = max(self._jitter_s, n_vms * SNAPSHOT_JITTER_S_PER_VM)
+            self._write_at = wall_s + self._rng.uniform(0, spread_s)
+        if wall_s < max(self._write_at, self._busy_until):
             return False
         self._write_at = wall_s + 2 * self._jitter_s
         return True
--- a/packages/config/tests/test_snapshots.py
+++ b/packages/config/tests/test_snapshots.py
@@ -138,3 +138,15 @@
     assert not watch.is_due(1012.0, 0, 160)
     assert not watch.is_due(1012.0, 100, 160)
     assert watch.is_due(1012.0, 156, 160)
+
+
+def test_others_wait_while_a_snapshot_is_being_written():
+    watch = SnapshotWatch(rng=Random(3), records=100, jitter_s=10.0)
+    first, last = cut_snapshot(
+        150, [SnapshotItem("x", "a", {})] * 2, writer="w", at=1000.0, chunk_items=1
+    )
+    watch.on_chunk(first)
+    assert not watch.should_write(1001.0, 0, 151)
+    assert not watch.should_write(1015.0, 0, 151)
+    watch.on_chunk(last)
+    assert not watch.is_due(1016.0, 0, 152)
--- a/packages/standins/src/wagtailpaddle_standins/fleetworld.py
+++ b/packages/standins/src/wagtailpaddle_standins/fleetworld.py
@@ -215,7 +215,8 @@
         return self.fold.next_offset, [*self.fold.snapshot_items(), *roster]
 
     def _maybe_snapshot(self, first: Offset, head: Offset) -> None:
-        if not self.watch.should_write(self.now, first, head):
+        n_vms = len(self.member.roster.seats)
+        if not self.watch.should_write(self.now, first, head, n_vms=n_vms):
             return
         upto, items = self._state()
         for chunk in cut_snapshot(upto, items, writer=self.id, at=self.now):
