Show what is in force in pages of merged objects

Cause: one answer merged the whole configuration at once and held the loop. Change: /v1/configuration/<section> merges object by object; a test compares the pages with the whole merge. The command line reads all pages at one revision and reads again if it changed meanwhile.

--- a/packages/cli/src/wagtailpaddle_cli/config.py
+++ b/packages/cli/src/wagtailpaddle_cli/config.py
@@ -16,7 +16,10 @@
 OVERLAYS = arg("overlays", nargs="*", help="TOML files of overlays, named by site")
 FILES = arg("files", nargs="*", help="TOML files: the base, then overlays")
 SITE = arg("--site", action="append", default=[], help="what is in force at a site")
+SECTIONS = ("accounts", "routes", "services")
+SECTION = arg("--section", choices=SECTIONS, help="one section only")
 ABSENT = "(absent)"
+MAX_READS = 3
 
 
 def names_site(args: Namespace) -> bool:
@@ -47,7 +50,7 @@
     "show the merged result and where each value comes from",
     FILES,
     SITE,
-    arg("--section", help="accounts, routes or services only"),
+    SECTION,
     is_remote=names_site,
 )
 async def show_config(session: Session, args: Namespace) -> Exit:
@@ -55,15 +58,14 @@
     if len(args.site) + bool(args.files) != 1 or len(args.files) > 2:
         raise CommandError(Exit.USAGE, "give a base and one overlay, or one --site")
     if args.site:
-        found = await _in_force(session, args.site[0])
+        found = await _in_force(session, args.site[0], args.section)
     else:
         found = _from_files(args.files)
     values = flatten(found.document)
-    section = f"{args.section}." if args.section else ""
     rows = [
         (path, render_value(value), found.origins.get(path, ""))
         for path, value in sorted(values.items())
-        if path.startswith(section)
+        if is_in(args.section, path)
     ]
     shown = {"document": found.document, "origins": found.origins}
     session.show_table(shown, ("value", "is", "from"), rows)
@@ -75,6 +77,7 @@
     "compare two overlays, files with what is in force, or two sites",
     FILES,
     SITE,
+    SECTION,
     is_remote=names_site,
 )
 async def diff_config(session: Session, args: Namespace) -> Exit:
@@ -98,9 +101,14 @@
                 "give a base and two overlays, files and one --site, or two --site",
             )
     for site in args.site:
-        sides.append((f"in force at {site}", await _in_force(session, site)))
+        in_force = await _in_force(session, site, args.section)
+        sides.append((f"in force at {site}", in_force))
     (left_name, left_side), (right_name, right_side) = sides
-    rows = differences(left_side.document, right_side.document)
+    rows = [
+        row
+        for row in differences(left_side.document, right_side.document)
+        if is_in(args.section, row[0])
+    ]
     shown = [{"path": path, "left": a, "right": b} for path, a, b in rows]
     if rows:
         session.show_table(shown, ("value", left_name, right_name), rows)
@@ -109,6 +117,11 @@
     return Exit.OK
 
 
+def is_in(section: str | None, path: str) -> bool:
+    """Tell whether a value belongs to a section, None for any."""
+    return section is None or path.startswith(f"{section}.")
+
+
 def flatten(document: dict[str, Any], where: str = "") -> dict[str, Any]:
     """Return the values of a document by path.
 
@@ -148,6 +161,27 @@
     return resolve(layers)
 
 
-async def _in_force(session: Session, site: str) -> Resolved:
-    found = await session.ask("configuration", site=site)
-    return Resolved(found["document"], found["origins"])
+async def _in_force(session: Session, site: str, section: str | None) -> Resolved:
+    for _ in range(MAX_READS):
+        found = await _read_in_force(session, site, section)
+        if found is not None:
+            return found
+    raise CommandError(Exit.REFUSED, "the configuration changed while it was read")
+
+
+async def _read_in_force(
+    session: Session, site: str, section: str | None
+) -> Resolved | None:
+    """Return what is in force, None if it changed between two pages."""
+    document: dict[str, Any] = {}
+    origins: dict[str, str] = {}
+    revisions = set()
+    for name in [section] if section else SECTIONS:
+        tables = {}
+        async for page in session.pages("configuration", name, site=site):
+            tables.update({item["name"]: item["table"] for item in page["objects"]})
+            origins.update(page["origins"])
+            revisions.add(page["revision"])
+        if tables:
+            document[name] = tables
+    return Resolved(document, origins) if len(revisions) == 1 else None
--- a/packages/cli/src/wagtailpaddle_cli/session.py
+++ b/packages/cli/src/wagtailpaddle_cli/session.py
@@ -1,7 +1,7 @@
 """What commands work with: a client of daemons and an output."""
 
 import json
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol, TextIO
 from urllib.parse import quote
@@ -10,6 +10,7 @@
 from wagtailpaddle_cli.exits import CommandError, Exit
 from wagtailpaddle_cli.tables import render_table
 
+PAGE_ITEMS = 1000
 WAIT_POLL_S = 0.25
 IN_FORCE = "in-force"
 
@@ -63,12 +64,18 @@
     async def ask_all(self, *names: str) -> list[dict[str, Any]]:
         """Return all pages of a list; the last name is the list's label."""
         items: list[dict[str, Any]] = []
+        async for page in self.pages(*names):
+            items.extend(page[names[-1]])
+        return items
+
+    async def pages(self, *names: str, **query: Any) -> AsyncIterator[dict[str, Any]]:
+        """Yield the pages of a list."""
         after = ""
         while True:
-            page = await self.ask(*names, limit=1000, after=after)
-            items.extend(page[names[-1]])
+            page = await self.ask(*names, limit=PAGE_ITEMS, after=after, **query)
+            yield page
             if page["next"] is None:
-                return items
+                return
             after = page["next"]
 
     async def change(
--- a/packages/cli/tests/test_config.py
+++ b/packages/cli/tests/test_config.py
@@ -26,6 +26,27 @@
     return write_file
 
 
+@pytest.fixture
+def in_force(client):
+    """State what is in force; accounts are read at each of ``revisions``."""
+
+    def state(accounts, origins=None, revisions=(4,)):
+        objects = [{"name": name, "table": accounts[name]} for name in accounts]
+        page = {"origins": origins or {}, "next": None}
+        query = "limit=1000&site=namur"
+        client.pages[f"/v1/configuration/accounts?{query}"] = [
+            {**page, "objects": objects, "revision": number} for number in revisions
+        ]
+        for section in ("routes", "services"):
+            client.pages[f"/v1/configuration/{section}?{query}"] = {
+                **page,
+                "objects": [],
+                "revision": 4,
+            }
+
+    return state
+
+
 def test_examples_are_valid(capsys):
     assert main(["config", "check", BASE, NAMUR, RETURHUSET]) == Exit.OK
     assert "namur, returhuset: valid" in capsys.readouterr().out
@@ -90,22 +111,27 @@
     assert "services.booking.floor" not in out
 
 
-def test_diff_with_what_is_in_force(run, client, write):
+def test_diff_with_what_is_in_force(run, in_force, write):
     base = write("base.toml", "[accounts.x]\nrate = 5.0\nburst = 9.0\n")
-    document = {"accounts": {"x": {"rate": 5.0, "burst": 7.0}}}
-    page = {"document": document, "origins": {}}
-    client.pages["/v1/configuration?site=namur"] = page
+    in_force({"x": {"rate": 5.0, "burst": 7.0}})
     found = run("config", "diff", base, "--site=namur", "--json").json()
     assert found == [{"path": "accounts.x.burst", "left": "9.0", "right": "7.0"}]
 
 
-def test_show_of_a_site_asks_the_daemon(run, client):
-    document = {"accounts": {"x": {"rate": 5.0}}}
-    page = {"document": document, "origins": {"accounts.x.rate": "operator@4"}}
-    client.pages["/v1/configuration?site=namur"] = page
+def test_show_of_a_site_asks_the_daemon(run, in_force):
+    in_force({"x": {"rate": 5.0}}, {"accounts.x.rate": "operator@4"})
     assert "operator@4" in run("config", "show", "--site=namur").text
 
 
+def test_site_that_changes_while_it_is_read_is_read_again(run, client, in_force):
+    in_force({"x": {"rate": 5.0}}, revisions=(3, 4))
+    shown = run("config", "show", "--site=namur", "--json").json()
+    assert shown["document"] == {"accounts": {"x": {"rate": 5.0}}}
+    in_force({"x": {"rate": 5.0}}, revisions=(5, 6, 7))
+    with pytest.raises(CommandError, match="changed while"):
+        run("config", "show", "--site=namur")
+
+
 @pytest.mark.parametrize("argv", [["diff"], ["diff", "a"], ["show"], ["show", *"abc"]])
 def test_wrong_number_of_sides_is_refused(run, argv):
     with pytest.raises(CommandError) as caught:
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/context.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/context.py
@@ -96,15 +96,15 @@
 ) -> Reply:
     """Return one page of a list in order of name.
 
-    Only names that ``keep`` are listed. ``names`` must not change meanwhile;
-    requests go on between two parts of them.
+    Only names that ``keep`` are listed, each once. ``names`` must not change
+    meanwhile; requests go on between two parts of them.
     """
     after, limit = read_page(command)
     found: list[str] = []
     rest = iter(names)
     while part := list(islice(rest, N_NAMES_AT_ONCE)):
         found += [name for name in part if name > after and keep(name)]
-        found = nsmallest(limit + 1, found)
+        found = nsmallest(limit + 1, set(found))
         await context.breathe()
     more = found[limit - 1] if len(found) > limit else None
     return Reply({label: [show(name) for name in found[:limit]], "next": more})
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/documents.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/documents.py
@@ -1,10 +1,11 @@
 """Commands on the base, the overlays and the configuration in force."""
 
+from collections.abc import Iterator
 from typing import Any
 
 from wagtailpaddle_config import (
-    Document,
     Layer,
+    Layers,
     PublishBase,
     PublishOverlay,
     check_change,
@@ -12,8 +13,8 @@
 )
 
 from wagtailpaddle_daemon.admin.bodies import read_table
-from wagtailpaddle_daemon.admin.context import HANDLERS, Context
-from wagtailpaddle_daemon.admin.errors import bad_request, invalid, not_found
+from wagtailpaddle_daemon.admin.context import HANDLERS, Context, one_page
+from wagtailpaddle_daemon.admin.errors import invalid, not_found
 from wagtailpaddle_daemon.admin.ports import Command, Reply
 
 
@@ -52,39 +53,60 @@
     return await _publish(context, command, PublishOverlay(site, read_table(command)))
 
 
-@HANDLERS.register("GET /v1/configuration")
-async def show_configuration(context: Context, command: Command) -> Reply:
-    """Show the merged configuration of a site and where each value comes from.
+@HANDLERS.register("GET /v1/configuration/<section>")
+async def show_configuration(context: Context, command: Command, section: str) -> Reply:
+    """Show a page of merged objects and where each of their values comes from.
 
-    The query may name a ``site``, a ``section`` and one object's ``name``.
+    The query may name a ``site``; by default it is the one of this daemon.
     """
     port = context.port
     site = command.query.get("site", port.cfg.site)
-    layers = port.node.fold.layers.documents(site)
-    section = command.query.get("section")
-    name = command.query.get("name")
-    if name is not None and section is None:
-        raise bad_request("name asks for a section as well")
-    found = resolve(
-        Layer(layer.origin, _part(layer.document, section, name)) for layer in layers
+    layers = port.node.fold.layers
+    revision = port.node.configuration.revision
+    if section not in layers.operator:
+        raise not_found("section", section)
+    origins: dict[str, str] = {}
+
+    def keep(name: str) -> bool:
+        return bool(layers_of(layers, site, section, name))
+
+    def show(name: str) -> Any:
+        found = resolve(layers_of(layers, site, section, name))
+        origins.update(found.origins)
+        return {"name": name, "table": found.document[section][name]}
+
+    names = names_of(layers, site, section)
+    page = await one_page(context, command, names, show, "objects", keep=keep)
+    return Reply({**page.value, "origins": origins, "revision": revision})
+
+
+def names_of(layers: Layers, site: str, section: str) -> Iterator[str]:
+    """Yield the names that some layer of a site states, some of them twice."""
+    yield from layers.revived[section]
+    yield from layers.base.get(section, {})
+    yield from layers.overlays.get(site, {}).get(section, {})
+    yield from layers.operator[section]
+
+
+def layers_of(layers: Layers, site: str, section: str, name: str) -> tuple[Layer, ...]:
+    """Return the layers of one object, none if it is not in force at a site."""
+    tables = (
+        ("kept", layers.revived[section].get(name)),
+        ("base", layers.base.get(section, {}).get(name)),
+        (f"overlay:{site}", layers.overlays.get(site, {}).get(section, {}).get(name)),
     )
-    return Reply(
-        {
-            "site": site,
-            "revision": port.node.configuration.revision,
-            "document": found.document,
-            "origins": found.origins,
-        }
-    )
-
-
-def _part(document: Document, section: str | None, name: str | None) -> Document:
-    if section is None:
-        return document
-    tables: Any = document.get(section, {})
-    if name is None:
-        return {section: tables}
-    return {section: {name: tables[name]}} if name in tables else {}
+    stated = [
+        Layer(origin, {section: {name: table}})
+        for origin, table in tables
+        if table is not None
+    ]
+    entry = layers.operator[section].get(name)
+    if entry is None or not (stated or entry.created):
+        return tuple(stated)
+    for field, offset in sorted(entry.origins.items(), key=lambda item: item[1]):
+        fields = {field: entry.fields[field]}
+        stated.append(Layer(f"operator@{offset}", {section: {name: fields}}))
+    return tuple(stated)
 
 
 async def _publish(
--- a/packages/daemon/tests/test_admin.py
+++ b/packages/daemon/tests/test_admin.py
@@ -1,8 +1,9 @@
 import gzip
 
 import pytest
-from wagtailpaddle_config import hash_secret
+from wagtailpaddle_config import hash_secret, resolve
 
+LIMITS = {"rate": 5, "burst": 9}
 ROUTE = {"path": "/deliveries", "service": "booking", "methods": ["POST"]}
 
 
@@ -13,7 +14,7 @@
 
 
 def test_account_is_created_changed_cancelled_and_restored(published):
-    created = published.send("PUT", "/v1/accounts/x", {"rate": 5, "burst": 9})
+    created = published.send("PUT", "/v1/accounts/x", LIMITS)
     assert created.status == 200
     assert created.json()["state"] == "in-force"
     published.send("PUT", "/v1/accounts/x", {"rate": 7})
@@ -27,7 +28,7 @@
 
 def test_lists_come_in_pages(published):
     for name in ("a", "b", "c"):
-        published.send("PUT", f"/v1/accounts/{name}", {"rate": 5, "burst": 9})
+        published.send("PUT", f"/v1/accounts/{name}", LIMITS)
     first = published.send("GET", "/v1/accounts?limit=2").json()
     assert [item["id"] for item in first["accounts"]] == ["a", "b"]
     rest = published.send("GET", f"/v1/accounts?limit=2&after={first['next']}").json()
@@ -37,7 +38,7 @@
 
 
 def test_stale_revision_is_a_conflict_that_names_the_winner(published):
-    published.send("PUT", "/v1/accounts/x", {"rate": 5, "burst": 9})
+    published.send("PUT", "/v1/accounts/x", LIMITS)
     tag = published.send("GET", "/v1/accounts/x").headers["etag"]
     published.send("PUT", "/v1/accounts/x", {"rate": 6}, If_Match=tag)
     late = published.send("PUT", "/v1/accounts/x", {"rate": 7}, If_Match=tag)
@@ -48,7 +49,7 @@
 
 
 def test_new_object_is_asked_for(published):
-    body = {"rate": 5, "burst": 9}
+    body = LIMITS
     one = published.send("PUT", "/v1/accounts/x", body, If_None_Match="*")
     two = published.send("PUT", "/v1/accounts/x", body, If_None_Match="*")
     based = published.send("PUT", "/v1/accounts/dumont", body, If_None_Match="*")
@@ -97,7 +98,7 @@
 def test_lost_append_is_looked_up_and_not_doubled(published, log):
     n_records = len(log.records)
     log.lost = 1
-    answer = published.send("PUT", "/v1/accounts/x", {"rate": 5, "burst": 9})
+    answer = published.send("PUT", "/v1/accounts/x", LIMITS)
     assert answer.status == 200
     assert len(log.records) == n_records + 1
 
@@ -105,7 +106,7 @@
 def test_dropped_append_is_tried_again_with_the_same_id(published, log):
     n_records = len(log.records)
     log.dropped = 1
-    answer = published.send("PUT", "/v1/accounts/x", {"rate": 5, "burst": 9})
+    answer = published.send("PUT", "/v1/accounts/x", LIMITS)
     assert answer.status == 200
     assert len(log.records) == n_records + 1
 
@@ -114,7 +115,7 @@
     log.lost = 1
     log.is_down = True
     answer = published.send(
-        "PUT", "/v1/accounts/x", {"rate": 5, "burst": 9}, Idempotency_Key="record-0001"
+        "PUT", "/v1/accounts/x", LIMITS, Idempotency_Key="record-0001"
     )
     assert (answer.status, kind(answer)) == (502, "outcome-unknown")
     assert answer.headers["x-outcome"] == "unknown"
@@ -124,7 +125,7 @@
     assert found.json()["state"] == "in-force"
     n_appends = log.n_appends
     again = published.send(
-        "PUT", "/v1/accounts/x", {"rate": 5, "burst": 9}, Idempotency_Key="record-0001"
+        "PUT", "/v1/accounts/x", LIMITS, Idempotency_Key="record-0001"
     )
     assert again.json()["revision"] == found.json()["revision"]
     assert log.n_appends == n_appends
@@ -132,7 +133,7 @@
 
 def test_unreachable_log_means_not_run(published, log):
     log.refused = 1
-    answer = published.send("PUT", "/v1/accounts/x", {"rate": 5, "burst": 9})
+    answer = published.send("PUT", "/v1/accounts/x", LIMITS)
     assert (answer.status, kind(answer)) == (503, "log-unavailable")
     assert answer.headers["x-outcome"] == "not-run"
 
@@ -161,14 +162,36 @@
 def test_configuration_shows_where_values_come_from(published):
     published.send("PUT", "/v1/overlays/namur", {"accounts": {"dumont": {"rate": 2}}})
     published.send("PUT", "/v1/accounts/dumont", {"burst": 7})
-    path = "/v1/configuration?section=accounts&name=dumont"
+    path = "/v1/configuration/accounts"
     found = published.send("GET", path).json()
-    assert found["document"]["accounts"]["dumont"] == {"rate": 2, "burst": 7}
+    table = {"rate": 2, "burst": 7}
+    assert found["objects"] == [{"name": "dumont", "table": table}]
     assert found["origins"]["accounts.dumont.rate"] == "overlay:namur"
     assert found["origins"]["accounts.dumont.burst"].startswith("operator@")
     assert published.send("GET", "/v1/overlays").json() == {"sites": ["namur"]}
-    elsewhere = published.send("GET", path + "&site=lund").json()
-    assert elsewhere["document"]["accounts"]["dumont"]["rate"] == 50.0
+    elsewhere = published.send("GET", path + "?site=lund").json()
+    assert elsewhere["objects"][0]["table"]["rate"] == 50.0
+
+
+@pytest.mark.parametrize("site", ["namur", "lund"])
+def test_pages_of_the_configuration_make_up_the_whole(published, port, site):
+    published.send("PUT", "/v1/overlays/namur", {"accounts": {"y": LIMITS}})
+    published.send("PUT", "/v1/accounts/y", {"burst": 7})
+    published.send("PUT", "/v1/accounts/x", LIMITS)
+    published.send("PUT", "/v1/routes/book", ROUTE)
+    whole = resolve(port.node.fold.layers.documents(site))
+    document, origins = {}, {}
+    for section in ("accounts", "routes", "services"):
+        after = ""
+        while after is not None:
+            query = f"site={site}&limit=1&after={after}"
+            page = published.send("GET", f"/v1/configuration/{section}?{query}").json()
+            for item in page["objects"]:
+                document.setdefault(section, {})[item["name"]] = item["table"]
+            origins.update(page["origins"])
+            after = page["next"]
+    assert document == whole.document
+    assert origins == whole.origins
 
 
 def test_status_fleet_services_and_metrics_are_shown(published, metrics):
