--- a/packages/daemon/src/wagtailpaddle_daemon/admin/__init__.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/__init__.py
@@ -1,6 +1,19 @@
 """The administration API."""
 
 from wagtailpaddle_daemon.admin.app import Admin
-from wagtailpaddle_daemon.admin.ports import AdminPort, ChangeState, StateName, VmView
+from wagtailpaddle_daemon.admin.ports import (
+    AdminPort,
+    ChangeState,
+    StateName,
+    VmView,
+    change_state,
+)
 
-__all__ = ["Admin", "AdminPort", "ChangeState", "StateName", "VmView"]
+__all__ = [
+    "Admin",
+    "AdminPort",
+    "ChangeState",
+    "StateName",
+    "VmView",
+    "change_state",
+]
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/ports.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/ports.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from wagtailpaddle_core import Offset, VmId, ZoneId
+from wagtailpaddle_fleet import AcceptanceState
 from wagtailpaddle_node import Node
 
 from wagtailpaddle_daemon.logclient import LogClient
@@ -28,6 +29,12 @@
     n_needed: int
 
 
+def change_state(accepted: AcceptanceState) -> ChangeState:
+    """Return the state of a change from the count of its confirmations."""
+    name = StateName.IN_FORCE if accepted.in_force else StateName.RECORDED
+    return ChangeState(name, accepted.n_confirmed, accepted.n_seats // 2 + 1)
+
+
 @dataclass(frozen=True, slots=True)
 class VmView:
     """What this daemon knows of a VM of the fleet."""
@@ -76,9 +83,11 @@
     def state_of(offset: Offset) -> ChangeState:
         n_needed = port.cfg.n_vms // 2 + 1
         n_confirmed = int(port.node.configuration.revision > offset)
-        done = n_confirmed >= n_needed
-        name = StateName.IN_FORCE if done else StateName.RECORDED
-        return ChangeState(name, n_confirmed, n_needed)
+        return change_state(
+            AcceptanceState(
+                offset, n_confirmed, port.cfg.n_vms, n_confirmed >= n_needed
+            )
+        )
 
     return state_of
 
