--- a/packages/cli/tests/test_client.py
+++ b/packages/cli/tests/test_client.py
@@ -1,9 +1,9 @@
 import pytest
-from twisted.internet.task import Clock
 from wagtailpaddle_cli.client import HttpClient, NoAnswer, NotSent
 from wagtailpaddle_cli.exits import CommandError, Exit
 from wagtailpaddle_cli.main import run_local
 from wagtailpaddle_cli.session import Answer
+from wagtailpaddle_standins.readyclock import ReadyClock
 
 DONE = Answer(200, {"record": "r1", "revision": 7})
 UNKNOWN = Answer(502, {"type": "urn:wagtailpaddle:error:outcome-unknown"})
@@ -12,15 +12,6 @@
 CONFLICT = Answer(409, {"type": "urn:wagtailpaddle:error:conflict"})
 
 
-class ReadyClock(Clock):
-    """A clock whose calls come due at once."""
-
-    def callLater(self, when, function, *args, **kwargs):  # noqa: N802
-        call = super().callLater(when, function, *args, **kwargs)
-        self.advance(when)
-        return call
-
-
 class ScriptedClient(HttpClient):
     """Plays answers by address and records what was sent."""
 
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -16,6 +16,7 @@
 from wagtailpaddle_daemon.settings import build_parser, read_settings
 from wagtailpaddle_node import Node
 from wagtailpaddle_peer import decode_record
+from wagtailpaddle_standins.readyclock import ReadyClock
 
 TOKEN = "operator-token"
 BASE = {
@@ -29,15 +30,6 @@
 }
 
 
-class ReadyClock(Clock):
-    """A clock whose calls come due at once."""
-
-    def callLater(self, when, function, *args, **kwargs):  # noqa: N802
-        call = super().callLater(when, function, *args, **kwargs)
-        self.advance(when)
-        return call
-
-
 @dataclass
 class MemoryLog:
     """A log in memory whose answers can be lost.
