--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,9 @@
 
 bench: environment
 	$(BIN)/python -m wagtailpaddle_standins.bench
+
+measure: environment
+	$(BIN)/python -m wagtailpaddle_standins.measure
+
+measure-state: environment
+	$(BIN)/python -m wagtailpaddle_standins.measure_state
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/ports.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/ports.py
@@ -81,13 +81,8 @@
     """Return an acceptance that knows of this VM's confirmation only."""
 
     def state_of(offset: Offset) -> ChangeState:
-        n_needed = port.cfg.n_vms // 2 + 1
-        n_confirmed = int(port.node.configuration.revision > offset)
-        return change_state(
-            AcceptanceState(
-                offset, n_confirmed, port.cfg.n_vms, n_confirmed >= n_needed
-            )
-        )
+        is_folded = port.node.configuration.revision > offset
+        return change_state(AcceptanceState(offset, int(is_folded), 1, is_folded))
 
     return state_of
 
