--- a/packages/cli/src/wagtailpaddle_cli/status.py
+++ b/packages/cli/src/wagtailpaddle_cli/status.py
@@ -86,7 +86,7 @@
                     server["id"],
                     server["zone"],
                     server["state"],
-                    server["weight"],
+                    None if server["weight"] is None else round(server["weight"], 2),
                     server["leaving"],
                     known["n"],
                     *_quantiles(known, ("p50", "p99")),
