Take a change to the next daemon if the log was out of reach of this one

Cause: with several addresses, one daemon cut off from the log ended a command although another could have carried it out; nothing had been sent to the log. Ruled out: going on after an unknown outcome, which is looked up instead.

--- a/packages/cli/src/wagtailpaddle_cli/client.py
+++ b/packages/cli/src/wagtailpaddle_cli/client.py
@@ -32,9 +32,10 @@
     """Asks daemons in turn until one answers.
 
     A change is sent to another daemon only if the one before surely did not
-    get it. If an answer is lost, the change is looked up by its record id; it
-    is sent again only when a daemon that read the log to its end does not
-    know the id, and then with the same id, so that it takes effect once.
+    get it or says that its log did not. If an answer is lost, the change is
+    looked up by its record id; it is sent again only when a daemon that read
+    the log to its end does not know the id, and then with the same id, so that
+    it takes effect once.
     """
 
     def __init__(
@@ -78,9 +79,11 @@
             except NoAnswer:
                 return await self._settle(method, path, body, record_id, named)
             except CommandError as exc:
-                if exc.status is not Exit.UNKNOWN:
+                if exc.status is Exit.UNKNOWN:
+                    return await self._settle(method, path, body, record_id, named)
+                if exc.status is not Exit.UNREACHABLE:
                     raise
-                return await self._settle(method, path, body, record_id, named)
+                faults.append(f"{address}: {exc}")
         raise _unreachable(faults)
 
     async def _settle(
@@ -148,4 +151,4 @@
 
 
 def _unreachable(faults: list[str]) -> CommandError:
-    return CommandError(Exit.UNREACHABLE, "no daemon answered: " + "; ".join(faults))
+    return CommandError(Exit.UNREACHABLE, "nothing was done: " + "; ".join(faults))
--- a/packages/cli/tests/test_client.py
+++ b/packages/cli/tests/test_client.py
@@ -54,6 +54,13 @@
     assert n_puts(client) == 2
 
 
+def test_change_goes_on_if_the_daemon_can_not_reach_its_log(change):
+    client, result = change({"a": [NO_LOG], "b": [DONE]})
+    assert result is DONE
+    assert n_puts(client) == 2
+    assert change({"a": [NO_LOG], "b": [NO_LOG]})[1] == Exit.UNREACHABLE
+
+
 def test_lost_answer_is_looked_up_and_not_sent_again(change):
     client, result = change({"a": [NoAnswer("lost")], "b": [DONE]})
     assert result is DONE
