Run whole nodes at random and check every promise

Cause: the packages had been proved one by one; how they act together had not.

Change: make soak drives several nodes through an in-memory platform, backend servers and callers, with faults from a registry, and an audit that sees all of it. Claims are told of every roster in turn, also when several follow within one read of the log; shares are claimed once the listed VMs are known.

Ruled out: fewer partitions of claims, which had hidden the cause.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,8 @@
 
 measure-state: environment
 	$(BIN)/python -m wagtailpaddle_standins.measure_state
+
+SEED ?= 1
+STEPS ?= 120
+soak: environment
+	$(BIN)/python -m wagtailpaddle_standins.soak --seed $(SEED) --steps $(STEPS)
--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -43,7 +43,7 @@
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.calls import Call, Calls, Part
-from wagtailpaddle_node.follow import ConfigStream, RawLogRecord
+from wagtailpaddle_node.follow import ConfigStream, RawLogRecord, SeatedVms
 from wagtailpaddle_node.limits import RecentLimits
 from wagtailpaddle_node.messages import Append, NodeAction
 from wagtailpaddle_node.sharestate import share_items, shares_from
@@ -52,8 +52,8 @@
 SHARES_STREAM = "shares"
 SHARES_SNAPSHOT_RECORDS = 5000
 FLEET_TICK_S = 0.2
-N_CLAIM_PARTITIONS = 32
 ROSTER_CHECK_S = 0.5
+KNOW_FLEET_S = 5.0
 
 ControlAction = NodeAction | Run | Reject | ClaimReplay
 
@@ -85,7 +85,7 @@
         self.stream = ConfigStream(self.fold, self.membership, codec.decode, seed=seed)
         window_s = self.membership.freshness.window_s
         self.quota = QuotaKeeper(vm.id, limits=self.limit_of, freshness_s=window_s)
-        self.claims = ClaimKeeper(vm.id, n_partitions=N_CLAIM_PARTITIONS)
+        self.claims = ClaimKeeper(vm.id)
         self.calls = Calls()
         self.n_bad_messages = 0
         self._codec = codec
@@ -95,9 +95,11 @@
         self._shares_head: Offset = 0
         self._shares_snapshot_at: Offset = 0
         self._roster_key: object = None
-        self._members_revision: Offset = -1
+        self._seated: SeatedVms | None = None
+        self._claims_gone: frozenset[VmId] = frozenset()
         self._fleet_tick_at = float("-inf")
         self._roster_check_at = float("-inf")
+        self._started_at: float | None = None
 
     @property
     def configuration(self) -> Configuration:
@@ -118,6 +120,7 @@
         before = self.configuration
         self.stream.on_read(now, records, first, head)
         actions = self._fleet(now, self.membership.on_log_head(now, sent_at, head))
+        actions += self._tell_claims(now)
         return self._reconfigure(now, before) + actions
 
     def on_shares_read(
@@ -228,6 +231,7 @@
             self._fleet_tick_at = now
             actions += self._fleet(now, self.membership.tick(now))
             actions += self._tell_health(now)
+            actions += self._tell_claims(now)
             actions += self._once(now, self.claims.tick(now))
         if now - self._roster_check_at >= ROSTER_CHECK_S:
             self._roster_check_at = now
@@ -418,6 +422,8 @@
         roster = self.membership.roster
         vms = frozenset(vm.id for vm in self.membership.vms(now))
         gone = self.membership.gone(now)
+        if not self._knows_fleet(now, len(vms)):
+            return ()
         key = (vms, gone, roster.members_revision)
         if key == self._roster_key:
             return ()
@@ -427,21 +433,41 @@
         actions: tuple[ControlAction, ...] = self.backends.set_users(
             now, max(1, len(vms))
         )
-        return actions + self._tell_claims(now, gone)
+        return actions
 
-    def _tell_claims(
-        self, now: float, gone: frozenset[VmId]
-    ) -> tuple[ControlAction, ...]:
-        roster = self.membership.roster
-        if not roster.members:
-            return ()
-        former = None
-        if roster.former_members:
-            former = Roster(
-                roster.former_members_revision, _members(roster.former_members)
-            )
-        present = Roster(roster.members_revision, _members(roster.members))
-        return self._once(now, self.claims.on_roster(now, present, former, gone))
+    def _knows_fleet(self, now: float, n_vms: int) -> bool:
+        """Return whether the listed VMs are known, or were waited for.
+
+        Otherwise the first VM of a fleet that starts would claim every share.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        listed = self.membership.incarnations.listed
+        n_expected = sum(not entry.leaving for entry in listed.values())
+        if listed and n_vms >= n_expected:
+            self._started_at = float("-inf")
+        return now - self._started_at >= KNOW_FLEET_S
+
+    def _tell_claims(self, now: float) -> tuple[ControlAction, ...]:
+        """Tell the claims of every roster in turn, and of VMs that are gone.
+
+        None may be left out: whoever joins asks those of the roster before.
+        """
+        gone = self.membership.gone(now)
+        seated = self.stream.take_seated()
+        if not seated and gone != self._claims_gone and self._seated is not None:
+            seated = [self._seated]
+        self._claims_gone = gone
+        actions: tuple[ControlAction, ...] = ()
+        for change in seated:
+            self._seated = change
+            former = None
+            if change.former_vms:
+                former = Roster(change.former_revision, _members(change.former_vms))
+            present = Roster(change.revision, _members(change.vms))
+            told = self.claims.on_roster(now, present, former, gone)
+            actions += self._once(now, told)
+        return actions
 
     def _shares_snapshot_is_due(self) -> bool:
         if self.quota.next_offset < self._shares_head:
--- a/packages/node/src/wagtailpaddle_node/follow.py
+++ b/packages/node/src/wagtailpaddle_node/follow.py
@@ -22,7 +22,7 @@
     cut_snapshot,
 )
 from wagtailpaddle_core import AccountId, Offset, ensure
-from wagtailpaddle_fleet import FleetRecord, Membership
+from wagtailpaddle_fleet import FleetRecord, Membership, Vm
 
 ROSTER_SECTION = "roster"
 
@@ -38,6 +38,16 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class SeatedVms:
+    """The VMs in the seats since ``revision``, and those before them."""
+
+    revision: Offset
+    vms: tuple[Vm, ...]
+    former_revision: Offset
+    former_vms: tuple[Vm, ...]
+
+
 class ConfigStream:
     """Keeps the configuration and the seats at the same place of the log.
 
@@ -53,6 +63,7 @@
         self.n_unreadable = 0
         self.first: Offset = 0
         self.head: Offset = 0
+        self._seated: list[SeatedVms] = []
         self._changed_accounts: set[AccountId] | None = set()
         self._decode = decode
         self._follower = LogFollower()
@@ -105,6 +116,7 @@
             self.n_unreadable += 1
             return
         self._changed_accounts = None
+        self._note_seated(-1)
         self._check_together()
 
     def items(self) -> tuple[Offset, tuple[SnapshotItem, ...]]:
@@ -115,6 +127,11 @@
         )
         return self.fold.next_offset, self.fold.snapshot_items() + roster
 
+    def take_seated(self) -> list[SeatedVms]:
+        """Return every change of the seated VMs since the last call, in order."""
+        seated, self._seated = self._seated, []
+        return seated
+
     def take_changed_accounts(self) -> set[AccountId] | None:
         """Return the accounts changed since the last call, None if any may be."""
         changed = self._changed_accounts
@@ -145,9 +162,22 @@
                 self._watch.on_chunk(record)
             case _:
                 self.fold.skip(raw.offset)
+        before = self.membership.roster.members_revision
         self.membership.on_folded(now, raw.offset, raw.data, seats)
+        self._note_seated(before)
         self._check_together()
 
+    def _note_seated(self, before: Offset) -> None:
+        roster = self.membership.roster
+        if roster.members_revision != before and roster.members:
+            seated = SeatedVms(
+                roster.members_revision,
+                roster.members,
+                roster.former_members_revision,
+                roster.former_members,
+            )
+            self._seated.append(seated)
+
     def _note_accounts(self, change: Change) -> None:
         match change:
             case PutAccount() | CancelAccount() | RestoreAccount():
--- a/packages/standins/src/wagtailpaddle_standins/fakes/audit.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/audit.py
@@ -39,6 +39,11 @@
         self._limits.append((now + self._overlap_s, *self._present))
         self._present = (rate, burst)
 
+    @property
+    def present_rate(self) -> float:
+        """The rate that counts from now on."""
+        return self._present[0]
+
     def admit(self, now: float) -> None:
         """Take in an admitted request."""
         self._refill(now)
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/soak/audit.py
@@ -0,0 +1,73 @@
+"""What must hold, checked from outside all nodes."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from wagtailpaddle_core import ANSWERS, AccountId, ErrorKind, Outcome, RequestId
+
+from wagtailpaddle_standins.fakes.audit import RateAudit
+from wagtailpaddle_standins.soak.servers import Servers
+
+WITHDRAWAL_BOUND_S = 5.0
+LEAVING_BOUND_S = 5.0
+
+
+@dataclass(slots=True)
+class Audit:
+    """Collects evidence while the run goes on; ``broken`` lists violations."""
+
+    servers: Servers
+    rates: Mapping[AccountId, RateAudit]
+    broken: list[str] = field(default_factory=list)
+    served: Counter[AccountId] = field(default_factory=Counter)
+    refused: Counter[ErrorKind] = field(default_factory=Counter)
+    not_run: dict[RequestId, ErrorKind] = field(default_factory=dict)
+    answered: Counter[RequestId] = field(default_factory=Counter)
+    withdrawn_at: dict[str, float] = field(default_factory=dict)
+    leaving_at: dict[str, float] = field(default_factory=dict)
+    once_only: set[RequestId] = field(default_factory=set)
+
+    def on_dispatch(self, now: float, key_hash: str | None, server: str) -> None:
+        """A node began an attempt."""
+        withdrawn_at = self.withdrawn_at.get(key_hash or "")
+        if withdrawn_at is not None and now > withdrawn_at + WITHDRAWAL_BOUND_S:
+            self.broken.append(f"withdrawn key served at {now:.2f}")
+        leaving_at = self.leaving_at.get(server)
+        if leaving_at is not None and now > leaving_at + LEAVING_BOUND_S:
+            self.broken.append(f"leaving server {server} got work at {now:.2f}")
+
+    def on_granted(self, now: float, account: AccountId) -> None:
+        """A node took a token for a request."""
+        self.rates[account].admit(now)
+
+    def on_answer(self, request: RequestId, account: AccountId) -> None:
+        """A caller got an answer of a backend server."""
+        self.answered[request] += 1
+        self.served[account] += 1
+
+    def on_refusal(self, request: RequestId, kind: ErrorKind) -> None:
+        """A caller got a refusal."""
+        self.answered[request] += 1
+        self.refused[kind] += 1
+        if ANSWERS[kind].outcome is Outcome.NOT_RUN:
+            self.not_run[request] = kind
+
+    def conclude(self) -> list[str]:
+        """Return every violation of the run."""
+        broken = list(self.broken)
+        for request in self.once_only:
+            if self.servers.runs[request] > 1:
+                broken.append(f"request {request} ran {self.servers.runs[request]}x")
+        for key, n_runs in self.servers.keyed_runs.items():
+            if n_runs > 1:
+                broken.append(f"idempotency key {key} ran {n_runs} times")
+        for request, kind in self.not_run.items():
+            if self.servers.runs[request]:
+                broken.append(f"request {request} was refused {kind.value} and ran")
+        for request, n_answers in self.answered.items():
+            if n_answers > 1:
+                broken.append(f"request {request} was answered {n_answers} times")
+        for audit in self.rates.values():
+            broken += [f"over the rate: {excess}" for excess in audit.excess]
+        return broken
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/soak/disorder.py
@@ -0,0 +1,202 @@
+"""What goes wrong in a run, by name."""
+
+from collections.abc import Callable
+
+from wagtailpaddle_config import IssueKey, PublishBase, PutAccount, WithdrawKey
+from wagtailpaddle_core import AccountId, KeyId, Registry, ServerId
+
+from wagtailpaddle_standins.fakes.fabric import Disorder
+from wagtailpaddle_standins.soak.world import ACCOUNTS, N_SERVERS, RATES, Host, World
+
+Fault = Callable[[World], None]
+FAULTS: Registry[Fault] = Registry("fault")
+
+SERVER_MODES = ("down", "shed", "hang", "close", "gray", "slow", "")
+REPLACE_AFTER_S = 2.0
+MAX_SECRETS = 3
+
+
+def _any_host(world: World) -> Host | None:
+    hosts = [host for host in world.live() if not host.stopping]
+    return world.random.choice(hosts) if len(hosts) > 2 else None
+
+
+def _restart_later(world: World, place: str, delay_s: float) -> None:
+    def start() -> None:
+        if world.hosts[place].process.alive:
+            world.fabric.at(world.fabric.now + 0.5, start)
+        else:
+            world.start(place)
+
+    world.fabric.at(world.fabric.now + delay_s, start)
+
+
+@FAULTS.register("kill")
+def kill(world: World) -> None:
+    """Kill a daemon; another one takes its place after a while."""
+    host = _any_host(world)
+    if host is not None:
+        world.kill(host.process.place)
+        _restart_later(world, host.process.place, world.random.uniform(0.5, 8.0))
+
+
+@FAULTS.register("replace")
+def replace(world: World) -> None:
+    """Stop a daemon gracefully and start another in its place."""
+    host = _any_host(world)
+    if host is not None:
+        world.stop(host.process.place)
+        _restart_later(world, host.process.place, REPLACE_AFTER_S)
+
+
+@FAULTS.register("pause")
+def pause(world: World) -> None:
+    """Let a process stand still while time goes on."""
+    host = _any_host(world)
+    if host is not None:
+        length_s = world.random.choice((0.5, 2.0, 6.0, 15.0))
+        host.process.paused_until = world.fabric.now + length_s
+
+
+@FAULTS.register("cut one way")
+def cut_one_way(world: World) -> None:
+    """Lose everything from one VM to another, or to the log."""
+    source = world.random.choice(world.places)
+    targets = [place for place in world.places if place != source]
+    cut = (source, world.random.choice([*targets, "log"]))
+    world.fabric.cuts.add(cut)
+    heal_at = world.fabric.now + world.random.uniform(1.0, 15.0)
+    world.fabric.at(heal_at, lambda: world.fabric.cuts.discard(cut))
+
+
+@FAULTS.register("isolate")
+def isolate(world: World) -> None:
+    """Cut one VM off from its peers and the log, both ways."""
+    one = world.random.choice(world.places)
+    others = [place for place in world.places if place != one]
+    cuts = {(one, other) for other in [*others, "log"]}
+    cuts |= {(other, one) for other in others}
+    world.fabric.cuts |= cuts
+    heal_at = world.fabric.now + world.random.uniform(2.0, 12.0)
+    world.fabric.at(heal_at, lambda: world.fabric.cuts.difference_update(cuts))
+
+
+@FAULTS.register("log outage")
+def log_outage(world: World) -> None:
+    """Take the log and the list of VMs away for a while."""
+    world.platform.is_up = False
+    back_at = world.fabric.now + world.random.choice((2.0, 10.0, 40.0))
+    world.fabric.at(back_at, lambda: setattr(world.platform, "is_up", True))
+
+
+@FAULTS.register("lost answers")
+def lost_answers(world: World) -> None:
+    """Let appends take effect and yet fail."""
+    world.platform.lost = 0.5
+    world.fabric.at(
+        world.fabric.now + 8.0, lambda: setattr(world.platform, "lost", 0.0)
+    )
+
+
+@FAULTS.register("bad network")
+def bad_network(world: World) -> None:
+    """Lose, delay and repeat messages between VMs."""
+    world.fabric.disorder = Disorder(slow=0.1, loss=0.1, duplicate=0.05)
+    world.fabric.at(
+        world.fabric.now + 8.0,
+        lambda: setattr(world.fabric, "disorder", Disorder()),
+    )
+
+
+@FAULTS.register("server")
+def change_server(world: World) -> None:
+    """Break or mend a backend server."""
+    server = ServerId(f"s{world.random.randrange(N_SERVERS)}")
+    world.servers.modes[server] = world.random.choice(SERVER_MODES)
+
+
+@FAULTS.register("leaving server")
+def leaving_server(world: World) -> None:
+    """Publish that one server leaves, and the others do not."""
+    leaving = f"s{world.random.randrange(N_SERVERS)}"
+    record_id = world.commit(PublishBase(world.document(leaving=frozenset({leaving}))))
+    world.audit.leaving_at.clear()
+    _when_accepted(
+        world, record_id, lambda now: world.audit.leaving_at.update({leaving: now})
+    )
+
+
+@FAULTS.register("withdraw")
+def withdraw(world: World) -> None:
+    """Withdraw a key and issue another one."""
+    account = AccountId(world.random.choice(ACCOUNTS))
+    hosts = world.live()
+    keys = [
+        key
+        for host in hosts[:1]
+        for key in host.node.configuration.keys.values()
+        if key.account == account and not key.withdrawn
+    ]
+    if not keys:
+        return
+    key = world.random.choice(keys)
+    if len(world.secrets[account]) > MAX_SECRETS:
+        world.forget_secret(account, key.secret_hash)
+    record_id = world.commit(WithdrawKey(key.id))
+    world.issue(account)
+    _when_accepted(
+        world,
+        record_id,
+        lambda now: world.audit.withdrawn_at.update({key.secret_hash: now}),
+    )
+
+
+@FAULTS.register("race")
+def race(world: World) -> None:
+    """Let two operators issue the same key id."""
+    account = AccountId(world.random.choice(ACCOUNTS))
+    for attempt in range(2):
+        world.commit(IssueKey(KeyId("raced"), account, f"hash-{attempt}"))
+
+
+@FAULTS.register("rate")
+def change_rate(world: World) -> None:
+    """Change the rate of an account; the larger one counts while it spreads."""
+    account = AccountId(world.random.choice(ACCOUNTS))
+    rate, burst = RATES[account]
+    factor = world.random.choice((0.5, 1.0, 2.0))
+    fields = {"rate": rate * factor, "burst": burst * factor}
+    record_id = world.commit(PutAccount(account, fields))
+    audit = world.rates[account]
+    if factor > audit_factor(world, account):
+        audit.change(world.fabric.now, rate * factor, burst * factor)
+        return
+    _when_accepted(
+        world,
+        record_id,
+        lambda now: audit.change(now, rate * factor, burst * factor),
+    )
+
+
+def audit_factor(world: World, account: AccountId) -> float:
+    """Return the factor of the limit that the audit goes by."""
+    return world.rates[account].present_rate / RATES[account][0]
+
+
+def _when_accepted(world: World, record_id: str, run: Callable[[float], None]) -> None:
+    """Call ``run`` once some VM knows that a majority confirmed a record."""
+
+    def look() -> None:
+        result = world.result_of(record_id)
+        if result is not None:
+            for host in world.live():
+                if host.process.paused_until > world.fabric.now:
+                    continue
+                now = world.fabric.clock(host.process)
+                world.carry_out(host, host.node.track(now, result.offset))
+                if host.node.control.membership.acceptance(result.offset).in_force:
+                    run(world.fabric.now)
+                    return
+        world.fabric.at(world.fabric.now + 0.5, look)
+
+    look()
