--- a/packages/cli/tests/test_end_to_end.py
+++ b/packages/cli/tests/test_end_to_end.py
@@ -70,7 +70,12 @@
     status = cli("status")
     assert status.returncode == Exit.OK, status.stderr
     assert "booking-00" in status.stdout
-    assert cli("key", "withdraw", issued["key"]).returncode == Exit.OK
+    found = json.loads(cli("status", "accounts", "--json").stdout)
+    series = {item["name"]: item for item in found["accounts"]["accounts"]}
+    assert series["x"]["latency"]["n"] == series["x"]["outcomes"]["answered"] > 0
+    withdrawn = cli("key", "withdraw", issued["key"], "--wait=20", "--json")
+    assert withdrawn.returncode == Exit.OK, withdrawn.stderr
+    assert json.loads(withdrawn.stdout)["state"] == "in-force"
     assert wait_for(lambda: served(system, issued["secret"]) == [401, 401])
 
 
