--- a/packages/config/tests/test_snapshots.py
+++ b/packages/config/tests/test_snapshots.py
@@ -92,6 +92,16 @@
     assert fold.configuration is before
 
 
+def test_snapshot_that_brings_a_withdrawn_key_back_is_refused(fold, put, base):
+    put(PublishBase(base))
+    put(IssueKey("k", "x", "hash"))
+    items = fold.snapshot_items()
+    put(WithdrawKey("k"))
+    with pytest.raises(SnapshotError, match="'k'"):
+        fold.restore(9, items)
+    assert fold.configuration.account_for("hash") is None
+
+
 def test_follower_starts_from_the_last_whole_snapshot(fold, put, base):
     put(PublishBase(base))
     chunks = cut_snapshot(1, fold.snapshot_items(), writer="w", at=0.0, chunk_items=2)
@@ -128,3 +138,15 @@
     assert not watch.is_due(1012.0, 0, 160)
     assert not watch.is_due(1012.0, 100, 160)
     assert watch.is_due(1012.0, 156, 160)
+
+
+def test_others_wait_while_a_snapshot_is_being_written():
+    watch = SnapshotWatch(rng=Random(3), records=100, jitter_s=10.0)
+    first, last = cut_snapshot(
+        150, [SnapshotItem("x", "a", {})] * 2, writer="w", at=1000.0, chunk_items=1
+    )
+    watch.on_chunk(first)
+    assert not watch.should_write(1001.0, 0, 151)
+    assert not watch.should_write(1015.0, 0, 151)
+    watch.on_chunk(last)
+    assert not watch.is_due(1016.0, 0, 152)
--- a/packages/fleet/src/wagtailpaddle_fleet/roster.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/roster.py
@@ -64,12 +64,18 @@
         self.next_offset = offset + 1
         if record is None:
             return
+        before = self.majorities()
         if not CHANGES[type(record.change).__name__](self, record.change):
             self.n_void += 1
             return
         self.version += 1
         self._begin_change(offset, record.author)
         self._note_members(offset + 1)
+        ensure(
+            not before[0] or not set(before).isdisjoint(self.majorities()),
+            "roster-majorities-meet",
+            offset=offset,
+        )
 
     def seat(self, seat: SeatId) -> Seat | None:
         """Return a seat that is registered or about to be."""
@@ -88,6 +94,14 @@
         }
         return tuple(vms[vm] for vm in sorted(vms))
 
+    def holds_seat(self, vm: VmId) -> bool:
+        """Return whether the log names a VM as holder of a seat that stays."""
+        return any(
+            seat.vm.id == vm and seat.id not in self._departing
+            for seats in (self.seats, self._joining)
+            for seat in seats.values()
+        )
+
     def majorities(self) -> tuple[frozenset[SeatId], ...]:
         """Return the sets of seats of each of which more than half must agree."""
         current = frozenset(self.seats)
