--- a/packages/cli/tests/test_pages.py
+++ b/packages/cli/tests/test_pages.py
@@ -40,3 +40,9 @@
         target = part.partition(")")[0]
         if not target.startswith("http"):
             assert (page.parent / target.partition("#")[0]).exists(), target
+
+
+def test_index_of_operators_names_every_page():
+    index = (DOCS / "operators.md").read_text()
+    for page in (DOCS / "operators").glob("*.md"):
+        assert f"(operators/{page.name})" in index
