--- a/packages/standins/src/wagtailpaddle_standins/fleetaudit.py
+++ b/packages/standins/src/wagtailpaddle_standins/fleetaudit.py
@@ -15,7 +15,9 @@
     PutAccount,
     Record,
     RestoreAccount,
+    Void,
     WithdrawKey,
+    object_of,
 )
 from wagtailpaddle_core import AccountId, KeyId, Offset, Registry, ensure
 from wagtailpaddle_peer import RecordError, decode_log_record
@@ -138,6 +140,15 @@
         result = self._reference.result_of(record_id)
         if outcome.state is AppendState.APPLIED:
             ensure(isinstance(result, Applied), "applied-is-applied", id=record_id)
+        if outcome.state is AppendState.VOID:
+            told = outcome.result
+            ensure(
+                isinstance(result, Void)
+                and isinstance(told, Void)
+                and (told.offset, told.reason) == (result.offset, result.reason),
+                "void-for-every-reader",
+                id=record_id,
+            )
         if outcome.state is AppendState.EXPIRED:
             is_applied = isinstance(result, Applied)
             ensure(not is_applied, "expired-never-applies", id=record_id)
@@ -217,7 +228,11 @@
             chaos.n_changes += 1
             record_id = f"c{chaos.n_changes}"
             chaos.auditor.submitted.add(record_id)
-            vm.submit(record_id, chaos.change())
+            change = chaos.change()
+            expected = None
+            if chaos.rng.random() < 0.5:
+                expected = vm.fold.revision_of(object_of(change))
+            vm.submit(record_id, change, expected=expected)
 
 
 @FAULTS.register("log-outage")
--- a/packages/standins/src/wagtailpaddle_standins/fleetworld.py
+++ b/packages/standins/src/wagtailpaddle_standins/fleetworld.py
@@ -99,9 +99,11 @@
 
         self.world.clock.at(self.now + delay_s, wake)
 
-    def submit(self, record_id: str, change: Change) -> None:
+    def submit(
+        self, record_id: str, change: Change, *, expected: Offset | None = None
+    ) -> None:
         """An operator changes something through this VM."""
-        record = Record(record_id, "op", self.now, None, change)
+        record = Record(record_id, "op", self.now, expected, change)
         self._append(self.tracker.submit(record, self.fold.next_offset))
 
     def leave(self) -> None:
