health: suspect earlier, spread the tests of a suspect

Change: suspect from 0.16, trust below 0.1 of the threshold (was 0.25 and 0.15); VMs begin to test over up to 0.4 s, by their own request rate.

--- a/packages/health/src/wagtailpaddle_health/admission.py
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -57,6 +57,7 @@
     ``severity`` ranks ejected servers, ``n_ejections`` sets the next ejection's
     length and is forgiven over time. ``kept`` says that the floor alone keeps
     the server working; ``cold`` that it is new and may be slow at first.
+    ``spread_s`` is how long the VMs take to begin testing it as a suspect.
     ``pooled`` is this VM's judgement of all evidence told to it, ``fleet`` what
     the watchers agree on. ``marks`` holds the evidence on the other servers when
     the present doubt began.
@@ -73,6 +74,7 @@
     judged_at: float = float("-inf")
     reason: str = ""
     kept: bool = False
+    spread_s: float = 0.0
     cold: bool = False
     local: Judgement = NOTHING
     fleet: Judgement = NOTHING
--- a/packages/health/src/wagtailpaddle_health/poolbook.py
+++ b/packages/health/src/wagtailpaddle_health/poolbook.py
@@ -32,11 +32,16 @@
 from wagtailpaddle_health.policies import Case, Other, Policy
 from wagtailpaddle_health.roster import Roster
 from wagtailpaddle_health.scan import NOTHING
-from wagtailpaddle_health.standing import health, restricted, wants_verification
-from wagtailpaddle_health.window import Counts
+from wagtailpaddle_health.standing import (
+    health,
+    restricted,
+    verify_spread_s,
+    wants_verification,
+)
+from wagtailpaddle_health.window import WINDOW_S, Counts
 
-SUSPECT_SHARE = 0.25
-TRUST_SHARE = 0.15
+SUSPECT_SHARE = 0.16
+TRUST_SHARE = 0.1
 READMITTED_BAR = 0.6
 UNKEEP_SHARE = 0.5
 JUDGE_INTERVAL_S = 0.25
@@ -275,6 +280,7 @@
     def _doubt_or_trust(self, now: float, track: Track) -> bool:
         if track.state is ServerState.HEALTHY and track.suspicion >= SUSPECT_SHARE:
             track.admission.doubt()
+            track.spread_s = verify_spread_s(self._own_rate(now))
             reason = track.local.reason or track.fleet.reason
             self._roster.enter(now, track, reason)
             return True
@@ -287,6 +293,13 @@
             track.kept = False
         return True
 
+    def _own_rate(self, now: float) -> float:
+        totals = (
+            track.evidence.own.total(int(now)).n_attempts
+            for track in self._roster.tracks.values()
+        )
+        return sum(totals) / WINDOW_S
+
     def _advance(self, now: float, track: Track) -> bool:
         state = track.state
         if track.is_out and now >= track.until:
--- a/packages/health/src/wagtailpaddle_health/scan.py
+++ b/packages/health/src/wagtailpaddle_health/scan.py
@@ -21,7 +21,7 @@
 PRIOR_ATTEMPTS = 20
 MAX_RATE = 0.95
 CORROBORATION = 2.5
-LEAST_SHARE = 0.15
+LEAST_SHARE = 0.08
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/health/src/wagtailpaddle_health/standing.py
+++ b/packages/health/src/wagtailpaddle_health/standing.py
@@ -13,6 +13,17 @@
 RAMP_START_WEIGHT = 0.1
 RESTRICT_SCORE = 0.5
 VERIFY_INTERVAL_S = 0.5
+MAX_SPREAD_S = 0.4
+SPREAD_S_PER_RATE = 0.04
+
+
+def verify_spread_s(own_rate: float) -> float:
+    """Return over how many seconds the VMs start to test a suspect.
+
+    ``own_rate`` is in requests/s of this VM to the service. Where each VM has
+    requests at hand, all at once would queue at the suspect and look slow.
+    """
+    return min(MAX_SPREAD_S, SPREAD_S_PER_RATE * own_rate)
 
 
 def weight(now: float, track: Track) -> float:
@@ -34,11 +45,12 @@
 
 def wants_verification(now: float, track: Track, vm: VmId) -> bool:
     """Return whether this VM should send a repeatable request now."""
+    phase = score(track.server, vm) / 2**64
     if track.state is ServerState.SUSPECT:
+        is_due = now >= track.since + phase * track.spread_s
         idle_s = now - track.evidence.last_own_at
-        return not track.kept and idle_s >= VERIFY_INTERVAL_S
+        return is_due and not track.kept and idle_s >= VERIFY_INTERVAL_S
     if track.state is ServerState.PROBATION:
-        phase = score(track.server, vm) / 2**64
         is_due = now >= track.since + phase * PROBATION_S
         return is_due and track.evidence.last_own_at < track.since
     return False
