--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -13,7 +13,7 @@
 from wagtailpaddle_node import Node
 from wagtailpaddle_peer import LogCodec
 
-from wagtailpaddle_daemon.admin import Admin, ChangeState, StateName, VmView
+from wagtailpaddle_daemon.admin import Admin, ChangeState, VmView, change_state
 from wagtailpaddle_daemon.feed import Feed, start_coroutine
 from wagtailpaddle_daemon.front import FrontFactory, Limits
 from wagtailpaddle_daemon.gateway import Gateway
@@ -179,8 +179,7 @@
         now = self._reactor.seconds()
         self.gateway.carry_out(self.node.track(now, offset))
         state = membership.acceptance(offset)
-        name = StateName.IN_FORCE if state.in_force else StateName.RECORDED
-        return ChangeState(name, state.n_confirmed, state.n_seats // 2 + 1)
+        return change_state(state)
 
     def _fleet(self) -> tuple[VmView, ...]:
         membership = self.node.control.membership
