--- a/packages/standins/tests/test_soak.py
+++ b/packages/standins/tests/test_soak.py
@@ -1,5 +1,4 @@
 import pytest
-
 from wagtailpaddle_core import ErrorKind
 from wagtailpaddle_standins.soak import __main__ as soak
 from wagtailpaddle_standins.soak.world import World
