--- a/packages/quota/src/wagtailpaddle_quota/borrowing.py
+++ b/packages/quota/src/wagtailpaddle_quota/borrowing.py
@@ -18,17 +18,23 @@
 """A lower demand in ``LEAD_S`` is borrowed for when a request waits."""
 
 RETRY_MIN_S = 0.02
-RETRY_MAX_S = 0.32
+RETRY_MAX_S = 0.16
+RETURN_AFTER_S = 0.1
+"""Unwanted tokens go back, and spent ones are reported, after this time."""
+
 IDLE_AFTER_S = 5.0
 
 
 @dataclass(slots=True)
 class _Lender:
+    """``tokens`` are at hand, and ``room`` is what the lender keeps for them."""
+
     tokens: float = 0.0
     until: float = 0.0
     sequence: int = 0
     sent_at: float = 0.0
     asked: float = 0.0
+    room: float = 0.0
     waiting: bool = False
     not_before: float = 0.0
     pause_s: float = RETRY_MIN_S
@@ -124,8 +130,9 @@
         missing = max(0.0, target - own - self.tokens(now) - asked)
         wanted = self._split(now, missing, lenders)
         sent: list[SendPeer] = []
-        for vm in sorted(set(wanted) | self._due(now)):
-            give_back = vm not in wanted and own >= target
+        unwanted = own >= target
+        for vm in sorted(set(wanted) | self._due(now, unwanted)):
+            give_back = vm not in wanted and unwanted
             message = self._ask(
                 now, vm, sequence + len(sent), wanted.get(vm, 0.0), give_back
             )
@@ -142,7 +149,9 @@
             lender.tokens = 0.0
         if reply.renewed:
             lender.until = lender.sent_at + LOAN_TERM_S
-            lender.tokens += min(max(0.0, reply.granted), lender.asked)
+            granted = min(max(0.0, reply.granted), lender.asked)
+            lender.tokens += granted
+            lender.room += granted
         if reply.granted > 0.0:
             lender.pause_s = RETRY_MIN_S
         elif lender.asked > 0.0:
@@ -154,6 +163,7 @@
         if lender is None or not lender.waiting or lender.sequence != sequence:
             return
         lender.waiting = False
+        lender.room += lender.asked
         self._pause(now, lender)
 
     def _pause(self, now: float, lender: _Lender) -> None:
@@ -181,16 +191,22 @@
             for place, vm in enumerate(free[:n_asked])
         }
 
-    def _due(self, now: float) -> set[VmId]:
-        """Return the lenders whose loan needs renewal or return."""
-        return {
-            vm
-            for vm, item in self._lenders.items()
-            if item.tokens > 0.0
-            and not item.waiting
-            and now >= item.not_before
-            and item.until - now < LOAN_TERM_S / 2
-        }
+    def _due(self, now: float, unwanted: bool) -> set[VmId]:
+        """Return the lenders that have to hear of their loan.
+
+        Tokens go back if they are unwanted and are renewed otherwise; spent
+        ones are reported, so that the lender's bucket can fill again.
+        """
+        kept_s = RETURN_AFTER_S if unwanted else LOAN_TERM_S / 2
+        due = set()
+        for vm, item in self._lenders.items():
+            if item.waiting or now < item.not_before:
+                continue
+            ends = item.tokens > 0.0 and item.until - now <= LOAN_TERM_S - kept_s
+            spent = item.room - item.tokens >= 1.0
+            if ends or (spent and now - item.sent_at >= RETURN_AFTER_S):
+                due.add(vm)
+        return due
 
     def _ask(
         self, now: float, vm: VmId, sequence: int, wanted: float, give_back: bool
@@ -198,6 +214,7 @@
         lender = self._lenders[vm]
         returned = lender.tokens if give_back else 0.0
         lender.tokens -= returned
+        lender.room = lender.tokens
         lender.sequence = sequence
         lender.sent_at = now
         lender.asked = wanted
@@ -210,9 +227,11 @@
             if now < lender.until:
                 continue
             lender.tokens = 0.0
+            if now >= lender.sent_at + LOAN_TERM_S:
+                lender.room = 0.0
             if not lender.waiting and now >= lender.not_before + IDLE_AFTER_S:
                 del self._lenders[vm]
 
     def _forget_waits(self, now: float) -> None:
-        while self._waits and self._waits[0] < now:
+        while self._waits and self._waits[0] <= now:
             self._waits.popleft()
--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -34,6 +34,7 @@
 N_SHARES = 4
 FRESHNESS_S = 3.0
 BORROW_WAIT_S = 0.02
+MIN_WAIT_S = 0.001
 MAX_WAIT_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
 
@@ -205,7 +206,7 @@
         spacing_s = 1.0 / limit.rate
         if least_s == float("inf"):
             return Refused(min(MAX_RETRY_AFTER_S, max(1.0, spacing_s)))
-        at = borrower.wait(now, least_s, spacing_s)
+        at = borrower.wait(now, max(MIN_WAIT_S, least_s), spacing_s)
         if at > deadline_at or at > now + MAX_WAIT_S:
             return Refused(min(MAX_RETRY_AFTER_S, max(at - now, spacing_s)))
         borrower.add_wait(at)
--- a/packages/quota/src/wagtailpaddle_quota/shares.py
+++ b/packages/quota/src/wagtailpaddle_quota/shares.py
@@ -127,9 +127,10 @@
         registered: Iterable[VmId],
     ) -> None:
         """Take in the live VMs, those proven gone, and the registered ones."""
-        self._vms = frozenset(vms)
-        self._gone = frozenset(gone)
-        self._registered = frozenset(registered)
+        known = (frozenset(vms), frozenset(gone), frozenset(registered))
+        if known == (self._vms, self._gone, self._registered):
+            return
+        self._vms, self._gone, self._registered = known
         self.placement.set_vms(self._vms - self._gone)
         self._folded = {
             vm: offset for vm, offset in self._folded.items() if vm in self._registered
--- a/packages/standins/src/wagtailpaddle_standins/fakes/quota_fleet.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/quota_fleet.py
@@ -57,6 +57,7 @@
         n_groups: int = 4,
         n_shares: int = 3,
         disorder: Disorder | None = None,
+        always_poll: bool = True,
     ):
         self.fabric = Fabric(seed, disorder)
         self.rng = self.fabric.rng
@@ -74,6 +75,8 @@
         }
         self.tallies = {account: Tally() for account in limits}
         self.n_appends = 0
+        self.n_quota_messages = 0
+        self._always_poll = always_poll
         self._changing = False
         self._unsettled: dict[AccountId, tuple[float, ...]] = {}
         self._shape = (n_groups, n_shares)
@@ -229,6 +232,7 @@
                 self._call(instance, action)
 
     def _call(self, instance: Instance, action: SendPeer) -> None:
+        self.n_quota_messages += 1
         target = self.by_vm.get(action.vm)
         message = action.message
 
@@ -283,9 +287,10 @@
             at: heard for at, heard in instance.polls.items() if at > sent_at - 5
         }
         instance.polls[sent_at] = {vm: instance.keeper.next_offset}
-        for peer in self.instances.values():
-            if peer is not instance:
-                self._poll(instance, peer, sent_at)
+        if self._always_poll or not self.log_up:
+            for peer in self.instances.values():
+                if peer is not instance:
+                    self._poll(instance, peer, sent_at)
         self._check_poll(instance, sent_at)
         instance.keeper.on_roster(
             sent_at,
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure_state/quota.py
@@ -0,0 +1,267 @@
+"""Measures of rates and bursts over the fleet."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from wagtailpaddle_core import AccountId, Registry
+from wagtailpaddle_quota import TokenBucket
+
+from wagtailpaddle_standins.fakes.limiters import LIMITERS, Limiter, Limits
+from wagtailpaddle_standins.fakes.quota_fleet import LOG, QuotaFleet
+from wagtailpaddle_standins.measure_state.registry import MEASURES, Figure
+
+N_VMS = 36
+PATIENCE_S = 0.5
+WARM_UP_S = 15.0
+RUN_S = 30.0
+DEMAND = 0.9
+MAX_WRONGFUL = 0.5
+LIMITS: Limits = {
+    AccountId("large"): (150.0, 150.0),
+    AccountId("medium"): (20.0, 20.0),
+    AccountId("small"): (4.0, 8.0),
+}
+
+Place = Callable[[Limiter], str]
+SKEWS: Registry[Place] = Registry("skew")
+FAULTS: Registry[Callable[[Limiter], None]] = Registry("fault")
+
+
+@SKEWS.register("even")
+def even(limiter: Limiter) -> str:
+    """Every VM gets as much."""
+    return limiter.fabric.rng.choice(limiter.places)
+
+
+@SKEWS.register("skewed")
+def skewed(limiter: Limiter) -> str:
+    """The first VMs get most: half go to one, a quarter to the next."""
+    rank = int(limiter.fabric.rng.expovariate(0.7))
+    return limiter.places[min(rank, len(limiter.places) - 1)]
+
+
+@SKEWS.register("one-vm")
+def one_vm(limiter: Limiter) -> str:
+    """All go to one VM."""
+    return limiter.places[0]
+
+
+@FAULTS.register("none")
+def no_fault(limiter: Limiter) -> None:
+    """Nothing fails."""
+
+
+@FAULTS.register("pause-8s")
+def pause(limiter: Limiter) -> None:
+    """A quarter of the VMs stand still for 8 s."""
+    for place in limiter.places[::4]:
+        limiter.pause(place, 8.0)
+
+
+@FAULTS.register("crash")
+def crash(limiter: Limiter) -> None:
+    """A quarter of the VMs die and come back after 5 s."""
+    fabric = limiter.fabric
+    for place in limiter.places[::4]:
+        limiter.crash(place)
+        fabric.at(fabric.now + 5.0, partial(_start, limiter, place))
+
+
+@FAULTS.register("one-way-cut")
+def cut(limiter: Limiter) -> None:
+    """A quarter of the VMs hear the others, and are not heard, for 8 s."""
+    cuts = {(one, other) for one in limiter.places[::4] for other in limiter.places}
+    fabric = limiter.fabric
+    fabric.cuts |= cuts
+    fabric.at(fabric.now + 8.0, fabric.cuts.clear)
+
+
+@FAULTS.register("log-outage")
+def log_outage(limiter: Limiter) -> None:
+    """The log is away from now on."""
+    if isinstance(limiter, QuotaFleet):
+        limiter.log_up = False
+        limiter.fabric.cuts |= {(place, LOG) for place in limiter.places}
+
+
+@FAULTS.register("replace-third")
+def replace(limiter: Limiter) -> None:
+    """A third of the VMs are replaced gracefully, one each second."""
+    fabric = limiter.fabric
+    for number, place in enumerate(limiter.places[::3]):
+        stop = limiter.replace if isinstance(limiter, QuotaFleet) else limiter.start
+        fabric.at(fabric.now + number, partial(_call, stop, place))
+
+
+def _start(limiter: Limiter, place: str) -> None:
+    limiter.start(place)
+
+
+def _call(function: Callable[[str], object], place: str) -> None:
+    function(place)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Counts over one run, after the warm-up."""
+
+    n_sent: int
+    n_refused: int
+    n_granted: int
+    n_excess: int
+    n_wrongful: int
+
+
+class Reference:
+    """What one bucket for the whole fleet refuses of the same requests."""
+
+    def __init__(self, limits: Limits):
+        self._free_at: dict[AccountId, float] = {}
+        self._limits = limits
+        self.n_refused = 0
+        self._buckets = {
+            account: TokenBucket(rate=rate, burst=burst, tokens=burst, now=0.0)
+            for account, (rate, burst) in limits.items()
+        }
+        self._owed: dict[AccountId, float] = dict.fromkeys(limits, 0.0)
+
+    def request(self, now: float, account: AccountId) -> None:
+        """Admit a request, now or within its patience, in order of arrival."""
+        rate, _ = self._limits[account]
+        at = max(now, self._free_at.get(account, 0.0))
+        at += self._buckets[account].wait(at)
+        if at > now + PATIENCE_S:
+            self.n_refused += 1
+            return
+        at += 1e-9
+        while not self._buckets[account].take(at):
+            at += 1e-6
+        self._free_at[account] = at
+
+
+def run(
+    name: str,
+    seed: int,
+    *,
+    skew: str = "even",
+    fault: str = "none",
+    demand: float = DEMAND,
+    n_vms: int = N_VMS,
+    limits: Limits = LIMITS,
+    seconds: float = RUN_S,
+) -> tuple[Limiter, Outcome]:
+    """Drive one limiter with Poisson demand, a fault and one skew."""
+    limiter = LIMITERS[name](seed, limits, n_vms)
+    fabric = limiter.fabric
+    reference = Reference(limits)
+    fabric.run_until(WARM_UP_S)
+
+    def arrive(account: AccountId) -> None:
+        limiter.request(SKEWS[skew](limiter), account, PATIENCE_S)
+        rate, _ = limits[account]
+        gap = fabric.rng.expovariate(rate * demand)
+        if fabric.now + gap < WARM_UP_S + seconds:
+            fabric.at(fabric.now + gap, lambda: arrive(account))
+
+    counted = dict.fromkeys(limits, 0)
+
+    def count() -> None:
+        """Offer the reference what reached a live VM."""
+        for account, tally in limiter.tallies.items():
+            while counted[account] < tally.n_sent:
+                counted[account] += 1
+                reference.request(fabric.now, account)
+
+    for account in limits:
+        arrive(account)
+    fabric.at(WARM_UP_S + seconds / 3, lambda: FAULTS[fault](limiter))
+    while fabric.now < WARM_UP_S + seconds:
+        fabric.run_until(fabric.now + 0.005)
+        count()
+    fabric.run_until(fabric.now + 1.5)
+    tallies = list(limiter.tallies.values())
+    n_sent = sum(tally.n_sent for tally in tallies)
+    n_granted = sum(tally.n_granted for tally in tallies)
+    n_wrongful = max(0, n_sent - n_granted - reference.n_refused)
+    outcome = Outcome(
+        n_sent=n_sent,
+        n_refused=sum(tally.n_refused for tally in tallies),
+        n_granted=n_granted,
+        n_excess=sum(len(audit.excess) for audit in limiter.audits.values()),
+        n_wrongful=n_wrongful,
+    )
+    return limiter, outcome
+
+
+@MEASURES.register("quota-skew")
+def measure_skew(seed: int) -> tuple[Figure, ...]:
+    """Wrongful refusals at 0.9 of the rate, for each skew and limiter."""
+    figures = []
+    for name in LIMITERS.names():
+        for skew in SKEWS.names():
+            _, outcome = run(name, seed, skew=skew)
+            figures += _figures(f"{name} {skew}", outcome, held=name == "shares")
+    return tuple(figures)
+
+
+@MEASURES.register("quota-faults")
+def measure_faults(seed: int) -> tuple[Figure, ...]:
+    """Wrongful refusals at 0.9 and tokens lost at 1.3 of the rate by fault."""
+    figures = []
+    for name in LIMITERS.names():
+        _, whole = run(name, seed, demand=1.3, seconds=20.0)
+        for fault in FAULTS.names():
+            _, outcome = run(name, seed, fault=fault, seconds=20.0)
+            figures += _figures(f"{name} {fault}", outcome, held=False)
+            _, full = run(name, seed, fault=fault, demand=1.3, seconds=20.0)
+            lost = whole.n_granted - full.n_granted
+            figures.append(Figure(f"{name} {fault}: tokens lost", lost, "requests"))
+    return tuple(figures)
+
+
+@MEASURES.register("quota-slopes")
+def measure_slopes(seed: int) -> tuple[Figure, ...]:
+    """Messages and CPU over VMs and over active client accounts."""
+    figures = []
+    for n_vms in (9, 18, 36):
+        limiter, _ = run("shares", seed, n_vms=n_vms, seconds=10.0)
+        assert isinstance(limiter, QuotaFleet)
+        figures += _costs(f"{n_vms} VMs", limiter, 11.5)
+    for n_accounts in (10, 100, 1000):
+        limits = {
+            AccountId(f"a{number}"): (200.0 / n_accounts, 200.0 / n_accounts + 4.0)
+            for number in range(n_accounts)
+        }
+        limiter, _ = run("shares", seed, n_vms=9, limits=limits, seconds=10.0)
+        assert isinstance(limiter, QuotaFleet)
+        figures += _costs(f"{n_accounts} accounts, 180/s", limiter, 11.5)
+    return tuple(figures)
+
+
+def _figures(label: str, outcome: Outcome, *, held: bool) -> list[Figure]:
+    share = 100.0 * outcome.n_wrongful / max(1, outcome.n_sent)
+    target = MAX_WRONGFUL if held else None
+    excess_target = 0.0 if label.startswith("shares") else None
+    return [
+        Figure(f"{label}: wrongful refusals", share, "%", target),
+        Figure(f"{label}: over rate", outcome.n_excess, "requests", excess_target),
+    ]
+
+
+def _costs(label: str, fleet: QuotaFleet, seconds: float) -> list[Figure]:
+    n_vms = len(fleet.places)
+    keepers = [instance.keeper for instance in fleet.instances.values()]
+    now = fleet.fabric.now + 2000.0
+    started = time.process_time()
+    n_ticks = 200
+    for keeper in keepers:
+        for _ in range(n_ticks):
+            keeper.tick(now)
+    tick_s = (time.process_time() - started) / n_ticks / n_vms
+    rate = fleet.n_quota_messages / seconds / n_vms
+    return [
+        Figure(f"{label}: quota messages per VM", rate, "1/s"),
+        Figure(f"{label}: CPU of a tick", tick_s * 1e6, "us"),
+    ]
