--- a/packages/quota/src/wagtailpaddle_quota/borrowing.py
+++ b/packages/quota/src/wagtailpaddle_quota/borrowing.py
@@ -18,8 +18,8 @@
 """A lower demand in ``LEAD_S`` is borrowed for when a request waits."""
 
 RETRY_MIN_S = 0.02
-RETRY_MAX_S = 0.16
-RETURN_AFTER_S = 0.1
+RETRY_MAX_S = 0.08
+RETURN_AFTER_S = 0.05
 """Unwanted tokens go back, and spent ones are reported, after this time."""
 
 IDLE_AFTER_S = 5.0
@@ -35,6 +35,7 @@
     sent_at: float = 0.0
     asked: float = 0.0
     room: float = 0.0
+    failed: bool = False
     waiting: bool = False
     not_before: float = 0.0
     pause_s: float = RETRY_MIN_S
@@ -108,6 +109,11 @@
         """Return whether a message to a lender may be due."""
         return bool(self._lenders or self._waits) or self.target(now) > 0.0
 
+    def cut_off(self) -> bool:
+        """Return whether the last message to each lender failed."""
+        lenders = self._lenders.values()
+        return bool(lenders) and all(lender.failed for lender in lenders)
+
     def idle(self, now: float) -> bool:
         """Return whether nothing would be lost by forgetting this account."""
         if now - self._touched_at < IDLE_AFTER_S:
@@ -145,6 +151,7 @@
         if lender is None or not lender.waiting or lender.sequence != reply.sequence:
             return
         lender.waiting = False
+        lender.failed = False
         if now >= lender.until:
             lender.tokens = 0.0
         if reply.renewed:
@@ -163,6 +170,7 @@
         if lender is None or not lender.waiting or lender.sequence != sequence:
             return
         lender.waiting = False
+        lender.failed = True
         lender.room += lender.asked
         self._pause(now, lender)
 
--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -33,7 +33,7 @@
 N_GROUPS = 64
 N_SHARES = 4
 FRESHNESS_S = 3.0
-BORROW_WAIT_S = 0.02
+BORROW_WAIT_S = 0.01
 MIN_WAIT_S = 0.001
 MAX_WAIT_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
@@ -71,7 +71,7 @@
     >>> limit = Limit(rate=1.0, burst=4.0)
     >>> keeper = QuotaKeeper(VmId("a"), limits=lambda account: limit)
     >>> keeper.take(0.0, AccountId("kiosk"), deadline_at=1.0)
-    Refused(retry_after_s=1.0)
+    Refused(retry_after_s=1.0, cut_off=True)
     """
 
     def __init__(
@@ -205,10 +205,11 @@
             least_s = min(least_s, BORROW_WAIT_S)
         spacing_s = 1.0 / limit.rate
         if least_s == float("inf"):
-            return Refused(min(MAX_RETRY_AFTER_S, max(1.0, spacing_s)))
+            return Refused(min(MAX_RETRY_AFTER_S, max(1.0, spacing_s)), cut_off=True)
         at = borrower.wait(now, max(MIN_WAIT_S, least_s), spacing_s)
         if at > deadline_at or at > now + MAX_WAIT_S:
-            return Refused(min(MAX_RETRY_AFTER_S, max(at - now, spacing_s)))
+            retry_after_s = min(MAX_RETRY_AFTER_S, max(at - now, spacing_s))
+            return Refused(retry_after_s, cut_off=not own and borrower.cut_off())
         borrower.add_wait(at)
         return WaitUntil(at)
 
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -197,9 +197,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """No token in time; the caller may try again after ``retry_after_s``."""
+    """No token in time; the caller may try again after ``retry_after_s``.
+
+    ``cut_off`` says that this VM has no share and reaches none of the holders,
+    so another VM may well have tokens.
+    """
 
     retry_after_s: float
+    cut_off: bool = False
 
 
 Decision = Granted | WaitUntil | Refused
--- a/packages/quota/tests/test_keeper.py
+++ b/packages/quota/tests/test_keeper.py
@@ -4,12 +4,15 @@
 from wagtailpaddle_core import AccountId
 from wagtailpaddle_quota import (
     Borrow,
+    ChangeShares,
     Granted,
     HandOver,
     Lent,
     Limit,
     Refused,
     SendPeer,
+    ShareChange,
+    ShareId,
     WaitUntil,
 )
 from wagtailpaddle_quota.allowance import Allowance
@@ -177,3 +180,17 @@
     allowance.set_limit(0.1, 0.0, 0.0, 0.1)
     allowance.lend(0.2, "b", sequence=2, held=0.0, returned=4.0, wanted=0.0)
     assert allowance.tokens(0.2) == 0.0
+
+
+def test_refusal_says_when_no_holder_can_be_reached(make_keeper):
+    keeper = make_keeper("b", vms=("a", "b"))
+    if keeper.shares.holdings:
+        keeper = make_keeper("a", vms=("a", "b"))
+    holder = "a" if keeper.vm == "b" else "b"
+    claim = ChangeShares("r", holder, (ShareChange(ShareId(0, 0), -1, holder),))
+    keeper.on_record(100.0, 0, claim)
+    assert isinstance(keeper.take(100.0, ACCOUNT, 101.0), WaitUntil)
+    (sent,) = keeper.borrow(100.0, ACCOUNT)
+    assert not keeper.take(100.0, ACCOUNT, 100.0).cut_off
+    keeper.on_call_failed(100.5, holder, sent.message)
+    assert keeper.take(100.5, ACCOUNT, 100.5).cut_off
