--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -18,7 +18,8 @@
 
     ``unsettled_bursts`` are the bursts before changes that some fresh VM may
     not know yet. ``changed_at`` is when, on its own clock, this VM learned the
-    limit, or that it is settled, whichever was later.
+    limit, or that it is settled, whichever was later; for limits known from the
+    start of the process it is that time, since nobody knows what came before.
     """
 
     rate: float
