--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/waiting.py
@@ -0,0 +1,103 @@
+"""The requests of one service that wait: bounded, in fair order, in time."""
+
+from wagtailpaddle_core import AccountId, RequestId, ensure
+
+from wagtailpaddle_routing.lengths import Lengths
+from wagtailpaddle_routing.queues import Fits, Queue
+from wagtailpaddle_routing.retry import Pending, State
+from wagtailpaddle_routing.timers import Timers
+
+
+class WaitingRoom:
+    """The queued requests, with their deadlines and a bound on their number.
+
+    ``work_s`` is the service time that they are expected to take.
+    """
+
+    def __init__(self, *, queue: Queue, max_waiting: int):
+        self.max_waiting = max_waiting
+        self._queue = queue
+        self.work_s = 0.0
+        self._queued: dict[RequestId, Pending] = {}
+        self._lengths = Lengths()
+        self._deadlines = Timers()
+
+    @property
+    def n_queued(self) -> int:
+        """How many requests wait for a server."""
+        return len(self._queued)
+
+    def work_ahead_s(self, account: AccountId, mean_s: float) -> float:
+        """Return the service time before a new request of ``account``.
+
+        Accounts take turns by service time, so an account that has used
+        little of its own waits for little of the others'. ``mean_s`` is what
+        a request of this account takes.
+        """
+        n_own = self._lengths.of(account)
+        n_turns = len(self._lengths) + (n_own == 0)
+        return min(self.work_s, (n_own + 1) * n_turns * mean_s)
+
+    def is_longest(self, account: AccountId) -> bool:
+        """Return whether no queue is longer than that of ``account``."""
+        if not self._queued:
+            return True
+        longest = self._lengths.of(self._lengths.longest())
+        return longest <= self._lengths.of(account) + 1
+
+    def evict(self) -> Pending | None:
+        """Remove and return the newest request of the longest queue.
+
+        None means that the room is not over its bound.
+        """
+        if len(self._queued) <= self.max_waiting:
+            return None
+        victim = self._queue.newest(self._lengths.longest())
+        self.remove(victim)
+        return victim
+
+    def enqueue(self, pending: Pending, *, first: bool = False) -> None:
+        """Let a request wait for a server."""
+        request = pending.job.id
+        ensure(request not in self._queued, "waits-once", request=request)
+        pending.state = State.QUEUED
+        self._queued[request] = pending
+        self.work_s += pending.expected_s
+        self._lengths.grow(pending.job.account)
+        self._queue.push(pending, first=first)
+        self._deadlines.set(request, pending.job.deadline_at)
+
+    def pop(self, fits: Fits) -> Pending | None:
+        """Remove and return the next request that fits."""
+        pending = self._queue.pop(fits)
+        if pending is not None:
+            self._unlist(pending)
+        return pending
+
+    def remove(self, pending: Pending) -> None:
+        """Remove a waiting request."""
+        self._queue.remove(pending)
+        self._unlist(pending)
+
+    def expired(self, now: float) -> list[Pending]:
+        """Remove and return the requests whose deadline has passed."""
+        found = []
+        for request in self._deadlines.due(now):
+            pending = self._queued[request]
+            self.remove(pending)
+            found.append(pending)
+        return found
+
+    def everyone(self) -> list[Pending]:
+        """Return all that wait."""
+        return list(self._queued.values())
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline, or None."""
+        return self._deadlines.next_at()
+
+    def _unlist(self, pending: Pending) -> None:
+        del self._queued[pending.job.id]
+        self.work_s = self.work_s - pending.expected_s if self._queued else 0.0
+        self._lengths.shrink(pending.job.account)
+        self._deadlines.clear(pending.job.id)
