Let a VM that left a partition go on syncing and vouch for it

Change: syncing goes on after leaving; what was synced before may be vouched for while a later sync runs. The random run now ends with a quiet time after which every VM's new keys must run.

--- a/packages/once/src/wagtailpaddle_once/replica.py
+++ b/packages/once/src/wagtailpaddle_once/replica.py
@@ -41,12 +41,17 @@
 
 @dataclass(slots=True)
 class _Syncing:
-    """A partition that this VM joined and may not vote on yet."""
+    """A partition that this VM joined and may not vote on yet.
+
+    ``last`` is the last revision at which it was a replica, None while it is
+    one. A VM that left goes on, since others may wait for its claims.
+    """
 
     former: int
     sources: Replicas
     since: float
     answered: set[VmId] = field(default_factory=set)
+    last: int | None = None
     next_at: float = 0.0
     after: dict[VmId, ClaimKey | None] = field(default_factory=dict)
 
@@ -115,7 +120,9 @@
         """Work out whether this VM may vote on ``partition`` from now on."""
         present = self.replicas(partition)
         if self.vm not in present:
-            self.syncing.pop(partition, None)
+            left = self.syncing.get(partition)
+            if left is not None and left.last is None:
+                left.last = self.revision - 1
             return
         if former is None:
             self._synced[partition] = self.revision
@@ -242,8 +249,7 @@
         """Send the claims of a partition, if this VM can vouch for them."""
         partition, former = message.partition, message.former
         vouches = self._synced.get(partition, -1) >= former
-        moved_on = self.revision > former
-        if not vouches or not moved_on or partition in self.syncing:
+        if not vouches or self.revision <= former:
             return SyncPage(partition, former, refused=True)
         claims, more = self.store.claims(now, partition, message.after, PAGE_BYTES)
         return SyncPage(partition, former, False, more, claims)
@@ -301,7 +307,8 @@
         if len(syncing.answered) < majority(syncing.sources):
             return False
         del self.syncing[partition]
-        self._synced[partition] = self.revision
+        last = self.revision if syncing.last is None else syncing.last
+        self._synced[partition] = max(last, self._synced.get(partition, -1))
         return True
 
     # Graceful stop
--- a/packages/once/tests/test_random_run.py
+++ b/packages/once/tests/test_random_run.py
@@ -1,6 +1,7 @@
 """Seeded randomised runs of several claim keepers under faults."""
 
 import pytest
+from wagtailpaddle_once import Run as Ran
 from wagtailpaddle_standins.fakes.fabric import Disorder
 from wagtailpaddle_standins.fakes.once_fleet import OnceFleet
 
@@ -15,6 +16,7 @@
         self.rng = self.fleet.rng
         self.fault_gap_s = fault_gap_s
         self.n_keys = 0
+        self.calm = False
         self.faults = {
             name: getattr(self, name) for name in sorted(dir(self)) if "fault_" in name
         }
@@ -31,7 +33,8 @@
             delay *= self.rng.uniform(0.9, 1.1)
             fingerprint = "g" if self.rng.random() < 0.03 else "f"
             self.later(delay, lambda p=fingerprint: self.repeat(key, p))
-        self.later(self.rng.expovariate(4.0), self.next_key)
+        if not self.calm:
+            self.later(self.rng.expovariate(4.0), self.next_key)
 
     def repeat(self, key, fingerprint):
         place = self.rng.choice(self.fleet.places)
@@ -72,7 +75,27 @@
         self.faults[self.rng.choice(sorted(self.faults))]()
         if self.rng.random() < 0.4:
             self.fault_heal()
-        self.later(self.rng.expovariate(1 / self.fault_gap_s), self.next_fault)
+        if not self.calm:
+            self.later(self.rng.expovariate(1 / self.fault_gap_s), self.next_fault)
+
+    def settle(self):
+        """Heal all, wait for the life of a claim, and ask every VM once more."""
+        self.calm = True
+        self.fleet.fabric.run_until(self.fleet.fabric.now + 20.0)
+        self.fault_heal()
+        self.fleet.roster_lag_s = 0.05
+        self.fleet.fabric.disorder = Disorder()
+        for place in self.fleet.places:
+            self.revive(place)
+        self.fleet.fabric.run_until(self.fleet.fabric.now + 70.0)
+        requests = [
+            self.fleet.request(place, f"last-{place}-{number}")
+            for place in self.fleet.places
+            for number in range(5)
+        ]
+        self.fleet.fabric.run_until(self.fleet.fabric.now + 2.0)
+        ends = [self.fleet.requests[request].outcome for request in requests]
+        assert all(isinstance(end, Ran) for end in ends), ends
 
     def go(self, seconds):
         self.next_key()
@@ -87,3 +110,4 @@
     run.go(40.0)
     assert run.fleet.audit.ends["run"] > 30
     assert run.fleet.audit.ends["replay"] > 10
+    run.settle()
--- a/packages/quota/src/wagtailpaddle_quota/borrowing.py
+++ b/packages/quota/src/wagtailpaddle_quota/borrowing.py
@@ -107,7 +107,9 @@
 
     def busy(self, now: float) -> bool:
         """Return whether a message to a lender may be due."""
-        return bool(self._lenders or self._waits) or self.target(now) > 0.0
+        if self._waits or self.target(now) > 0.0:
+            return True
+        return any(item.tokens or item.room for item in self._lenders.values())
 
     def cut_off(self) -> bool:
         """Return whether the last message to each lender failed."""
