--- a/packages/quota/src/wagtailpaddle_quota/__init__.py
+++ b/packages/quota/src/wagtailpaddle_quota/__init__.py
@@ -1,7 +1,7 @@
 """Fleet-wide rates and bursts: shares and borrowing."""
 
 from wagtailpaddle_quota.bucket import TokenBucket
-from wagtailpaddle_quota.keeper import QuotaKeeper, QuotaStatus
+from wagtailpaddle_quota.keeper import QuotaKeeper
 from wagtailpaddle_quota.messages import (
     NEVER,
     AppendRecord,
@@ -20,6 +20,7 @@
     QuotaAction,
     QuotaMessage,
     QuotaReply,
+    QuotaStatus,
     Refused,
     SendPeer,
     ShareChange,
--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from wagtailpaddle_core import AccountId, Offset, VmId, ensure
 
@@ -22,6 +21,7 @@
     QuotaAction,
     QuotaMessage,
     QuotaReply,
+    QuotaStatus,
     Refused,
     ShareEntry,
     ShareRecord,
@@ -39,29 +39,6 @@
 MAX_RETRY_AFTER_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaStatus:
-    """Counts for operators.
-
-    ``n_waiting`` shares are held but not yet spent from, ``n_unrecorded`` were
-    taken over directly and have no record yet, ``n_handing_over`` were passed
-    on without an answer so far, ``n_vacant`` have no holder, and ``n_stranded``
-    have one that is neither live nor proven gone.
-    """
-
-    may_spend: bool
-    n_held: int
-    n_waiting: int
-    n_unrecorded: int
-    n_handing_over: int
-    n_vacant: int
-    n_stranded: int
-    n_void_records: int
-    n_bad_messages: int
-    n_active_accounts: int
-    n_buckets: int
-
-
 class QuotaKeeper:
     """Holds this VM's shares and decides whether a request may run.
 
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -222,3 +222,26 @@
 
 
 Decision = Granted | WaitUntil | Refused
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaStatus:
+    """Counts for operators.
+
+    ``n_waiting`` shares are held but not yet spent from, ``n_unrecorded`` were
+    taken over directly and have no record yet, ``n_handing_over`` were passed
+    on without an answer so far, ``n_vacant`` have no holder, and ``n_stranded``
+    have one that is neither live nor proven gone.
+    """
+
+    may_spend: bool
+    n_held: int
+    n_waiting: int
+    n_unrecorded: int
+    n_handing_over: int
+    n_vacant: int
+    n_stranded: int
+    n_void_records: int
+    n_bad_messages: int
+    n_active_accounts: int
+    n_buckets: int
