--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from wagtailpaddle_core import AccountId, Offset, VmId, ensure
 
@@ -22,6 +21,7 @@
     QuotaAction,
     QuotaMessage,
     QuotaReply,
+    QuotaStatus,
     Refused,
     ShareEntry,
     ShareRecord,
@@ -33,34 +33,12 @@
 N_GROUPS = 64
 N_SHARES = 4
 FRESHNESS_S = 3.0
-BORROW_WAIT_S = 0.02
+BORROW_WAIT_S = 0.01
+MIN_WAIT_S = 0.001
 MAX_WAIT_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaStatus:
-    """Counts for operators.
-
-    ``n_waiting`` shares are held but not yet spent from, ``n_unrecorded`` were
-    taken over directly and have no record yet, ``n_handing_over`` were passed
-    on without an answer so far, ``n_vacant`` have no holder, and ``n_stranded``
-    have one that is neither live nor proven gone.
-    """
-
-    may_spend: bool
-    n_held: int
-    n_waiting: int
-    n_unrecorded: int
-    n_handing_over: int
-    n_vacant: int
-    n_stranded: int
-    n_void_records: int
-    n_bad_messages: int
-    n_active_accounts: int
-    n_buckets: int
-
-
 class QuotaKeeper:
     """Holds this VM's shares and decides whether a request may run.
 
@@ -70,7 +48,7 @@
     >>> limit = Limit(rate=1.0, burst=4.0)
     >>> keeper = QuotaKeeper(VmId("a"), limits=lambda account: limit)
     >>> keeper.take(0.0, AccountId("kiosk"), deadline_at=1.0)
-    Refused(retry_after_s=1.0)
+    Refused(retry_after_s=1.0, cut_off=True)
     """
 
     def __init__(
@@ -204,10 +182,11 @@
             least_s = min(least_s, BORROW_WAIT_S)
         spacing_s = 1.0 / limit.rate
         if least_s == float("inf"):
-            return Refused(min(MAX_RETRY_AFTER_S, max(1.0, spacing_s)))
-        at = borrower.wait(now, least_s, spacing_s)
+            return Refused(min(MAX_RETRY_AFTER_S, max(1.0, spacing_s)), cut_off=True)
+        at = borrower.wait(now, max(MIN_WAIT_S, least_s), spacing_s)
         if at > deadline_at or at > now + MAX_WAIT_S:
-            return Refused(min(MAX_RETRY_AFTER_S, max(at - now, spacing_s)))
+            retry_after_s = min(MAX_RETRY_AFTER_S, max(at - now, spacing_s))
+            return Refused(retry_after_s, cut_off=not own and borrower.cut_off())
         borrower.add_wait(at)
         return WaitUntil(at)
 
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -18,7 +18,8 @@
 
     ``unsettled_bursts`` are the bursts before changes that some fresh VM may
     not know yet. ``changed_at`` is when, on its own clock, this VM learned the
-    limit, or that it is settled, whichever was later.
+    limit, or that it is settled, whichever was later; for limits known from the
+    start of the process it is that time, since nobody knows what came before.
     """
 
     rate: float
@@ -210,9 +211,37 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """No token in time; the caller may try again after ``retry_after_s``."""
+    """No token in time; the caller may try again after ``retry_after_s``.
+
+    ``cut_off`` says that this VM has no share and reaches none of the holders,
+    so another VM may well have tokens.
+    """
 
     retry_after_s: float
+    cut_off: bool = False
 
 
 Decision = Granted | WaitUntil | Refused
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaStatus:
+    """Counts for operators.
+
+    ``n_waiting`` shares are held but not yet spent from, ``n_unrecorded`` were
+    taken over directly and have no record yet, ``n_handing_over`` were passed
+    on without an answer so far, ``n_vacant`` have no holder, and ``n_stranded``
+    have one that is neither live nor proven gone.
+    """
+
+    may_spend: bool
+    n_held: int
+    n_waiting: int
+    n_unrecorded: int
+    n_handing_over: int
+    n_vacant: int
+    n_stranded: int
+    n_void_records: int
+    n_bad_messages: int
+    n_active_accounts: int
+    n_buckets: int
