--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -167,6 +167,9 @@
         """Return the reply to a peer's message, None if there is nothing to say."""
         match body:
             case HealthDigest():
+                if body.vm != sender:
+                    self.n_bad_messages += 1
+                    return None
                 self.backends.health.merge(now, body)
                 return None
             case Borrow() | HandOver() | AskFolded():
--- a/packages/node/src/wagtailpaddle_node/follow.py
+++ b/packages/node/src/wagtailpaddle_node/follow.py
@@ -22,7 +22,7 @@
     cut_snapshot,
 )
 from wagtailpaddle_core import AccountId, Offset, ensure
-from wagtailpaddle_fleet import FleetRecord, Membership, Vm
+from wagtailpaddle_fleet import FleetRecord, Membership, Roster, Vm
 
 ROSTER_SECTION = "roster"
 
@@ -110,11 +110,12 @@
             if item.section == ROSTER_SECTION
         ]
         try:
-            self.membership.restored(now, snapshot.upto, roster)
+            Roster().restore(snapshot.upto, roster)
             self.fold.restore(snapshot.upto, snapshot.items)
         except (SnapshotError, ValueError):
             self.n_unreadable += 1
             return
+        self.membership.restored(now, snapshot.upto, roster)
         self._changed_accounts = None
         self._note_seated(-1)
         self._check_together()
@@ -142,7 +143,10 @@
         """Return the chunks that this VM should append now, mostly none."""
         if self.fold.next_offset < self.head:
             return ()
-        if not self._watch.should_write(wall_s, self.first, self.head):
+        n_vms = len(self.membership.roster.members)
+        if not self._watch.should_write(
+            wall_s, self.first, self.head, n_vms=max(1, n_vms)
+        ):
             return ()
         upto, items = self.items()
         return cut_snapshot(upto, items, writer=self.membership.vm.id, at=wall_s)
