Settle changed limits by acceptance; pace syncs of claims

Cause: a changed limit was taken as known everywhere after a fixed time, which a majority cut off from the log breaks. A VM that reaches no holder of an account's shares answered as if the account were over its rate. The first attempts after a start waited for the whole deadline on a server that hangs.

Change: limits stay unsettled until a majority confirmed the change and for one window of freshness more; syncs double their pause up to 2 s, at most 24 calls a tick; the refusal says that another VM may serve; first patience is 2 s.

--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -90,7 +90,7 @@
         self.n_bad_messages = 0
         self._codec = codec
         self._offer = SnapshotOffer(self._whole_state, writer=vm.id)
-        self._limits = RecentLimits(keep_s=2 * window_s)
+        self._limits = RecentLimits(window_s=window_s)
         self._shares_first: Offset = 0
         self._shares_head: Offset = 0
         self._shares_snapshot_at: Offset = 0
@@ -238,7 +238,9 @@
             actions += self._once(now, self.claims.tick(now))
         if now - self._roster_check_at >= ROSTER_CHECK_S:
             self._roster_check_at = now
-            self._limits.expire(now)
+            self._limits.settle(
+                now, lambda offset: self.membership.acceptance(offset).in_force
+            )
             actions += self._check_roster(now)
         return actions + self._quota(now, self.quota.tick(now))
 
@@ -290,7 +292,9 @@
         after = self.configuration
         if after.accounts is not before.accounts:
             names = self.stream.take_changed_accounts()
-            self._limits.note(now, before.accounts, after.accounts, names)
+            offset = after.revision - 1
+            if self._limits.note(now, offset, before.accounts, after.accounts, names):
+                self.membership.track(now, offset)
         if after.services is before.services:
             return ()
         return self.backends.configure(now, after)
--- a/packages/node/src/wagtailpaddle_node/limits.py
+++ b/packages/node/src/wagtailpaddle_node/limits.py
@@ -1,11 +1,11 @@
 """Limits of client accounts that changed a short time ago."""
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from wagtailpaddle_config import ClientAccount
-from wagtailpaddle_core import AccountId
+from wagtailpaddle_core import AccountId, Offset
 from wagtailpaddle_quota import Limit
 
 LIMIT_MEMORY_S = 600.0
@@ -14,13 +14,16 @@
 class RecentLimits:
     """Remembers changes of limits while they matter, and no other accounts.
 
-    For ``keep_s`` seconds after a change another VM may still go by a burst
-    before it, so these are stated as unsettled.
+    Another VM may go by a burst before a change until a majority of the seats
+    confirmed the change, and for one window of the freshness rule more. Until
+    then these bursts are stated as unsettled.
     """
 
-    def __init__(self, *, keep_s: float):
-        self._keep_s = keep_s
+    def __init__(self, *, window_s: float):
+        self._window_s = window_s
         self._limits: dict[AccountId, Limit] = {}
+        self._unsettled: dict[AccountId, Offset] = {}
+        self._accepted_at: dict[Offset, float] = {}
         self._order: deque[tuple[float, AccountId]] = deque()
 
     def get(self, account: AccountId) -> Limit | None:
@@ -30,11 +33,16 @@
     def note(
         self,
         now: float,
+        offset: Offset,
         before: Mapping[AccountId, ClientAccount],
         after: Mapping[AccountId, ClientAccount],
         names: Iterable[AccountId] | None,
-    ) -> None:
-        """Take in a change of accounts; ``names`` None means that any may differ."""
+    ) -> bool:
+        """Take in a change of accounts up to ``offset``; return if limits differ.
+
+        ``names`` None means that any account may differ.
+        """
+        differs = False
         for name in after if names is None else names:
             old, new = before.get(name), after.get(name)
             if old is None or new is None or old is new:
@@ -45,17 +53,33 @@
             unsettled = known.unsettled_bursts if known else ()
             bursts = tuple(sorted({*unsettled, old.burst}))
             self._limits[name] = Limit(new.rate, new.burst, now, bursts)
+            self._unsettled[name] = offset
             self._order.append((now, name))
+            differs = True
+        return differs
 
-    def expire(self, now: float) -> None:
-        """Drop what no longer matters."""
+    def settle(self, now: float, is_accepted: Callable[[Offset], bool]) -> None:
+        """Settle the changes that every fresh VM must know; forget old ones."""
+        for offset in set(self._unsettled.values()):
+            if offset not in self._accepted_at and is_accepted(offset):
+                self._accepted_at[offset] = now
+        for name, offset in list(self._unsettled.items()):
+            accepted_at = self._accepted_at.get(offset)
+            if accepted_at is None or now - accepted_at <= self._window_s:
+                continue
+            del self._unsettled[name]
+            limit = self._limits[name]
+            self._limits[name] = replace(limit, changed_at=now, unsettled_bursts=())
+            self._order.append((now, name))
+        self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        needed = set(self._unsettled.values())
+        for offset in [known for known in self._accepted_at if known not in needed]:
+            del self._accepted_at[offset]
         while self._order and now - self._order[0][0] > LIMIT_MEMORY_S:
             at, name = self._order.popleft()
             known = self._limits.get(name)
-            if known is not None and known.changed_at <= at:
-                del self._limits[name]
-        for name, limit in list(self._limits.items()):
-            if limit.unsettled_bursts and now - limit.changed_at > self._keep_s:
-                settled = replace(limit, changed_at=now, unsettled_bursts=())
-                self._limits[name] = settled
-                self._order.append((now, name))
+            if known is None or known.changed_at > at or name in self._unsettled:
+                continue
+            del self._limits[name]
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -317,9 +317,9 @@
                 return self._settle(now, borrowed)
         kind = ErrorKind.RATE_EXCEEDED
         detail = f"client account {admitted.account!r} is over its rate"
-        if not quota.may_spend(now):
+        if decision.cut_off or not quota.may_spend(now):
             kind = ErrorKind.NOT_FRESH
-            detail = "this VM cannot confirm its shares of rates"
+            detail = f"this VM reaches no share of {admitted.account!r}"
         refusal = Refuse(
             admitted.head.id, kind, detail, retry_after_s=decision.retry_after_s
         )
--- a/packages/once/src/wagtailpaddle_once/replica.py
+++ b/packages/once/src/wagtailpaddle_once/replica.py
@@ -33,6 +33,8 @@
 
 PAGE_BYTES = 64 * 1024
 SYNC_INTERVAL_S = 0.3
+MAX_SYNC_PAUSE_S = 2.0
+MAX_SYNCS_PER_TICK = 24
 HAND_OVER_INTERVAL_S = 0.5
 ASK_AFTER_S = 5.0
 MAX_ASKED = 50
@@ -53,6 +55,7 @@
     answered: set[VmId] = field(default_factory=set)
     last: int | None = None
     next_at: float = 0.0
+    pause_s: float = SYNC_INTERVAL_S
     after: dict[VmId, ClaimKey | None] = field(default_factory=dict)
 
 
@@ -261,7 +264,10 @@
             self._count_others(now, partition, syncing)
             if self._finish_sync(partition, syncing) or now < syncing.next_at:
                 continue
-            syncing.next_at = now + SYNC_INTERVAL_S
+            if len(actions) >= MAX_SYNCS_PER_TICK:
+                break
+            syncing.next_at = now + syncing.pause_s
+            syncing.pause_s = min(2 * syncing.pause_s, MAX_SYNC_PAUSE_S)
             for vm in syncing.sources:
                 if vm != self.vm and vm not in syncing.answered:
                     after = syncing.after.get(vm)
--- a/packages/routing/src/wagtailpaddle_routing/accounts.py
+++ b/packages/routing/src/wagtailpaddle_routing/accounts.py
@@ -7,6 +7,7 @@
 MEAN_SMOOTHING = 0.3
 PATIENCE_SAMPLES = 8
 MIN_PATIENCE_S = 1.0
+FIRST_PATIENCE_S = 2.0
 PATIENCE_DEVIATIONS = 8.0
 
 
@@ -70,7 +71,7 @@
     def patience_s(self) -> float:
         """How long an answer may take before the server seems to hang."""
         if self.n_samples < PATIENCE_SAMPLES:
-            return float("inf")
+            return FIRST_PATIENCE_S
         usual_s = self.mean_s + PATIENCE_DEVIATIONS * self.deviation_s
         return max(MIN_PATIENCE_S, usual_s)
 
