--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -52,6 +52,7 @@
 SHARES_STREAM = "shares"
 SHARES_SNAPSHOT_RECORDS = 5000
 FLEET_TICK_S = 0.2
+N_CLAIM_PARTITIONS = 64
 ROSTER_CHECK_S = 0.5
 KNOW_FLEET_S = 5.0
 
@@ -85,7 +86,7 @@
         self.stream = ConfigStream(self.fold, self.membership, codec.decode, seed=seed)
         window_s = self.membership.freshness.window_s
         self.quota = QuotaKeeper(vm.id, limits=self.limit_of, freshness_s=window_s)
-        self.claims = ClaimKeeper(vm.id)
+        self.claims = ClaimKeeper(vm.id, n_partitions=N_CLAIM_PARTITIONS)
         self.calls = Calls()
         self.n_bad_messages = 0
         self._codec = codec
@@ -106,6 +107,11 @@
         """The configuration in force on this VM."""
         return self.fold.configuration
 
+    @property
+    def knows_roster(self) -> bool:
+        """Whether shares were told which VMs there are."""
+        return self._roster_key is not None
+
     # The log
 
     def on_config_read(
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -99,10 +99,14 @@
         return self.control.membership.is_fresh(now)
 
     def is_ready(self, now: float) -> bool:
-        """Return whether this VM serves and its shares of rates are usable."""
-        status = self.control.quota.status(now)
-        settled = not (status.n_waiting or status.n_vacant)
-        return self.is_fresh(now) and status.may_spend and settled
+        """Return whether this VM serves, with usable shares and claims."""
+        shares = self.control.quota.status(now)
+        claims = self.control.claims.status()
+        unsettled = shares.n_waiting + shares.n_vacant + claims.n_partitions_syncing
+        seated = self.control.membership.roster.members
+        knows = self.control.knows_roster and shares.may_spend
+        knows = knows and any(vm.id == self.vm.id for vm in seated)
+        return self.is_fresh(now) and knows and not unsettled
 
     def request_view(self, request: RequestId) -> RequestView:
         """Return whose request it is, or was if it ended a short time ago."""
--- a/packages/standins/src/wagtailpaddle_standins/system.py
+++ b/packages/standins/src/wagtailpaddle_standins/system.py
@@ -18,7 +18,7 @@
 ZONES = ("a", "b", "c")
 N_BOOKING = 12
 N_INVENTORY = 10
-READY_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 60.0
 
 
 class System:
