--- /dev/null
+++ b/packages/daemon/tests/test_edges.py
@@ -0,0 +1,81 @@
+"""Headers, queries and lists from outside: nothing but a typed error comes out."""
+
+from contextlib import suppress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wagtailpaddle_core import WagtailError
+from wagtailpaddle_daemon.front import read_idempotency_key, read_timeout
+from wagtailpaddle_daemon.headers import (
+    bearer_key,
+    end_to_end,
+    query_without_key,
+    without_key,
+)
+from wagtailpaddle_daemon.lifecycle import Lifecycle
+from wagtailpaddle_daemon.secrets import KeyFilter
+from wagtailpaddle_daemon.vmlist import VmListError, decode_list
+from wagtailpaddle_routing import interpret, is_leaving, parse_load
+
+BOUNDED = settings(derandomize=True, deadline=None, max_examples=200)
+SECRET = b"wp_" + b"aB3-_xY9" * 5 + b"qrs"
+HEADERS = st.lists(st.tuples(st.binary(max_size=12), st.binary(max_size=60)))
+
+
+@BOUNDED
+@given(st.binary(max_size=80))
+def test_any_header_value(value):
+    bearer_key(value)
+    for read in (read_idempotency_key, read_timeout):
+        with suppress(WagtailError):
+            read(value)
+
+
+@BOUNDED
+@given(st.binary(max_size=40), st.binary(max_size=40))
+def test_no_surroundings_hide_a_key(before, after):
+    keys = KeyFilter(SECRET)
+    data = before + SECRET + after
+    assert keys.found_in(data)
+    assert not keys.found_in(query_without_key(b"/p?a=" + data + b"&b=2", keys))
+    kept = list(without_key([(b"X-A", data), (b"Cookie", data)], keys))
+    assert not any(keys.found_in(value) for _, value in kept)
+
+
+@BOUNDED
+@given(HEADERS)
+def test_any_headers_of_a_server(headers):
+    list(end_to_end(headers))
+    table = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in headers
+    }
+    load = parse_load(table)
+    assert load is None or 0.0 <= load <= 1.0
+    interpret(503, table)
+    is_leaving(table)
+
+
+@BOUNDED
+@given(st.binary(max_size=100))
+def test_any_list_of_vms(body):
+    with suppress(VmListError):
+        decode_list(body)
+
+
+def test_list_of_vms_is_read():
+    body = b'{"vms": [{"peer_address": "10.0.0.1:7000", "leaving": true}]}'
+    assert decode_list(body)[0].leaving
+    with pytest.raises(VmListError):
+        decode_list(b'{"vms": [{"leaving": true}]}')
+
+
+def test_life_of_a_daemon_goes_one_way():
+    life = Lifecycle()
+    life.started()
+    life.leave()
+    life.leave()
+    life.drain()
+    life.stopped()
+    assert life.state == "stopped"
