--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -11,7 +11,7 @@
     SnapshotCollector,
     SnapshotOffer,
 )
-from wagtailpaddle_core import AccountId, Offset, ServiceId, VmId
+from wagtailpaddle_core import AccountId, Offset, VmId
 from wagtailpaddle_fleet import (
     AppendRecord,
     FoldRecords,
@@ -23,7 +23,7 @@
 )
 from wagtailpaddle_fleet import SendPeer as FleetCall
 from wagtailpaddle_health import HealthDigest, watchers
-from wagtailpaddle_once import ClaimKeeper, Member, OnceAction, Reject, Roster, Run
+from wagtailpaddle_once import ClaimKeeper, OnceAction, Reject, Run
 from wagtailpaddle_once import Replay as ClaimReplay
 from wagtailpaddle_once import SendPeer as OnceCall
 from wagtailpaddle_quota import (
@@ -43,9 +43,10 @@
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.calls import Call, Calls, Part
-from wagtailpaddle_node.follow import ConfigStream, RawLogRecord, SeatedVms
+from wagtailpaddle_node.follow import ConfigStream, RawLogRecord
 from wagtailpaddle_node.limits import RecentLimits
 from wagtailpaddle_node.messages import Append, NodeAction
+from wagtailpaddle_node.rosters import RosterWatch
 from wagtailpaddle_node.sharestate import share_items, shares_from
 
 CONFIG_STREAM = "config"
@@ -54,7 +55,6 @@
 FLEET_TICK_S = 0.2
 N_CLAIM_PARTITIONS = 64
 ROSTER_CHECK_S = 0.5
-KNOW_FLEET_S = 5.0
 
 ControlAction = NodeAction | Run | Reject | ClaimReplay
 
@@ -95,12 +95,9 @@
         self._shares_first: Offset = 0
         self._shares_head: Offset = 0
         self._shares_snapshot_at: Offset = 0
-        self._roster_key: object = None
-        self._seated: SeatedVms | None = None
-        self._claims_gone: frozenset[VmId] = frozenset()
+        self._rosters = RosterWatch(self.membership, self.stream)
         self._fleet_tick_at = float("-inf")
         self._roster_check_at = float("-inf")
-        self._started_at: float | None = None
 
     @property
     def configuration(self) -> Configuration:
@@ -110,7 +107,7 @@
     @property
     def knows_roster(self) -> bool:
         """Whether shares were told which VMs there are."""
-        return self._roster_key is not None
+        return self._rosters.told is not None
 
     # The log
 
@@ -424,61 +421,21 @@
         return tuple(
             self.calls.to_vm(now, Part.HEALTH, vm, replace(digest, to=()))
             for digest in digests
-            for vm in digest.to or self._watchers(digest.service, vms)
+            for vm in digest.to or watchers(digest.service, vms)
             if vm != self.vm.id
         )
 
-    def _watchers(self, service: ServiceId, vms: list[VmId]) -> tuple[VmId, ...]:
-        return watchers(service, vms)
-
     def _check_roster(self, now: float) -> tuple[ControlAction, ...]:
-        roster = self.membership.roster
-        vms = frozenset(vm.id for vm in self.membership.vms(now))
-        gone = self.membership.gone(now)
-        if not self._knows_fleet(now, len(vms)):
-            return ()
-        key = (vms, gone, roster.members_revision)
-        if key == self._roster_key:
+        known = self._rosters.for_shares(now)
+        if known is None:
             return ()
-        self._roster_key = key
-        registered = [vm.id for vm in roster.members]
-        self.quota.on_roster(now, vms, gone, registered or None)
-        actions: tuple[ControlAction, ...] = self.backends.set_users(
-            now, max(1, len(vms))
-        )
-        return actions
-
-    def _knows_fleet(self, now: float, n_vms: int) -> bool:
-        """Return whether the listed VMs are known, or were waited for.
-
-        Otherwise the first VM of a fleet that starts would claim every share.
-        """
-        if self._started_at is None:
-            self._started_at = now
-        listed = self.membership.incarnations.listed
-        n_expected = sum(not entry.leaving for entry in listed.values())
-        if listed and n_vms >= n_expected:
-            self._started_at = float("-inf")
-        return now - self._started_at >= KNOW_FLEET_S
+        self.quota.on_roster(now, known.vms, known.gone, known.seated or None)
+        return self.backends.set_users(now, max(1, len(known.vms)))
 
     def _tell_claims(self, now: float) -> tuple[ControlAction, ...]:
-        """Tell the claims of every roster in turn, and of VMs that are gone.
-
-        None may be left out: whoever joins asks those of the roster before.
-        """
-        gone = self.membership.gone(now)
-        seated = self.stream.take_seated()
-        if not seated and gone != self._claims_gone and self._seated is not None:
-            seated = [self._seated]
-        self._claims_gone = gone
         actions: tuple[ControlAction, ...] = ()
-        for change in seated:
-            self._seated = change
-            former = None
-            if change.former_vms:
-                former = Roster(change.former_revision, _members(change.former_vms))
-            present = Roster(change.revision, _members(change.vms))
-            told = self.claims.on_roster(now, present, former, gone)
+        for step in self._rosters.for_claims(now):
+            told = self.claims.on_roster(now, step.present, step.former, step.gone)
             actions += self._once(now, told)
         return actions
 
@@ -490,7 +447,3 @@
             return True
         halfway = (self._shares_snapshot_at + self._shares_head) // 2
         return self._shares_first > 0 and self._shares_first >= halfway
-
-
-def _members(vms: Iterable[Vm]) -> tuple[Member, ...]:
-    return tuple(Member(vm.id, vm.zone) for vm in vms)
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/rosters.py
@@ -0,0 +1,92 @@
+"""What shares and claims are told about the VMs of the fleet."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wagtailpaddle_core import VmId
+from wagtailpaddle_fleet import Membership, Vm
+from wagtailpaddle_once import Member, Roster
+
+from wagtailpaddle_node.follow import ConfigStream, SeatedVms
+
+KNOW_FLEET_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownVms:
+    """The VMs that serve, those proven gone, and those in the seats."""
+
+    vms: frozenset[VmId]
+    gone: frozenset[VmId]
+    seated: tuple[VmId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RosterStep:
+    """A roster for the claims and the one before it."""
+
+    present: Roster
+    former: Roster | None
+    gone: frozenset[VmId]
+
+
+class RosterWatch:
+    """Notices changes of the fleet and states each of them once."""
+
+    def __init__(self, membership: Membership, stream: ConfigStream):
+        self.told: KnownVms | None = None
+        self._membership = membership
+        self._stream = stream
+        self._last: SeatedVms | None = None
+        self._gone: frozenset[VmId] = frozenset()
+        self._started_at: float | None = None
+
+    def for_shares(self, now: float) -> KnownVms | None:
+        """Return the VMs as they are known now, None if nothing changed."""
+        vms = frozenset(vm.id for vm in self._membership.vms(now))
+        if not self._knows_fleet(now, len(vms)):
+            return None
+        seated = tuple(vm.id for vm in self._membership.roster.members)
+        known = KnownVms(vms, self._membership.gone(now), seated)
+        if known == self.told:
+            return None
+        self.told = known
+        return known
+
+    def for_claims(self, now: float) -> list[RosterStep]:
+        """Return every roster in turn, the last one again if VMs are gone.
+
+        None may be left out: whoever joins asks those of the roster before.
+        """
+        gone = self._membership.gone(now)
+        seated = self._stream.take_seated()
+        if not seated and gone != self._gone and self._last is not None:
+            seated = [self._last]
+        self._gone = gone
+        if seated:
+            self._last = seated[-1]
+        return [_step(change, gone) for change in seated]
+
+    def _knows_fleet(self, now: float, n_vms: int) -> bool:
+        """Return whether the listed VMs are known, or were waited for.
+
+        Otherwise the first VM of a fleet that starts would claim every share.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        listed = self._membership.incarnations.listed
+        n_expected = sum(not entry.leaving for entry in listed.values())
+        if listed and n_vms >= n_expected:
+            self._started_at = float("-inf")
+        return now - self._started_at >= KNOW_FLEET_S
+
+
+def _step(change: SeatedVms, gone: frozenset[VmId]) -> RosterStep:
+    former = None
+    if change.former_vms:
+        former = Roster(change.former_revision, _members(change.former_vms))
+    return RosterStep(Roster(change.revision, _members(change.vms)), former, gone)
+
+
+def _members(vms: Iterable[Vm]) -> tuple[Member, ...]:
+    return tuple(Member(vm.id, vm.zone) for vm in vms)
