--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
@@ -29,6 +29,7 @@
     parse_load,
 )
 
+from wagtailpaddle_daemon.caller import Caller, NobodyThere
 from wagtailpaddle_daemon.headers import Header, end_to_end
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
@@ -49,28 +50,6 @@
 log = get_logger("gateway")
 
 
-class Caller(Protocol):
-    """The side of a request that faces its caller."""
-
-    def begin(self, head: AnswerHead) -> None:
-        """Send the status line and the headers."""
-
-    def follow(self, producer: Any) -> None:
-        """Pace ``producer`` by what the caller takes."""
-
-    def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
-
-    def end(self) -> None:
-        """Finish the answer."""
-
-    def refuse(self, kind: ErrorKind, detail: str, retry_after_s: float | None) -> None:
-        """Send a refusal in place of an answer."""
-
-    def abort(self) -> None:
-        """Close the connection, so that a part is not taken for the whole."""
-
-
 @dataclass(slots=True)
 class _Exchange:
     """A request in flight, with the running attempt if there is one."""
@@ -374,28 +353,6 @@
             self._metrics.queue_wait(now, view.account, view.route, exchange.queued_s)
 
 
-class NobodyThere:
-    """Takes the place of a caller that went away."""
-
-    def begin(self, head: AnswerHead) -> None:
-        """Nobody reads the headers."""
-
-    def follow(self, producer: Any) -> None:
-        """Nobody slows the producer down."""
-
-    def write(self, data: bytes) -> None:
-        """Nobody reads the body."""
-
-    def end(self) -> None:
-        """Nobody waits for the end."""
-
-    def refuse(self, kind: ErrorKind, detail: str, retry_after_s: float | None) -> None:
-        """Nobody reads the refusal."""
-
-    def abort(self) -> None:
-        """There is no connection to close."""
-
-
 def _not_connected(action: object) -> None:
     raise RuntimeError(f"nobody carries out {action!r}")
 
