Give the way of a request and the shared state modules of their own

Cause: node.py (470 lines) and control.py (449) had more than one job each; the problem document was built twice, and the administration API left out retry_elsewhere, which callers are told. Change: RequestFlow (flow.py) takes a request from arrival to answer, ShareStream follows the shares stream, WholeState offers and restores the folded state; Control.outcomes replaces a second name for the same thing; problems.py builds both documents. Conclusion: behaviour is unchanged but for retry_elsewhere in the API's problems.

--- a/packages/daemon/src/wagtailpaddle_daemon/admin/app.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/app.py
@@ -25,7 +25,7 @@
 )
 from wagtailpaddle_daemon.admin.commit import Committer
 from wagtailpaddle_daemon.admin.context import HANDLERS, Context, Handler
-from wagtailpaddle_daemon.admin.errors import AdminError, bad_request, problem_document
+from wagtailpaddle_daemon.admin.errors import AdminError, bad_request, document_of
 from wagtailpaddle_daemon.admin.ports import (
     Acceptance,
     AdminPort,
@@ -180,7 +180,7 @@
         exc: Any = failure.value
         detail = f"{request.method.decode('latin-1')} {request.path.decode('latin-1')}"
         kind = ErrorKind.NOT_FOUND if exc.code == 404 else ErrorKind.BAD_REQUEST
-        problem = problem_document(AdminError(kind, f"{detail!r} is no command"))
+        problem = document_of(AdminError(kind, f"{detail!r} is no command"))
         problem["status"] = exc.code
         return _write_problem(request, problem)
 
@@ -188,7 +188,7 @@
         exc: Any = failure.value
         if exc.kind is ErrorKind.KEY_UNKNOWN:
             self._note_stranger(request)
-        return _write_problem(request, problem_document(exc))
+        return _write_problem(request, document_of(exc))
 
     def _note_stranger(self, request: Any) -> None:
         n_held = self._throttle.take(self._reactor.seconds(), "token")
@@ -199,7 +199,7 @@
     def _on_fault(self, request: Any, failure: Failure) -> bytes:
         log.error("Command failed.", failure=failure.getTraceback())
         exc = WagtailError(ErrorKind.INTERNAL, "see the log of this daemon")
-        return _write_problem(request, problem_document(exc))
+        return _write_problem(request, document_of(exc))
 
 
 def _query(args: dict[bytes, list[bytes]]) -> dict[str, str]:
--- a/packages/daemon/src/wagtailpaddle_daemon/admin/errors.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/errors.py
@@ -6,7 +6,8 @@
 from wagtailpaddle_config import Problem, Void, VoidCode
 from wagtailpaddle_core import ErrorKind, WagtailError
 
-PROBLEM_TYPE = "urn:wagtailpaddle:error:"
+from wagtailpaddle_daemon.problems import problem_document
+
 MAX_SHOWN_CHARS = 200
 
 KIND_OF_VOID: dict[VoidCode, ErrorKind] = {
@@ -53,17 +54,10 @@
     return AdminError(KIND_OF_VOID[void.code], void.reason, **facts)
 
 
-def problem_document(exc: WagtailError) -> dict[str, Any]:
+def document_of(exc: WagtailError) -> dict[str, Any]:
     """Return the problem document (RFC 9457) of an error."""
     facts = exc.facts if isinstance(exc, AdminError) else {}
-    return {
-        "type": PROBLEM_TYPE + exc.kind.value,
-        "title": exc.answer.title,
-        "status": exc.answer.status,
-        "detail": exc.detail,
-        "outcome": exc.answer.outcome.value,
-        **facts,
-    }
+    return problem_document(exc.kind, exc.detail, **facts)
 
 
 def _shown(problem: Problem) -> dict[str, str]:
--- a/packages/daemon/src/wagtailpaddle_daemon/front.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/front.py
@@ -21,7 +21,7 @@
     query_without_key,
     without_key,
 )
-from wagtailpaddle_daemon.problems import CONTENT_TYPE, problem_document
+from wagtailpaddle_daemon.problems import CONTENT_TYPE, problem_body
 from wagtailpaddle_daemon.secrets import KeyFilter
 from wagtailpaddle_daemon.upstream import AnswerHead, Outgoing, list_headers
 
@@ -184,7 +184,7 @@
         if self._over:
             return
         answer = ANSWERS[kind]
-        body = problem_document(kind, detail)
+        body = problem_body(kind, detail)
         self.setResponseCode(answer.status)
         self.setHeader(b"content-type", CONTENT_TYPE)
         self.setHeader(b"content-length", b"%d" % len(body))
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -101,7 +101,7 @@
         self.gateway.carry_out(self.node.leave(self._reactor.seconds()))
         await sleep(self._reactor, self.cfg.linger_s)
         self.life.drain()
-        self.node.draining = True
+        self.node.drain()
         if self._caller_port is not None:
             await self._caller_port.stopListening()
         await self._wait(lambda: not self.gateway.n_in_flight, self.cfg.drain_s)
--- a/packages/node/src/wagtailpaddle_node/__init__.py
+++ b/packages/node/src/wagtailpaddle_node/__init__.py
@@ -9,7 +9,8 @@
     RequestHead,
     RequestView,
 )
-from wagtailpaddle_node.node import OPEN_ACCOUNT, Node
+from wagtailpaddle_node.node import Node
+from wagtailpaddle_node.requests import OPEN_ACCOUNT
 
 __all__ = [
     "OPEN_ACCOUNT",
--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -2,15 +2,9 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
-from typing import Any, Protocol
-
-from wagtailpaddle_config import (
-    ConfigFold,
-    Configuration,
-    SnapshotChunk,
-    SnapshotCollector,
-    SnapshotOffer,
-)
+from typing import Any
+
+from wagtailpaddle_config import ConfigFold, Configuration
 from wagtailpaddle_core import AccountId, Offset, VmId
 from wagtailpaddle_fleet import (
     AppendRecord,
@@ -36,7 +30,6 @@
     Limit,
     QuotaAction,
     QuotaKeeper,
-    ShareSnapshot,
     SharesState,
 )
 from wagtailpaddle_quota import SendPeer as QuotaCall
@@ -47,11 +40,11 @@
 from wagtailpaddle_node.limits import RecentLimits
 from wagtailpaddle_node.messages import Append, NodeAction
 from wagtailpaddle_node.rosters import RosterWatch
-from wagtailpaddle_node.sharestate import share_items, shares_from
+from wagtailpaddle_node.sharestream import ShareStream
+from wagtailpaddle_node.wholestate import Codec, WholeState
 
 CONFIG_STREAM = "config"
 SHARES_STREAM = "shares"
-SHARES_SNAPSHOT_RECORDS = 5000
 FLEET_TICK_S = 0.2
 N_CLAIM_PARTITIONS = 64
 ROSTER_CHECK_S = 0.5
@@ -59,16 +52,6 @@
 ControlAction = NodeAction | Run | Reject | ClaimReplay
 
 
-class Codec(Protocol):
-    """Turns records of the log into bytes and back."""
-
-    def encode(self, record: Any) -> bytes:
-        """Return the bytes of a record."""
-
-    def decode(self, data: bytes) -> Any:
-        """Return the record that ``data`` encodes. Raises ``ValueError``."""
-
-
 class Control:
     """Everything of a node that does not belong to one request.
 
@@ -86,15 +69,12 @@
         self.stream = ConfigStream(self.fold, self.membership, codec.decode, seed=seed)
         window_s = self.membership.freshness.window_s
         self.quota = QuotaKeeper(vm.id, limits=self.limit_of, freshness_s=window_s)
+        self.shares = ShareStream(self.quota, codec.decode)
+        self.state = WholeState(self.stream, self.quota, codec, writer=vm.id)
         self.claims = ClaimKeeper(vm.id, n_partitions=N_CLAIM_PARTITIONS)
         self.calls = Calls()
         self.n_bad_messages = 0
-        self._codec = codec
-        self._offer = SnapshotOffer(self._whole_state, writer=vm.id)
         self._limits = RecentLimits(window_s=window_s)
-        self._shares_first: Offset = 0
-        self._shares_head: Offset = 0
-        self._shares_snapshot_at: Offset = 0
         self._rosters = RosterWatch(self.membership, self.stream)
         self._fleet_tick_at = float("-inf")
         self._roster_check_at = float("-inf")
@@ -135,29 +115,14 @@
         head: Offset,
     ) -> None:
         """Take in what the log answered about the ``shares`` stream."""
-        self._shares_first, self._shares_head = first, head
-        for raw in records:
-            try:
-                record = self._codec.decode(raw.data)
-            except ValueError:
-                record = None
-            if not isinstance(record, ChangeShares | ShareSnapshot):
-                self.n_bad_messages += 1
-                record = ChangeShares(f"unreadable/{raw.offset}", VmId(""), ())
-            if isinstance(record, ShareSnapshot):
-                self._shares_snapshot_at = max(self._shares_snapshot_at, raw.offset)
-            self.quota.on_record(now, raw.offset, record)
-        self.quota.confirmed(now, sent_at, head)
+        self.shares.on_read(now, sent_at, records, first, head)
 
     def snapshots(self, wall_s: float) -> tuple[Append, ...]:
         """Return the snapshot records that this VM should append now."""
         chunks = self.stream.due_snapshot(wall_s)
         appends = tuple(Append(CONFIG_STREAM, chunk) for chunk in chunks)
-        if not self._shares_snapshot_is_due():
-            return appends
-        self._shares_snapshot_at = self._shares_head
-        records = self.quota.snapshot_records()
-        return appends + tuple(Append(SHARES_STREAM, record) for record in records)
+        shares = self.shares.due_snapshot()
+        return appends + tuple(Append(SHARES_STREAM, record) for record in shares)
 
     def on_append_failed(self, now: float, append: Append) -> None:
         """An append was not confirmed; it may stand in the log all the same."""
@@ -198,7 +163,9 @@
                 return self._quota_reply(now, call, reply)
             case Part.ONCE:
                 body: Any = call.body
-                return self._once(now, self.claims.on_reply(now, call.vm, body, reply))
+                return self.outcomes(
+                    now, self.claims.on_reply(now, call.vm, body, reply)
+                )
         return ()
 
     def on_peer_failed(self, now: float, number: int) -> tuple[ControlAction, ...]:
@@ -215,7 +182,9 @@
                 if not isinstance(body, AskShares):
                     self.quota.on_call_failed(now, call.vm, body)
             case Part.ONCE:
-                return self._once(now, self.claims.on_call_failed(now, call.vm, body))
+                return self.outcomes(
+                    now, self.claims.on_call_failed(now, call.vm, body)
+                )
         return ()
 
     def on_vm_list(
@@ -238,7 +207,7 @@
             actions += self._fleet(now, self.membership.tick(now))
             actions += self._tell_health(now)
             actions += self._tell_claims(now)
-            actions += self._once(now, self.claims.tick(now))
+            actions += self.outcomes(now, self.claims.tick(now))
         if now - self._roster_check_at >= ROSTER_CHECK_S:
             self._roster_check_at = now
             self._limits.settle(
@@ -256,7 +225,7 @@
 
     def release(self, now: float) -> tuple[ControlAction, ...]:
         """Hand over shares and claims; call it when the last request ended."""
-        return self._quota(now, self.quota.release(now)) + self._once(
+        return self._quota(now, self.quota.release(now)) + self.outcomes(
             now, self.claims.release(now)
         )
 
@@ -285,7 +254,12 @@
         self, now: float, actions: Iterable[OnceAction]
     ) -> tuple[ControlAction, ...]:
         """Turn the claims' calls into the node's; pass on the outcomes."""
-        return self._once(now, actions)
+        return tuple(
+            self.calls.to_vm(now, Part.ONCE, action.vm, action.message)
+            if isinstance(action, OnceCall)
+            else action
+            for action in actions
+        )
 
     # Parts
 
@@ -336,38 +310,12 @@
         self, now: float, action: RestoreSnapshot
     ) -> tuple[ControlAction, ...]:
         before = self.configuration
-        collector = SnapshotCollector()
-        for data in action.chunks:
-            try:
-                chunk = self._codec.decode(data)
-            except ValueError:
-                chunk = None
-            if not isinstance(chunk, SnapshotChunk):
-                self.n_bad_messages += 1
-                return ()
-            snapshot = collector.add(chunk)
-            if snapshot is None:
-                continue
-            try:
-                next_offset, entries = shares_from(snapshot.items)
-            except ValueError:
-                self.n_bad_messages += 1
-                return ()
-            self.stream.restore(now, snapshot)
-            self.quota.load(now, next_offset, entries)
+        if not self.state.restore(now, action.chunks):
+            self.n_bad_messages += 1
         return self._reconfigure(now, before)
 
-    def _whole_state(self) -> tuple[Offset, tuple[Any, ...]]:
-        upto, items = self.stream.items()
-        shares = share_items(self.quota.next_offset, self.quota.state())
-        return upto, items + shares
-
     def _offer_chunk(self, now: float, upto: Offset, index: int) -> SnapshotAnswer:
-        chunk = self._offer.chunk(now, upto, index)
-        if chunk is None:
-            return SnapshotAnswer(upto, index, 0, b"")
-        data = self._codec.encode(chunk)
-        return SnapshotAnswer(chunk.upto, chunk.index, chunk.n_chunks, data)
+        return self.state.offer_chunk(now, upto, index)
 
     def _fleet_reply(
         self, now: float, call: Call, reply: Any
@@ -403,16 +351,6 @@
             actions += (ask,)
         return actions
 
-    def _once(
-        self, now: float, actions: Iterable[OnceAction]
-    ) -> tuple[ControlAction, ...]:
-        return tuple(
-            self.calls.to_vm(now, Part.ONCE, action.vm, action.message)
-            if isinstance(action, OnceCall)
-            else action
-            for action in actions
-        )
-
     def _tell_health(self, now: float) -> tuple[ControlAction, ...]:
         digests = self.backends.health.digests(now)
         if not digests:
@@ -436,14 +374,5 @@
         actions: tuple[ControlAction, ...] = ()
         for step in self._rosters.for_claims(now):
             told = self.claims.on_roster(now, step.present, step.former, step.gone)
-            actions += self._once(now, told)
+            actions += self.outcomes(now, told)
         return actions
-
-    def _shares_snapshot_is_due(self) -> bool:
-        if self.quota.next_offset < self._shares_head:
-            return False
-        since = self._shares_head - self._shares_snapshot_at
-        if since >= SHARES_SNAPSHOT_RECORDS:
-            return True
-        halfway = (self._shares_snapshot_at + self._shares_head) // 2
-        return self._shares_first > 0 and self._shares_first >= halfway
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -0,0 +1,263 @@
+"""The way of a request: admission, token, claim, server, answer."""
+
+from collections.abc import Iterable
+
+from wagtailpaddle_core import (
+    ANSWERS,
+    ErrorKind,
+    Offset,
+    Outcome,
+    RequestId,
+    WagtailError,
+)
+from wagtailpaddle_once import Reject, Run, RunOutcome, StoredAnswer
+from wagtailpaddle_once import Replay as ClaimReplay
+from wagtailpaddle_quota import Granted, WaitUntil
+from wagtailpaddle_routing import (
+    AttemptResult,
+    CancelAttempt,
+    Deliver,
+    Dispatch,
+    Dispatcher,
+    Job,
+    Refuse,
+)
+
+from wagtailpaddle_node.backends import Backends
+from wagtailpaddle_node.control import Control, ControlAction
+from wagtailpaddle_node.messages import NodeAction, Replay, RequestHead, RequestView
+from wagtailpaddle_node.requests import (
+    OPEN_ACCOUNT,
+    Admitted,
+    Requests,
+    Stage,
+    authenticate,
+    match_route,
+)
+
+
+class RequestFlow:
+    """Takes requests from their arrival to their answer.
+
+    What the parts decide about a request comes in through ``settle`` and goes
+    out as actions for the front end. ``draining`` refuses new requests.
+    """
+
+    def __init__(self, control: Control, backends: Backends, dispatcher: Dispatcher):
+        self.control = control
+        self.backends = backends
+        self.dispatcher = dispatcher
+        self.draining = False
+        self._requests = Requests()
+        self._swept_revision: Offset = -1
+        self._swept_fresh = False
+
+    def view(self, request: RequestId) -> RequestView:
+        """Return whose request it is, or was if it ended a short time ago."""
+        return self._requests.view(request)
+
+    def next_wake(self, now: float) -> float | None:
+        """Return when a request has something to do, or None."""
+        times = (self._requests.next_due(), self.dispatcher.next_wake(now))
+        return min((at for at in times if at is not None), default=None)
+
+    def begin(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
+        """Admit a request or refuse it."""
+        try:
+            admitted = self._admit(now, head)
+        except WagtailError as exc:
+            return (Refuse(head.id, exc.kind, exc.detail),)
+        self._requests.add(admitted)
+        return self._take_token(now, admitted)
+
+    def finish(
+        self,
+        now: float,
+        request: RequestId,
+        result: AttemptResult,
+        answer: StoredAnswer | None,
+    ) -> tuple[NodeAction, ...]:
+        """Take in the end of an attempt."""
+        freed = self.backends.finished(now, request, result)
+        actions = self.dispatcher.finish(now, request, result)
+        return self.settle(now, freed + actions, answer=answer)
+
+    def cancel(
+        self, now: float, request: RequestId
+    ) -> tuple[bool, tuple[NodeAction, ...]]:
+        """The caller of ``request`` went away; return whether it goes on."""
+        admitted = self._requests.get(request)
+        if admitted is None:
+            return False, ()
+        if admitted.claimed or admitted.stage is Stage.CLAIM:
+            self._requests.update(request, detached=True)
+            return True, ()
+        self._requests.remove(request)
+        cancelled = self.settle(now, self.dispatcher.cancel(now, request))
+        self.backends.forget(request)
+        return False, cancelled
+
+    def retry_tokens(self, now: float) -> tuple[NodeAction, ...]:
+        """Ask again for the tokens that requests wait for."""
+        actions: tuple[NodeAction, ...] = ()
+        for admitted in self._requests.due(now):
+            actions += self._take_token(now, admitted)
+        return actions
+
+    def settle(
+        self,
+        now: float,
+        actions: Iterable[ControlAction],
+        *,
+        answer: StoredAnswer | None = None,
+    ) -> tuple[NodeAction, ...]:
+        """Note what actions mean for requests; turn claims into actions."""
+        settled: list[NodeAction] = []
+        for action in actions:
+            match action:
+                case Run():
+                    settled += self._run(now, action.request)
+                case ClaimReplay():
+                    self._requests.remove(action.request)
+                    settled.append(Replay(action.request, action.answer))
+                case Reject():
+                    self._requests.remove(action.request)
+                    settled.append(Refuse(action.request, action.kind, action.detail))
+                case Dispatch():
+                    self.backends.started(now, action)
+                    self._requests.update(action.request, dispatched=True)
+                    settled.append(action)
+                case Deliver() | Refuse():
+                    settled += self._answered(now, action, answer)
+                case CancelAttempt():
+                    self.backends.forget(action.request)
+                    settled.append(action)
+                case _:
+                    settled.append(action)
+        return tuple(settled)
+
+    def sweep(self, now: float) -> tuple[NodeAction, ...]:
+        """Refuse what waits and may no longer run."""
+        fresh = self.control.membership.is_fresh(now)
+        revision = self.control.configuration.revision
+        if revision == self._swept_revision and (fresh or not self._swept_fresh):
+            self._swept_fresh = fresh
+            return ()
+        self._swept_revision = revision
+        self._swept_fresh = fresh
+        actions: tuple[NodeAction, ...] = ()
+        for admitted in self._requests.not_dispatched():
+            fault = self._fault_of(admitted, fresh)
+            if fault is not None:
+                actions += self._drop(now, admitted, fault)
+        return actions
+
+    def _admit(self, now: float, head: RequestHead) -> Admitted:
+        if self.draining:
+            raise WagtailError(ErrorKind.DRAINING, "the VM is shutting down")
+        if not self.control.membership.is_fresh(now):
+            raise WagtailError(ErrorKind.NOT_FRESH, "no confirmation in time")
+        route = match_route(self.control.configuration, head)
+        account = authenticate(self.control.configuration, head, route)
+        timeout_s = min(head.timeout_s or route.timeout_s, route.timeout_s)
+        name = OPEN_ACCOUNT if account is None else account.id
+        return Admitted(head, route, name, now, now + timeout_s)
+
+    def _take_token(self, now: float, admitted: Admitted) -> tuple[NodeAction, ...]:
+        if admitted.route.open:
+            return self._claim(now, admitted)
+        quota = self.control.quota
+        decision = quota.take(now, admitted.account, admitted.deadline_at)
+        match decision:
+            case Granted():
+                return self._claim(now, admitted)
+            case WaitUntil():
+                self._requests.wait(admitted.head.id, decision.at)
+                borrowed = self.control.borrow(now, admitted.account)
+                return self.settle(now, borrowed)
+        kind = ErrorKind.RATE_EXCEEDED
+        detail = f"client account {admitted.account!r} is over its rate"
+        if decision.cut_off or not quota.may_spend(now):
+            kind = ErrorKind.NOT_FRESH
+            detail = f"this VM reaches no share of {admitted.account!r}"
+        refusal = Refuse(
+            admitted.head.id, kind, detail, retry_after_s=decision.retry_after_s
+        )
+        return self.settle(now, (refusal,))
+
+    def _claim(self, now: float, admitted: Admitted) -> tuple[NodeAction, ...]:
+        head = admitted.head
+        if not admitted.wants_claim:
+            return self._queue(now, admitted)
+        self._requests.update(head.id, stage=Stage.CLAIM)
+        begun = self.control.claims.begin(
+            now,
+            head.id,
+            admitted.account,
+            head.idempotency_key or "",
+            head.fingerprint,
+            admitted.deadline_at,
+        )
+        return self.settle(now, self.control.outcomes(now, begun))
+
+    def _queue(self, now: float, admitted: Admitted) -> tuple[NodeAction, ...]:
+        self._requests.update(admitted.head.id, stage=Stage.SERVER)
+        job = Job(
+            id=admitted.head.id,
+            account=admitted.account,
+            service=admitted.route.service,
+            idempotent=admitted.route.idempotent,
+            arrived_at=admitted.arrived_at,
+            deadline_at=admitted.deadline_at,
+        )
+        return self.settle(now, self.dispatcher.arrive(now, job))
+
+    def _run(self, now: float, request: RequestId) -> tuple[NodeAction, ...]:
+        """The claim stands: dispatch, unless the caller went away before."""
+        admitted = self._requests.get(request)
+        if admitted is None or admitted.detached:
+            self._requests.remove(request)
+            ended = self.control.claims.finish(now, request, RunOutcome.NOT_RUN)
+            told = self.settle(now, self.control.outcomes(now, ended))
+            kind = ErrorKind.IDEMPOTENCY_UNAVAILABLE
+            return (Refuse(request, kind, "the caller went away"), *told)
+        admitted = self._requests.update(request, claimed=True)
+        return self._queue(now, admitted)
+
+    def _answered(
+        self, now: float, action: Deliver | Refuse, answer: StoredAnswer | None
+    ) -> tuple[NodeAction, ...]:
+        admitted = self._requests.remove(action.request)
+        if admitted is None or not admitted.claimed:
+            return (action,)
+        if isinstance(action, Deliver):
+            outcome = RunOutcome.ANSWERED
+        elif ANSWERS[action.kind].outcome is Outcome.NOT_RUN:
+            outcome = RunOutcome.NOT_RUN
+        else:
+            outcome = RunOutcome.UNKNOWN
+        ended = self.control.claims.finish(now, action.request, outcome, answer)
+        told = self.settle(now, self.control.outcomes(now, ended))
+        return (action, *told)
+
+    def _fault_of(self, admitted: Admitted, fresh: bool) -> WagtailError | None:
+        if not fresh:
+            return WagtailError(ErrorKind.NOT_FRESH, "no confirmation in time")
+        try:
+            authenticate(self.control.configuration, admitted.head, admitted.route)
+        except WagtailError as exc:
+            return exc
+        return None
+
+    def _drop(
+        self, now: float, admitted: Admitted, fault: WagtailError
+    ) -> tuple[NodeAction, ...]:
+        request = admitted.head.id
+        match admitted.stage:
+            case Stage.TOKEN:
+                refusal = Refuse(request, fault.kind, fault.detail)
+                return self.settle(now, (refusal,))
+            case Stage.SERVER:
+                dropped = self.dispatcher.drop(now, request, fault.kind, fault.detail)
+                return self.settle(now, dropped)
+        return ()
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/sharestream.py
@@ -0,0 +1,70 @@
+"""Follows the log's ``shares`` stream."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from wagtailpaddle_core import Offset, VmId
+from wagtailpaddle_quota import ChangeShares, QuotaKeeper, ShareSnapshot
+
+from wagtailpaddle_node.follow import RawLogRecord
+
+SNAPSHOT_RECORDS = 5000
+
+
+class ShareStream:
+    """Hands the records of the ``shares`` stream to the quota keeper.
+
+    A record that cannot be read is void for every VM; it still moves the fold
+    on, as a change of nothing.
+    """
+
+    def __init__(self, quota: QuotaKeeper, decode: Callable[[bytes], Any]):
+        self.n_unreadable = 0
+        self._quota = quota
+        self._decode = decode
+        self._first: Offset = 0
+        self._head: Offset = 0
+        self._snapshot_at: Offset = 0
+
+    def on_read(
+        self,
+        now: float,
+        sent_at: float,
+        records: Iterable[RawLogRecord],
+        first: Offset,
+        head: Offset,
+    ) -> None:
+        """Take in the answer to a read that was sent at ``sent_at``."""
+        self._first, self._head = first, head
+        for raw in records:
+            record = self._read(raw)
+            if isinstance(record, ShareSnapshot):
+                self._snapshot_at = max(self._snapshot_at, raw.offset)
+            self._quota.on_record(now, raw.offset, record)
+        self._quota.confirmed(now, sent_at, head)
+
+    def due_snapshot(self) -> tuple[ShareSnapshot, ...]:
+        """Return the records that state all shares again, if it is time."""
+        if not self._snapshot_is_due():
+            return ()
+        self._snapshot_at = self._head
+        return self._quota.snapshot_records()
+
+    def _read(self, raw: RawLogRecord) -> ChangeShares | ShareSnapshot:
+        try:
+            record = self._decode(raw.data)
+        except ValueError:
+            record = None
+        if isinstance(record, ChangeShares | ShareSnapshot):
+            return record
+        self.n_unreadable += 1
+        return ChangeShares(f"unreadable/{raw.offset}", VmId(""), ())
+
+    def _snapshot_is_due(self) -> bool:
+        if self._quota.next_offset < self._head:
+            return False
+        since = self._head - self._snapshot_at
+        if since >= SNAPSHOT_RECORDS:
+            return True
+        halfway = (self._snapshot_at + self._head) // 2
+        return self._first > 0 and self._first >= halfway
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/wholestate.py
@@ -0,0 +1,72 @@
+"""The state that VMs give each other whole: configuration, seats, shares."""
+
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+from wagtailpaddle_config import SnapshotChunk, SnapshotCollector, SnapshotOffer
+from wagtailpaddle_core import Offset, VmId
+from wagtailpaddle_fleet import SnapshotAnswer
+from wagtailpaddle_quota import QuotaKeeper
+
+from wagtailpaddle_node.follow import ConfigStream
+from wagtailpaddle_node.sharestate import share_items, shares_from
+
+
+class Codec(Protocol):
+    """Turns records of the log into bytes and back."""
+
+    def encode(self, record: Any) -> bytes:
+        """Return the bytes of a record."""
+
+    def decode(self, data: bytes) -> Any:
+        """Return the record that ``data`` encodes. Raises ``ValueError``."""
+
+
+class WholeState:
+    """Offers the folded state to VMs that start, and takes theirs in.
+
+    For a VM whose next record is no longer retained, or that starts while the
+    log is away. ``writer`` names this VM in the chunks that it offers.
+    """
+
+    def __init__(
+        self, stream: ConfigStream, quota: QuotaKeeper, codec: Codec, *, writer: VmId
+    ):
+        self._stream = stream
+        self._quota = quota
+        self._codec = codec
+        self._offer = SnapshotOffer(self._items, writer=writer)
+
+    def offer_chunk(self, now: float, upto: Offset, index: int) -> SnapshotAnswer:
+        """Return one chunk of the state for a peer, empty if there is none."""
+        chunk = self._offer.chunk(now, upto, index)
+        if chunk is None:
+            return SnapshotAnswer(upto, index, 0, b"")
+        data = self._codec.encode(chunk)
+        return SnapshotAnswer(chunk.upto, chunk.index, chunk.n_chunks, data)
+
+    def restore(self, now: float, chunks: Iterable[bytes]) -> bool:
+        """Take in a peer's state; return False if it cannot be read."""
+        collector = SnapshotCollector()
+        for data in chunks:
+            try:
+                chunk = self._codec.decode(data)
+            except ValueError:
+                return False
+            if not isinstance(chunk, SnapshotChunk):
+                return False
+            snapshot = collector.add(chunk)
+            if snapshot is None:
+                continue
+            try:
+                next_offset, entries = shares_from(snapshot.items)
+            except ValueError:
+                return False
+            self._stream.restore(now, snapshot)
+            self._quota.load(now, next_offset, entries)
+        return True
+
+    def _items(self) -> tuple[Offset, tuple[Any, ...]]:
+        upto, items = self._stream.items()
+        shares = share_items(self._quota.next_offset, self._quota.state())
+        return upto, items + shares
--- a/packages/standins/src/wagtailpaddle_standins/soak/world.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/world.py
@@ -187,7 +187,7 @@
         fabric.on(host.process, fabric.now + 1.0, lambda: self._drain(host))
 
     def _drain(self, host: Host) -> None:
-        host.node.draining = True
+        host.node.drain()
         if host.exchanges:
             self._later(host, 0.1, lambda: self._drain(host))
             return
