Let health probes raise suspicion

Cause: a server that refuses connections is noticed only when a request reaches it. A probe sees it sooner, but health endpoints lag and mislead.

Change: HealthBook.on_hint makes a healthy server suspect for 2 s, so that idempotent requests test it; then hints on it rest for 30 s. A hint is no evidence; watchers pass it on as suspicion without a score.

Ruled out: a hint as a weak failure, since a lying health page would lower the bar for good.

--- a/packages/health/src/wagtailpaddle_health/admission.py
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -18,6 +18,9 @@
 MAX_PROBATION_S = 24.0
 RAMP_S = 10.0
 COLD_RAMP_S = 30.0
+HINT_LIFE_S = 2.0
+HINT_REST_S = 30.0
+HINT_SUSPICION = 0.2
 
 OUT = (ServerState.EJECTED, ServerState.AVOIDED)
 RECOVERING = (ServerState.PROBATION, ServerState.RAMPING)
@@ -58,9 +61,10 @@
     length and is forgiven over time. ``kept`` says that the floor alone keeps
     the server working; ``cold`` that it is new and may be slow at first.
     ``spread_s`` is how long the VMs take to begin testing it as a suspect.
-    ``pooled`` is this VM's judgement of all evidence told to it, ``fleet`` what
-    the watchers agree on. ``marks`` holds the evidence on the other servers when
-    the present doubt began.
+    ``hinted_at`` is when a probe last made it suspect. ``pooled`` is this VM's
+    judgement of all evidence told to it, ``fleet`` what the watchers agree on.
+    ``marks`` holds the evidence on the other servers when the present doubt
+    began.
     """
 
     server: ServerId
@@ -75,6 +79,7 @@
     reason: str = ""
     kept: bool = False
     spread_s: float = 0.0
+    hinted_at: float = float("-inf")
     cold: bool = False
     local: Judgement = NOTHING
     fleet: Judgement = NOTHING
@@ -105,6 +110,17 @@
         """The stronger of the local and the fleet's score."""
         return max(self.local.score, self.fleet.score)
 
+    def hint(self, now: float) -> bool:
+        """Note a bad probe; return whether it counts."""
+        if now < self.hinted_at + HINT_REST_S:
+            return False
+        self.hinted_at = now
+        return True
+
+    def hinted(self, now: float) -> float:
+        """Return the suspicion that a probe raised and that still holds."""
+        return HINT_SUSPICION if now < self.hinted_at + HINT_LIFE_S else 0.0
+
     def is_forgiven(self, now: float) -> bool:
         """Whether past ejections no longer lengthen the next one."""
         n_forgiven = int((now - self.last_ejected_at) / FORGIVE_S)
--- a/packages/health/src/wagtailpaddle_health/book.py
+++ b/packages/health/src/wagtailpaddle_health/book.py
@@ -12,6 +12,7 @@
     Observation,
     Pool,
     ServerHealth,
+    Verdict,
 )
 from wagtailpaddle_health.policies import POLICIES
 from wagtailpaddle_health.poolbook import PoolBook
@@ -89,6 +90,24 @@
         else:
             pool.report_load(now, server, load)
 
+    def on_hint(
+        self, now: float, service: ServiceId, server: ServerId, verdict: Verdict
+    ) -> bool:
+        """Take in what a health probe says; return whether a standing may change.
+
+        A bad answer makes a healthy server suspect for ``HINT_LIFE_S`` seconds, so
+        that requests that can be repeated test it; further ones are ignored for
+        ``HINT_REST_S`` seconds. A hint is no evidence: it ejects nobody, and a good
+        one has no effect. Hints to the service's ``watchers`` reach every VM.
+        """
+        pool = self._pools.get(service)
+        if pool is None:
+            self._ignored["unknown service"] += 1
+            return False
+        changed = pool.on_hint(now, server, verdict)
+        self._note(service, pool, changed)
+        return changed
+
     def overdue_after(self, now: float, service: ServiceId) -> float:
         """Return after how many seconds a running attempt is overdue."""
         pool = self._pools.get(service)
--- a/packages/health/src/wagtailpaddle_health/poolbook.py
+++ b/packages/health/src/wagtailpaddle_health/poolbook.py
@@ -1,6 +1,7 @@
 """Judges the servers of one service by the evidence on them."""
 
 from collections import Counter, deque
+from dataclasses import replace
 
 from wagtailpaddle_core import ServerId, VmId
 
@@ -49,6 +50,7 @@
 LOAD_LIFE_S = 5.0
 MAX_OTHERS = 24
 FAILED = (Verdict.FAILURE, Verdict.UNREACHABLE)
+HINTS = (*FAILED, Verdict.OVERDUE)
 
 
 class PoolBook:
@@ -133,6 +135,17 @@
         else:
             self.ignored["unknown server"] += 1
 
+    def on_hint(self, now: float, server: ServerId, verdict: Verdict) -> bool:
+        """Take in a probe's verdict; return whether a standing changed."""
+        if server not in self._roster.servers:
+            self.ignored["unknown server"] += 1
+            return False
+        if verdict not in HINTS:
+            return False
+        track = self._roster.track(server)
+        self.last_evidence_at = now
+        return track.hint(now) and self._judge(now, track)
+
     def tick(self, now: float) -> bool:
         """Act on the passing of time; return whether a standing changed."""
         changed = False
@@ -278,15 +291,16 @@
         return self._doubt_or_trust(now, track)
 
     def _doubt_or_trust(self, now: float, track: Track) -> bool:
-        if track.state is ServerState.HEALTHY and track.suspicion >= SUSPECT_SHARE:
+        suspicion = max(track.suspicion, track.hinted(now))
+        if track.state is ServerState.HEALTHY and suspicion >= SUSPECT_SHARE:
             track.admission.doubt()
             track.spread_s = verify_spread_s(self._own_rate(now))
-            reason = track.local.reason or track.fleet.reason
+            reason = track.local.reason or track.fleet.reason or "probe"
             self._roster.enter(now, track, reason)
             return True
         if track.state is not ServerState.SUSPECT:
             return False
-        if track.suspicion < TRUST_SHARE:
+        if suspicion < TRUST_SHARE:
             track.admission.trust()
             self._roster.enter(now, track, "")
         elif track.score < UNKEEP_SHARE:
@@ -351,8 +365,9 @@
         held = []
         for server, track in self._roster.watched.items():
             is_old = track.is_out and now - track.since > TELL_EJECTED_S
-            pooled = track.pooled
-            if pooled.suspicion >= SUSPECT_SHARE and not is_old:
+            suspicion = max(track.pooled.suspicion, track.hinted(now))
+            pooled = replace(track.pooled, suspicion=suspicion)
+            if suspicion >= SUSPECT_SHARE and not is_old:
                 held.append(opinion_of(server, pooled))
         return held
 
