Tick when the node asks, read the log lightly, keep connections without timers

Cause: an idle daemon ticked 20 times a second whatever there was to do, and spent more than half of its processor time in treq's cookies, redirects and URLs for four reads of the log and one of the VM list a second (profile of 15 s idle at 3 VMs). A request paid for a timer, four Deferreds and a second pool around each connection to a server.

Connections to servers are kept by `Connections` around the protocol of twisted.web; answers of HTTP/1.0, `Connection: Close` in any spelling, both lengths at once and unasked bytes now end a connection.

--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -0,0 +1,169 @@
+"""Kept HTTP/1.1 connections to backend servers.
+
+``twisted.web`` encodes and decodes the messages; kept here is which connection
+a request goes out on, without the timers and Deferreds of its pool.
+"""
+
+from collections import deque
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS = 16
+MAX_ANSWER_HEAD_BYTES = 65536
+
+Address = tuple[str, int]
+
+
+class OversizedHeadError(Exception):
+    """The headers of a backend server's answer exceed the limit."""
+
+
+class WholeRequest:
+    """A request that is at hand as bytes, in the form that the protocol takes.
+
+    ``method`` tells the protocol whether the answer has a body.
+    """
+
+    persistent = True
+    absoluteURI = None  # noqa: N815
+    headers = None
+
+    def __init__(self, method: bytes, data: bytes):
+        self.method = method
+        self._data = data
+
+    def writeTo(self, transport: Any) -> Deferred[None]:  # noqa: N802
+        """Write everything at once."""
+        transport.write(self._data)
+        return succeed(None)
+
+    def stopWriting(self) -> None:  # noqa: N802
+        """Nothing is left to stop."""
+
+
+class ClientConnection(HTTP11ClientProtocol):
+    """A connection that bounds headers and trusts no surplus bytes.
+
+    It is not used again if more than one answer came, if bytes came that
+    nobody asked for, or if the server said in any way that it closes.
+    """
+
+    _n_head_bytes = 0
+    idle_since = 0.0
+
+    def __init__(self, pool: "Connections", address: Address):
+        super().__init__(self._finished)
+        self._pool = pool
+        self.address = address
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take in a piece of the answer; bytes without a request end it all."""
+        if self._parser is None:
+            self.close()
+            return
+        super().dataReceived(data)
+        if self._parser is None or self._parser.state not in (STATUS, HEADER):
+            self._n_head_bytes = 0
+            return
+        self._n_head_bytes += len(data)
+        if self._n_head_bytes > MAX_ANSWER_HEAD_BYTES:
+            self._giveUp(Failure(OversizedHeadError("the answer's headers")))
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Forget the connection and fail the request that waits on it."""
+        self._pool.forget(self)
+        super().connectionLost(reason)
+
+    def close(self) -> None:
+        """Close the connection, which no request uses."""
+        self._pool.forget(self)
+        self.transport.abortConnection()
+
+    def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
+        if self._currentRequest is not None and (rest or self._is_last()):
+            self._currentRequest.persistent = False
+        super()._finishResponse_WAITING(rest)
+
+    _finishResponse_TRANSMITTING = _finishResponse_WAITING  # noqa: N815
+
+    def _is_last(self) -> bool:
+        if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
+            return True
+        headers = self._parser.connHeaders
+        if headers.hasHeader(b"Transfer-Encoding") and headers.hasHeader(
+            b"Content-Length"
+        ):
+            return True
+        values = headers.getRawHeaders(b"Connection", ())
+        return any(b"close" in value.lower() for value in values)
+
+    def _finished(self, _: Any) -> None:
+        self._pool.keep(self)
+
+
+class _ClientFactory(Factory):
+    noisy = False
+
+    def __init__(self, pool: "Connections", address: Address):
+        self._pool = pool
+        self._address = address
+
+    def buildProtocol(self, addr: Any) -> ClientConnection:  # noqa: N802
+        return ClientConnection(self._pool, self._address)
+
+
+class Connections:
+    """Connections by address of the backend server; nothing is sent twice."""
+
+    def __init__(self, reactor: Any, *, max_idle_s: float):
+        self._reactor = reactor
+        self._max_idle_s = max_idle_s
+        self._idle: dict[Address, deque[ClientConnection]] = {}
+
+    def send(
+        self, address: Address, req: WholeRequest, *, max_idle_s: float
+    ) -> Deferred[Any]:
+        """Return the response to ``req``; cancelling closes the connection.
+
+        A kept connection serves if it was idle for ``max_idle_s`` seconds at
+        most.
+        """
+        kept = self._idle.get(address)
+        oldest = self._reactor.seconds() - max_idle_s
+        if kept and kept[-1].idle_since >= oldest:
+            return kept.pop().request(req)
+        endpoint = TCP4ClientEndpoint(self._reactor, *address, CONNECT_TIMEOUT_S)
+        opened = endpoint.connect(_ClientFactory(self, address))
+        opened.addCallback(lambda conn: conn.request(req))
+        return opened
+
+    def keep(self, conn: ClientConnection) -> None:
+        """Keep a connection whose answer came whole, the latest used last."""
+        kept = self._idle.setdefault(conn.address, deque())
+        conn.idle_since = self._reactor.seconds()
+        kept.append(conn)
+        if len(kept) > IDLE_CONNECTIONS:
+            kept[0].close()
+
+    def forget(self, conn: ClientConnection) -> None:
+        """A connection is lost or of no more use."""
+        kept = self._idle.get(conn.address)
+        if kept is not None and conn in kept:
+            kept.remove(conn)
+        if not kept:
+            self._idle.pop(conn.address, None)
+
+    def close_idle(self, now: float) -> None:
+        """Close what was idle for too long; ask for it about once a second."""
+        oldest = now - self._max_idle_s
+        for kept in tuple(self._idle.values()):
+            for conn in tuple(kept):
+                if conn.idle_since >= oldest:
+                    break
+                conn.close()
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -83,7 +83,9 @@
         self._exchanges: dict[RequestId, _Exchange] = {}
         self._call_peer: Callable[[CallPeer], None] = _not_connected
         self._append: Callable[[Append], None] = _not_connected
+        self._ticks = False
         self._wake: Any = None
+        self._wake_at = 0.0
 
     def connect(
         self, call_peer: Callable[[CallPeer], None], append: Callable[[Append], None]
@@ -132,22 +134,40 @@
                     self._append(action)
                 case Replay():
                     self._replay(action)
-        self._plan_wake()
+        self.plan_wake()
 
-    def _plan_wake(self) -> None:
-        """Call the node's tick early if it has something to do before."""
-        at = self._node.next_wake(self._reactor.seconds())
-        if at is None:
+    def start(self) -> None:
+        """Begin to call the node's tick when the node asks for it."""
+        self._ticks = True
+        self.plan_wake()
+
+    def stop(self) -> None:
+        """Call the node's tick no more."""
+        self._ticks = False
+        if self._wake is not None:
+            self._wake.cancel()
+            self._wake = None
+
+    def plan_wake(self) -> None:
+        """Plan the next tick; call it when the node took in an event."""
+        if not self._ticks:
             return
-        if self._wake is not None and self._wake.active():
-            if self._wake.getTime() <= at:
+        now = self._reactor.seconds()
+        at = self._node.next_wake(now)
+        if self._wake is not None:
+            if self._wake_at <= at:
                 return
             self._wake.cancel()
-        delay_s = max(0.0, at - self._reactor.seconds())
-        self._wake = self._reactor.callLater(delay_s, self._wake_up)
+        self._wake_at = at
+        self._wake = self._reactor.callLater(at - now, self._wake_up)
 
     def _wake_up(self) -> None:
-        self.carry_out(self._node.on_tick(self._reactor.seconds()))
+        self._wake = None
+        try:
+            self.carry_out(self._node.on_tick(self._reactor.seconds()))
+            self._metrics.flush()
+        finally:
+            self.plan_wake()
 
     def _dispatch(self, action: Dispatch) -> None:
         exchange = self._exchanges[action.request]
--- a/packages/daemon/src/wagtailpaddle_daemon/logclient.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/logclient.py
@@ -4,11 +4,14 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+import msgspec
 import treq
 from twisted.internet.defer import Deferred
 from twisted.web.client import Agent, HTTPConnectionPool
 from wagtailpaddle_core import Offset, Registry
 
+from wagtailpaddle_daemon.fetch import Fetcher
+
 READ_TIMEOUT_S = 2.0
 APPEND_TIMEOUT_S = 2.0
 MAX_READ_RECORDS = 500
@@ -58,19 +61,19 @@
 
     def __init__(self, reactor: Any, url: str):
         self._url = url
+        self._fetcher = Fetcher(reactor, timeout_s=READ_TIMEOUT_S)
         pool = HTTPConnectionPool(reactor)
         pool.retryAutomatically = False
         self._http = treq.client.HTTPClient(Agent(reactor, pool=pool))
 
     async def _read(self, stream: str, start: Offset) -> LogRead:
-        params = {"from": str(start), "limit": str(MAX_READ_RECORDS)}
-        url = f"{self._url}/streams/{stream}"
-        answer = await self._http.get(url, params=params, timeout=READ_TIMEOUT_S)
-        body = await answer.json()
-        if answer.code == 410:
+        url = f"{self._url}/streams/{stream}?from={start}&limit={MAX_READ_RECORDS}"
+        answer = await self._fetcher.get(url)
+        body = msgspec.json.decode(answer.body)
+        if answer.status == 410:
             raise LogTrimmed(int(body["first"]))
-        if answer.code != 200:
-            raise LogError(f"log answered {answer.code} to a read of {stream!r}")
+        if answer.status != 200:
+            raise LogError(f"log answered {answer.status} to a read of {stream!r}")
         records = tuple(
             (int(item["offset"]), item["data"].encode()) for item in body["records"]
         )
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -26,7 +26,6 @@
 from wagtailpaddle_daemon.upstream import Upstream
 from wagtailpaddle_daemon.vmlist import VmListClient
 
-TICK_S = 0.05
 LOG_POLL_S = 0.5
 VM_LIST_POLL_S = 1.0
 HOUSEKEEPING_S = 1.0
@@ -51,7 +50,8 @@
             max_routes=cfg.metrics_routes,
             max_servers=cfg.metrics_servers,
         )
-        self.gateway = Gateway(reactor, self.node, Upstream(reactor), self.metrics)
+        self._upstream = Upstream(reactor)
+        self.gateway = Gateway(reactor, self.node, self._upstream, self.metrics)
         self._feed = Feed(
             reactor,
             self.node,
@@ -84,7 +84,7 @@
         )
         self._admin_port = await self._listen(self.cfg.admin_address, admin.site())
         self._caller_port = await self._listen(self.cfg.caller_address, self._front)
-        self._loop(TICK_S, self._tick)
+        self.gateway.start()
         self._loop(LOG_POLL_S, self._poll_log)
         self._loop(VM_LIST_POLL_S, lambda: start_coroutine(self._feed.read_vm_list()))
         self._loop(HOUSEKEEPING_S, self._keep_house)
@@ -119,6 +119,7 @@
         return await self._feed.catch_up()
 
     async def _close(self) -> None:
+        self.gateway.stop()
         for loop in self._loops:
             loop.stop()
         if self._admin_port is not None:
@@ -146,17 +147,14 @@
             lambda failure: log.error("Loop died.", failure=failure.getTraceback())
         )
 
-    def _tick(self) -> None:
-        now = self._reactor.seconds()
-        self.gateway.carry_out(self.node.on_tick(now))
-        self.metrics.flush()
-
     def _poll_log(self) -> Deferred[Any]:
         reads = (self._feed.catch_up(), self._feed.read_shares())
         return gatherResults([start_coroutine(read) for read in reads])
 
     def _keep_house(self) -> None:
-        self._front.close_slow(self._reactor.seconds())
+        now = self._reactor.seconds()
+        self._front.close_slow(now)
+        self._upstream.close_idle(now)
         self._peers.close_idle()
         self._feed.write_snapshots()
         for event in self.node.health.events():
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -1,35 +1,31 @@
 """Attempts at backend servers over HTTP."""
 
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet import error
-from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.defer import CancelledError, Deferred, fail, succeed
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    RequestNotSent,
-    ResponseDone,
-    _HTTP11ClientFactory,
-)
+from twisted.web.client import RequestNotSent, ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory
+from twisted.web.iweb import UNKNOWN_LENGTH
 from wagtailpaddle_routing import AttemptOutcome
-from zope.interface import implementer
 
+from wagtailpaddle_daemon.connections import (
+    MAX_ANSWER_HEAD_BYTES,
+    Connections,
+    WholeRequest,
+)
 from wagtailpaddle_daemon.headers import Header
 
-CONNECT_TIMEOUT_S = 1.0
-IDLE_CONNECTIONS = 16
 SAFE_IDLE_S = 30.0
 UNSAFE_IDLE_S = 1.0
-MAX_ANSWER_HEAD_BYTES = 65536
 MAX_ANSWER_HEADERS = 100
+VALID_TARGET = re.compile(rb"[\x21-\x7e]+")
+VALID_METHOD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
 NOT_SENT_ERRORS = (
@@ -71,81 +67,46 @@
     """
 
     def __init__(self, reactor: Any):
-        endpoints = _EndpointFactory(reactor)
-        self._safe = make_agent(reactor, endpoints, idle_s=SAFE_IDLE_S)
-        self._unsafe = make_agent(reactor, endpoints, idle_s=UNSAFE_IDLE_S)
+        self._connections = Connections(reactor, max_idle_s=SAFE_IDLE_S)
 
     def send(self, address: str, port: int, out: Outgoing) -> Deferred[Any]:
         """Return the response to ``out``; cancelling closes the connection."""
-        headers = Headers()
-        for name, value in out.headers:
-            headers.addRawHeader(name, value)
-        uri = b"http://%s:%d%s" % (address.encode(), port, out.uri)
-        producer = BytesProducer(out.body) if out.body else None
-        agent = self._safe if out.method in SAFE_METHODS else self._unsafe
-        return agent.request(out.method, uri, headers, producer)
+        try:
+            data = encode_request(out, b"%s:%d" % (address.encode(), port))
+        except ValueError as exc:
+            return fail(RequestNotSent(str(exc)))
+        req = WholeRequest(out.method, data)
+        idle_s = SAFE_IDLE_S if out.method in SAFE_METHODS else UNSAFE_IDLE_S
+        return self._connections.send((address, port), req, max_idle_s=idle_s)
 
+    def close_idle(self, now: float) -> None:
+        """Close connections that were idle for too long."""
+        self._connections.close_idle(now)
 
-def make_agent(reactor: Any, endpoints: "_EndpointFactory", *, idle_s: float) -> Agent:
-    """Return an agent that keeps idle connections for ``idle_s`` seconds."""
-    pool = HTTPConnectionPool(reactor)
-    pool._factory = _ClientFactory
-    pool.retryAutomatically = False
-    pool.maxPersistentPerHost = IDLE_CONNECTIONS
-    pool.cachedConnectionTimeout = idle_s
-    return Agent.usingEndpointFactory(reactor, endpoints, pool=pool)
 
+def encode_request(out: Outgoing, host: bytes) -> bytes:
+    """Return a request as it goes over the connection.
 
-class _ClientProtocol(HTTP11ClientProtocol):
-    """A connection that bounds headers and trusts no surplus bytes.
-
-    It is not used again if more than one answer came.
+    ``host`` serves if the headers have none. Raises ``ValueError`` if a part
+    could be read as more than it is.
     """
-
-    _n_head_bytes = 0
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        super().dataReceived(data)
-        if self._parser is None or self._parser.state not in (STATUS, HEADER):
-            self._n_head_bytes = 0
-            return
-        self._n_head_bytes += len(data)
-        if self._n_head_bytes > MAX_ANSWER_HEAD_BYTES:
-            self._giveUp(Failure(OversizedHeadError("the answer's headers")))
-
-    def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
-        if rest and self._currentRequest is not None:
-            self._currentRequest.persistent = False
-        super()._finishResponse_WAITING(rest)
-
-    _finishResponse_TRANSMITTING = _finishResponse_WAITING  # noqa: N815
-
-
-class OversizedHeadError(Exception):
-    """The headers of a backend server's answer exceed the limit."""
-
-
-class _ClientFactory(_HTTP11ClientFactory):
-    def buildProtocol(self, addr: Any) -> _ClientProtocol:  # noqa: N802
-        return _ClientProtocol(self._quiescentCallback)
-
-
-@implementer(IAgentEndpointFactory)
-class _EndpointFactory:
-    """Makes endpoints for IP addresses, without a name look-up."""
-
-    def __init__(self, reactor: Any):
-        self._reactor = reactor
-
-    def endpointForURI(self, uri: Any) -> TCP4ClientEndpoint:  # noqa: N802
-        """Return the endpoint of a backend server."""
-        return TCP4ClientEndpoint(
-            self._reactor, uri.host.decode("ascii"), uri.port, CONNECT_TIMEOUT_S
-        )
+    lines = [b"%s %s HTTP/1.1" % (out.method, out.uri)]
+    if not any(name.lower() == b"host" for name, _ in out.headers):
+        lines.append(b"Host: " + host)
+    lines += [b"%s: %s" % header for header in out.headers]
+    if out.body or out.method not in SAFE_METHODS:
+        lines.append(b"Content-Length: %d" % len(out.body))
+    head = b"\r\n".join(lines)
+    n_ends = len(lines) - 1
+    if not (head.count(b"\r") == head.count(b"\n") == n_ends) or b"\0" in head:
+        raise ValueError("a header carries an end of line")
+    if not VALID_TARGET.fullmatch(out.uri) or not VALID_METHOD.fullmatch(out.method):
+        raise ValueError("the request line is malformed")
+    return b"%s\r\n\r\n%s" % (head, out.body)
 
 
 class BytesProducer:
-    """A body that is at hand as bytes."""
+    """A body that is at hand as bytes, for an agent."""
 
     def __init__(self, body: bytes):
         self._body = body
@@ -154,9 +115,7 @@
     def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
         """Write everything at once."""
         consumer.write(self._body)
-        done: Deferred[None] = Deferred()
-        done.callback(None)
-        return done
+        return succeed(None)
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Nothing is left to pause."""
--- a/packages/daemon/src/wagtailpaddle_daemon/vmlist.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/vmlist.py
@@ -3,11 +3,11 @@
 from typing import Any
 
 import msgspec
-import treq
-from twisted.web.client import Agent, HTTPConnectionPool
 from wagtailpaddle_core import ZoneId
 from wagtailpaddle_fleet import ListedVm
 
+from wagtailpaddle_daemon.fetch import Fetcher
+
 READ_TIMEOUT_S = 2.0
 MAX_LIST_BYTES = 4 << 20
 
@@ -21,20 +21,18 @@
 
     def __init__(self, reactor: Any, url: str):
         self._url = url
-        pool = HTTPConnectionPool(reactor)
-        pool.retryAutomatically = False
-        self._http = treq.client.HTTPClient(Agent(reactor, pool=pool))
+        self._fetcher = Fetcher(reactor, timeout_s=READ_TIMEOUT_S)
 
     async def read(self) -> tuple[ListedVm, ...]:
         """Return the listed VMs. Raises ``VmListError``."""
         try:
-            answer = await self._http.get(self._url, timeout=READ_TIMEOUT_S)
-            body = await answer.content()
+            answer = await self._fetcher.get(self._url)
         except Exception as exc:
             raise VmListError(f"list of VMs: {exc!r}") from exc
-        if answer.code != 200 or len(body) > MAX_LIST_BYTES:
-            raise VmListError(f"list of VMs answered {answer.code}, {len(body)} bytes")
-        return decode_list(body)
+        n_bytes = len(answer.body)
+        if answer.status != 200 or n_bytes > MAX_LIST_BYTES:
+            raise VmListError(f"list of VMs answered {answer.status}, {n_bytes} bytes")
+        return decode_list(answer.body)
 
 
 def decode_list(body: bytes) -> tuple[ListedVm, ...]:
--- /dev/null
+++ b/packages/daemon/tests/test_connections.py
@@ -0,0 +1,140 @@
+"""Which connections to a server serve again, and what may go out on them."""
+
+import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from wagtailpaddle_daemon.connections import ClientConnection, Connections, WholeRequest
+from wagtailpaddle_daemon.upstream import BodyReader, Outgoing, encode_request
+
+ADDRESS = ("127.0.0.1", 9)
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+DATA = b"GET / HTTP/1.1\r\n\r\n"
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def pool(clock):
+    return Connections(clock, max_idle_s=30.0)
+
+
+@pytest.fixture
+def conn(pool):
+    conn = ClientConnection(pool, ADDRESS)
+    conn.makeConnection(StringTransport())
+    return conn
+
+
+def get():
+    return WholeRequest(b"GET", DATA)
+
+
+def exchange(sent, conn, answer):
+    """Feed an answer; return its body and what was said of its end."""
+    body, ends = [], []
+    sent.addCallback(lambda answer: answer.deliverBody(reader))
+    sent.addErrback(ends.append)
+    reader = BodyReader(body.append, ends.append)
+    conn.dataReceived(answer)
+    return b"".join(body), ends
+
+
+def is_kept(pool, conn):
+    return conn in pool._idle.get(ADDRESS, ())
+
+
+def test_whole_answer_keeps_the_connection(pool, conn):
+    assert exchange(conn.request(get()), conn, GOOD + b"\r\nok") == (b"ok", [None])
+    assert is_kept(pool, conn)
+    again = pool.send(ADDRESS, get(), max_idle_s=1.0)
+    assert not is_kept(pool, conn)
+    assert exchange(again, conn, GOOD + b"\r\nno") == (b"no", [None])
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        GOOD + b"Connection: Close\r\n\r\nok",
+        GOOD + b"Connection: x, close\r\n\r\nok",
+        GOOD.replace(b"1.1", b"1.0") + b"\r\nok",
+        GOOD + b"\r\nokHTTP/1.1 200 OK\r\n\r\n",
+        GOOD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    ],
+    ids=["close", "close-listed", "old-version", "surplus", "both-lengths"],
+)
+def test_last_answer_of_a_connection(pool, conn, answer):
+    assert exchange(conn.request(get()), conn, answer) == (b"ok", [None])
+    assert conn.transport.disconnecting
+    assert not is_kept(pool, conn)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+        b"HTTP/1.1 200 OK\r\nno colon\r\n",
+        b"HTTP/1.1 2x0 OK\r\n",
+    ],
+)
+def test_malformed_answer_is_no_answer(pool, conn, head):
+    body, ends = exchange(conn.request(get()), conn, head + b"\r\nok")
+    assert [end is not None for end in ends] == [True]
+    assert body != b"ok"
+    assert not is_kept(pool, conn)
+
+
+def test_bytes_that_nobody_asked_for_end_a_kept_connection(pool, conn):
+    exchange(conn.request(get()), conn, GOOD + b"\r\nok")
+    conn.dataReceived(b"HTTP/1.1 200 OK\r\n")
+    assert conn.transport.disconnected
+    assert not is_kept(pool, conn)
+
+
+def test_old_connection_is_left_to_safe_requests(pool, conn, clock):
+    exchange(conn.request(get()), conn, GOOD + b"\r\nok")
+    clock.advance(2.0)
+    pool.close_idle(clock.seconds())
+    pool.send(ADDRESS, get(), max_idle_s=1.0).addErrback(lambda _: None)
+    assert is_kept(pool, conn)
+    pool.send(ADDRESS, get(), max_idle_s=30.0)
+    assert not is_kept(pool, conn)
+
+
+def test_idle_connection_is_closed_in_time(pool, conn, clock):
+    exchange(conn.request(get()), conn, GOOD + b"\r\nok")
+    clock.advance(31.0)
+    pool.close_idle(clock.seconds())
+    assert not is_kept(pool, conn)
+
+
+@pytest.mark.parametrize(
+    "out",
+    [
+        Outgoing(b"GET", b"/", ((b"X-A", b"1\r\nX-B: 2"),), b""),
+        Outgoing(b"GET", b"/", ((b"X-A\n", b"1"),), b""),
+        Outgoing(b"GET", b"/", ((b"X-A", b"1\0"),), b""),
+        Outgoing(b"GET", b"/ HTTP/1.1\r\nX: y", (), b""),
+        Outgoing(b"GET", b"/\xff", (), b""),
+        Outgoing(b"G T", b"/", (), b""),
+    ],
+)
+def test_no_part_of_a_request_is_read_as_more(out):
+    with pytest.raises(ValueError, match="header|line"):
+        encode_request(out, b"h:1")
+
+
+def test_request_carries_host_and_length():
+    data = encode_request(Outgoing(b"POST", b"/a?b", ((b"X-A", b"1"),), b"xy"), b"h:1")
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert head.split(b"\r\n") == [
+        b"POST /a?b HTTP/1.1",
+        b"Host: h:1",
+        b"X-A: 1",
+        b"Content-Length: 2",
+    ]
+    assert body == b"xy"
--- /dev/null
+++ b/packages/daemon/tests/test_ticks.py
@@ -0,0 +1,101 @@
+"""The node says when it wants a tick; the gateway obeys."""
+
+import pytest
+from twisted.internet.task import Clock, LoopingCall
+from wagtailpaddle_daemon.gateway import Gateway
+from wagtailpaddle_node import RawLogRecord, RequestHead
+from wagtailpaddle_node.pace import ACTIVE_S, ACTIVE_TICK_S, IDLE_TICK_S, Pace
+from wagtailpaddle_peer import encode_log_record
+
+
+@pytest.fixture
+def pace():
+    pace = Pace()
+    pace.ticked(0.0)
+    return pace
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def ticked(port, metrics, clock, monkeypatch):
+    times = []
+    on_tick = port.node.on_tick
+
+    def note(now):
+        times.append(now)
+        return on_tick(now)
+
+    monkeypatch.setattr(port.node, "on_tick", note)
+    gateway = Gateway(clock, port.node, None, metrics)
+    streams = {"config": [], "shares": []}
+    gateway.connect(lambda _: None, lambda item: streams[item.stream].append(item))
+    reading = LoopingCall(read_log, port.node, clock, gateway, streams)
+    reading.clock = clock
+    gateway.start()
+    reading.start(0.5)
+    yield times
+    gateway.stop()
+    reading.stop()
+    assert not clock.getDelayedCalls()
+
+
+def read_log(node, clock, gateway, streams):
+    now = clock.seconds()
+    for read, name, start in (
+        (node.on_config_read, "config", node.read_from[0]),
+        (node.on_shares_read, "shares", node.read_from[1]),
+    ):
+        records = tuple(
+            RawLogRecord(offset, encode_log_record(item.record))
+            for offset, item in enumerate(streams[name])
+        )
+        gateway.carry_out(read(now, now, records[start:], 0, len(records)))
+
+
+def run(clock, seconds):
+    for _ in range(round(seconds * 100)):
+        clock.advance(0.01)
+
+
+def test_first_tick_is_due_at_once():
+    assert Pace().next_tick(5.0) < 5.0
+
+
+def test_idle_pace_is_coarse(pace):
+    assert pace.next_tick(0.0) == IDLE_TICK_S
+
+
+def test_event_makes_the_pace_fine_for_a_time(pace):
+    pace.stir(0.01)
+    assert pace.next_tick(0.01) == 0.01 + ACTIVE_TICK_S
+    pace.ticked(1.0)
+    assert pace.next_tick(1.0) == 1.0 + ACTIVE_TICK_S
+    assert pace.next_tick(0.02 + ACTIVE_S) == 1.0 + IDLE_TICK_S
+
+
+def test_event_never_puts_a_tick_off(pace):
+    for step in range(1, 20):
+        pace.stir(step * 3.0)
+        assert pace.next_tick(step * 3.0) <= IDLE_TICK_S
+
+
+def test_gateway_ticks_coarsely_when_idle(ticked, clock):
+    run(clock, 20.0)
+    ticked.clear()
+    run(clock, 10.0)
+    gaps = [after - before for before, after in zip(ticked, ticked[1:], strict=False)]
+    assert max(gaps) <= IDLE_TICK_S + 0.02
+    assert len(ticked) <= 10.0 / IDLE_TICK_S + 1
+
+
+def test_gateway_ticks_finely_after_a_request(ticked, clock, port):
+    run(clock, 20.0)
+    ticked.clear()
+    head = RequestHead("r", "h", "/", "GET", None, None, None, "")
+    port.node.on_request(clock.seconds(), head)
+    run(clock, 1.0)
+    assert len(ticked) >= 1.0 / (ACTIVE_TICK_S + 0.01) - 5
--- a/packages/node/src/wagtailpaddle_node/flow.py
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -56,6 +56,11 @@
         """Return whose request it is, or was if it ended a short time ago."""
         return self._requests.view(request)
 
+    @property
+    def n_requests(self) -> int:
+        """How many requests are not answered yet."""
+        return len(self._requests)
+
     def next_wake(self, now: float) -> float | None:
         """Return when a request has something to do, or None."""
         times = (self._requests.next_due(), self.dispatcher.next_wake(now))
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -15,6 +15,7 @@
 from wagtailpaddle_node.flow import RequestFlow
 from wagtailpaddle_node.follow import RawLogRecord
 from wagtailpaddle_node.messages import Append, NodeAction, RequestHead, RequestView
+from wagtailpaddle_node.pace import Pace
 from wagtailpaddle_node.wholestate import Codec
 
 STALL_S = 1.0
@@ -45,6 +46,7 @@
         self.control = Control(vm, self.backends, codec, site=site, seed=seed)
         self._flow = RequestFlow(self.control, self.backends, self.dispatcher)
         self._event_at: float | None = None
+        self._pace = Pace()
 
     # State
 
@@ -103,9 +105,11 @@
         name = account.id if account is not None else None
         return membership.addresses_for(now, account=name, zone=zone, homes=homes)
 
-    def next_wake(self, now: float) -> float | None:
-        """Return when ``on_tick`` is worth a call before the regular one."""
-        return self._flow.next_wake(now)
+    def next_wake(self, now: float) -> float:
+        """Return when ``on_tick`` is worth the next call; not before ``now``."""
+        at = self._pace.next_tick(now)
+        request_at = self._flow.next_wake(now)
+        return max(now, at if request_at is None else min(at, request_at))
 
     # Events of the log, of peers and of time
 
@@ -157,6 +161,7 @@
     def on_message(self, now: float, sender: VmId, body: Any) -> Any:
         """Return the reply to a peer's message, None if there is nothing to say."""
         self._note_time(now)
+        self._pace.stir(now)
         return self.control.on_message(now, sender, body)
 
     def on_peer_reply(
@@ -164,6 +169,7 @@
     ) -> tuple[NodeAction, ...]:
         """A peer answered a ``CallPeer``."""
         self._note_time(now)
+        self._pace.stir(now)
         actions = self.control.on_peer_reply(now, call, reply)
         return self._flow.settle(now, actions) + self._flow.retry_tokens(now)
 
@@ -172,13 +178,17 @@
         return self._flow.settle(now, self.control.on_peer_failed(now, call))
 
     def on_tick(self, now: float) -> tuple[NodeAction, ...]:
-        """Act on the passing of time; called about 20 times a second."""
+        """Act on the passing of time; called when ``next_wake`` says."""
         self._note_time(now)
+        self._pace.ticked(now)
         actions = self._flow.settle(now, self.control.tick(now))
         actions += self._flow.settle(now, self.backends.tick(now))
         actions += self._flow.retry_tokens(now)
         actions += self._flow.settle(now, self.dispatcher.tick(now))
-        return actions + self._flow.sweep(now)
+        actions += self._flow.sweep(now)
+        if actions or self._flow.n_requests:
+            self._pace.stir(now)
+        return actions
 
     def snapshots(self, wall_s: float) -> tuple[Append, ...]:
         """Return the snapshot records to append now; ask once a second."""
@@ -217,6 +227,7 @@
     def on_request(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
         """Admit a request or refuse it."""
         self._note_time(now)
+        self._pace.stir(now)
         return self._flow.begin(now, head)
 
     def on_attempt(
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/pace.py
@@ -0,0 +1,45 @@
+"""The pace at which a node acts on the passing of time."""
+
+ACTIVE_TICK_S = 0.05
+IDLE_TICK_S = 0.2
+ACTIVE_S = 2.0
+
+
+class Pace:
+    """Tells when the next regular tick is due.
+
+    Requests, peers and what a tick brought about keep the pace fine for
+    ``ACTIVE_S`` seconds; without them nothing has a shorter term than a coarse
+    tick.
+
+    >>> pace = Pace()
+    >>> pace.ticked(10.0)
+    >>> pace.next_tick(10.0)
+    10.2
+    >>> pace.stir(10.1)
+    >>> round(pace.next_tick(10.1), 2)
+    10.15
+    """
+
+    def __init__(self) -> None:
+        self._ticked_at = float("-inf")
+        self._stirred_at = float("-inf")
+        self._active_since = float("-inf")
+
+    def stir(self, now: float) -> None:
+        """Something happened from which more may follow in a short time."""
+        if now - self._stirred_at > ACTIVE_S:
+            self._active_since = now
+        self._stirred_at = now
+
+    def ticked(self, now: float) -> None:
+        """The node acted on the passing of time."""
+        self._ticked_at = now
+
+    def next_tick(self, now: float) -> float:
+        """Return when the next regular tick is due; before ``now`` if it is late."""
+        coarse = self._ticked_at + IDLE_TICK_S
+        if now - self._stirred_at > ACTIVE_S:
+            return coarse
+        fine = max(self._ticked_at, self._active_since) + ACTIVE_TICK_S
+        return min(fine, coarse)
