--- a/packages/node/src/wagtailpaddle_node/flow.py
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -213,16 +213,26 @@
         return self.settle(now, self.dispatcher.arrive(now, job))
 
     def _run(self, now: float, request: RequestId) -> tuple[NodeAction, ...]:
-        """The claim stands: dispatch, unless the caller went away before."""
+        """The claim stands: dispatch, unless the request may no longer run."""
         admitted = self._requests.get(request)
         if admitted is None or admitted.detached:
-            self._requests.remove(request)
-            ended = self.control.claims.finish(now, request, RunOutcome.NOT_RUN)
-            told = self.settle(now, self.control.outcomes(now, ended))
             kind = ErrorKind.IDEMPOTENCY_UNAVAILABLE
-            return (Refuse(request, kind, "the caller went away"), *told)
-        admitted = self._requests.update(request, claimed=True)
-        return self._queue(now, admitted)
+            gone = WagtailError(kind, "the caller went away")
+            return self._give_back(now, request, gone)
+        is_fresh = self.control.membership.is_fresh(now)
+        fault = self._fault_of(admitted, is_fresh)
+        if fault is not None:
+            return self._give_back(now, request, fault)
+        return self._queue(now, self._requests.update(request, claimed=True))
+
+    def _give_back(
+        self, now: float, request: RequestId, fault: WagtailError
+    ) -> tuple[NodeAction, ...]:
+        """Refuse a request whose claim stands, and free its key for a repeat."""
+        self._requests.remove(request)
+        ended = self.control.claims.finish(now, request, RunOutcome.NOT_RUN)
+        told = self.settle(now, self.control.outcomes(now, ended))
+        return (Refuse(request, fault.kind, fault.detail), *told)
 
     def _answered(
         self, now: float, action: Deliver | Refuse, answer: StoredAnswer | None
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -165,7 +165,8 @@
         """A peer answered a ``CallPeer``."""
         self._note_time(now)
         actions = self.control.on_peer_reply(now, call, reply)
-        return self._flow.settle(now, actions) + self._flow.retry_tokens(now)
+        actions = self._flow.settle(now, actions) + self._flow.retry_tokens(now)
+        return actions + self._flow.sweep(now)
 
     def on_peer_failed(self, now: float, call: int) -> tuple[NodeAction, ...]:
         """A ``CallPeer`` brought no reply; it may have arrived."""
--- /dev/null
+++ b/packages/node/tests/test_flow.py
@@ -0,0 +1,46 @@
+"""Requests on their way, with the control side told by the test."""
+
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_once import Run, RunOutcome
+from wagtailpaddle_routing import Dispatch, Refuse
+
+
+def kinds(actions):
+    return [action.kind for action in actions if isinstance(action, Refuse)]
+
+
+def test_request_runs_when_its_claim_stands(flow, control, head):
+    assert flow.begin(1.0, head) == ()
+    assert control.claims.begun == [head.id]
+    (dispatch,) = flow.settle(1.1, (Run(head.id),))
+    assert isinstance(dispatch, Dispatch)
+
+
+def test_key_withdrawn_while_the_claim_is_placed_runs_nothing(flow, control, head):
+    flow.begin(1.0, head)
+    control.withdraw_key()
+    assert flow.sweep(1.05) == ()
+    actions = flow.settle(1.1, (Run(head.id),))
+    assert kinds(actions) == [ErrorKind.KEY_UNKNOWN]
+    assert control.claims.ended == [(head.id, RunOutcome.NOT_RUN)]
+
+
+def test_vm_no_longer_fresh_when_the_claim_stands_runs_nothing(flow, control, head):
+    flow.begin(1.0, head)
+    control.fresh = False
+    assert kinds(flow.settle(1.1, (Run(head.id),))) == [ErrorKind.NOT_FRESH]
+    assert control.claims.ended == [(head.id, RunOutcome.NOT_RUN)]
+
+
+def test_caller_that_goes_away_before_dispatch_runs_nothing(flow, control, head):
+    flow.begin(1.0, head)
+    goes_on, _ = flow.cancel(1.05, head.id)
+    assert goes_on
+    assert kinds(flow.settle(1.1, (Run(head.id),))) == [
+        ErrorKind.IDEMPOTENCY_UNAVAILABLE
+    ]
+
+
+def test_drained_vm_refuses_with_another_address(flow, head):
+    flow.draining = True
+    assert kinds(flow.begin(1.0, head)) == [ErrorKind.DRAINING]
