Keep requests that cannot be repeated from servers that hang

Ruled out: slots held too long (hung servers shed beyond them), the limits, the retry budget.

Change: half of the deadline at most for a first attempt at a service of unknown latency; a server with work that answered none of it for the mean latency plus four deviations is the last choice, and no choice for requests that cannot be repeated; those prefer a server that just answered. The measure counts what no policy can serve from the run itself, and has a harder fault: servers that hang and take requests beyond their slots.

--- a/packages/routing/src/wagtailpaddle_routing/accounts.py
+++ b/packages/routing/src/wagtailpaddle_routing/accounts.py
@@ -9,6 +9,9 @@
 MIN_PATIENCE_S = 1.0
 FIRST_PATIENCE_S = 2.0
 PATIENCE_DEVIATIONS = 8.0
+MIN_SILENCE_S = 0.1
+FIRST_SILENCE_S = 0.5
+SILENCE_DEVIATIONS = 4.0
 
 
 @dataclass(slots=True)
@@ -67,10 +70,23 @@
         self.mean_s = 0.0
         self.deviation_s = 0.0
 
+    @property
+    def is_known(self) -> bool:
+        """Whether enough answers were seen to speak of a usual latency."""
+        return self.n_samples >= PATIENCE_SAMPLES
+
+    @property
+    def silence_s(self) -> float:
+        """How long a server with work may answer nothing before it is avoided."""
+        if not self.is_known:
+            return FIRST_SILENCE_S
+        usual_s = self.mean_s + SILENCE_DEVIATIONS * self.deviation_s
+        return max(MIN_SILENCE_S, usual_s)
+
     @property
     def patience_s(self) -> float:
         """How long an answer may take before the server seems to hang."""
-        if self.n_samples < PATIENCE_SAMPLES:
+        if not self.is_known:
             return FIRST_PATIENCE_S
         usual_s = self.mean_s + PATIENCE_DEVIATIONS * self.deviation_s
         return max(MIN_PATIENCE_S, usual_s)
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -237,7 +237,7 @@
         n_free = self.servers.capacity - self.servers.n_running
         if n_free <= 0 or not self._may_take_slot(now, pending.job.account, n_free):
             return None
-        return self.servers.choose(now, pending)
+        return self.servers.choose(now, pending, self._latency.silence_s)
 
     def _may_take_slot(self, now: float, account: AccountId, n_free: int) -> bool:
         """Keep the last slots for accounts with less than an equal part.
@@ -284,7 +284,7 @@
             request=job.id,
         )
         ensure(job.idempotent or not server.view.probation, "probation-is-idempotent")
-        self.servers.start(server)
+        self.servers.start(now, job.id, server)
         self._ledger.begin(now, pending)
         pending.server = server
         pending.n_attempts += 1
@@ -304,14 +304,17 @@
         deadline_at = pending.job.deadline_at
         if not pending.job.idempotent or pending.n_failed:
             return deadline_at
+        half_s = (deadline_at - now) / 2
         patience_s = self._latency.patience_s
-        if patience_s > (deadline_at - now) / 2 or self.servers.n_usable < 2:
+        if not self._latency.is_known:
+            patience_s = min(patience_s, half_s)
+        if patience_s > half_s or self.servers.n_usable < 2:
             return deadline_at
         return now + patience_s if self._budget.is_ample(now) else deadline_at
 
     def _stop(self, now: float, pending: Pending) -> None:
         """Count the running attempt as over."""
-        self.servers.release(pending.running_on)
+        self.servers.release(pending.job.id, pending.running_on)
         self._ledger.end(now, pending)
 
     def _follow(
--- a/packages/routing/src/wagtailpaddle_routing/server.py
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -2,7 +2,7 @@
 
 from math import ceil
 
-from wagtailpaddle_core import ensure
+from wagtailpaddle_core import RequestId, ensure
 
 from wagtailpaddle_routing.limits import Limiter
 from wagtailpaddle_routing.messages import (
@@ -33,10 +33,12 @@
 
     __slots__ = (
         "_load",
+        "_answered_at",
         "_load_at",
         "_n_in_vain",
         "_shed",
         "_shed_at",
+        "_started_at",
         "cap",
         "closed_until",
         "id",
@@ -61,6 +63,8 @@
         self._load_at = float("-inf")
         self._shed = 0.0
         self._shed_at = 0.0
+        self._answered_at = float("-inf")
+        self._started_at: dict[RequestId, float] = {}
         self.see(view)
 
     @property
@@ -89,29 +93,48 @@
             load += (self._load - NO_REPORT_LOAD) * trust
         return max(load, self._shed_level(now))
 
-    def start(self) -> None:
+    def is_silent(self, now: float, limit_s: float) -> bool:
+        """Return whether the server has work and answered none for ``limit_s``."""
+        if not self._started_at:
+            return False
+        oldest_at = next(iter(self._started_at.values()))
+        return now - max(oldest_at, self._answered_at) > limit_s
+
+    def is_proven(self, now: float, limit_s: float) -> bool:
+        """Return whether the server answered a request within ``limit_s``."""
+        return now - self._answered_at <= limit_s
+
+    def start(self, now: float, request: RequestId) -> None:
         """Count an attempt that begins."""
         ensure(self.in_flight < self.cap, "server-limit-kept", server=self.id)
         self.in_flight += 1
+        self._started_at[request] = now
 
-    def release(self) -> None:
+    def release(self, request: RequestId) -> None:
         """Count an attempt that is over."""
         self.in_flight -= 1
+        self._started_at.pop(request, None)
         ensure(self.in_flight >= 0, "in-flight-not-negative", server=self.id)
 
     def learn(self, now: float, result: AttemptResult) -> None:
         """Take in how an attempt ended, before it is released."""
         self.limiter.update(now, result.outcome, result.latency_s, self.in_flight)
         self.see(self.view)
-        if result.load is not None and 0.0 <= result.load <= 1.0:
-            self._load = result.load
-            self._load_at = now
+        if result.load is not None:
+            self.report_load(now, result.load)
         if result.outcome is AttemptOutcome.ANSWERED:
             self._n_in_vain = 0
+            self._answered_at = now
         elif result.outcome in SURELY_NOT_RUN:
             self._shed = (1.0 + self._shed_level(now)) / 2
             self._shed_at = now
 
+    def report_load(self, now: float, load: float) -> None:
+        """Note a load report; one outside [0, 1] is ignored."""
+        if 0.0 <= load <= 1.0:
+            self._load = load
+            self._load_at = now
+
     def pause(self, now: float, outcome: AttemptOutcome, jitter: float) -> None:
         """Send no more for a moment, after a shed answer or a failed connect.
 
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from wagtailpaddle_core import ServerId, ZoneId, ensure
+from wagtailpaddle_core import RequestId, ServerId, ZoneId, ensure
 
 from wagtailpaddle_routing.choose import Chooser, Sides
 from wagtailpaddle_routing.limits import Limiter, ServiceLimiter
@@ -118,8 +118,14 @@
         """Return whether some server may take the request, now or later."""
         return any(_may_take(server, pending) for server in self._usable)
 
-    def choose(self, now: float, pending: Pending) -> Server | None:
-        """Return a server with room for the request, or None."""
+    def choose(self, now: float, pending: Pending, silence_s: float) -> Server | None:
+        """Return a server with room for the request, or None.
+
+        A server that has work and answered none of it for ``silence_s`` may
+        hang. It is the last choice, and none at all for a request that cannot
+        be repeated while another server may take it. Such a request goes to a
+        server that answered within that time, if there is one.
+        """
 
         def fits(server: Server) -> bool:
             return (
@@ -132,9 +138,30 @@
             is_first = pending.job.idempotent and not pending.failed_on
             if is_first and not server.in_flight and fits(server):
                 return server
+
+        def answers(server: Server) -> bool:
+            return fits(server) and not server.is_silent(now, silence_s)
+
+        def proven(server: Server) -> bool:
+            return server.is_proven(now, silence_s) and answers(server)
+
+        chosen = None
+        if not pending.job.idempotent:
+            chosen = self._chooser.choose(now, self._sides, proven, self._random)
+        if chosen is None:
+            chosen = self._chooser.choose(now, self._sides, answers, self._random)
+        if chosen is not None or not self._may_hang(now, pending, silence_s):
+            return chosen
         return self._chooser.choose(now, self._sides, fits, self._random)
 
-    def start(self, server: Server) -> None:
+    def _may_hang(self, now: float, pending: Pending, silence_s: float) -> bool:
+        """Return whether the request may go to a server that is silent."""
+        return pending.job.idempotent or not any(
+            _may_take(server, pending) and not server.is_silent(now, silence_s)
+            for server in self._usable
+        )
+
+    def start(self, now: float, request: RequestId, server: Server) -> None:
         """Count an attempt that begins."""
         view = server.view
         ensure(
@@ -143,12 +170,12 @@
             server=server.id,
         )
         ensure(self.n_running < self.capacity, "capacity-kept", n=self.n_running)
-        server.start()
+        server.start(now, request)
         self.n_running += 1
 
-    def release(self, server: Server) -> None:
+    def release(self, request: RequestId, server: Server) -> None:
         """Count an attempt that is over."""
-        server.release()
+        server.release(request)
         self.n_running -= 1
         ensure(self.n_running >= 0, "running-not-negative", n=self.n_running)
 
@@ -163,6 +190,12 @@
         if result.outcome in SURELY_NOT_RUN:
             server.pause(now, result.outcome, self._random.random())
 
+    def report_load(self, now: float, server: ServerId, load: float) -> None:
+        """Note the load that a server reports; unknown ones are no error."""
+        known = self._servers.get(server)
+        if known is not None:
+            known.report_load(now, load)
+
     def next_open(self, now: float) -> float | None:
         """Return when a paused server takes work again, or None."""
         times = [server.closed_until for server in self._usable]
--- a/packages/routing/tests/test_retry.py
+++ b/packages/routing/tests/test_retry.py
@@ -176,3 +176,75 @@
     assert second.timeout_at == 11.0
     (once,) = dispatcher.arrive(2.0, job("once", at=2.0, idempotent=False))
     assert once.timeout_at == 12.0
+
+
+@pytest.fixture
+def hanging(make_dispatcher, view, job, ended):
+    """Return a dispatcher with one server that answers and one that hangs."""
+    dispatcher = make_dispatcher((view("s0"), view("s1")))
+    for index in range(40):
+        at = index * 0.05
+        dispatcher.arrive(at, job(f"w{index}", at=at))
+        finish(dispatcher, at + 0.02, f"w{index}", ended())
+    for index in range(40):
+        (sent,) = dispatcher.arrive(2.0, job(f"h{index}", at=2.0))
+        if sent.server == "s1":
+            return dispatcher, f"h{index}"
+        finish(dispatcher, 2.0, f"h{index}", ended())
+    pytest.fail("no request went to the server that hangs")
+
+
+def test_request_that_cannot_be_repeated_avoids_a_silent_server(hanging, job):
+    dispatcher, _ = hanging
+    sent = [
+        action
+        for index in range(8)
+        for action in dispatcher.arrive(2.5, job(f"n{index}", idempotent=False, at=2.5))
+    ]
+    assert sent
+    assert {action.server for action in sent} == {"s0"}
+
+
+def test_silent_servers_are_used_when_all_are_silent(hanging, job):
+    dispatcher, _ = hanging
+    dispatcher.arrive(2.5, job("n0", idempotent=False, at=2.5))
+    (sent,) = dispatcher.arrive(9.0, job("n1", idempotent=False, at=9.0))
+    assert isinstance(sent, Dispatch)
+
+
+def test_server_that_answers_again_is_not_silent(hanging, job, ended):
+    dispatcher, name = hanging
+    finish(dispatcher, 2.6, name, ended(latency_s=0.6))
+    sent = [
+        action.server
+        for index in range(8)
+        for action in dispatcher.arrive(2.6, job(f"n{index}", idempotent=False, at=2.6))
+    ]
+    assert "s1" in sent
+
+
+def test_first_attempt_on_an_unknown_service_leaves_time_for_another(
+    dispatcher, job, ended
+):
+    (first,) = dispatcher.arrive(0.0, job("r", timeout_s=3.0))
+    assert first.timeout_at <= 1.5
+    (second,) = finish(dispatcher, 1.5, "r", ended("timed-out", 1.5))
+    assert second.server != first.server
+    assert second.timeout_at == 3.0
+
+
+def test_request_that_cannot_be_repeated_prefers_a_server_that_just_answered(
+    make_dispatcher, view, job, ended
+):
+    dispatcher = make_dispatcher(tuple(view(f"s{index}") for index in range(6)))
+    (known,) = dispatcher.arrive(0.0, job("first"))
+    finish(dispatcher, 0.02, "first", ended())
+    (near_in_time,) = dispatcher.arrive(0.1, job("n0", idempotent=False, at=0.1))
+    assert near_in_time.server == known.server
+    finish(dispatcher, 0.12, "n0", ended())
+    later = [
+        action.server
+        for index in range(6)
+        for action in dispatcher.arrive(5.0, job(f"l{index}", idempotent=False, at=5.0))
+    ]
+    assert len(set(later)) > 1
--- a/packages/standins/src/wagtailpaddle_standins/measure/fairness.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/fairness.py
@@ -47,9 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Figures of one run, the offending account left out."""
+    """Figures of one run, the offending account left out.
+
+    ``unseen`` is the share of the requests that could not be repeated and were
+    sent to a server that hung, less than the usual latency (p99 before the
+    fault) after it began to: until then no policy can tell it from a slow one.
+    ``worst_servable`` leaves these out.
+    """
 
     worst_served: float
+    worst_servable: float
+    unseen: float
     refused: float
     unknown: float
     p50_s: float
@@ -123,6 +131,8 @@
     n_sent = sum(tally.n_sent for tally in others)
     return Outcome(
         worst_served=min(tally.served for tally in others),
+        worst_servable=min(tally.served_of_servable for tally in others),
+        unseen=sum(tally.n_lost_unseen for tally in others) / n_sent,
         refused=sum(tally.n_refused for tally in others) / n_sent,
         unknown=sum(tally.n_unknown for tally in others) / n_sent,
         p50_s=latencies_s[len(latencies_s) // 2],
@@ -132,16 +142,24 @@
 
 
 def _break(model: Model, names: list[ServerId], fault: str) -> None:
+    model.seen_at = model.clock.now + model.usual_latency_s()
     for name in names:
-        setattr(model.servers[name], fault, True)
+        for flag in FAULT_FLAGS[fault]:
+            setattr(model.servers[name], flag, True)
 
 
+FAULT_FLAGS = {
+    "refuses": ("refuses",),
+    "hangs": ("hangs",),
+    "swallows": ("hangs", "swallows"),
+}
 LOADS: dict[str, tuple[Load, str]] = {
     "all in rate": (Load(), ""),
     "one at 10x": (Load(rate_factor=10.0), ""),
     "one holds slow": (Load(slow_factor=SLOW_FACTOR), ""),
     "half refuses": (Load(use=HALF_USE / 2), "refuses"),
     "half hangs": (Load(use=HALF_USE / 2), "hangs"),
+    "half swallows": (Load(use=HALF_USE / 2), "swallows"),
 }
 
 
@@ -150,7 +168,9 @@
     is_contested = load.rate_factor > 1 or load.slow_factor > 1
     if n_servers == 12:
         return tuple(VARIANTS) if is_contested else BASELINES
-    return ("this project",) if is_contested or load.use < IN_RATE_USE else ()
+    if load.use < IN_RATE_USE:
+        return BASELINES
+    return ("this project",) if is_contested else ()
 
 
 @MEASURES.register("fairness")
@@ -158,12 +178,14 @@
     """Yield one line for each service size, load and variant.
 
     ``refused`` is the share of the in-rate requests refused as not run,
-    ``unknown`` that of those which may have run; ``shed`` are shed attempts
-    per request.
+    ``unknown`` that of those which may have run; ``unseen`` of them no policy
+    can serve, and ``servable`` is the worst-served account without these;
+    ``shed`` are shed attempts per request.
     """
     yield (
         f"{'service':10} {'load':14} {'variant':15} {'worst served':>12} "
-        f"{'refused':>8} {'unknown':>8} {'p50 ms':>7} {'p99 ms':>7} {'shed':>6}"
+        f"{'servable':>8} {'refused':>8} {'unknown':>8} {'unseen':>8} "
+        f"{'p50 ms':>7} {'p99 ms':>7} {'shed':>6}"
     )
     for n_servers in (12, 15, 10):
         for load_name, (load, fault) in LOADS.items():
@@ -173,7 +195,8 @@
                 got = run(load, options, n_servers=n_servers, seed=seed, fault=fault)
                 yield (
                     f"{n_servers:2} servers {load_name:14} {variant:15} "
-                    f"{got.worst_served:12.4f} {got.refused:8.4f} {got.unknown:8.4f} "
+                    f"{got.worst_served:12.4f} {got.worst_servable:8.4f} "
+                    f"{got.refused:8.4f} {got.unknown:8.4f} {got.unseen:8.4f} "
                     f"{got.p50_s * 1000:7.1f} {got.p99_s * 1000:7.1f} "
                     f"{got.shed_attempts:6.2f}"
                 )
--- a/packages/standins/src/wagtailpaddle_standins/measure/servermodel.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/servermodel.py
@@ -54,7 +54,8 @@
     """A server with slots that sheds what does not fit.
 
     ``report`` stands in for the true load in its answers, if given. One that
-    ``refuses`` takes no connection, one that ``hangs`` never answers.
+    ``refuses`` takes no connection, one that ``hangs`` never answers. One that
+    ``swallows`` hangs and takes requests beyond its slots.
     """
 
     id: ServerId
@@ -65,6 +66,7 @@
     n_shed: int = 0
     refuses: bool = False
     hangs: bool = False
+    swallows: bool = False
     report: float | None = None
 
     def load(self) -> float:
@@ -74,12 +76,17 @@
 
 @dataclass(slots=True)
 class Tally:
-    """What became of the requests of one client account."""
+    """What became of the requests of one client account.
+
+    ``n_lost_unseen`` of the ``n_unknown`` could not be repeated and went to a
+    server that hung before anybody could tell.
+    """
 
     n_sent: int = 0
     n_served: int = 0
     n_refused: int = 0
     n_unknown: int = 0
+    n_lost_unseen: int = 0
     latencies_s: list[float] = field(default_factory=list)
 
     @property
@@ -87,6 +94,12 @@
         """The share of the requests that got their answer."""
         return self.n_served / self.n_sent if self.n_sent else 1.0
 
+    @property
+    def served_of_servable(self) -> float:
+        """The share served of those that some policy could have served."""
+        n_servable = self.n_sent - self.n_lost_unseen
+        return self.n_served / n_servable if n_servable else 1.0
+
 
 class ModelVm:
     """One VM: a dispatcher whose attempts go to the model's servers."""
@@ -99,6 +112,7 @@
         self._model = model
         self._jobs: dict[str, tuple[Job, float]] = {}
         self._running: dict[str, tuple[int, ModelServer | None]] = {}
+        self._sent: dict[str, tuple[float, ModelServer]] = {}
         self._wake_at = float("inf")
 
     def arrive(self, job: Job, service_s: float) -> None:
@@ -133,6 +147,7 @@
         self._model.note_dispatch(self, server)
         delay_s = NEAR_S if server.zone == self.zone else FAR_S
         self._running[action.request] = action.attempt, None
+        self._sent[action.request] = clock.now, server
         token = action.request, action.attempt
         clock.at(clock.now + delay_s, self._reach, server, token, clock.now, delay_s)
         if action.timeout_at - clock.now < 1e6:
@@ -152,7 +167,7 @@
             outcome = AttemptOutcome.NOT_SENT
             clock.at(clock.now + delay_s, self._finish, token, outcome, sent_at)
             return
-        if server.n_busy >= server.n_slots:
+        if server.n_busy >= server.n_slots and not server.swallows:
             server.n_shed += 1
             back_at = clock.now + SHED_S + delay_s
             load = server.load()
@@ -201,7 +216,10 @@
 
     def _answered(self, request: str, refusal: Outcome | None) -> None:
         job, _ = self._jobs.pop(request)
-        self._model.answered(job, refusal)
+        sent_at, server = self._sent.pop(request, (0.0, None))
+        hangs = server is not None and server.hangs
+        unseen = hangs and not job.idempotent and sent_at < self._model.seen_at
+        self._model.answered(job, refusal, unseen=unseen)
 
 
 class Model:
@@ -219,6 +237,7 @@
         self.clock = Clock()
         self.random = Random(seed)
         self.tallies: dict[str, Tally] = {}
+        self.seen_at = 0.0
         self.n_near = 0
         self.n_far = 0
         zones = [ZoneId(f"zone-{index}") for index in range(n_zones)]
@@ -255,8 +274,18 @@
         else:
             self.n_far += 1
 
-    def answered(self, job: Job, refusal: Outcome | None) -> None:
-        """Count an answer, or a refusal by what it says."""
+    def usual_latency_s(self) -> float:
+        """Return the 99th percentile of the latencies so far."""
+        found = sorted(v for tally in self.tallies.values() for v in tally.latencies_s)
+        return found[len(found) * 99 // 100]
+
+    def answered(
+        self, job: Job, refusal: Outcome | None, *, unseen: bool = False
+    ) -> None:
+        """Count an answer, or a refusal by what it says.
+
+        ``unseen`` says that nobody could tell yet that the server hung.
+        """
         tally = self.tallies[job.account]
         if refusal is None:
             tally.n_served += 1
@@ -265,3 +294,4 @@
             tally.n_refused += 1
         else:
             tally.n_unknown += 1
+            tally.n_lost_unseen += unseen
