Ask the health endpoints of servers, and tell all VMs who leaves

A server that said only in its health page that it leaves went on getting work, and one that said so in an answer got one more request from each VM.

A service may state health_path. Its three watchers ask each server once a second; the VM that is told, by page or answer, tells all VMs at once, twice more within 3 s, and then every 20 s. Pages are bounded and read into one kind of error; a failed probe makes the server suspect, a good one proves nothing. Leaving servers count as draining for the floor of health, which those that said so in an answer did not before.

Weighed: each VM asking its servers; telling only the VMs that sent evidence.

--- a/packages/config/src/wagtailpaddle_config/builders.py
+++ b/packages/config/src/wagtailpaddle_config/builders.py
@@ -1,5 +1,6 @@
 """From the merged table of one object to its frozen form."""
 
+import re
 from collections.abc import Callable
 from dataclasses import replace
 from math import isfinite
@@ -14,6 +15,7 @@
 
 MAX_NAME_CHARS = 200
 MAX_PORT = 65_535
+HEALTH_PATH = re.compile(rf"/[!-~]{{0,{MAX_NAME_CHARS - 1}}}")
 
 T = TypeVar("T")
 
@@ -71,6 +73,9 @@
     if not 0 < service.sensitivity <= 1:
         rule = "must be above 0 and at most 1"
         problems.append(Problem(f"{where}.sensitivity", service.sensitivity, rule))
+    if service.health_path and not HEALTH_PATH.fullmatch(service.health_path):
+        rule = f"must start with '/', {MAX_NAME_CHARS} visible ASCII characters at most"
+        problems.append(Problem(f"{where}.health_path", service.health_path, rule))
     _checked(service, problems)
     ordered = tuple(sorted(servers, key=lambda server: server.id))
     return replace(service, servers=ordered)
--- a/packages/config/src/wagtailpaddle_config/model.py
+++ b/packages/config/src/wagtailpaddle_config/model.py
@@ -77,13 +77,15 @@
 
     ``floor`` is the fraction of the configured servers that ejection must
     leave healthy. ``sensitivity`` in (0, 1] trades false ejections (low)
-    against detection time (high).
+    against detection time (high). ``health_path`` is where each server answers
+    probes; empty if it is not asked.
     """
 
     id: ServiceId
     servers: tuple[Server, ...] = ()
     floor: float = 0.5
     sensitivity: float = 0.5
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/prober.py
@@ -0,0 +1,144 @@
+"""Asks the health endpoints of backend servers when the node says so."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+from wagtailpaddle_node import Node, NodeAction
+from wagtailpaddle_routing import AttemptOutcome, Probe, ProbeOutcome, ProbeResult
+
+from wagtailpaddle_daemon.healthpage import MAX_PAGE_BYTES, PageError, read_page
+from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.upstream import (
+    BodyReader,
+    Outgoing,
+    Upstream,
+    classify,
+    is_oversized,
+    list_headers,
+)
+
+LOOK_AGAIN_S = 1.0
+LEAST_PAUSE_S = 0.02
+PROBE_HEADERS = ((b"Accept", b"application/json, text/plain"),)
+
+log = get_logger("probes")
+
+
+class Prober:
+    """Sends the node's probes over connections of their own.
+
+    Nothing that a server answers raises: whatever cannot be read is a failed
+    probe.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        node: Node,
+        upstream: Upstream,
+        carry_out: Callable[[tuple[NodeAction, ...]], None],
+    ):
+        self._reactor = reactor
+        self._node = node
+        self._upstream = upstream
+        self._carry_out = carry_out
+        self._timer: Any = None
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._timer = self._reactor.callLater(0.0, self._look)
+
+    def stop(self) -> None:
+        """Ask no more; answers that are on their way still count."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _look(self) -> None:
+        now = self._reactor.seconds()
+        for probe in self._node.due_probes(now):
+            self._send(probe)
+        next_at = self._node.next_probe_at()
+        pause_s = LOOK_AGAIN_S if next_at is None else next_at - now
+        pause_s = min(LOOK_AGAIN_S, max(LEAST_PAUSE_S, pause_s))
+        self._timer = self._reactor.callLater(pause_s, self._look)
+
+    def _send(self, probe: Probe) -> None:
+        try:
+            address = self._node.server_address(probe.service, probe.server)
+        except LookupError:
+            return
+        out = Outgoing(b"GET", probe.path.encode("ascii"), PROBE_HEADERS, b"")
+        asked = self._upstream.send(*address, out)
+        asked.addCallback(_read_whole)
+        asked.addTimeout(probe.timeout_s, self._reactor, _timed_out)
+        asked.addErrback(_failed)
+        asked.addCallback(lambda result: self._done(probe, result))
+        asked.addErrback(
+            lambda failure: log.error("Probe broke.", failure=failure.getTraceback())
+        )
+
+    def _done(self, probe: Probe, result: ProbeResult) -> None:
+        now = self._reactor.seconds()
+        self._carry_out(self._node.on_probe(now, probe, result))
+
+
+class _OversizedPageError(Exception):
+    """A page whose body is longer than is read."""
+
+
+def _read_whole(response: Any) -> Deferred[ProbeResult]:
+    """Return what a response states, once its bounded body is there."""
+    pieces: list[bytes] = []
+    n_bytes = 0
+
+    def data(piece: bytes) -> None:
+        nonlocal n_bytes
+        n_bytes += len(piece)
+        if n_bytes <= MAX_PAGE_BYTES:
+            pieces.append(piece)
+        elif not done.called:
+            done.errback(_OversizedPageError())
+            reader.abort()
+
+    def end(reason: Failure | None) -> None:
+        if done.called:
+            return
+        if reason is None:
+            done.callback(_result_of(response, b"".join(pieces)))
+        else:
+            done.errback(reason)
+
+    reader = BodyReader(data, end)
+    done: Deferred[ProbeResult] = Deferred(lambda _: reader.abort())
+    response.deliverBody(reader)
+    return done
+
+
+def _result_of(response: Any, body: bytes) -> ProbeResult:
+    headers = tuple(list_headers(response.headers))
+    if is_oversized(headers):
+        return ProbeResult(ProbeOutcome.UNREADABLE, response.code)
+    by_name = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in headers
+    }
+    try:
+        page = read_page(by_name, body)
+    except PageError:
+        return ProbeResult(ProbeOutcome.UNREADABLE, response.code)
+    return ProbeResult(ProbeOutcome.ANSWERED, response.code, page.state, page.load)
+
+
+def _timed_out(_: Any, __: float) -> Any:
+    return ProbeResult(ProbeOutcome.TIMED_OUT)
+
+
+def _failed(failure: Failure) -> ProbeResult:
+    """Return what a failed probe means, whatever went wrong."""
+    if failure.check(CancelledError):
+        return ProbeResult(ProbeOutcome.TIMED_OUT)
+    if classify(failure) is AttemptOutcome.NOT_SENT:
+        return ProbeResult(ProbeOutcome.UNREACHABLE)
+    return ProbeResult(ProbeOutcome.UNREADABLE)
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -22,6 +22,7 @@
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
 from wagtailpaddle_daemon.peerlink import PeerLink, security_of
+from wagtailpaddle_daemon.prober import Prober
 from wagtailpaddle_daemon.settings import Settings
 from wagtailpaddle_daemon.upstream import Upstream
 from wagtailpaddle_daemon.vmlist import VmListClient
@@ -63,6 +64,9 @@
             reactor, self.node, security_of(cfg), self.gateway.carry_out
         )
         self.gateway.connect(self._peers.call, self._feed.append)
+        self._prober = Prober(
+            reactor, self.node, Upstream(reactor), self.gateway.carry_out
+        )
         limits = Limits(body_bytes=cfg.max_body_bytes)
         self._front = FrontFactory(
             reactor, self.gateway, self._directory, limits=limits
@@ -88,6 +92,7 @@
         self._loop(LOG_POLL_S, self._poll_log)
         self._loop(VM_LIST_POLL_S, lambda: start_coroutine(self._feed.read_vm_list()))
         self._loop(HOUSEKEEPING_S, self._keep_house)
+        self._prober.start()
         self.life.started()
         log.info("Started.", vm=self.vm, callers=self.cfg.caller_address)
 
@@ -119,6 +124,7 @@
         return await self._feed.catch_up()
 
     async def _close(self) -> None:
+        self._prober.stop()
         for loop in self._loops:
             loop.stop()
         if self._admin_port is not None:
--- a/packages/health/src/wagtailpaddle_health/__init__.py
+++ b/packages/health/src/wagtailpaddle_health/__init__.py
@@ -14,9 +14,10 @@
     ServerState,
     Verdict,
 )
-from wagtailpaddle_health.watchers import watchers
+from wagtailpaddle_health.watchers import N_WATCHERS, watchers
 
 __all__ = [
+    "N_WATCHERS",
     "HealthBook",
     "HealthDigest",
     "HealthEvent",
--- a/packages/node/src/wagtailpaddle_node/backends.py
+++ b/packages/node/src/wagtailpaddle_node/backends.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from wagtailpaddle_config import Configuration, Service
-from wagtailpaddle_core import RequestId, ServiceId
+from wagtailpaddle_core import RequestId, ServerId, ServiceId
 from wagtailpaddle_health import (
     HealthBook,
     Observation,
@@ -18,6 +18,8 @@
     AttemptResult,
     Dispatch,
     Dispatcher,
+    LeavingMarks,
+    LeavingNotice,
     ServerView,
 )
 
@@ -47,6 +49,8 @@
     def __init__(self, health: HealthBook, dispatcher: Dispatcher):
         self.health = health
         self.dispatcher = dispatcher
+        self.marks = LeavingMarks()
+        self._restated: set[ServiceId] = set()
         self._services: dict[ServiceId, Service] = {}
         self._running: dict[RequestId, _Running] = {}
         self._n_users = 1
@@ -56,16 +60,37 @@
         actions: tuple[Action, ...] = ()
         for name in [name for name in self._services if name not in cfg.services]:
             del self._services[name]
+            self.marks.forget(name, frozenset())
             self.health.remove_pool(now, name)
             actions += self.dispatcher.remove_service(now, name)
         for name, service in cfg.services.items():
             if self._services.get(name) is service:
                 continue
             self._services[name] = service
-            self.health.set_pool(now, pool_of(service))
-            actions += self.refresh(now, name)
+            self.marks.forget(name, frozenset(item.id for item in service.servers))
+            actions += self._restate(now, name)
         return actions
 
+    def note_leaving(
+        self, now: float, target: tuple[ServiceId, ServerId], *, leaving: bool
+    ) -> tuple[Action, ...]:
+        """A server told this VM that it leaves, or no longer does."""
+        if not self._knows(target):
+            return ()
+        if not self.marks.note(now, target, leaving=leaving, own=True):
+            return ()
+        return self._restate(now, target[0])
+
+    def hear(self, now: float, notice: LeavingNotice) -> None:
+        """Take in what another VM was told; it takes effect with the next tick."""
+        for servers, leaving in ((notice.leaving, True), (notice.back, False)):
+            for server in servers:
+                target = notice.service, server
+                if self._knows(target) and self.marks.note(
+                    now, target, leaving=leaving, own=False
+                ):
+                    self._restated.add(notice.service)
+
     def set_users(self, now: float, n_users: int) -> tuple[Action, ...]:
         """State how many VMs share the connections of the servers."""
         if n_users == self._n_users:
@@ -90,7 +115,7 @@
                 connections=server.connections,
                 weight=standing[server.id].weight,
                 probation=standing[server.id].idempotent_only,
-                leaving=server.leaving,
+                leaving=server.leaving or self.marks.is_leaving((name, server.id)),
                 verify=standing[server.id].verify,
             )
             for server in service.servers
@@ -135,6 +160,11 @@
         """Report attempts that run too long, and act on what time changed."""
         self._report_overdue(now)
         actions: tuple[Action, ...] = ()
+        if self.marks:
+            self._restated |= self.marks.expire(now)
+        for name in sorted(self._restated):
+            actions += self._restate(now, name)
+        self._restated.clear()
         for name in sorted(self.health.tick(now)):
             actions += self.refresh(now, name)
         return actions
@@ -143,6 +173,20 @@
         """Return the standing of the servers of a service."""
         return self.health.standing(now, name)
 
+    def _knows(self, target: tuple[ServiceId, ServerId]) -> bool:
+        service = self._services.get(target[0])
+        return service is not None and any(
+            server.id == target[1] for server in service.servers
+        )
+
+    def _restate(self, now: float, name: ServiceId) -> tuple[Action, ...]:
+        """Tell the health book and the dispatcher anew which servers leave."""
+        service = self._services.get(name)
+        if service is None:
+            return ()
+        self.health.set_pool(now, pool_of(service, self.marks.of(name)))
+        return self.refresh(now, name)
+
     def _report_overdue(self, now: float) -> None:
         for request, running in list(self._running.items()):
             if running.overdue or now < running.overdue_at:
@@ -162,12 +206,14 @@
             )
 
 
-def pool_of(service: Service) -> Pool:
+def pool_of(service: Service, draining: frozenset[ServerId] = frozenset()) -> Pool:
     """Return what the health book needs to know of a service."""
     return Pool(
         service=service.id,
         servers=tuple(
-            PoolServer(server.id, server.zone, server.leaving)
+            PoolServer(
+                server.id, server.zone, server.leaving, draining=server.id in draining
+            )
             for server in service.servers
         ),
         floor=service.floor,
--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -33,10 +33,12 @@
     SharesState,
 )
 from wagtailpaddle_quota import SendPeer as QuotaCall
+from wagtailpaddle_routing import LeavingNotice
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.calls import Call, Calls, Part
 from wagtailpaddle_node.follow import ConfigStream, RawLogRecord
+from wagtailpaddle_node.healthpages import HealthPages
 from wagtailpaddle_node.limits import RecentLimits
 from wagtailpaddle_node.messages import Append, NodeAction
 from wagtailpaddle_node.rosters import RosterWatch
@@ -73,6 +75,7 @@
         self.state = WholeState(self.stream, self.quota, codec, writer=vm.id)
         self.claims = ClaimKeeper(vm.id, n_partitions=N_CLAIM_PARTITIONS)
         self.calls = Calls()
+        self.pages = HealthPages(vm.id, backends, seed=seed)
         self.n_bad_messages = 0
         self._limits = RecentLimits(window_s=window_s)
         self._rosters = RosterWatch(self.membership, self.stream)
@@ -134,6 +137,9 @@
     def on_message(self, now: float, sender: VmId, body: Any) -> Any:
         """Return the reply to a peer's message, None if there is nothing to say."""
         match body:
+            case LeavingNotice():
+                self.backends.hear(now, body)
+                return None
             case HealthDigest():
                 if body.vm != sender:
                     self.n_bad_messages += 1
@@ -206,6 +212,7 @@
             self._fleet_tick_at = now
             actions += self._fleet(now, self.membership.tick(now))
             actions += self._tell_health(now)
+            actions += self.tell_leaving(now)
             actions += self._tell_claims(now)
             actions += self.outcomes(now, self.claims.tick(now))
         if now - self._roster_check_at >= ROSTER_CHECK_S:
@@ -274,6 +281,7 @@
                 self.membership.track(now, offset)
         if after.services is before.services:
             return ()
+        self.pages.configure(now, after)
         return self.backends.configure(now, after)
 
     def _fleet(self, now: float, actions: Iterable[Any]) -> tuple[ControlAction, ...]:
@@ -351,6 +359,21 @@
             actions += (ask,)
         return actions
 
+    def tell_leaving(self, now: float) -> tuple[ControlAction, ...]:
+        """Tell the other VMs which servers leave, if there is news.
+
+        All of them, because any of them may get a request for the service.
+        """
+        notices = self.backends.marks.notices(now) if self.backends.marks else ()
+        if not notices:
+            return ()
+        vms = [vm.id for vm in self.membership.vms(now) if vm.id != self.vm.id]
+        return tuple(
+            self.calls.to_vm(now, Part.HEALTH, vm, notice)
+            for notice in notices
+            for vm in vms
+        )
+
     def _tell_health(self, now: float) -> tuple[ControlAction, ...]:
         digests = self.backends.health.digests(now)
         if not digests:
@@ -368,6 +391,8 @@
         if known is None:
             return ()
         self.quota.on_roster(now, known.vms, known.gone, known.seated or None)
+        self.pages.set_vms(now, known.vms)
+        self.backends.marks.retell()
         return self.backends.set_users(now, max(1, len(known.vms)))
 
     def _tell_claims(self, now: float) -> tuple[ControlAction, ...]:
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/healthpages.py
@@ -0,0 +1,112 @@
+"""Health endpoints of servers: this VM's part of the probes and what follows."""
+
+from collections.abc import Iterable
+from random import Random
+
+from wagtailpaddle_config import Configuration, Service
+from wagtailpaddle_core import ServerId, ServiceId, VmId, score
+from wagtailpaddle_health import N_WATCHERS, Verdict
+from wagtailpaddle_routing import (
+    Action,
+    Probe,
+    ProbePlan,
+    ProbeResult,
+    Reading,
+    read_probe,
+)
+
+from wagtailpaddle_node.backends import Backends
+
+
+class HealthPages:
+    """Probes the services of which this VM is a watcher.
+
+    Each service has a few watchers, the same that pool its evidence, so the
+    probes of one server do not grow with the VMs. To find out whether this VM
+    is one of them, the VMs that come before it are counted for each service,
+    so one that comes or goes costs one score for each service.
+    """
+
+    def __init__(self, vm: VmId, backends: Backends, *, seed: int = 0):
+        self.plan = ProbePlan(Random(f"probes/{seed}/{vm}"))
+        self._vm = vm
+        self._backends = backends
+        self._vms: frozenset[VmId] = frozenset()
+        self._services: dict[ServiceId, Service] = {}
+        self._n_ahead: dict[ServiceId, int] = {}
+
+    def configure(self, now: float, cfg: Configuration) -> None:
+        """Take in the services in force."""
+        asked = {
+            name: service
+            for name, service in cfg.services.items()
+            if service.health_path
+        }
+        if all(self._services.get(name) is item for name, item in asked.items()) and (
+            len(asked) == len(self._services)
+        ):
+            return
+        self._services = asked
+        self._n_ahead = {
+            name: self._n_ahead[name]
+            if name in self._n_ahead
+            else self._count(name, self._vms)
+            for name in asked
+        }
+        self._retarget(now)
+
+    def set_vms(self, now: float, vms: Iterable[VmId]) -> None:
+        """Take in the VMs of the fleet."""
+        known = frozenset(vms)
+        came, went = known - self._vms, self._vms - known
+        if not came and not went:
+            return
+        self._vms = known
+        for name in self._n_ahead:
+            self._n_ahead[name] += self._count(name, came) - self._count(name, went)
+        self._retarget(now)
+
+    def on_probe(
+        self, now: float, probe: Probe, result: ProbeResult
+    ) -> tuple[Action, ...]:
+        """Take in what came of a probe; return what follows for requests.
+
+        The answer of a server that is no longer asked counts no more.
+        """
+        target = probe.service, probe.server
+        if target not in self.plan:
+            return ()
+        reading = read_probe(result)
+        self._hint(now, target, reading)
+        if reading.leaving is None:
+            return ()
+        return self._backends.note_leaving(now, target, leaving=reading.leaving)
+
+    def _hint(
+        self, now: float, target: tuple[ServiceId, ServerId], reading: Reading
+    ) -> None:
+        health = self._backends.health
+        if reading.load is not None:
+            health.report_load(now, *target, reading.load)
+            self._backends.dispatcher.report_load(now, *target, reading.load)
+        if reading.unreachable:
+            health.on_hint(now, *target, Verdict.UNREACHABLE)
+        elif reading.failed:
+            health.on_hint(now, *target, Verdict.FAILURE)
+
+    def _count(self, service: ServiceId, vms: Iterable[VmId]) -> int:
+        """Return how many of ``vms`` come before this VM for a service."""
+        own = score(service, self._vm), self._vm
+        return sum((score(service, vm), vm) > own for vm in vms if vm != self._vm)
+
+    def _retarget(self, now: float) -> None:
+        self.plan.set_targets(
+            now,
+            {
+                (name, server.id): service.health_path
+                for name, service in self._services.items()
+                if self._n_ahead[name] < N_WATCHERS
+                for server in service.servers
+                if not server.leaving
+            },
+        )
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -8,7 +8,7 @@
 from wagtailpaddle_fleet import CallerAddresses, ListedVm, Vm
 from wagtailpaddle_health import HealthBook
 from wagtailpaddle_once import StoredAnswer
-from wagtailpaddle_routing import AttemptResult, Dispatcher
+from wagtailpaddle_routing import AttemptResult, Dispatcher, Probe, ProbeResult
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.control import Control
@@ -248,8 +248,26 @@
         self, now: float, service: ServiceId, server: ServerId
     ) -> tuple[NodeAction, ...]:
         """A server said in an answer that it gets no new work."""
-        marked = self.dispatcher.mark_leaving(now, service, server)
-        return self._flow.settle(now, marked)
+        target = service, server
+        marked = self.backends.note_leaving(now, target, leaving=True)
+        return self._flow.settle(now, marked + self.control.tell_leaving(now))
+
+    # Health endpoints
+
+    def next_probe_at(self) -> float | None:
+        """Return when a health endpoint is to be asked, None if none is."""
+        return self.control.pages.plan.next_at()
+
+    def due_probes(self, now: float) -> tuple[Probe, ...]:
+        """Return the probes to send now; each is owed an ``on_probe``."""
+        return self.control.pages.plan.due(now)
+
+    def on_probe(
+        self, now: float, probe: Probe, result: ProbeResult
+    ) -> tuple[NodeAction, ...]:
+        """Take in what came of a probe."""
+        actions = self.control.pages.on_probe(now, probe, result)
+        return self._flow.settle(now, actions + self.control.tell_leaving(now))
 
     def _note_time(self, now: float) -> None:
         """Find out whether the loop stood still since the last event."""
--- a/packages/peer/src/wagtailpaddle_peer/messages.py
+++ b/packages/peer/src/wagtailpaddle_peer/messages.py
@@ -7,6 +7,7 @@
 from wagtailpaddle_health import messages as health
 from wagtailpaddle_once import messages as once
 from wagtailpaddle_quota import messages as quota
+from wagtailpaddle_routing import LeavingNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,7 @@
 MESSAGES.register("acknowledged")(Acknowledged)
 MESSAGES.register("failed")(Failed)
 MESSAGES.register("health_digest")(health.HealthDigest)
+MESSAGES.register("leaving_notice")(LeavingNotice)
 MESSAGES.register("offset_query")(fleet.OffsetQuery)
 MESSAGES.register("offset_answer")(fleet.OffsetAnswer)
 MESSAGES.register("records_query")(fleet.RecordsQuery)
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -8,6 +8,7 @@
 )
 from wagtailpaddle_routing.choose import CHOOSERS
 from wagtailpaddle_routing.dispatcher import Dispatcher
+from wagtailpaddle_routing.leaving import LeavingMarks, LeavingNotice
 from wagtailpaddle_routing.limits import LIMITERS
 from wagtailpaddle_routing.messages import (
     SURELY_NOT_RUN,
@@ -23,6 +24,14 @@
     ServerView,
     ServiceStatus,
 )
+from wagtailpaddle_routing.probes import (
+    Probe,
+    ProbeOutcome,
+    ProbePlan,
+    ProbeResult,
+    Reading,
+    read_probe,
+)
 from wagtailpaddle_routing.queues import QUEUES
 from wagtailpaddle_routing.serverset import connection_cap
 from wagtailpaddle_routing.subset import SUBSETTERS, subset, subset_size
@@ -42,6 +51,13 @@
     "Dispatch",
     "Dispatcher",
     "Job",
+    "LeavingMarks",
+    "LeavingNotice",
+    "Probe",
+    "ProbeOutcome",
+    "ProbePlan",
+    "ProbeResult",
+    "Reading",
     "Refuse",
     "ServerStatus",
     "ServerView",
@@ -50,6 +66,7 @@
     "connection_cap",
     "is_leaving",
     "parse_load",
+    "read_probe",
     "subset",
     "subset_size",
 ]
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -118,6 +118,14 @@
             return ()
         return tuple(pool.mark_leaving(now, server, leaving))
 
+    def report_load(
+        self, now: float, service: ServiceId, server: ServerId, load: float
+    ) -> None:
+        """Note what a server says of its load, in [0, 1], other than in an answer."""
+        pool = self._pools.get(service)
+        if pool is not None:
+            pool.servers.report_load(now, server, load)
+
     def arrive(self, now: float, job: Job) -> tuple[Action, ...]:
         """Take in an admitted request; its id must not be pending."""
         ensure(job.id not in self._pending, "request-id-unique", request=job.id)
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/leaving.py
@@ -0,0 +1,127 @@
+"""Which servers say that they leave, and whom to tell."""
+
+from dataclasses import dataclass
+
+from wagtailpaddle_core import ServerId, ServiceId
+
+OWN_HOLD_S = 600.0
+HEARD_HOLD_S = 60.0
+RETELL_S = (1.0, 2.0)
+REFRESH_S = 20.0
+MAX_NOTICE_SERVERS = 64
+
+Target = tuple[ServiceId, ServerId]
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingNotice:
+    """Tells other VMs which servers of a service leave or came ``back``."""
+
+    service: ServiceId
+    leaving: tuple[ServerId, ...] = ()
+    back: tuple[ServerId, ...] = ()
+
+
+@dataclass(slots=True)
+class _Mark:
+    """What is known of one server; ``own`` if it told this VM itself."""
+
+    leaving: bool
+    until: float
+    own: bool
+    told_at: float = float("-inf")
+    n_told: int = 0
+
+
+class LeavingMarks:
+    """Keeps what servers and other VMs say about leaving.
+
+    What a server told this VM is passed on at once, twice more within seconds
+    against lost messages, and then every ``REFRESH_S`` for VMs that join. What
+    another VM told is kept for ``HEARD_HOLD_S`` and not passed on. The latest
+    word counts.
+
+    >>> marks = LeavingMarks()
+    >>> marks.note(0.0, (ServiceId("booking"), ServerId("s1")), leaving=True, own=True)
+    True
+    >>> marks.notices(0.0)[0].leaving
+    ('s1',)
+    """
+
+    def __init__(self) -> None:
+        self._marks: dict[Target, _Mark] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._marks)
+
+    def of(self, service: ServiceId) -> frozenset[ServerId]:
+        """Return the servers of a service that leave."""
+        return frozenset(
+            server
+            for (name, server), mark in self._marks.items()
+            if name == service and mark.leaving
+        )
+
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a server is known to leave."""
+        mark = self._marks.get(target)
+        return mark is not None and mark.leaving
+
+    def note(self, now: float, target: Target, *, leaving: bool, own: bool) -> bool:
+        """Take in a word about a server; return whether it changes anything."""
+        mark = self._marks.get(target)
+        was_leaving = mark is not None and mark.leaving
+        if not leaving and not was_leaving:
+            return False
+        hold_s = OWN_HOLD_S if own else HEARD_HOLD_S
+        if not leaving:
+            hold_s = 2 * sum(RETELL_S)
+        if mark is None or mark.leaving != leaving or (own and not mark.own):
+            self._marks[target] = _Mark(leaving, now + hold_s, own)
+        else:
+            mark.until = max(mark.until, now + hold_s)
+        return leaving != was_leaving
+
+    def forget(self, service: ServiceId, kept: frozenset[ServerId]) -> None:
+        """Forget the servers of a service that are not ``kept``."""
+        for name, server in list(self._marks):
+            if name == service and server not in kept:
+                del self._marks[name, server]
+
+    def expire(self, now: float) -> set[ServiceId]:
+        """Drop marks that are past; return the services that this changes."""
+        past = [target for target, mark in self._marks.items() if mark.until <= now]
+        changed = {name for name, server in past if self._marks[name, server].leaving}
+        for target in past:
+            del self._marks[target]
+        return changed
+
+    def retell(self) -> None:
+        """Tell everything again, because there are VMs that know nothing."""
+        for mark in self._marks.values():
+            mark.told_at = float("-inf")
+
+    def notices(self, now: float) -> tuple[LeavingNotice, ...]:
+        """Return what to tell every other VM now."""
+        leaving: dict[ServiceId, list[ServerId]] = {}
+        back: dict[ServiceId, list[ServerId]] = {}
+        for (service, server), mark in self._marks.items():
+            if not mark.own or now - mark.told_at < _pause_s(mark):
+                continue
+            side = leaving if mark.leaving else back
+            told = side.setdefault(service, [])
+            if len(told) < MAX_NOTICE_SERVERS:
+                told.append(server)
+                mark.told_at = now
+                mark.n_told += 1
+        return tuple(
+            LeavingNotice(name, tuple(leaving.get(name, ())), tuple(back.get(name, ())))
+            for name in sorted(leaving.keys() | back.keys())
+        )
+
+
+def _pause_s(mark: _Mark) -> float:
+    """Return how long to wait before the mark is told again."""
+    if not mark.n_told:
+        return 0.0
+    return RETELL_S[mark.n_told - 1] if mark.n_told <= len(RETELL_S) else REFRESH_S
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/probes.py
@@ -0,0 +1,144 @@
+"""Health endpoints: which server to ask when, and what an answer means.
+
+What a health page says is a hint. It may stop new work to a server, because a
+server knows best when it leaves; it never proves that a server is healthy.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from heapq import heapify, heappop, heappush
+from random import Random
+
+from wagtailpaddle_core import ServerId, ServiceId
+
+from wagtailpaddle_routing.answers import LEAVING_STATES
+
+PROBE_INTERVAL_S = 1.0
+PROBE_JITTER = 0.2
+PROBE_TIMEOUT_S = 1.0
+MAX_PROBES_AT_ONCE = 64
+FIRST_ERROR_STATUS = 400
+FIRST_SERVER_ERROR_STATUS = 500
+
+Target = tuple[ServiceId, ServerId]
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a server for the page at ``path``; give up after ``timeout_s``."""
+
+    service: ServiceId
+    server: ServerId
+    path: str
+    timeout_s: float = PROBE_TIMEOUT_S
+
+
+class ProbeOutcome(StrEnum):
+    """How a probe ended; ``UNREADABLE`` pages are malformed or too large."""
+
+    ANSWERED = "answered"
+    UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed-out"
+    UNREADABLE = "unreadable"
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    """What came of a probe; ``state`` and ``load`` as the page states them."""
+
+    outcome: ProbeOutcome
+    status: int = 0
+    state: str = ""
+    load: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What a probe means.
+
+    ``leaving`` is None if the page does not say. ``load`` is in [0, 1] or None.
+    ``failed`` and ``unreachable`` make the server suspect.
+    """
+
+    leaving: bool | None = None
+    load: float | None = None
+    failed: bool = False
+    unreachable: bool = False
+
+
+def read_probe(result: ProbeResult) -> Reading:
+    """Return what a probe means.
+
+    A server that leaves may well say so with status 503. A client error says
+    that there is no such page, which says nothing about the server.
+
+    >>> read_probe(ProbeResult(ProbeOutcome.ANSWERED, 503, "draining")).leaving
+    True
+    >>> read_probe(ProbeResult(ProbeOutcome.ANSWERED, 404)).failed
+    False
+    """
+    if result.outcome is ProbeOutcome.UNREACHABLE:
+        return Reading(unreachable=True)
+    if result.outcome is not ProbeOutcome.ANSWERED:
+        return Reading(failed=True)
+    load = result.load
+    if load is not None and not 0.0 <= load <= 1.0:
+        load = None
+    if result.state in LEAVING_STATES:
+        return Reading(leaving=True, load=load)
+    failed = result.status >= FIRST_SERVER_ERROR_STATUS
+    if result.status >= FIRST_ERROR_STATUS:
+        return Reading(failed=failed)
+    return Reading(leaving=False, load=load)
+
+
+class ProbePlan:
+    """Which of the targets is due; times are jittered, so that VMs spread.
+
+    >>> plan = ProbePlan(Random(1))
+    >>> plan.set_targets(0.0, {(ServiceId("booking"), ServerId("s1")): "/health"})
+    >>> plan.due(2.0)[0].path
+    '/health'
+    >>> plan.due(2.0)
+    ()
+    """
+
+    def __init__(self, random: Random, *, interval_s: float = PROBE_INTERVAL_S):
+        self._random = random
+        self._interval_s = interval_s
+        self._paths: dict[Target, str] = {}
+        self._heap: list[tuple[float, Target]] = []
+
+    def __contains__(self, target: Target) -> bool:
+        return target in self._paths
+
+    def set_targets(self, now: float, paths: Mapping[Target, str]) -> None:
+        """Replace the targets; those that stay keep their time."""
+        self._heap = [item for item in self._heap if item[1] in paths]
+        for target in paths:
+            if target not in self._paths:
+                first_at = now + self._random.random() * self._interval_s
+                self._heap.append((first_at, target))
+        heapify(self._heap)
+        self._paths = dict(paths)
+
+    def next_at(self) -> float | None:
+        """Return when a probe is due, None if there are no targets."""
+        return self._heap[0][0] if self._heap else None
+
+    def due(self, now: float) -> tuple[Probe, ...]:
+        """Return the probes to send now, a bounded number at once."""
+        found: list[Probe] = []
+        while self._heap and len(found) < MAX_PROBES_AT_ONCE:
+            at, target = self._heap[0]
+            if at > now:
+                break
+            heappop(self._heap)
+            heappush(self._heap, (now + self._pause_s(), target))
+            found.append(Probe(*target, self._paths[target]))
+        return tuple(found)
+
+    def _pause_s(self) -> float:
+        spread = PROBE_JITTER * (self._random.random() - 0.5)
+        return self._interval_s * (1.0 + spread)
--- a/packages/standins/src/wagtailpaddle_standins/backend.py
+++ b/packages/standins/src/wagtailpaddle_standins/backend.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import asdict, dataclass
 from random import Random
+from time import monotonic
 from typing import Any
 
 from twisted.internet import reactor
@@ -16,9 +17,12 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from wagtailpaddle_standins.faults import FAULTS, answer
+from wagtailpaddle_standins.pages import HEALTH_PAGES
 
 CONTROL_PATH = "/_control"
 SEEN_PATH = "/_seen"
+HEALTH_PATH = "/_health"
+HEALTH_CONTROL_PATH = "/_health_control"
 FAULT_MARK = "fault"
 
 
@@ -31,6 +35,14 @@
     parameter: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class PageMode:
+    """Which health page a server shows."""
+
+    page: str = "serving"
+    parameter: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Seen:
     """A request that a server began to run."""
@@ -52,6 +64,8 @@
         self._name = name
         self._answer = b"x" * answer_bytes
         self._mode = Mode()
+        self._page = PageMode()
+        self._page_set_at = 0.0
         self._random = Random(name)
         self._keep = keep
         self._seen: list[Seen] = []
@@ -62,6 +76,12 @@
         if path == CONTROL_PATH:
             self._mode = Mode(**json.loads(request.content.read()))
             return b"{}"
+        if path == HEALTH_CONTROL_PATH:
+            self._page = PageMode(**json.loads(request.content.read()))
+            self._page_set_at = monotonic()
+            return b"{}"
+        if path == HEALTH_PATH:
+            return self._show_page(request)
         if path == SEEN_PATH:
             return json.dumps([asdict(seen) for seen in self._seen]).encode()
         if self._answer:
@@ -78,6 +98,11 @@
             answer(request, body)
         return NOT_DONE_YET
 
+    def _show_page(self, request: Any) -> Any:
+        age_s = monotonic() - self._page_set_at
+        HEALTH_PAGES[self._page.page](request, self._page.parameter, age_s)
+        return NOT_DONE_YET
+
     def _mode_of(self, path: str) -> Mode:
         parts = path.split("/")
         if FAULT_MARK in parts:
--- a/packages/standins/src/wagtailpaddle_standins/system.py
+++ b/packages/standins/src/wagtailpaddle_standins/system.py
@@ -4,7 +4,11 @@
 from itertools import count
 from typing import Any
 
-from wagtailpaddle_standins.backend import CONTROL_PATH, SEEN_PATH
+from wagtailpaddle_standins.backend import (
+    CONTROL_PATH,
+    HEALTH_CONTROL_PATH,
+    SEEN_PATH,
+)
 from wagtailpaddle_standins.client import Client, wait_for
 from wagtailpaddle_standins.logservice import CONTROL_PATH as LOG_CONTROL_PATH
 from wagtailpaddle_standins.logservice import VMS_CONTROL_PATH
@@ -101,6 +105,12 @@
         mode = {"fault": fault, "fraction": fraction, "parameter": parameter}
         Client(f"127.0.0.1:{self.servers[server]}").send("PUT", CONTROL_PATH, mode)
 
+    def set_page(self, server: str, page: str, *, parameter: float = 0.0) -> None:
+        """Make a backend server show a health page of ``HEALTH_PAGES``."""
+        mode = {"page": page, "parameter": parameter}
+        client = Client(f"127.0.0.1:{self.servers[server]}")
+        client.send("PUT", HEALTH_CONTROL_PATH, mode)
+
     def seen(self) -> list[dict[str, Any]]:
         """Return every request that some backend server began to run."""
         found = []
