Dispatch nothing on knowledge from before a pause

A process that was paused longer than its freshness window took in the end of an attempt first, and dispatched what waited without a check; a request whose attempt ran was never looked at again, so its retry ran with a key withdrawn meanwhile. Ruled out: a check in each dispatch, which would have to undo what the dispatcher had begun. Conclusion: no event can dispatch before the VM has asked itself whether it may.

--- a/packages/node/src/wagtailpaddle_node/flow.py
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -78,9 +78,10 @@
         answer: StoredAnswer | None,
     ) -> tuple[NodeAction, ...]:
         """Take in the end of an attempt."""
+        swept = self.sweep(now)
         freed = self.backends.finished(now, request, result)
         actions = self.dispatcher.finish(now, request, result)
-        return self.settle(now, freed + actions, answer=answer)
+        return swept + self.settle(now, freed + actions, answer=answer)
 
     def cancel(
         self, now: float, request: RequestId
@@ -125,7 +126,6 @@
                     settled.append(Refuse(action.request, action.kind, action.detail))
                 case Dispatch():
                     self.backends.started(now, action)
-                    self._requests.update(action.request, dispatched=True)
                     settled.append(action)
                 case Deliver() | Refuse():
                     settled += self._answered(now, action, answer)
@@ -137,7 +137,11 @@
         return tuple(settled)
 
     def sweep(self, now: float) -> tuple[NodeAction, ...]:
-        """Refuse what waits and may no longer run."""
+        """Refuse what waits and may no longer run; what runs is not tried again.
+
+        Comes before anything that may dispatch: the process may have been
+        paused since the last event.
+        """
         fresh = self.control.membership.is_fresh(now)
         revision = self.control.configuration.revision
         if revision == self._swept_revision and (fresh or not self._swept_fresh):
@@ -146,7 +150,7 @@
         self._swept_revision = revision
         self._swept_fresh = fresh
         actions: tuple[NodeAction, ...] = ()
-        for admitted in self._requests.not_dispatched():
+        for admitted in self._requests.open():
             fault = self._fault_of(admitted, fresh)
             if fault is not None:
                 actions += self._drop(now, admitted, fault)
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -175,7 +175,8 @@
     def on_tick(self, now: float) -> tuple[NodeAction, ...]:
         """Act on the passing of time; called about 20 times a second."""
         self._note_time(now)
-        actions = self._flow.settle(now, self.control.tick(now))
+        actions = self._flow.sweep(now)
+        actions += self._flow.settle(now, self.control.tick(now))
         actions += self._flow.settle(now, self.backends.tick(now))
         actions += self._flow.retry_tokens(now)
         actions += self._flow.settle(now, self.dispatcher.tick(now))
@@ -248,8 +249,9 @@
         self, now: float, service: ServiceId, server: ServerId
     ) -> tuple[NodeAction, ...]:
         """A server said in an answer that it gets no new work."""
+        swept = self._flow.sweep(now)
         marked = self.dispatcher.mark_leaving(now, service, server)
-        return self._flow.settle(now, marked)
+        return swept + self._flow.settle(now, marked)
 
     def _note_time(self, now: float) -> None:
         """Find out whether the loop stood still since the last event."""
--- a/packages/node/src/wagtailpaddle_node/requests.py
+++ b/packages/node/src/wagtailpaddle_node/requests.py
@@ -26,8 +26,8 @@
 class Admitted:
     """A request whose route and client account are known.
 
-    ``claimed`` says that its idempotency key is held for it; ``dispatched``
-    that some attempt began, ``detached`` that its caller went away.
+    ``claimed`` says that its idempotency key is held for it, ``detached`` that
+    its caller went away.
     """
 
     head: RequestHead
@@ -37,7 +37,6 @@
     deadline_at: float
     stage: Stage = Stage.TOKEN
     claimed: bool = False
-    dispatched: bool = False
     detached: bool = False
 
     @property
@@ -106,9 +105,9 @@
         """Return when ``due`` has something next, or None."""
         return self._waiting[0][0] if self._waiting else None
 
-    def not_dispatched(self) -> list[Admitted]:
-        """Return the requests of which no attempt began."""
-        return [item for item in self._admitted.values() if not item.dispatched]
+    def open(self) -> list[Admitted]:
+        """Return the requests that are not answered yet."""
+        return list(self._admitted.values())
 
 
 def match_route(cfg: Configuration, head: RequestHead) -> Route:
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -70,7 +70,7 @@
 @pytest.fixture
 def flow(control):
     dispatcher = Dispatcher(zone=ZoneId("a"))
-    view = ServerView(id="s1", zone=ZoneId("a"), slots=4, connections=300, weight=1.0)
+    view = ServerView(id="s1", zone=ZoneId("a"), slots=1, connections=300, weight=1.0)
     dispatcher.set_servers(0.0, SERVICE, (view,), n_users=1)
     backends = SimpleNamespace(
         started=lambda *_: None, forget=lambda *_: None, finished=lambda *_: ()
--- a/packages/node/tests/test_flow.py
+++ b/packages/node/tests/test_flow.py
@@ -1,8 +1,12 @@
 """Requests on their way, with the control side told by the test."""
 
-from wagtailpaddle_core import ErrorKind
+from dataclasses import replace
+
+from wagtailpaddle_core import ErrorKind, RequestId
 from wagtailpaddle_once import Run, RunOutcome
-from wagtailpaddle_routing import Dispatch, Refuse
+from wagtailpaddle_routing import AttemptOutcome, AttemptResult, Dispatch, Refuse
+
+DONE = AttemptResult(AttemptOutcome.ANSWERED, 0.1, 200)
 
 
 def kinds(actions):
@@ -44,3 +48,21 @@
 def test_drained_vm_refuses_with_another_address(flow, head):
     flow.draining = True
     assert kinds(flow.begin(1.0, head)) == [ErrorKind.DRAINING]
+
+
+def test_vm_that_was_paused_dispatches_nothing_that_waited(flow, control, head):
+    first = replace(head, id=RequestId("r0"), idempotency_key=None)
+    flow.begin(1.0, first)
+    flow.begin(1.0, replace(head, idempotency_key=None))
+    control.fresh = False
+    actions = flow.finish(5.0, first.id, DONE, None)
+    assert kinds(actions) == [ErrorKind.NOT_FRESH]
+    assert not any(isinstance(action, Dispatch) for action in actions)
+
+
+def test_key_withdrawn_during_an_attempt_ends_its_retries(flow, control, head):
+    flow.begin(1.0, replace(head, idempotency_key=None))
+    control.withdraw_key()
+    assert flow.sweep(1.1) == ()
+    refused = AttemptResult(AttemptOutcome.NOT_SENT, 0.1)
+    assert kinds(flow.finish(1.2, head.id, refused, None)) == [ErrorKind.KEY_UNKNOWN]
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -148,7 +148,7 @@
     def drop(
         self, now: float, request: RequestId, kind: ErrorKind, detail: str
     ) -> tuple[Action, ...]:
-        """Refuse ``request`` if it still waits; do nothing if it runs.
+        """Refuse ``request`` if it waits; if it runs, try it no further.
 
         A kind that says "not run" is replaced by a truthful one if an earlier
         attempt may have run.
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -152,8 +152,9 @@
         return [cancelled, *self._pump(now)]
 
     def drop(self, pending: Pending, kind: ErrorKind, detail: str) -> list[Action]:
-        """Refuse a request that waits; leave one that runs alone."""
+        """Refuse a request that waits; try one that runs no further."""
         if pending.state is State.RUNNING:
+            pending.dropped = kind
             return []
         self._room.remove(pending)
         return [self._ledger.refuse(pending, truthful(pending, kind), detail)]
@@ -325,6 +326,10 @@
             return [self._ledger.deliver(pending)]
         if step is Step.REFUSE:
             return [self._ledger.refuse_after(now, pending, result)]
+        if step is Step.DROP:
+            kind = truthful(pending, pending.dropped or ErrorKind.INTERNAL)
+            detail = "the request may not be tried on another server"
+            return [self._ledger.refuse(pending, kind, detail)]
         may_go = step is Step.WAIT or self._budget.take(now)
         if not may_go or not self.servers.can_serve(pending):
             return [self._ledger.refuse_after(now, pending, result)]
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -31,7 +31,8 @@
     """A request that is not yet answered.
 
     ``may_have_run`` is set by the first attempt of which it is not sure that
-    the server did nothing, and never unset.
+    the server did nothing, and never unset. ``dropped`` is why the request may
+    not be tried again after the running attempt.
     """
 
     job: Job
@@ -44,6 +45,7 @@
     n_not_sent: int = 0
     failed_on: frozenset[ServerId] = frozenset()
     may_have_run: bool = False
+    dropped: ErrorKind | None = None
     started_at: float = 0.0
     charged_s: float = 0.0
     expected_s: float = 0.0
@@ -64,16 +66,19 @@
     WAIT = "wait"
     RETRY_OR_DELIVER = "retry-or-deliver"
     REFUSE = "refuse"
+    DROP = "drop"
 
 
 def next_step(pending: Pending, result: AttemptResult, now: float) -> Step:
     """Return what follows, leaving the retry budget aside."""
     if result.outcome is AttemptOutcome.ANSWERED:
-        if may_improve(pending, result, now):
+        if pending.dropped is None and may_improve(pending, result, now):
             return Step.RETRY_OR_DELIVER
         return Step.DELIVER
     if result.committed or now >= pending.job.deadline_at:
         return Step.REFUSE
+    if pending.dropped is not None:
+        return Step.DROP
     if not pending.job.idempotent and pending.may_have_run:
         return Step.REFUSE
     if result.outcome is AttemptOutcome.SHED:
--- a/packages/routing/tests/test_machine.py
+++ b/packages/routing/tests/test_machine.py
@@ -47,6 +47,7 @@
     job: Job
     server: ServerId | None = None
     may_have_run: bool = False
+    dropped: bool = False
     servers: list[ServerId] = field(default_factory=list)
 
 
@@ -87,6 +88,7 @@
     def dispatched(self, action):
         model = self.requests[action.request]
         assert model.server is None
+        assert not model.dropped
         assert model.job.idempotent or not model.may_have_run
         assert action.timeout_at <= model.job.deadline_at
         assert self.now < model.job.deadline_at
@@ -160,6 +162,7 @@
     def drop(self, data):
         name = data.draw(st.sampled_from(sorted(self.requests)))
         kind = ErrorKind.KEY_UNKNOWN
+        self.requests[name].dropped = True
         actions = self.dispatcher.drop(self.now, name, kind, "withdrawn")
         assert bool(actions) == (self.requests[name].server is None)
         self.carry_out(actions)
--- a/packages/routing/tests/test_retry.py
+++ b/packages/routing/tests/test_retry.py
@@ -107,6 +107,25 @@
     assert refusal.kind is ErrorKind.KEY_UNKNOWN
 
 
+@pytest.mark.parametrize(
+    "outcome, kind",
+    [("failed", ErrorKind.SERVER_FAILED), ("not-sent", ErrorKind.KEY_UNKNOWN)],
+)
+def test_drop_of_a_running_request_ends_its_retries(
+    dispatcher, job, ended, outcome, kind
+):
+    dispatcher.arrive(0.0, job("r"))
+    assert dispatcher.drop(0.1, RequestId("r"), ErrorKind.KEY_UNKNOWN, "gone") == ()
+    (refusal,) = finish(dispatcher, 0.2, "r", ended(outcome))
+    assert refusal.kind is kind
+
+
+def test_drop_of_a_running_request_keeps_its_answer(dispatcher, job, ended):
+    dispatcher.arrive(0.0, job("r"))
+    dispatcher.drop(0.1, RequestId("r"), ErrorKind.KEY_UNKNOWN, "gone")
+    assert finish(dispatcher, 0.2, "r", ended(status=503)) == (Deliver("r"),)
+
+
 def test_outage_is_not_amplified(make_dispatcher, views, job, ended):
     dispatcher = make_dispatcher(views)
     n_dispatched = 0
