--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -175,7 +175,8 @@
     def on_tick(self, now: float) -> tuple[NodeAction, ...]:
         """Act on the passing of time; called about 20 times a second."""
         self._note_time(now)
-        actions = self._flow.settle(now, self.control.tick(now))
+        actions = self._flow.sweep(now)
+        actions += self._flow.settle(now, self.control.tick(now))
         actions += self._flow.settle(now, self.backends.tick(now))
         actions += self._flow.retry_tokens(now)
         actions += self._flow.settle(now, self.dispatcher.tick(now))
@@ -248,9 +249,10 @@
         self, now: float, service: ServiceId, server: ServerId
     ) -> tuple[NodeAction, ...]:
         """A server said in an answer that it gets no new work."""
-        target = service, server
-        marked = self.backends.note_leaving(now, target, leaving=True)
-        return self._flow.settle(now, marked + self.control.tell_leaving(now))
+        swept = self._flow.sweep(now)
+        marked = self.backends.note_leaving(now, (service, server), leaving=True)
+        told = self.control.tell_leaving(now)
+        return swept + self._flow.settle(now, marked + told)
 
     # Health endpoints
 
@@ -266,8 +268,10 @@
         self, now: float, probe: Probe, result: ProbeResult
     ) -> tuple[NodeAction, ...]:
         """Take in what came of a probe."""
+        swept = self._flow.sweep(now)
         actions = self.control.pages.on_probe(now, probe, result)
-        return self._flow.settle(now, actions + self.control.tell_leaving(now))
+        told = self.control.tell_leaving(now)
+        return swept + self._flow.settle(now, actions + told)
 
     def _note_time(self, now: float) -> None:
         """Find out whether the loop stood still since the last event."""
