--- a/packages/node/src/wagtailpaddle_node/flow.py
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -83,9 +83,10 @@
         answer: StoredAnswer | None,
     ) -> tuple[NodeAction, ...]:
         """Take in the end of an attempt."""
+        swept = self.sweep(now)
         freed = self.backends.finished(now, request, result)
         actions = self.dispatcher.finish(now, request, result)
-        return self.settle(now, freed + actions, answer=answer)
+        return swept + self.settle(now, freed + actions, answer=answer)
 
     def cancel(
         self, now: float, request: RequestId
@@ -130,7 +131,6 @@
                     settled.append(Refuse(action.request, action.kind, action.detail))
                 case Dispatch():
                     self.backends.started(now, action)
-                    self._requests.update(action.request, dispatched=True)
                     settled.append(action)
                 case Deliver() | Refuse():
                     settled += self._answered(now, action, answer)
@@ -142,7 +142,11 @@
         return tuple(settled)
 
     def sweep(self, now: float) -> tuple[NodeAction, ...]:
-        """Refuse what waits and may no longer run."""
+        """Refuse what waits and may no longer run; what runs is not tried again.
+
+        Comes before anything that may dispatch: the process may have been
+        paused since the last event.
+        """
         fresh = self.control.membership.is_fresh(now)
         revision = self.control.configuration.revision
         if revision == self._swept_revision and (fresh or not self._swept_fresh):
@@ -151,7 +155,7 @@
         self._swept_revision = revision
         self._swept_fresh = fresh
         actions: tuple[NodeAction, ...] = ()
-        for admitted in self._requests.not_dispatched():
+        for admitted in self._requests.open():
             fault = self._fault_of(admitted, fresh)
             if fault is not None:
                 actions += self._drop(now, admitted, fault)
@@ -218,16 +222,26 @@
         return self.settle(now, self.dispatcher.arrive(now, job))
 
     def _run(self, now: float, request: RequestId) -> tuple[NodeAction, ...]:
-        """The claim stands: dispatch, unless the caller went away before."""
+        """The claim stands: dispatch, unless the request may no longer run."""
         admitted = self._requests.get(request)
         if admitted is None or admitted.detached:
-            self._requests.remove(request)
-            ended = self.control.claims.finish(now, request, RunOutcome.NOT_RUN)
-            told = self.settle(now, self.control.outcomes(now, ended))
             kind = ErrorKind.IDEMPOTENCY_UNAVAILABLE
-            return (Refuse(request, kind, "the caller went away"), *told)
-        admitted = self._requests.update(request, claimed=True)
-        return self._queue(now, admitted)
+            gone = WagtailError(kind, "the caller went away")
+            return self._give_back(now, request, gone)
+        is_fresh = self.control.membership.is_fresh(now)
+        fault = self._fault_of(admitted, is_fresh)
+        if fault is not None:
+            return self._give_back(now, request, fault)
+        return self._queue(now, self._requests.update(request, claimed=True))
+
+    def _give_back(
+        self, now: float, request: RequestId, fault: WagtailError
+    ) -> tuple[NodeAction, ...]:
+        """Refuse a request whose claim stands, and free its key for a repeat."""
+        self._requests.remove(request)
+        ended = self.control.claims.finish(now, request, RunOutcome.NOT_RUN)
+        told = self.settle(now, self.control.outcomes(now, ended))
+        return (Refuse(request, fault.kind, fault.detail), *told)
 
     def _answered(
         self, now: float, action: Deliver | Refuse, answer: StoredAnswer | None
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -8,7 +8,7 @@
 from wagtailpaddle_fleet import CallerAddresses, ListedVm, Vm
 from wagtailpaddle_health import HealthBook
 from wagtailpaddle_once import StoredAnswer
-from wagtailpaddle_routing import AttemptResult, Dispatcher
+from wagtailpaddle_routing import AttemptResult, Dispatcher, Probe, ProbeResult
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.control import Control
@@ -171,7 +171,8 @@
         self._note_time(now)
         self._pace.stir(now)
         actions = self.control.on_peer_reply(now, call, reply)
-        return self._flow.settle(now, actions) + self._flow.retry_tokens(now)
+        actions = self._flow.settle(now, actions) + self._flow.retry_tokens(now)
+        return actions + self._flow.sweep(now)
 
     def on_peer_failed(self, now: float, call: int) -> tuple[NodeAction, ...]:
         """A ``CallPeer`` brought no reply; it may have arrived."""
@@ -181,7 +182,8 @@
         """Act on the passing of time; called when ``next_wake`` says."""
         self._note_time(now)
         self._pace.ticked(now)
-        actions = self._flow.settle(now, self.control.tick(now))
+        actions = self._flow.sweep(now)
+        actions += self._flow.settle(now, self.control.tick(now))
         actions += self._flow.settle(now, self.backends.tick(now))
         actions += self._flow.retry_tokens(now)
         actions += self._flow.settle(now, self.dispatcher.tick(now))
@@ -258,8 +260,29 @@
         self, now: float, service: ServiceId, server: ServerId
     ) -> tuple[NodeAction, ...]:
         """A server said in an answer that it gets no new work."""
-        marked = self.dispatcher.mark_leaving(now, service, server)
-        return self._flow.settle(now, marked)
+        swept = self._flow.sweep(now)
+        marked = self.backends.note_leaving(now, (service, server), leaving=True)
+        told = self.control.tell_leaving(now)
+        return swept + self._flow.settle(now, marked + told)
+
+    # Health endpoints
+
+    def next_probe_at(self) -> float | None:
+        """Return when a health endpoint is to be asked, None if none is."""
+        return self.control.pages.plan.next_at()
+
+    def due_probes(self, now: float) -> tuple[Probe, ...]:
+        """Return the probes to send now; each is owed an ``on_probe``."""
+        return self.control.pages.plan.due(now)
+
+    def on_probe(
+        self, now: float, probe: Probe, result: ProbeResult
+    ) -> tuple[NodeAction, ...]:
+        """Take in what came of a probe."""
+        swept = self._flow.sweep(now)
+        actions = self.control.pages.on_probe(now, probe, result)
+        told = self.control.tell_leaving(now)
+        return swept + self._flow.settle(now, actions + told)
 
     def _note_time(self, now: float) -> None:
         """Find out whether the loop stood still since the last event."""
