Refuse ambiguous requests before a server sees them; a gentler last word

Cause, found by hand over a raw socket against a running daemon: a target with a DEL character was refused by the client library for each server in turn, so one caller's request marked six servers unreachable and was answered 503; the gateway broke on an attempt that was over before `send` returned. A request with two Host headers or none was passed on, `#part` too, `identity` beside another encoding was taken, a target in absolute form was refused. `Expect: 100-continue` with too large a length was told to go on. `Connection: close` was said on a kept connection and the connection left open; the final close cut a request that was being received.

Change: `intake.py` reads the target, the Host and the framing and refuses with 400; the absolute form is served; 413 comes in place of 100. The last answer closes its connection unless more requests are already there. At the end of a graceful stop quiet connections are closed first, and what still comes on the others within 1 s is answered.

Ruled out by the same trials (already right): both lengths, lists and signs in Content-Length, spaces before colons, bare CR and NUL, unknown encodings, bad chunk sizes, other versions, pipelining, folded headers, HTTP/1.0.

Tests: test_front.py, test_gateway.py, test_data_path.py; the test of the gateway fails on the code before.

--- a/packages/daemon/src/wagtailpaddle_daemon/front.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/front.py
@@ -21,6 +21,16 @@
     query_without_key,
     without_key,
 )
+from wagtailpaddle_daemon.intake import (
+    Target,
+    check_framing,
+    check_key_free,
+    check_path,
+    choose_request_id,
+    read_idempotency_key,
+    read_target,
+    read_timeout,
+)
 from wagtailpaddle_daemon.problems import CONTENT_TYPE, problem_body
 from wagtailpaddle_daemon.secrets import KeyFilter
 from wagtailpaddle_daemon.upstream import AnswerHead, Outgoing, list_headers
@@ -30,11 +40,14 @@
 OUTCOME_HEADER = b"X-Outcome"
 IDEMPOTENCY_HEADER = b"Idempotency-Key"
 REPLACED_HEADERS = frozenset(
-    {REQUEST_ID_HEADER.lower(), TIMEOUT_HEADER.lower(), b"content-length", b"expect"}
+    {
+        REQUEST_ID_HEADER.lower(),
+        TIMEOUT_HEADER.lower(),
+        b"content-length",
+        b"expect",
+        b"host",
+    }
 )
-MAX_REQUEST_ID_CHARS = 128
-MAX_IDEMPOTENCY_KEY_CHARS = 255
-MAX_TIMEOUT_MS = 86_400_000
 
 Directory = Callable[[str | None, str | None], bytes]
 """Answers a caller's question for addresses: (key hash, zone) to a document."""
@@ -100,33 +113,36 @@
         self._shown_id = choose_request_id(given, keys)
         self.id = RequestId(uuid4().hex)
         if self._fault is not None:
-            self.setHeader(b"connection", b"close")
+            self._close_after()
         try:
             if self._fault is not None:
                 raise self._fault
-            if self.path == self.front.directory_path:
+            check_framing(self.requestHeaders)
+            target = read_target(self.uri, self.clientproto, self.requestHeaders)
+            if target.path == self.front.directory_path:
                 self._answer_directory(key)
                 return
-            head, out = self._read(key, keys)
+            head, out = self._read(target, key, keys)
         except WagtailError as exc:
             self.refuse(exc.kind, exc.detail, None)
             return
         self.front.gateway.take(head, out, self)
 
-    def _read(self, key: bytes | None, keys: KeyFilter) -> tuple[RequestHead, Outgoing]:
+    def _read(
+        self, target: Target, key: bytes | None, keys: KeyFilter
+    ) -> tuple[RequestHead, Outgoing]:
         body = self.content.getvalue()
-        path = unquote(self.path.decode("latin-1"), errors="replace")
-        check_key_free(keys, self.method, self.path, body)
+        path = unquote(target.path.decode("latin-1"), errors="replace")
+        check_key_free(keys, self.method, target.path, body)
         check_path(path)
         idempotency_key = read_idempotency_key(self.getHeader(IDEMPOTENCY_HEADER))
-        uri = query_without_key(self.uri, keys)
+        uri = query_without_key(target.uri, keys)
         fingerprint = ""
         if idempotency_key is not None:
             fingerprint = sha256(b"\n".join((self.method, uri, body))).hexdigest()
-        host = self.getHeader(b"host") or b""
         head = RequestHead(
             id=self.id,
-            host=host.partition(b":")[0].decode("latin-1").lower(),
+            host=target.host.partition(b":")[0].decode("latin-1").lower(),
             path=path,
             method=self.method.decode("latin-1"),
             key_hash=None if key is None else hash_secret(key.decode("latin-1")),
@@ -134,14 +150,16 @@
             idempotency_key=idempotency_key,
             fingerprint=fingerprint,
         )
-        headers = tuple(self._outgoing_headers(keys))
+        headers = tuple(self._outgoing_headers(target.host, keys))
         return head, Outgoing(self.method, uri, headers, body)
 
-    def _outgoing_headers(self, keys: KeyFilter) -> Iterator[Header]:
+    def _outgoing_headers(self, host: bytes, keys: KeyFilter) -> Iterator[Header]:
         passed_on = end_to_end(list_headers(self.requestHeaders))
         for name, value in without_key(passed_on, keys):
             if name.lower() not in REPLACED_HEADERS:
                 yield name, value
+        if host and not keys.found_in(host):
+            yield b"Host", host
         yield REQUEST_ID_HEADER, self._shown_id
 
     def _answer_directory(self, key: bytes | None) -> None:
@@ -151,6 +169,8 @@
         body = self.front.directory(key_hash, zone)
         self.setHeader(b"content-type", b"application/json")
         self.setHeader(b"cache-control", b"private")
+        if self.front.draining:
+            self._close_after()
         self.setHeader(b"content-length", b"%d" % len(body))
         self.write(body)
         self.end()
@@ -165,7 +185,7 @@
             self.setHeader(b"content-length", b"%d" % head.length)
         self.setHeader(REQUEST_ID_HEADER, self._shown_id)
         if self.front.draining:
-            self.setHeader(b"connection", b"close")
+            self._close_after()
 
     def follow(self, producer: Any) -> None:
         """Let the caller's connection pace ``producer``."""
@@ -193,10 +213,28 @@
         if retry_after_s is not None:
             self.setHeader(b"retry-after", b"%d" % max(1, round(retry_after_s)))
         if self.front.draining:
-            self.setHeader(b"connection", b"close")
+            self._close_after()
         self.write(body)
         self.end()
 
+    def refuse_body(self) -> bool:
+        """Refuse a body that was announced as too large, before it is sent."""
+        if self._fault is None:
+            return False
+        self.method, self.clientproto = b"POST", b"HTTP/1.1"
+        given = self.getHeader(REQUEST_ID_HEADER)
+        keys = KeyFilter(bearer_key(self.getHeader(b"authorization")))
+        self._shown_id = choose_request_id(given, keys)
+        self._close_after()
+        self.refuse(self._fault.kind, self._fault.detail, None)
+        return True
+
+    def _close_after(self) -> None:
+        """Tell the caller that this answer is the last, and close after it."""
+        self.setHeader(b"connection", b"close")
+        if self.channel is not None and not self.channel.has_more:
+            self.channel.persistent = 0
+
     def abort(self) -> None:
         """Close the connection without an end of the answer."""
         self._over = True
@@ -216,79 +254,39 @@
         self._n_buffered = 0
 
 
-def choose_request_id(given: bytes | None, keys: KeyFilter) -> bytes:
-    """Return the caller's own request id if it is fit, else a new one."""
-    fit = (
-        given is not None
-        and 0 < len(given) <= MAX_REQUEST_ID_CHARS
-        and given.isascii()
-        and not keys.found_in(given)
-    )
-    return given if fit and given is not None else uuid4().hex.encode()
-
-
-def check_key_free(keys: KeyFilter, method: bytes, path: bytes, body: bytes) -> None:
-    """Raise ``WagtailError`` if a part that cannot be cut carries a key."""
-    for name, value in (("method", method), ("path", path), ("body", body)):
-        if keys.found_in(value):
-            detail = f"a key stands in the {name}; send it in Authorization only"
-            raise WagtailError(ErrorKind.BAD_REQUEST, detail)
-
-
-def check_path(path: str) -> None:
-    """Raise ``WagtailError`` for a path that servers may read as another one."""
-    if not path.startswith("/"):
-        detail = f"path {path[:64]!r} does not start with '/'"
-        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
-    if "//" in path or {".", ".."} & set(path.split("/")):
-        detail = f"path {path[:64]!r} has empty, '.' or '..' parts"
-        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
-
-
-def read_idempotency_key(given: bytes | None) -> str | None:
-    """Return the value of an ``Idempotency-Key`` header. Raises ``WagtailError``."""
-    if given is None:
-        return None
-    key = given.strip().strip(b'"')
-    if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARS or not key.isascii():
-        detail = (
-            f"Idempotency-Key must have 1 to {MAX_IDEMPOTENCY_KEY_CHARS} characters"
-        )
-        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
-    return key.decode("ascii")
-
-
-def read_timeout(given: bytes | None) -> float | None:
-    """Return the seconds of a timeout header. Raises ``WagtailError``."""
-    if given is None:
-        return None
-    if not given.isdigit() or not 0 < int(given[:9]) <= MAX_TIMEOUT_MS:
-        detail = f"X-Request-Timeout-Ms must be 1 to {MAX_TIMEOUT_MS}"
-        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
-    return int(given) / 1000
-
-
 class FrontChannel(http.HTTPChannel):
     """A caller's connection whose requests must arrive in bounded time."""
 
     receiving_since: float | None = None
+    heard_at = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start to serve the connection, unless there are too many."""
         super().connectionMade()
+        self.heard_at = self.factory.seconds()
         if not self.factory.admit(self):
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take in a piece of a request."""
+        self.heard_at = self.factory.seconds()
         if self.receiving_since is None and not self._handlingRequest:
-            self.receiving_since = self.factory.seconds()
+            self.receiving_since = self.heard_at
         super().dataReceived(data)
 
     def received(self) -> None:
         """The request has arrived as a whole."""
         self.receiving_since = None
 
+    @property
+    def has_more(self) -> bool:
+        """Whether the caller sent more before its last request was answered."""
+        return any(self._dataBuffer)
+
+    def _send100Continue(self) -> None:  # noqa: N802
+        if not self.requests[-1].refuse_body():
+            super()._send100Continue()
+
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Forget the connection."""
         self.factory.forget(self)
@@ -357,6 +355,18 @@
             if since is not None and since < oldest:
                 channel.transport.abortConnection()
 
+    @property
+    def n_connections(self) -> int:
+        """How many connections of callers are open."""
+        return len(self._channels)
+
+    def close_quiet(self, since: float) -> None:
+        """Close connections without a request on which nothing came ``since``."""
+        for channel in tuple(self._channels):
+            is_busy = channel.requests or channel.receiving_since is not None
+            if not is_busy and channel.heard_at < since:
+                channel.loseConnection()
+
     def close_idle(self) -> None:
         """Close connections on which no request is in work."""
         for channel in tuple(self._channels):
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -191,15 +191,17 @@
         )
         attempt = action.attempt
         request = action.request
-        exchange.pending = self._upstream.send(address, port, out)
         exchange.timer = self._reactor.callLater(
             left, self._timed_out, request, attempt
         )
-        exchange.pending.addCallbacks(
+        # The attempt may be over before the callbacks are added.
+        pending = self._upstream.send(address, port, out)
+        exchange.pending = pending
+        pending.addCallbacks(
             lambda response: self._answered(request, attempt, response),
             lambda failure: self._failed(request, attempt, failure),
         )
-        exchange.pending.addErrback(self._broken, request, attempt)
+        pending.addErrback(self._broken, request, attempt)
 
     def _answered(self, request: RequestId, attempt: int, response: Any) -> None:
         exchange = self._current(request, attempt)
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/intake.py
@@ -0,0 +1,108 @@
+"""What is read from a caller's request, and what is refused as malformed."""
+
+import re
+from dataclasses import dataclass
+from uuid import uuid4
+
+from twisted.web.http_headers import Headers
+from wagtailpaddle_core import ErrorKind, WagtailError
+
+from wagtailpaddle_daemon.secrets import KeyFilter
+
+MAX_REQUEST_ID_CHARS = 128
+MAX_IDEMPOTENCY_KEY_CHARS = 255
+MAX_TIMEOUT_MS = 86_400_000
+VALID_TARGET = re.compile(rb"[!\"$-~]+")
+ABSOLUTE_TARGET = re.compile(rb"https?://([^/?@]+)(/[^?]*)?(\?.*)?", re.IGNORECASE)
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where a request goes: the host that it names, path and query."""
+
+    host: bytes
+    uri: bytes
+
+    @property
+    def path(self) -> bytes:
+        """The path without the query."""
+        return self.uri.partition(b"?")[0]
+
+
+def read_target(uri: bytes, version: bytes, headers: Headers) -> Target:
+    """Return the target of a request. Raises ``WagtailError``.
+
+    A target in absolute form goes before the ``Host`` header.
+    """
+    hosts = headers.getRawHeaders(b"host") or []
+    if len(hosts) > 1 or (not hosts and version != b"HTTP/1.0"):
+        detail = f"a request needs one Host header, it has {len(hosts)}"
+        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+    if not VALID_TARGET.fullmatch(uri):
+        detail = "the target has characters that must be percent-encoded"
+        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+    absolute = ABSOLUTE_TARGET.fullmatch(uri)
+    if absolute is None:
+        return Target(hosts[0] if hosts else b"", uri)
+    host, path, query = absolute.groups(b"")
+    return Target(host, (path or b"/") + query)
+
+
+def check_framing(headers: Headers) -> None:
+    """Raise ``WagtailError`` where two readers may see different bodies."""
+    encodings = headers.getRawHeaders(b"transfer-encoding") or []
+    if [value.lower() for value in encodings] not in ([], [b"chunked"]):
+        detail = "Transfer-Encoding must be 'chunked', once"
+        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+
+
+def choose_request_id(given: bytes | None, keys: KeyFilter) -> bytes:
+    """Return the caller's own request id if it is fit, else a new one."""
+    fit = (
+        given is not None
+        and 0 < len(given) <= MAX_REQUEST_ID_CHARS
+        and given.isascii()
+        and not keys.found_in(given)
+    )
+    return given if fit and given is not None else uuid4().hex.encode()
+
+
+def check_key_free(keys: KeyFilter, method: bytes, path: bytes, body: bytes) -> None:
+    """Raise ``WagtailError`` if a part that cannot be cut carries a key."""
+    for name, value in (("method", method), ("path", path), ("body", body)):
+        if keys.found_in(value):
+            detail = f"a key stands in the {name}; send it in Authorization only"
+            raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+
+
+def check_path(path: str) -> None:
+    """Raise ``WagtailError`` for a path that servers may read as another one."""
+    if not path.startswith("/"):
+        detail = f"path {path[:64]!r} does not start with '/'"
+        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+    if "//" in path or {".", ".."} & set(path.split("/")):
+        detail = f"path {path[:64]!r} has empty, '.' or '..' parts"
+        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+
+
+def read_idempotency_key(given: bytes | None) -> str | None:
+    """Return the value of an ``Idempotency-Key`` header. Raises ``WagtailError``."""
+    if given is None:
+        return None
+    key = given.strip().strip(b'"')
+    if not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARS or not key.isascii():
+        detail = (
+            f"Idempotency-Key must have 1 to {MAX_IDEMPOTENCY_KEY_CHARS} characters"
+        )
+        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+    return key.decode("ascii")
+
+
+def read_timeout(given: bytes | None) -> float | None:
+    """Return the seconds of a timeout header. Raises ``WagtailError``."""
+    if given is None:
+        return None
+    if not given.isdigit() or not 0 < int(given[:9]) <= MAX_TIMEOUT_MS:
+        detail = f"X-Request-Timeout-Ms must be 1 to {MAX_TIMEOUT_MS}"
+        raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+    return int(given) / 1000
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -32,6 +32,8 @@
 HOUSEKEEPING_S = 1.0
 STOP_POLL_S = 0.02
 HAND_OVER_S = 5.0
+QUIET_S = 0.1
+LAST_WORDS_S = 1.0
 
 log = get_logger("daemon")
 
@@ -114,7 +116,7 @@
         await self._wait(
             lambda: self.node.has_released and self.node.has_left, HAND_OVER_S
         )
-        self._front.close_idle()
+        await self._close_callers()
         await self._close()
         self.life.stopped()
         log.info("Stopped.", in_flight=self.gateway.n_in_flight)
@@ -123,6 +125,16 @@
         """Fold what the log has; return its head, None if it did not answer."""
         return await self._feed.catch_up()
 
+    async def _close_callers(self) -> None:
+        """Close quiet connections first; answer what still comes on the others."""
+
+        def is_closed() -> bool:
+            self._front.close_quiet(self._reactor.seconds() - QUIET_S)
+            return not self._front.n_connections
+
+        await self._wait(is_closed, LAST_WORDS_S)
+        self._front.close_idle()
+
     async def _close(self) -> None:
         self._prober.stop()
         self.gateway.stop()
--- a/packages/daemon/tests/test_edges.py
+++ b/packages/daemon/tests/test_edges.py
@@ -6,13 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from wagtailpaddle_core import WagtailError
-from wagtailpaddle_daemon.front import read_idempotency_key, read_timeout
 from wagtailpaddle_daemon.headers import (
     bearer_key,
     end_to_end,
     query_without_key,
     without_key,
 )
+from wagtailpaddle_daemon.intake import read_idempotency_key, read_timeout
 from wagtailpaddle_daemon.lifecycle import Lifecycle
 from wagtailpaddle_daemon.secrets import KeyFilter
 from wagtailpaddle_daemon.vmlist import VmListError, decode_list
--- /dev/null
+++ b/packages/daemon/tests/test_front.py
@@ -0,0 +1,119 @@
+"""Callers' connections at the edges of a daemon's life."""
+
+import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_daemon.front import FrontFactory, Limits
+from wagtailpaddle_daemon.upstream import AnswerHead
+
+REQUEST = b"GET /catalogue HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Refuser:
+    """A gateway that keeps callers until the test answers them."""
+
+    def __init__(self):
+        self.callers = []
+
+    def take(self, head, out, caller):
+        self.callers.append(caller)
+
+    def caller_gone(self, request):
+        pass
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def gateway():
+    return Refuser()
+
+
+@pytest.fixture
+def front(clock, gateway):
+    return FrontFactory(clock, gateway, lambda *_: b"{}", limits=Limits(receive_s=5.0))
+
+
+@pytest.fixture
+def connect(front):
+    def connect():
+        channel = front.buildProtocol(None)
+        transport = StringTransport()
+        channel.makeConnection(transport)
+        return channel, transport
+
+    return connect
+
+
+def answer(caller):
+    caller.begin(AnswerHead(200, b"OK", (), 2))
+    caller.write(b"ok")
+    caller.end()
+
+
+def test_kept_connection_serves_on(connect, gateway):
+    channel, transport = connect()
+    for _ in range(2):
+        channel.dataReceived(REQUEST)
+        answer(gateway.callers.pop())
+    assert transport.value().count(b"200 OK") == 2
+    assert not transport.disconnecting
+
+
+@pytest.mark.parametrize("served", [True, False])
+def test_answer_of_a_leaving_daemon_is_the_last(connect, front, gateway, served):
+    channel, transport = connect()
+    channel.dataReceived(REQUEST)
+    front.draining = True
+    caller = gateway.callers.pop()
+    if served:
+        answer(caller)
+    else:
+        caller.refuse(ErrorKind.DRAINING, "the VM is shutting down", 1.0)
+    assert b"Connection: close" in transport.value()
+    assert transport.disconnecting
+
+
+def test_leaving_daemon_answers_what_was_sent_before_its_last_word(
+    connect, front, gateway
+):
+    channel, transport = connect()
+    channel.dataReceived(REQUEST + REQUEST)
+    front.draining = True
+    answer(gateway.callers.pop())
+    assert not transport.disconnecting
+    answer(gateway.callers.pop())
+    assert transport.value().count(b"200 OK") == 2
+    assert transport.disconnecting
+
+
+def test_only_quiet_connections_are_closed_first(connect, front, clock, gateway):
+    quiet, quiet_transport = connect()
+    partial, partial_transport = connect()
+    busy, busy_transport = connect()
+    partial.dataReceived(REQUEST[:10])
+    busy.dataReceived(REQUEST)
+    clock.advance(1.0)
+    late, late_transport = connect()
+    front.close_quiet(clock.seconds() - 0.1)
+    assert quiet_transport.disconnecting
+    for transport in (partial_transport, busy_transport, late_transport):
+        assert not transport.disconnecting
+    front.draining = True
+    partial.dataReceived(REQUEST[10:])
+    answer(gateway.callers.pop())
+    assert b"200 OK" in partial_transport.value()
+    assert partial_transport.disconnecting
+
+
+def test_slow_sender_is_cut_off(connect, front, clock):
+    channel, transport = connect()
+    for byte in REQUEST[:20]:
+        channel.dataReceived(bytes([byte]))
+        clock.advance(0.3)
+        front.close_slow(clock.seconds())
+    assert transport.disconnected
--- /dev/null
+++ b/packages/daemon/tests/test_gateway.py
@@ -0,0 +1,70 @@
+"""The gateway between a node's actions and the network."""
+
+import pytest
+from twisted.internet.defer import fail
+from twisted.internet.task import Clock
+from twisted.web.client import RequestNotSent
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_daemon.caller import NobodyThere
+from wagtailpaddle_daemon.gateway import Gateway
+from wagtailpaddle_daemon.upstream import Outgoing
+from wagtailpaddle_node import RequestHead, RequestView
+from wagtailpaddle_routing import Dispatch, Refuse
+
+
+class TwoTries:
+    """A node that dispatches a request twice and refuses it then."""
+
+    def __init__(self):
+        self.results = []
+
+    def next_wake(self, now):
+        return now + 1.0
+
+    def server_address(self, service, server):
+        return "127.0.0.1", 9
+
+    def request_view(self, request):
+        return RequestView(None, None)
+
+    def on_request(self, now, head):
+        attempt = len(self.results) + 1
+        return (Dispatch(head.id, "s", "b", attempt, now + 1.0),)
+
+    def on_attempt(self, now, request, result, answer=None):
+        self.results.append(result.outcome.name)
+        if len(self.results) < 2:
+            return self.on_request(now, RequestHead(request, "", "/", "GET", None))
+        return (Refuse(request, ErrorKind.NO_HEALTHY_SERVER, "none"),)
+
+
+class NeverSends:
+    """Connections on which every request fails before ``send`` returns."""
+
+    def send(self, address, port, out):
+        return fail(RequestNotSent())
+
+
+class Asker(NobodyThere):
+    """A caller that notes why it was refused."""
+
+    refused = None
+
+    def refuse(self, kind, detail, retry_after_s):
+        self.refused = kind
+
+
+@pytest.fixture
+def node():
+    return TwoTries()
+
+
+def test_attempt_that_fails_at_once_is_over_at_once(node, metrics):
+    clock = Clock()
+    gateway = Gateway(clock, node, NeverSends(), metrics)
+    asker = Asker()
+    out = Outgoing(b"GET", b"/", (), b"")
+    gateway.take(RequestHead("r", "", "/", "GET", None), out, asker)
+    assert node.results == ["NOT_SENT", "NOT_SENT"]
+    assert asker.refused is ErrorKind.NO_HEALTHY_SERVER
+    assert not clock.getDelayedCalls()
--- a/packages/standins/tests/test_data_path.py
+++ b/packages/standins/tests/test_data_path.py
@@ -186,3 +186,87 @@
         reply = client.request("GET", path).json()
         assert system.daemons[0].caller in reply["addresses"]
         assert reply["keep_s"] > 0
+
+
+@pytest.fixture
+def ask(system, secret):
+    """Send bytes on a connection of their own; return all that comes."""
+    host, _, port = system.daemons[0].caller.partition(":")
+
+    def send(line, headers=(), body=b"", last=(b"Connection: close",)):
+        lines = [line, f"Authorization: Bearer {secret}".encode(), *headers, *last]
+        with socket.create_connection((host, int(port)), timeout=10) as sock:
+            sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+            return b"".join(iter(lambda: sock.recv(65536), b""))
+
+    return send
+
+
+HOST = b"Host: x"
+
+
+@pytest.mark.parametrize(
+    ("line", "headers"),
+    [
+        (b"GET /catalogue/\x7f HTTP/1.1", [HOST]),
+        (b"GET /catalogue/1#part HTTP/1.1", [HOST]),
+        (b"GET http://u@x/catalogue HTTP/1.1", [HOST]),
+        (b"OPTIONS * HTTP/1.1", [HOST]),
+        (b"CONNECT x:80 HTTP/1.1", [HOST]),
+        (b"GET /catalogue HTTP/1.1", []),
+        (b"GET /catalogue HTTP/1.1", [HOST, HOST]),
+        (b"GET /catalogue HTTP/1.1", [HOST, b"Content-Length: 0, 0"]),
+        (b"GET /catalogue HTTP/1.1", [HOST, b"Content-Length: 0"] * 2),
+        (b"GET /catalogue HTTP/1.1", [HOST, b"Transfer-Encoding : chunked"]),
+        (b"GET /catalogue HTTP/1.1", [HOST, b"Transfer-Encoding: gzip, chunked"]),
+        (
+            b"POST /deliveries HTTP/1.1",
+            [HOST, b"Transfer-Encoding: identity", b"Content-Length: 0"],
+        ),
+        (b"GET /catalogue HTTP/1.1", [HOST, b"X-A: 1\rX-B: 2"]),
+        (b"GET /catalogue HTTP/1.1", [HOST, b"X-A: 1\0"]),
+    ],
+)
+def test_ambiguous_request_is_refused_and_harms_no_server(ask, caller, line, headers):
+    for _ in range(8):
+        assert ask(line, headers).startswith(b"HTTP/1.1 400")
+    assert caller.request("GET", "/catalogue/1").status == 200
+
+
+def test_target_in_absolute_form_is_served(ask):
+    answer = ask(b"GET http://other/catalogue/1?a=2 HTTP/1.1", [HOST])
+    assert b'"uri": "/catalogue/1?a=2"' in answer
+    assert b'["Host", "other"]' in answer
+
+
+def test_folded_header_becomes_one_line(ask):
+    answer = ask(b"GET /catalogue/1 HTTP/1.1", [HOST, b"X-A: 1\r\n\t2"])
+    assert b'["X-A", "1 2"]' in answer
+
+
+def test_body_announced_too_large_is_refused_before_it_is_sent(ask):
+    headers = [HOST, b"Content-Length: 90000000", b"Expect: 100-continue"]
+    answer = ask(b"POST /deliveries HTTP/1.1", headers)
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert b"100 Continue" not in answer
+    assert b"Connection: close" in answer
+
+
+def test_continue_is_said_once_the_headers_are_accepted(ask):
+    headers = [HOST, b"Content-Length: 3", b"Expect: 100-continue"]
+    answer = ask(b"POST /deliveries HTTP/1.1", headers, b"one")
+    assert answer.startswith(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert b'"body": "one"' in answer
+
+
+def test_pipelined_requests_are_answered_in_order(ask, secret):
+    later = [
+        b"GET /catalogue/%d HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n"
+        % (number, secret.encode())
+        for number in (2, 3)
+    ]
+    body = later[0] + b"\r\n" + later[1] + b"Connection: close\r\n\r\n"
+    answer = ask(b"GET /catalogue/1 HTTP/1.1", [HOST], body, last=())
+    places = [answer.find(b"/catalogue/%d" % number) for number in (1, 2, 3)]
+    assert places == sorted(places)
+    assert min(places) > 0
