Give each VM its part of a service's servers and connections

Connections to a server were divided by all VMs of the fleet, below one each at 6,500 VMs, and subsets were not wired.

Users counts by the roster which VMs use a server, one roster change at a time, and bounds the sum of what they may open, asserted inside the program. All VMs use all servers at today's sizes.

--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -393,7 +393,7 @@
         self.quota.on_roster(now, known.vms, known.gone, known.seated or None)
         self.pages.set_vms(now, known.vms)
         self.backends.marks.retell()
-        return self.backends.set_users(now, max(1, len(known.vms)))
+        return self.backends.set_vms(now, known.vms)
 
     def _tell_claims(self, now: float) -> tuple[ControlAction, ...]:
         actions: tuple[ControlAction, ...] = ()
