--- a/packages/fleet/src/wagtailpaddle_fleet/answers.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/answers.py
@@ -26,6 +26,7 @@
     address: str
     sent_at: float
     next_offset: Offset
+    shares_offset: Offset = 0
 
 
 class Answers:
@@ -37,6 +38,7 @@
         self.n_failures: dict[str, int] = {}
         self._failed_at: dict[str, float] = {}
         self._confirmed: dict[SeatId, Offset] = {}
+        self._shares: dict[SeatId, Offset] = {}
 
     def note(
         self, now: float, sent_at: float, address: str, answer: OffsetAnswer
@@ -50,10 +52,13 @@
         for seat in answer.seats:
             voice = self.by_seat.get(seat)
             if voice is None or voice.sent_at <= sent_at:
-                voice = SeatVoice(address, sent_at, answer.next_offset)
-                self.by_seat[seat] = voice
+                self.by_seat[seat] = SeatVoice(
+                    address, sent_at, answer.next_offset, answer.shares_offset
+                )
             confirmed = max(self._confirmed.get(seat, 0), answer.next_offset)
             self._confirmed[seat] = confirmed
+            shares = max(self._shares.get(seat, 0), answer.shares_offset)
+            self._shares[seat] = shares
 
     def failed(self, now: float, address: str) -> None:
         """A question to ``address`` brought no answer."""
@@ -64,11 +69,16 @@
         """Return the highest next offset that was ever named for a seat."""
         return self._confirmed.get(seat, 0)
 
+    def shares_offset(self, seat: SeatId) -> Offset:
+        """Return the highest offset of ``shares`` ever named for a seat."""
+        return self._shares.get(seat, 0)
+
     def keep_only(self, now: float, seats: Iterable[SeatId]) -> None:
         """Forget seats that are not registered, and answers from long ago."""
         kept = set(seats)
         self.by_seat = {s: voice for s, voice in self.by_seat.items() if s in kept}
         self._confirmed = {s: at for s, at in self._confirmed.items() if s in kept}
+        self._shares = {s: at for s, at in self._shares.items() if s in kept}
         self.by_address = {
             address: heard
             for address, heard in self.by_address.items()
--- a/packages/fleet/src/wagtailpaddle_fleet/freshness.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/freshness.py
@@ -53,7 +53,7 @@
         for seat, voice in voices.items():
             if seat not in times and voice.next_offset <= roster.next_offset:
                 times[seat] = voice.sent_at
-        at = min(_majority_time(seats, times) for seats in roster.majorities())
+        at = min(majority_time(seats, times) for seats in roster.majorities())
         ensure(at <= now, "freshness-not-ahead", at=at, now=now)
         self._confirmed_at = max(self._confirmed_at, at)
 
@@ -62,7 +62,7 @@
         return now - self._confirmed_at <= self.window_s
 
 
-def _majority_time(seats: Collection[SeatId], times: Mapping[SeatId, float]) -> float:
+def majority_time(seats: Collection[SeatId], times: Mapping[SeatId, float]) -> float:
     """Return the latest time since which more than half of ``seats`` spoke."""
     n_needed = len(seats) // 2 + 1
     known = sorted((times[seat] for seat in seats if seat in times), reverse=True)
--- a/packages/fleet/src/wagtailpaddle_fleet/handover.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/handover.py
@@ -65,9 +65,14 @@
         self._given.add(seat)
 
     def on_offered(
-        self, now: float, next_offset: Offset, body: HandOverSeats
+        self,
+        now: float,
+        next_offset: Offset,
+        body: HandOverSeats,
+        *,
+        shares_offset: Offset = 0,
     ) -> HandOverAnswer:
-        """Take over seats, or refuse."""
+        """Take over seats, or refuse; the offsets are those of this VM."""
         offered = set(body.seats)
         if offered and offered <= self.seats | self._given:
             return HandOverAnswer(True, next_offset)
@@ -75,6 +80,7 @@
             body.to == self._vm.id
             and self.leaving_since is None
             and next_offset >= body.next_offset
+            and shares_offset >= body.shares_offset
             and 0 <= now - body.answered_at <= HAND_OVER_S
             and not offered & self._given
         )
@@ -88,7 +94,12 @@
             self.leaving_since = now
 
     def step(
-        self, now: float, next_offset: Offset, heard: Mapping[str, Heard]
+        self,
+        now: float,
+        next_offset: Offset,
+        heard: Mapping[str, Heard],
+        *,
+        shares_offset: Offset = 0,
     ) -> tuple[Action, ...]:
         """Return the next call of the hand-over, if one is due."""
         since = self.leaving_since
@@ -97,10 +108,16 @@
         if self._message is None:
             if not self.seats or now < since + CHOICE_DELAY_S:
                 return ()
-            chosen = self._choose(now, next_offset, heard)
+            able = {
+                address: item
+                for address, item in heard.items()
+                if item.answer.shares_offset >= shares_offset
+            }
+            chosen = self._choose(now, next_offset, able)
             if chosen is None:
                 return ()
-            return self._call(now, self._give(chosen, next_offset, heard[chosen]))
+            message = self._give(chosen, next_offset, shares_offset, heard[chosen])
+            return self._call(now, message)
         return self._call(now, self._message)
 
     def on_answer(self, sent_at: float, answer: HandOverAnswer) -> None:
@@ -130,10 +147,14 @@
         self._retry_at = now + HAND_OVER_RETRY_S
         return (SendPeer(self._successor, message, HAND_OVER_TIMEOUT_S),)
 
-    def _give(self, successor: str, next_offset: Offset, heard: Heard) -> HandOverSeats:
+    def _give(
+        self, successor: str, next_offset: Offset, shares_offset: Offset, heard: Heard
+    ) -> HandOverSeats:
         seats = self.spoken_for()
         answer = heard.answer
-        message = HandOverSeats(answer.vm.id, seats, next_offset, answer.at)
+        message = HandOverSeats(
+            answer.vm.id, seats, next_offset, answer.at, shares_offset
+        )
         self._message = message
         self._successor = successor
         self._n_lost_calls = 0
--- a/packages/fleet/src/wagtailpaddle_fleet/membership.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/membership.py
@@ -31,6 +31,7 @@
     RecordsAnswer,
     RecordsQuery,
     SeatId,
+    Settle,
     SnapshotAnswer,
     SnapshotQuery,
     Vm,
@@ -39,6 +40,7 @@
 from wagtailpaddle_fleet.relay import CatchUp, RecordTail
 from wagtailpaddle_fleet.roster import Roster
 from wagtailpaddle_fleet.seating import Seating
+from wagtailpaddle_fleet.sharesview import NextOffset, SharesView
 
 SnapshotSource = Callable[[float, Offset, int], SnapshotAnswer]
 
@@ -62,7 +64,8 @@
     Events come in with the present time, frozen actions go out. The caller
     folds the ``config`` stream in order and reports each offset once.
     ``snapshot_chunk`` returns one encoded chunk of a snapshot of what this VM
-    has folded, for VMs that start while the log is away.
+    has folded, for VMs that start while the log is away. ``shares_offset``
+    returns how far it has folded the ``shares`` stream.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         *,
         seed: int = 0,
         snapshot_chunk: SnapshotSource = no_snapshot,
+        shares_offset: NextOffset | None = None,
         window_s: float = FRESHNESS_S,
         list_lag_s: float = LIST_LAG_S,
     ):
@@ -84,6 +88,12 @@
         self._snapshot_chunk = snapshot_chunk
         self._answers = Answers()
         self._held = HeldSeats(vm)
+        self.shares = SharesView(
+            roster=self.roster,
+            answers=self._answers,
+            held=self._own_seats,
+            next_offset=shares_offset,
+        )
         self._asker = Asker(vm.peer_address, self._answers)
         self._tail = RecordTail()
         self._catch_up = CatchUp(rng=rng)
@@ -95,6 +105,7 @@
             incarnations=self.incarnations,
             answers=self._answers,
             confirmed=self.confirmed,
+            shares=self.shares,
             rng=rng,
         )
         self._known = KnownVms(vm, roster=self.roster, incarnations=self.incarnations)
@@ -124,6 +135,8 @@
         loser = self._known.holder_before(record.change)
         self.roster.apply(offset, record)
         self._known.folded(now, record.change, loser)
+        if isinstance(record.change, Settle):
+            self.shares.on_seats_changed(now)
         return ()
 
     def on_log_head(
@@ -157,7 +170,9 @@
             case HandOverSeats():
                 if self.incarnations.is_self_gone:
                     return HandOverAnswer(False, next_offset)
-                return self._held.on_offered(now, next_offset, body)
+                return self._held.on_offered(
+                    now, next_offset, body, shares_offset=self.shares.next_offset
+                )
             case _:
                 return None
 
@@ -204,6 +219,7 @@
         Raises ``ValueError`` if they are malformed.
         """
         self.roster.restore(upto, items)
+        self.shares.on_seats_changed(now)
         for vm in self.roster.holders():
             self._known.note(now, vm)
         return ()
@@ -229,6 +245,7 @@
         if now - self.freshness.log_at <= LOG_LOST_S:
             actions += self._seating.step(now, is_current=not is_silent)
         actions += self._ask_for_confirmations(now)
+        actions += self._questions.of_seats(now, self.shares.lacking())
         actions += self._ask_about_status(now)
         if self._held.leaving_since is not None:
             actions += self._step_leave(now)
@@ -322,6 +339,7 @@
             seats=self._held.spoken_for() if self._may_speak() else (),
             fresh=self.is_fresh(now),
             at=now,
+            shares_offset=self.shares.next_offset,
         )
 
     def _may_speak(self) -> bool:
@@ -345,9 +363,12 @@
         return self._step_catch_up()
 
     def _count_voices(self, now: float) -> None:
-        held = self._held.seats if self._may_speak() else set()
+        held = self._own_seats()
         self.freshness.peers_answered(now, self.roster, held, self._answers.by_seat)
 
+    def _own_seats(self) -> set[SeatId]:
+        return self._held.seats if self._may_speak() else set()
+
     def _step_catch_up(self) -> tuple[Action, ...]:
         reachable = {
             address: heard
@@ -357,7 +378,8 @@
         return self._catch_up.step(self.roster.next_offset, reachable)
 
     def _is_log_silent(self, now: float) -> bool:
-        return now - self.freshness.log_at > LOG_SILENT_S
+        log_at = min(self.freshness.log_at, self.shares.log_at)
+        return now - log_at > LOG_SILENT_S
 
     def _ask_for_confirmations(self, now: float) -> tuple[Action, ...]:
         wanted = self._acceptance.wanted
@@ -378,7 +400,12 @@
         asked = successors_to_ask(self.vm, self._known.addresses())
         return (
             *self._asker.ask(now, asked, every_s=CONFIRM_EVERY_S),
-            *self._held.step(now, self.roster.next_offset, self._answers.by_address),
+            *self._held.step(
+                now,
+                self.roster.next_offset,
+                self._answers.by_address,
+                shares_offset=self.shares.next_offset,
+            ),
         )
 
     def _is_serving(self, now: float, vm: Vm) -> bool:
--- a/packages/fleet/src/wagtailpaddle_fleet/messages.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/messages.py
@@ -104,7 +104,8 @@
 class OffsetAnswer:
     """States what ``vm`` has folded, which seats it speaks for, if it serves.
 
-    ``at`` is the clock of the answering VM, in seconds.
+    ``at`` is the clock of the answering VM, in seconds. ``shares_offset`` is
+    the first record of the ``shares`` stream that it has not folded.
     """
 
     vm: Vm
@@ -112,6 +113,7 @@
     seats: tuple[SeatId, ...]
     fresh: bool
     at: float
+    shares_offset: Offset = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +167,7 @@
     """A VM that stops gives its seats to the VM ``to``.
 
     The sender speaks for them no longer. The receiver refuses unless it has
-    folded as far as the sender had, and unless its own answer of
+    folded both streams as far as the sender had, and unless its own answer of
     ``answered_at`` is recent by its own clock, so that a message that was held
     up on its way brings no seat back.
     """
@@ -174,6 +176,7 @@
     seats: tuple[SeatId, ...]
     next_offset: Offset
     answered_at: float
+    shares_offset: Offset = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/wagtailpaddle_fleet/questions.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/questions.py
@@ -1,6 +1,6 @@
 """Which VMs are asked for their offsets, and why."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from wagtailpaddle_core import Offset, score
 
@@ -63,6 +63,10 @@
             for seat in seats
             if confirmed(seat) <= wanted
         }
+        return self.of_seats(now, lacking)
+
+    def of_seats(self, now: float, lacking: Iterable[SeatId]) -> tuple[Action, ...]:
+        """Ask the holders of some seats."""
         addresses = {self._address_of(seat) for seat in lacking} - {""}
         return self._asker.ask(now, addresses, every_s=CONFIRM_EVERY_S)
 
--- a/packages/fleet/src/wagtailpaddle_fleet/seating.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/seating.py
@@ -21,6 +21,7 @@
     Vm,
 )
 from wagtailpaddle_fleet.roster import Roster
+from wagtailpaddle_fleet.sharesview import SharesView
 
 APPEND_AGAIN_S = 2.0
 JOIN_SPREAD_S = 0.3
@@ -49,6 +50,7 @@
         incarnations: Incarnations,
         answers: Answers,
         confirmed: Callable[[SeatId], int],
+        shares: SharesView,
         rng: Random,
     ):
         self._vm = vm
@@ -57,6 +59,7 @@
         self._incarnations = incarnations
         self._answers = answers
         self._confirmed = confirmed
+        self._shares = shares
         self._rng = rng
         self._n_records = 0
         self._again_at: dict[SeatChange, float] = {}
@@ -204,6 +207,8 @@
             lambda seat: self._has_confirmed(seat) or self._is_void(now, seat)
         ):
             return []
+        if not self._shares.follow(now, change, lambda seat: self._is_void(now, seat)):
+            return []
         return [Settle(change)]
 
     def _rank(self, change: int) -> int:
--- /dev/null
+++ b/packages/fleet/src/wagtailpaddle_fleet/sharesview.py
@@ -0,0 +1,135 @@
+"""What is known of the ``shares`` stream, counted by the seats."""
+
+from collections.abc import Callable, Collection
+
+from wagtailpaddle_core import Offset
+
+from wagtailpaddle_fleet.answers import Answers
+from wagtailpaddle_fleet.freshness import majority_time
+from wagtailpaddle_fleet.messages import SeatId
+from wagtailpaddle_fleet.roster import Roster
+
+NextOffset = Callable[[], Offset]
+"""Returns the first offset of ``shares`` that this VM has not folded."""
+
+
+class SharesView:
+    """Counts how far the seats have folded ``shares``, beside ``config``.
+
+    Seats are registered in the one stream and shares in the other, so a
+    majority counts only together with a place in ``config``: see the proof on
+    the page of the rates. ``next_offset`` is None for a fleet without shares.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        answers: Answers,
+        held: Callable[[], Collection[SeatId]],
+        next_offset: NextOffset | None,
+    ):
+        self.wanted: Offset | None = None
+        self.log_at = float("inf") if next_offset is None else float("-inf")
+        self._roster = roster
+        self._answers = answers
+        self._held = held
+        self._next_offset = next_offset
+        self._counted_from = float("-inf")
+        self._settling: tuple[Offset, float] | None = None
+        self._head: Offset | None = None
+
+    @property
+    def next_offset(self) -> Offset:
+        """The first offset of ``shares`` that this VM has not folded."""
+        return 0 if self._next_offset is None else self._next_offset()
+
+    def on_head(self, sent_at: float, head: Offset) -> None:
+        """The log named the head of ``shares``, asked at ``sent_at``."""
+        if self.next_offset >= head:
+            self.log_at = max(self.log_at, sent_at)
+        if self._settling is None or sent_at < self._settling[1]:
+            return
+        if self._head is None:
+            self._head = head
+
+    def on_seats_changed(self, now: float) -> None:
+        """A set of seats came into force: earlier answers were for another."""
+        self._counted_from = now
+
+    def confirmed_at(self, now: float) -> float:
+        """Return the latest time up to which this VM knew all settled claims.
+
+        An answer counts if its question was sent since the seats are those of
+        now, and if this VM has folded both streams up to the offsets named.
+        """
+        next_offset, shares_offset = self._roster.next_offset, self.next_offset
+        times = dict.fromkeys(self._held(), now)
+        for seat, voice in self._answers.by_seat.items():
+            is_known = (
+                voice.next_offset <= next_offset
+                and voice.shares_offset <= shares_offset
+            )
+            if seat not in times and is_known and voice.sent_at >= self._counted_from:
+                times[seat] = voice.sent_at
+        return min(majority_time(seats, times) for seats in self._roster.majorities())
+
+    def settled_upto(self) -> Offset:
+        """Return up to which offset the required majorities have folded."""
+        return min(self._majority_offset(seats) for seats in self._roster.majorities())
+
+    def follow(
+        self,
+        now: float,
+        change: Offset,
+        is_void: Callable[[SeatId], bool],
+    ) -> bool:
+        """Return whether the seats of ``change`` know the shares of before.
+
+        Called once majorities confirmed ``change``. The head of ``shares`` is
+        then read, and most of the new seats must have folded up to it.
+        """
+        if self._next_offset is None:
+            return True
+        if self._settling is None or self._settling[0] != change:
+            self._settling, self._head = (change, now), None
+        if self._head is None:
+            return False
+        known = [
+            self._offset_of(seat) >= self._head or is_void(seat)
+            for seat in self._roster.seats
+        ]
+        return 2 * sum(known) > len(known)
+
+    def lacking(self) -> set[SeatId]:
+        """Return the seats that have not folded as far as is waited for."""
+        needed = [] if self.wanted is None else [self.wanted + 1]
+        if self._head is not None and self._roster.change is not None:
+            needed.append(self._head)
+        if not needed:
+            return set()
+        return {
+            seat
+            for seats in self._roster.majorities()
+            for seat in seats
+            if self._offset_of(seat) < max(needed)
+        }
+
+    def ahead(self) -> str | None:
+        """Return the address of a VM that has folded more, None if none is."""
+        shares_offset = self.next_offset
+        ahead = [
+            address
+            for address, heard in sorted(self._answers.by_address.items())
+            if heard.answer.shares_offset > shares_offset
+            and address not in self._answers.n_failures
+        ]
+        return ahead[0] if ahead else None
+
+    def _offset_of(self, seat: SeatId) -> Offset:
+        known = self._answers.shares_offset(seat)
+        return max(known, self.next_offset) if seat in self._held() else known
+
+    def _majority_offset(self, seats: Collection[SeatId]) -> Offset:
+        offsets = sorted((self._offset_of(seat) for seat in seats), reverse=True)
+        return offsets[len(offsets) // 2] if offsets else 0
--- a/packages/fleet/tests/test_majorities.py
+++ b/packages/fleet/tests/test_majorities.py
@@ -22,6 +22,7 @@
 from wagtailpaddle_fleet.acceptance import Acceptance
 from wagtailpaddle_fleet.answers import Answers
 from wagtailpaddle_fleet.handover import HeldSeats
+from wagtailpaddle_fleet.sharesview import SharesView
 
 index = st.integers(0, 63)
 masks = st.integers(0, 511)
@@ -36,7 +37,15 @@
         self.held = HeldSeats(self.vm)
         self.freshness = Freshness()
         self.acceptance = Acceptance(self.roster, self.confirmed)
-        self.open_offer = None
+        self.n_shares = 0
+        self.claims = {}
+        self.shares_read_at = -1.0
+        self.shares = SharesView(
+            roster=self.roster,
+            answers=self.answers,
+            held=lambda: self.held.seats,
+            next_offset=lambda: self.n_shares,
+        )
 
     def confirmed(self, seat):
         known = self.answers.confirmed(seat)
@@ -46,7 +55,14 @@
 
     def answer(self, now):
         seats = self.held.spoken_for()
-        return OffsetAnswer(self.vm, self.roster.next_offset, seats, True, now)
+        return OffsetAnswer(
+            self.vm, self.roster.next_offset, seats, True, now, self.n_shares
+        )
+
+    def apply(self, now, offset, record):
+        self.roster.apply(offset, record)
+        if record is not None and isinstance(record.change, Settle):
+            self.shares.on_seats_changed(now)
 
 
 class Majorities(RuleBasedStateMachine):
@@ -57,6 +73,8 @@
         self.members = []
         self.on_the_way = []
         self.accepted = []
+        self.shares_log = []
+        self.settled = []
         self.said = {}
 
     @initialize(n_members=st.integers(2, 4))
@@ -88,7 +106,7 @@
 
     def fold_all(self, member):
         for offset in range(member.roster.next_offset, len(self.log)):
-            member.roster.apply(offset, self.log[offset])
+            member.apply(self.now, offset, self.log[offset])
 
     @rule(number=index)
     def fold_some(self, number):
@@ -96,7 +114,7 @@
         for _ in range(1 + number // 16):
             offset = member.roster.next_offset
             if offset < len(self.log):
-                member.roster.apply(offset, self.log[offset])
+                member.apply(self.now, offset, self.log[offset])
 
     @rule(mask=masks)
     def fold_up(self, mask):
@@ -161,10 +179,62 @@
     def settle(self, number):
         member = self.pick(number)
         change = member.roster.change
-        if change is not None and member.roster.has_majority(
+        if change is None or not member.roster.has_majority(
             lambda seat: member.confirmed(seat) > change
         ):
-            self.append(member, Settle(change))
+            return
+        for _ in range(2):
+            if member.shares.follow(self.now, change, lambda seat: False):
+                self.append(member, Settle(change))
+                return
+            member.shares.on_head(self.now, len(self.shares_log))
+
+    @rule(number=index)
+    def claim(self, number):
+        self.shares_log.append(self.pick(number))
+
+    @rule(mask=masks)
+    def fold_shares(self, mask):
+        for member in self.chosen(mask):
+            self.fold_shares_of(member)
+
+    def fold_shares_of(self, member):
+        for offset in range(member.n_shares, len(self.shares_log)):
+            if self.shares_log[offset] is member:
+                member.claims[offset] = self.now
+        member.n_shares = len(self.shares_log)
+
+    @rule(number=index)
+    def read_logs(self, number):
+        member = self.pick(number)
+        self.fold_all(member)
+        member.freshness.log_answered(self.now, len(self.log), len(self.log))
+
+    @rule(number=index)
+    def read_shares(self, number):
+        member = self.pick(number)
+        self.fold_shares_of(member)
+        member.shares_read_at = self.now
+
+    @rule(number=index, folding=masks, hearing=masks)
+    def claim_and_settle(self, number, folding, hearing):
+        member = self.pick(number)
+        self.claim(number)
+        self.fold_shares_of(member)
+        self.fold_shares(folding)
+        self.hear(number, hearing | folding)
+        self.settle_claims(number)
+
+    @rule(number=index)
+    def settle_claims(self, number):
+        member = self.pick(number)
+        member.freshness.peers_answered(
+            self.now, member.roster, member.held.seats, member.answers.by_seat
+        )
+        for offset, folded_at in member.claims.items():
+            is_fresh = folded_at <= member.freshness.confirmed_at
+            if is_fresh and member.shares.settled_upto() > offset:
+                self.settled.append((self.now, offset))
 
     @rule(number=index)
     def accept(self, number):
@@ -183,11 +253,19 @@
         heard = taker.answer(self.now)
         giver.answers.note(self.now, self.now, taker.vm.peer_address, heard)
         (call,) = giver.held.step(
-            self.now + 1, giver.roster.next_offset, giver.answers.by_address
+            self.now + 1,
+            giver.roster.next_offset,
+            giver.answers.by_address,
+            shares_offset=giver.n_shares,
         ) or (None,)
         if call is not None and isinstance(call.body, HandOverSeats):
             receiver = self.members[int(call.address)]
-            receiver.held.on_offered(self.now, receiver.roster.next_offset, call.body)
+            receiver.held.on_offered(
+                self.now,
+                receiver.roster.next_offset,
+                call.body,
+                shares_offset=receiver.n_shares,
+            )
 
     @rule(number=index)
     def take_seats(self, number):
@@ -204,8 +282,10 @@
     def what_is_said_for_a_seat_never_falls(self):
         for member in self.members:
             for seat in member.held.seats:
-                assert member.roster.next_offset >= self.said.get(seat, 0)
-                self.said[seat] = member.roster.next_offset
+                said = self.said.get(seat, (0, 0))
+                assert member.roster.next_offset >= said[0]
+                assert member.n_shares >= said[1]
+                self.said[seat] = (member.roster.next_offset, member.n_shares)
 
     @invariant()
     def whoever_is_fresh_knows_what_was_accepted(self):
@@ -219,6 +299,14 @@
                 if at < since:
                     assert member.roster.next_offset > offset
 
+    @invariant()
+    def whoever_may_spend_knows_the_settled_claims(self):
+        for member in self.members:
+            since = max(member.shares_read_at, member.shares.confirmed_at(self.now))
+            for at, offset in self.settled:
+                if at < since:
+                    assert member.n_shares > offset
+
 
 Majorities.TestCase.settings = settings(
     max_examples=70, stateful_step_count=70, derandomize=True, deadline=None
--- a/packages/health/src/wagtailpaddle_health/policies.py
+++ b/packages/health/src/wagtailpaddle_health/policies.py
@@ -56,10 +56,6 @@
     def shares(self) -> bool:
         """Whether VMs tell each other their evidence."""
 
-    @property
-    def inquires(self) -> bool:
-        """Whether a single failure starts a sequential test."""
-
     def local(self, case: Case) -> Judgement:
         """Judge a server by this VM's own evidence."""
 
@@ -82,7 +78,6 @@
 
     verifies: bool = False
     shares: bool = False
-    inquires: bool = False
 
     def local(self, case: Case) -> Judgement:
         """Find nothing."""
@@ -100,7 +95,6 @@
 
     verifies: bool = False
     shares: bool = False
-    inquires: bool = False
 
     def local(self, case: Case) -> Judgement:
         """Judge by the streak of own failures."""
@@ -115,7 +109,7 @@
 
 
 class _Scan:
-    compares: bool
+    controlled: bool
 
     def local(self, case: Case) -> Judgement:
         """Judge by own evidence, whoever else saw it."""
@@ -132,7 +126,7 @@
             ],
             threshold=threshold(case.sensitivity),
             channels=_channels(case),
-            compares=self.compares,
+            controlled=self.controlled,
         )
 
     def fleet(self, case: Case) -> Judgement:
@@ -151,30 +145,28 @@
             threshold=threshold(case.sensitivity),
             origins=tuple(case.evidence.origins.values()),
             channels=_channels(case),
-            compares=self.compares,
+            controlled=self.controlled,
         )
 
 
 @POLICIES.register("previous")
 @dataclass(frozen=True, slots=True)
-class VerifyingScan(_Scan):
-    """Tests suspects, but finds them by the windows alone."""
+class PassiveScan(_Scan):
+    """Waits for evidence as traffic brings it."""
 
-    verifies: bool = True
+    verifies: bool = False
     shares: bool = True
-    inquires: bool = False
-    compares: bool = False
+    controlled: bool = False
 
 
 @POLICIES.register("scan")
 @dataclass(frozen=True, slots=True)
-class InquiringScan(_Scan):
-    """Asks for idempotent work from the first failure to an answer."""
+class VerifyingScan(_Scan):
+    """Asks for idempotent work on suspects, so that evidence comes sooner."""
 
     verifies: bool = True
     shares: bool = True
-    inquires: bool = True
-    compares: bool = True
+    controlled: bool = True
 
 
 def _channels(case: Case) -> tuple[int, ...]:
--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -21,22 +21,19 @@
 from wagtailpaddle_once import Replay as ClaimReplay
 from wagtailpaddle_once import SendPeer as OnceCall
 from wagtailpaddle_quota import (
-    AskFolded,
     AskShares,
     Borrow,
     ChangeShares,
-    Folded,
     HandOver,
     Limit,
     QuotaAction,
     QuotaKeeper,
-    SharesState,
 )
 from wagtailpaddle_quota import SendPeer as QuotaCall
 from wagtailpaddle_routing import LeavingNotice
 
 from wagtailpaddle_node.backends import Backends
-from wagtailpaddle_node.calls import Call, Calls, Part
+from wagtailpaddle_node.calls import CALL_TIMEOUT_S, Call, Calls, Part
 from wagtailpaddle_node.follow import ConfigStream, RawLogRecord
 from wagtailpaddle_node.healthpages import HealthPages
 from wagtailpaddle_node.limits import RecentLimits
@@ -67,11 +64,16 @@
         self.vm = vm
         self.backends = backends
         self.fold = ConfigFold(site=site)
-        self.membership = Membership(vm, seed=seed, snapshot_chunk=self._offer_chunk)
+        self.membership = Membership(
+            vm,
+            seed=seed,
+            snapshot_chunk=self._offer_chunk,
+            shares_offset=lambda: self.quota.next_offset,
+        )
         self.stream = ConfigStream(self.fold, self.membership, codec.decode, seed=seed)
         window_s = self.membership.freshness.window_s
         self.quota = QuotaKeeper(vm.id, limits=self.limit_of, freshness_s=window_s)
-        self.shares = ShareStream(self.quota, codec.decode)
+        self.shares = ShareStream(self.quota, self.membership, codec.decode)
         self.state = WholeState(self.stream, self.quota, codec, writer=vm.id)
         self.claims = ClaimKeeper(vm.id, n_partitions=N_CLAIM_PARTITIONS)
         self.calls = Calls()
@@ -146,10 +148,8 @@
                     return None
                 self.backends.health.merge(now, body)
                 return None
-            case Borrow() | HandOver() | AskFolded():
+            case Borrow() | HandOver() | AskShares():
                 return self.quota.on_message(now, sender, body)
-            case AskShares():
-                return SharesState(self.quota.next_offset, self.quota.state())
         reply = self.membership.on_message(now, sender, body)
         if reply is not None:
             return reply
@@ -185,8 +185,7 @@
                 failed = self.membership.on_call_failed(now, call.address, body)
                 return self._fleet(now, failed)
             case Part.QUOTA:
-                if not isinstance(body, AskShares):
-                    self.quota.on_call_failed(now, call.vm, body)
+                self.quota.on_call_failed(now, call.vm, body)
             case Part.ONCE:
                 return self.outcomes(
                     now, self.claims.on_call_failed(now, call.vm, body)
@@ -207,10 +206,12 @@
 
     def tick(self, now: float) -> tuple[ControlAction, ...]:
         """Act on the passing of time; called about 20 times a second."""
-        actions = self._tell_health(now)
+        actions: tuple[ControlAction, ...] = ()
         if now - self._fleet_tick_at >= FLEET_TICK_S:
             self._fleet_tick_at = now
             actions += self._fleet(now, self.membership.tick(now))
+            actions += self._follow_shares(now)
+            actions += self._tell_health(now)
             actions += self.tell_leaving(now)
             actions += self._tell_claims(now)
             actions += self.outcomes(now, self.claims.tick(now))
@@ -348,15 +349,15 @@
     def _quota_reply(
         self, now: float, call: Call, reply: Any
     ) -> tuple[ControlAction, ...]:
-        if isinstance(reply, SharesState):
-            self.quota.load(now, reply.next_offset, reply.entries)
-            return ()
         body: Any = call.body
-        actions = self._quota(now, self.quota.on_reply(now, call.vm, body, reply))
-        if isinstance(reply, Folded) and reply.next_offset > self.quota.next_offset:
-            ask = self.calls.to_vm(now, Part.QUOTA, call.vm, AskShares())
-            actions += (ask,)
-        return actions
+        return self._quota(now, self.quota.on_reply(now, call.vm, body, reply))
+
+    def _follow_shares(self, now: float) -> tuple[ControlAction, ...]:
+        address = self.shares.step(now)
+        if address is None:
+            return ()
+        ask = AskShares(self.quota.next_offset)
+        return (self.calls.to_address(now, Part.QUOTA, address, ask, CALL_TIMEOUT_S),)
 
     def tell_leaving(self, now: float) -> tuple[ControlAction, ...]:
         """Tell the other VMs which servers leave, if there is news.
@@ -389,10 +390,10 @@
         known = self._rosters.for_shares(now)
         if known is None:
             return ()
-        self.quota.on_roster(now, known.vms, known.gone, known.seated or None)
+        self.quota.on_roster(now, known.vms, known.gone)
         self.pages.set_vms(now, known.vms)
         self.backends.marks.retell()
-        return self.backends.set_vms(now, known.vms)
+        return self.backends.set_users(now, max(1, len(known.vms)))
 
     def _tell_claims(self, now: float) -> tuple[ControlAction, ...]:
         actions: tuple[ControlAction, ...] = ()
--- a/packages/node/src/wagtailpaddle_node/rosters.py
+++ b/packages/node/src/wagtailpaddle_node/rosters.py
@@ -14,11 +14,10 @@
 
 @dataclass(frozen=True, slots=True)
 class KnownVms:
-    """The VMs that serve, those proven gone, and those in the seats."""
+    """The VMs that serve, and those proven gone."""
 
     vms: frozenset[VmId]
     gone: frozenset[VmId]
-    seated: tuple[VmId, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,8 +45,7 @@
         vms = frozenset(vm.id for vm in self._membership.vms(now))
         if not self._knows_fleet(now, len(vms)):
             return None
-        seated = tuple(vm.id for vm in self._membership.roster.members)
-        known = KnownVms(vms, self._membership.gone(now), seated)
+        known = KnownVms(vms, self._membership.gone(now))
         if known == self.told:
             return None
         self.told = known
--- a/packages/node/src/wagtailpaddle_node/sharestream.py
+++ b/packages/node/src/wagtailpaddle_node/sharestream.py
@@ -1,14 +1,18 @@
-"""Follows the log's ``shares`` stream."""
+"""Follows the log's ``shares`` stream, by the log itself or by the seats."""
 
 from collections.abc import Callable, Iterable
+from random import Random
 from typing import Any
 
 from wagtailpaddle_core import Offset, VmId
+from wagtailpaddle_fleet import Membership
 from wagtailpaddle_quota import ChangeShares, QuotaKeeper, ShareSnapshot
 
 from wagtailpaddle_node.follow import RawLogRecord
 
 SNAPSHOT_RECORDS = 5000
+LOG_SILENT_S = 0.7
+ASK_SHARES_EVERY_S = 1.0
 
 
 class ShareStream:
@@ -18,9 +22,17 @@
     on, as a change of nothing.
     """
 
-    def __init__(self, quota: QuotaKeeper, decode: Callable[[bytes], Any]):
+    def __init__(
+        self,
+        quota: QuotaKeeper,
+        membership: Membership,
+        decode: Callable[[bytes], Any],
+    ):
         self.n_unreadable = 0
         self._quota = quota
+        self._membership = membership
+        self._rng = Random(str(membership.vm.id))
+        self._ask_at = float("-inf")
         self._decode = decode
         self._first: Offset = 0
         self._head: Offset = 0
@@ -42,6 +54,31 @@
                 self._snapshot_at = max(self._snapshot_at, raw.offset)
             self._quota.on_record(now, raw.offset, record)
         self._quota.confirmed(now, sent_at, head)
+        self._membership.shares.on_head(sent_at, head)
+
+    def step(self, now: float) -> str | None:
+        """Tell the quota keeper what the seats say; called a few times a second.
+
+        While the log does not answer, returns now and then the address of a VM
+        to ask for its state of the shares: one that has folded more, or any,
+        since it may have heard of more hand-overs.
+        """
+        quota, seats = self._quota, self._membership.shares
+        seats.wanted = quota.unsettled
+        if seats.wanted is not None:
+            fresh_at = self._membership.freshness.confirmed_at
+            quota.on_settled(now, fresh_at, seats.settled_upto())
+        quota.log_answers = now - seats.log_at <= LOG_SILENT_S
+        if quota.log_answers:
+            return None
+        quota.confirmed(now, seats.confirmed_at(now), quota.next_offset)
+        if now < self._ask_at:
+            return None
+        self._ask_at = now + ASK_SHARES_EVERY_S
+        others = [vm.peer_address for vm in self._membership.vms(now)]
+        own = self._membership.vm.peer_address
+        others = [address for address in others if address != own]
+        return seats.ahead() or (self._rng.choice(others) if others else None)
 
     def due_snapshot(self) -> tuple[ShareSnapshot, ...]:
         """Return the records that state all shares again, if it is time."""
--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -9,10 +9,9 @@
 from wagtailpaddle_quota.borrowing import Borrower
 from wagtailpaddle_quota.buckets import ShareBuckets
 from wagtailpaddle_quota.messages import (
-    AskFolded,
+    AskShares,
     Borrow,
     Decision,
-    Folded,
     Granted,
     HandOver,
     HandOverTaken,
@@ -26,6 +25,7 @@
     ShareEntry,
     ShareRecord,
     ShareSnapshot,
+    SharesState,
     WaitUntil,
 )
 from wagtailpaddle_quota.shares import Holding, ShareHolder
@@ -43,7 +43,9 @@
     """Holds this VM's shares and decides whether a request may run.
 
     ``limits`` looks an account's limit up, or returns None; no state is kept
-    of idle accounts. ``freshness_s`` is the window of the freshness rule.
+    of idle accounts. ``freshness_s`` is the window of the freshness rule. While
+    ``log_answers`` is False no share moves but at a graceful stop, since one
+    whose hand-over is lost could not be claimed again.
 
     >>> limit = Limit(rate=1.0, burst=4.0)
     >>> keeper = QuotaKeeper(VmId("a"), limits=lambda account: limit)
@@ -65,6 +67,7 @@
             vm, n_groups=n_groups, n_shares=n_shares, freshness_s=freshness_s
         )
         self.leaving = False
+        self.log_answers = True
         self._limits = limits
         self._freshness_s = freshness_s
         self._confirmed_at = float("-inf")
@@ -108,29 +111,35 @@
         now: float,
         vms: Iterable[VmId],
         gone: Iterable[VmId],
-        registered: Iterable[VmId] | None = None,
     ) -> None:
-        """Take in the live VMs, those proven gone, and the registered ones.
-
-        ``registered`` are the VMs counted by the freshness rule (default:
-        ``vms``).
-        """
-        vms = frozenset(vms)
-        counted = vms if registered is None else frozenset(registered)
-        self.shares.on_roster(now, vms, gone, counted)
+        """Take in the live VMs and those proven gone."""
+        self.shares.on_roster(now, vms, gone)
 
     def confirmed(self, now: float, sent_at: float, next_offset: Offset) -> None:
         """Take in a confirmation of the freshness rule.
 
         ``next_offset`` of ``shares`` is the highest that the log, or any of a
-        majority of the registered VMs, named in answer to a question sent at
-        ``sent_at``. It counts only if this VM has folded as far.
+        majority of the seats, named in answer to a question sent at ``sent_at``.
+        It counts only if this VM has folded as far.
         """
         if sent_at < self._stalled_at or not self.shares.fold.complete:
             return
         if self.next_offset >= next_offset:
             self._confirmed_at = max(self._confirmed_at, min(sent_at, now))
 
+    @property
+    def unsettled(self) -> Offset | None:
+        """The last claim that a majority has yet to fold, None if there is none."""
+        return self.shares.unsettled
+
+    def on_settled(self, now: float, fresh_at: float, upto: Offset) -> None:
+        """Take in that majorities of the seats folded ``shares`` up to ``upto``.
+
+        The seats are those of a VM that knew, as of ``fresh_at``, all that was
+        accepted; only claims folded before that are settled.
+        """
+        self.shares.on_settled(now, fresh_at, upto)
+
     def may_spend(self, now: float) -> bool:
         """Return whether this VM would know that a share of its was claimed."""
         return now - self._confirmed_at <= self._freshness_s
@@ -195,9 +204,10 @@
     def tick(self, now: float) -> tuple[QuotaAction, ...]:
         """Act on the passing of time; called about 20 times a second."""
         actions = self.shares.tick(now)
-        misplaced = self.shares.misplaced(now)
-        if misplaced is not None and self.may_spend(now):
-            actions += (self._pass_on(now, *misplaced),)
+        if self.log_answers and self.may_spend(now):
+            misplaced = self.shares.misplaced(now)
+            if misplaced is not None:
+                actions += (self._pass_on(now, *misplaced),)
         actions += self._borrow_all(now)
         self._buckets.sweep(now)
         return actions
@@ -247,8 +257,8 @@
 
     def on_message(self, now: float, sender: VmId, message: QuotaMessage) -> QuotaReply:
         """Answer a peer."""
-        if isinstance(message, AskFolded):
-            return Folded(message.sequence, self.next_offset)
+        if isinstance(message, AskShares):
+            return self._on_ask_shares(message)
         if isinstance(message, HandOver):
             return self._on_hand_over(now, message)
         return self._on_borrow(now, sender, message)
@@ -261,10 +271,11 @@
             borrower = self._borrowers.get(message.account)
             if borrower is not None and math.isfinite(reply.granted):
                 borrower.on_reply(now, vm, reply)
-        elif isinstance(message, AskFolded) and isinstance(reply, Folded):
-            self.shares.on_folded(now, vm, reply)
+        elif isinstance(message, AskShares) and isinstance(reply, SharesState):
+            self.load(now, reply.next_offset, reply.entries)
+            self.shares.on_hints(now, reply.hints)
         elif isinstance(message, HandOver) and isinstance(reply, HandOverTaken):
-            return self.shares.on_hand_over_reply(message, reply)
+            return self.shares.on_hand_over_reply(now, message, reply)
         else:
             self._n_bad_messages += 1
         return ()
@@ -289,7 +300,7 @@
         allowed = frozenset(vms)
         found: list[VmId] = []
         for share in self._buckets.shares_of(account, limit):
-            holder = self.shares.fold.entry(share).holder
+            holder = self.shares.holder_of(share)
             home = (
                 holder if holder in allowed else self.shares.placement.preferred(share)
             )
@@ -326,7 +337,7 @@
 
     def _lenders(self, account: AccountId, limit: Limit) -> list[VmId]:
         holders = {
-            self.shares.fold.entry(share).holder
+            self.shares.holder_of(share)
             for share in self._buckets.shares_of(account, limit)
         }
         return sorted(vm for vm in holders if vm != self.vm and self.shares.live(vm))
@@ -374,7 +385,12 @@
             return 0.0
         return min(borrower.target(now), allowance.tokens(now) / 2)
 
-    # Hand-over
+    # State and hand-over
+
+    def _on_ask_shares(self, message: AskShares) -> SharesState:
+        is_behind = message.next_offset < self.next_offset
+        entries = self.state() if is_behind else ()
+        return SharesState(self.next_offset, entries, tuple(self.shares.hints))
 
     def _pass_on(self, now: float, holding: Holding, receiver: VmId) -> QuotaAction:
         states, idle_s = self._buckets.pop(now, holding)
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -147,35 +147,40 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskFolded:
-    """Ask how far the receiver has folded the ``shares`` stream."""
+class ShareHint:
+    """``holder`` took a share over directly, ``hop`` times after its record."""
 
-    sequence: int
+    share: ShareId
+    holder: VmId
+    revision: Offset
+    hop: int
 
 
 @dataclass(frozen=True, slots=True)
-class Folded:
-    """Answer to ``AskFolded``: every record before ``next_offset`` is folded."""
-
-    sequence: int
-    next_offset: Offset
+class AskShares:
+    """Ask for the holders of shares, when the log does not answer.
 
+    ``next_offset`` is how far the sender has folded the ``shares`` stream.
+    """
 
-@dataclass(frozen=True, slots=True)
-class AskShares:
-    """Ask for the holders of all shares, when the log does not answer."""
+    next_offset: Offset = 0
 
 
 @dataclass(frozen=True, slots=True)
 class SharesState:
-    """Answer to ``AskShares``: the state after all records before an offset."""
+    """Answer to ``AskShares``: the state after all records before an offset.
+
+    ``entries`` is empty for a sender that has folded as far; ``hints`` are the
+    shares that were handed over since.
+    """
 
     next_offset: Offset
     entries: tuple[ShareEntry, ...]
+    hints: tuple[ShareHint, ...] = ()
 
 
-QuotaMessage = Borrow | HandOver | AskFolded
-QuotaReply = Lent | HandOverTaken | Folded
+QuotaMessage = Borrow | HandOver | AskShares
+QuotaReply = Lent | HandOverTaken | SharesState
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/quota/src/wagtailpaddle_quota/shares.py
+++ b/packages/quota/src/wagtailpaddle_quota/shares.py
@@ -8,18 +8,18 @@
 from wagtailpaddle_quota.allowance import LENDER_TERM_S
 from wagtailpaddle_quota.fold import ShareFold
 from wagtailpaddle_quota.handover import HandOvers
+from wagtailpaddle_quota.hints import HolderHints
 from wagtailpaddle_quota.messages import (
     AppendRecord,
-    AskFolded,
     BucketState,
     ChangeShares,
-    Folded,
     HandOver,
     HandOverTaken,
     QuotaAction,
     SendPeer,
     ShareChange,
     ShareEntry,
+    ShareHint,
     ShareId,
     ShareRecord,
 )
@@ -27,7 +27,6 @@
 
 STREAM = "shares"
 CLOCK_DRIFT = 1.05
-SETTLE_INTERVAL_S = 0.5
 APPEND_TIMEOUT_S = 5.0
 PATIENCE_S = 5.0
 """How long a vacant share is left to each better placed VM."""
@@ -42,9 +41,9 @@
     """A share that this VM holds.
 
     ``revision`` is the offset of the last record of the share that the holder
-    knew. ``ready_at`` is None until a majority has folded the claim, then the
-    time from which the share fills. A share taken over directly is not
-    ``recorded`` until its record stands in the log.
+    knew, folded at ``claimed_at``. ``ready_at`` is None until a majority has
+    folded the claim, then the time from which the share fills. A share taken
+    over directly is not ``recorded`` until its record stands in the log.
     """
 
     share: ShareId
@@ -53,6 +52,7 @@
     recorded: bool
     ready_at: float | None
     filling_since: float = 0.0
+    claimed_at: float = 0.0
 
     def ready(self, now: float) -> bool:
         """Return whether the share may be spent, as far as time goes."""
@@ -75,6 +75,7 @@
         self.fold = ShareFold(n_groups=n_groups, n_shares=n_shares)
         self.holdings: dict[ShareId, Holding] = {}
         self.hand_overs = HandOvers(vm)
+        self.hints = HolderHints()
         self.placement = Placement(n_shares=n_shares)
         self.vacant: dict[ShareId, float] = {}
         self.leaving = False
@@ -82,11 +83,8 @@
         self._freshness_s = freshness_s
         self._vms: frozenset[VmId] = frozenset()
         self._gone: frozenset[VmId] = frozenset()
-        self._registered: frozenset[VmId] = frozenset()
-        self._folded: dict[VmId, Offset] = {}
         self._pending: dict[str, _Pending] = {}
         self._n_records = 0
-        self._settle_at = float("-inf")
         self._rebalance_at = float("-inf")
 
     @property
@@ -101,7 +99,18 @@
     def n_stranded(self) -> int:
         """Count shares whose holder is neither live nor proven gone."""
         known = self._vms | self._gone | {VmId("")}
-        return sum(entry.holder not in known for entry in self.fold.entries.values())
+        return sum(self.holder_of(share) not in known for share in self.fold.entries)
+
+    def holder_of(self, share: ShareId) -> VmId:
+        """Return who holds ``share`` as far as known; empty for nobody."""
+        return self.hints.holder(self.fold.entry(share))
+
+    def on_hints(self, now: float, hints: Iterable[ShareHint]) -> None:
+        """Take in which shares were handed over directly."""
+        for hint in hints:
+            entry = self.fold.entry(hint.share)
+            if hint.revision >= entry.revision and self.hints.learn(hint):
+                self._note_vacancy(now, entry)
 
     # Events
 
@@ -124,29 +133,36 @@
         now: float,
         vms: Iterable[VmId],
         gone: Iterable[VmId],
-        registered: Iterable[VmId],
     ) -> None:
-        """Take in the live VMs, those proven gone, and the registered ones."""
-        known = (frozenset(vms), frozenset(gone), frozenset(registered))
-        if known == (self._vms, self._gone, self._registered):
+        """Take in the live VMs and those proven gone."""
+        known = (frozenset(vms), frozenset(gone))
+        if known == (self._vms, self._gone):
             return
-        self._vms, self._gone, self._registered = known
+        self._vms, self._gone = known
         self.placement.set_vms(self._vms - self._gone)
-        self._folded = {
-            vm: offset for vm, offset in self._folded.items() if vm in self._registered
-        }
+        self.hand_overs.forget_receivers(self._gone)
         if not self._vms:
             return
         for group in range(self.fold.n_groups):
             for index in range(self.fold.n_shares):
                 self._note_vacancy(now, self.fold.entry(ShareId(group, index)))
-        self.hand_overs.forget_receivers(self._gone)
 
-    def on_folded(self, now: float, vm: VmId, reply: Folded) -> None:
-        """Take in how far ``vm`` has folded."""
-        if vm in self._registered:
-            self._folded[vm] = max(self._folded.get(vm, 0), reply.next_offset)
-            self._settle(now)
+    @property
+    def unsettled(self) -> Offset | None:
+        """The last claim that a majority has yet to fold, None if there is none."""
+        waiting = [h.revision for h in self.holdings.values() if h.ready_at is None]
+        return max(waiting, default=None)
+
+    def on_settled(self, now: float, fresh_at: float, upto: Offset) -> None:
+        """Make the shares ready whose claim a majority has folded."""
+        for share, holding in self.holdings.items():
+            is_known = holding.revision < upto and holding.claimed_at <= fresh_at
+            if holding.ready_at is not None or not is_known:
+                continue
+            ready_at = now + CLOCK_DRIFT * self._freshness_s + LENDER_TERM_S
+            self.holdings[share] = replace(
+                holding, ready_at=ready_at, filling_since=ready_at
+            )
 
     def on_append_failed(self, record_id: str) -> None:
         """Forget an append; what is still wanted is appended again."""
@@ -169,6 +185,7 @@
             ready_at=now,
             filling_since=now - max(0.0, message.idle_s),
         )
+        self.on_hints(now, (_hint(message),))
         return True
 
     def pass_on(
@@ -191,10 +208,13 @@
         return self.hand_overs.send(message)
 
     def on_hand_over_reply(
-        self, message: HandOver, reply: HandOverTaken
+        self, now: float, message: HandOver, reply: HandOverTaken
     ) -> tuple[QuotaAction, ...]:
         """End a hand-over, or pass the share on to another VM if declined."""
-        if not self.hand_overs.end(message) or reply.taken:
+        if not self.hand_overs.end(message):
+            return ()
+        if reply.taken:
+            self.on_hints(now, (_hint(message),))
             return ()
         receiver = self.placement.receiver(message.share, {message.receiver, self.vm})
         if receiver is None:
@@ -214,7 +234,7 @@
         """Claim, ask for settling, and send hand-overs again."""
         self._expire_pending(now)
         claims = self._releases(now) if self.leaving else self._claims(now)
-        return claims + self._ask_folded(now) + self.hand_overs.resend(now)
+        return claims + self.hand_overs.resend(now)
 
     def misplaced(self, now: float) -> tuple[Holding, VmId] | None:
         """Return a holding that another live VM should have, now and then."""
@@ -234,12 +254,11 @@
         self, now: float, changed: tuple[ShareEntry, ...], in_order: bool
     ) -> None:
         for entry in changed:
+            self.hints.on_entry(entry)
+            self._on_entry(now, entry, in_order)
             self._note_vacancy(now, entry)
-            self._on_entry(entry, in_order)
-        if changed:
-            self._settle(now)
 
-    def _on_entry(self, entry: ShareEntry, in_order: bool) -> None:
+    def _on_entry(self, now: float, entry: ShareEntry, in_order: bool) -> None:
         """Give up or take up a share.
 
         A state taken ``in_order`` shows every change. Otherwise another holder
@@ -263,41 +282,25 @@
                 hop=0,
                 recorded=True,
                 ready_at=None,
+                claimed_at=now,
             )
 
     def _note_vacancy(self, now: float, entry: ShareEntry) -> None:
-        if entry.holder == "" or entry.holder in self._gone:
+        holder = self.hints.holder(entry)
+        if holder == "" or holder in self._gone or self._is_lost(entry):
             self.vacant.setdefault(entry.share, now)
         else:
             self.vacant.pop(entry.share, None)
 
-    def _settle(self, now: float) -> None:
-        """Make the shares ready whose claim a majority has folded."""
-        for share, holding in self.holdings.items():
-            if holding.ready_at is not None or not self._majority(holding.revision):
-                continue
-            ready_at = now + CLOCK_DRIFT * self._freshness_s + LENDER_TERM_S
-            self.holdings[share] = replace(
-                holding, ready_at=ready_at, filling_since=ready_at
-            )
-
-    def _majority(self, revision: Offset) -> bool:
-        confirmed = {vm for vm, at in self._folded.items() if at > revision}
-        confirmed.add(self.vm)
-        return 2 * len(confirmed & self._registered) > len(self._registered)
+    def _is_lost(self, entry: ShareEntry) -> bool:
+        """Return whether this VM gave a share to one that is gone since.
 
-    def _ask_folded(self, now: float) -> tuple[QuotaAction, ...]:
-        waiting = [h.revision for h in self.holdings.values() if h.ready_at is None]
-        if not waiting or now < self._settle_at:
-            return ()
-        self._settle_at = now + SETTLE_INTERVAL_S
-        self._settle(now)
-        needed = max(waiting)
-        return tuple(
-            SendPeer(vm, AskFolded(needed))
-            for vm in sorted(self._registered - {self.vm})
-            if self._folded.get(vm, 0) <= needed
-        )
+        The record still names this VM, so nobody else will claim the share.
+        """
+        if self.holder_of(entry.share) != self.vm:
+            return False
+        kept = (self.holdings, self.hand_overs.outgoing)
+        return not any(entry.share in shares for shares in kept)
 
     def _claims(self, now: float) -> tuple[QuotaAction, ...]:
         if not self.fold.complete or self.vm not in self._vms - self._gone:
@@ -325,6 +328,8 @@
         return tuple(action for share in unready for action in self.drop(now, share))
 
     def _my_turn(self, now: float, share: ShareId) -> bool:
+        if self.holder_of(share) == self.vm:
+            return True
         waited_s = now - self.vacant[share]
         if waited_s < PATIENCE_S:
             return self.placement.preferred(share) == self.vm
@@ -354,3 +359,7 @@
             return False
         holding = self.holdings.get(share)
         return holding is None or holding.revision < message.revision
+
+
+def _hint(message: HandOver) -> ShareHint:
+    return ShareHint(message.share, message.receiver, message.revision, message.hop)
--- a/packages/quota/tests/conftest.py
+++ b/packages/quota/tests/conftest.py
@@ -2,8 +2,6 @@
 from wagtailpaddle_core import AccountId, VmId
 from wagtailpaddle_quota import (
     AppendRecord,
-    AskFolded,
-    Folded,
     Limit,
     QuotaKeeper,
 )
@@ -27,8 +25,7 @@
             for action in keeper.tick(0.0):
                 if isinstance(action, AppendRecord):
                     keeper.on_record(0.0, keeper.next_offset, action.record)
-            for peer in vms:
-                keeper.on_reply(0.0, peer, AskFolded(0), Folded(0, 1))
+            keeper.on_settled(0.0, 0.0, keeper.next_offset)
             keeper.confirmed(100.0, 100.0, keeper.next_offset)
         return keeper
 
--- a/packages/quota/tests/test_keeper.py
+++ b/packages/quota/tests/test_keeper.py
@@ -1,8 +1,10 @@
 from dataclasses import replace
 
 import pytest
-from wagtailpaddle_core import AccountId
+from wagtailpaddle_core import AccountId, VmId
 from wagtailpaddle_quota import (
+    AppendRecord,
+    AskShares,
     Borrow,
     ChangeShares,
     Granted,
@@ -12,7 +14,9 @@
     Refused,
     SendPeer,
     ShareChange,
+    ShareHint,
     ShareId,
+    SharesState,
     WaitUntil,
 )
 from wagtailpaddle_quota.allowance import Allowance
@@ -73,12 +77,13 @@
     if not actions:
         actions = [a for a in keeper.tick(40.0) if not isinstance(a, SendPeer)]
     keeper.on_record(40.0, 0, actions[0].record)
-    asks = [a for a in keeper.tick(41.0) if isinstance(a, SendPeer)]
-    assert {ask.vm for ask in asks} == {"b", "c"}
-    assert keeper.status(60.0).n_waiting == 1
-    keeper.on_reply(
-        60.0, "b", asks[0].message, keeper.on_message(0, "a", asks[0].message)
-    )
+    assert keeper.unsettled == 0
+    keeper.on_settled(60.0, 59.0, 0)
+    assert keeper.unsettled == 0
+    keeper.on_settled(60.0, 39.9, 1)
+    assert keeper.unsettled == 0
+    keeper.on_settled(60.0, 40.0, 1)
+    assert keeper.unsettled is None
     assert keeper.status(60.0).n_waiting == 1
     keeper.confirmed(64.0, 64.0, 1)
     assert drain(keeper, 64.0) == 0
@@ -194,3 +199,38 @@
     assert not keeper.take(100.0, ACCOUNT, 100.0).cut_off
     keeper.on_call_failed(100.5, holder, sent.message)
     assert keeper.take(100.5, ACCOUNT, 100.5).cut_off
+
+
+def test_share_given_to_a_vm_that_is_gone_since_is_claimed_again(make_keeper):
+    """Seed 2 of the log outages lost a share to a VM that ended meanwhile."""
+    keeper = make_keeper("a", vms=("a", "b"))
+    other = "b"
+    if not keeper.shares.holdings:
+        keeper, other = make_keeper("b", vms=("a", "b")), "a"
+    (holding,) = keeper.shares.holdings.values()
+    keeper.shares.pass_on(holding, other, (), 0.0)
+    assert not [a for a in keeper.tick(101.0) if isinstance(a, AppendRecord)]
+    keeper.on_roster(102.0, (keeper.vm,), (other,))
+    (append,) = [a for a in keeper.tick(102.0) if isinstance(a, AppendRecord)]
+    (change,) = append.record.changes
+    assert (change.share, change.holder) == (holding.share, keeper.vm)
+    keeper.on_record(102.0, keeper.next_offset, append.record)
+    assert keeper.status(102.0).n_waiting == 1
+
+
+def test_holder_after_direct_hand_overs_is_known_from_hints(make_keeper):
+    keeper = make_keeper("a", vms=("a", "b", "c"), ready=False)
+    claim = ChangeShares("r", "b", (ShareChange(ShareId(0, 0), -1, VmId("b")),))
+    keeper.on_record(0.0, 0, claim)
+    second = ShareHint(ShareId(0, 0), VmId("c"), 0, 2)
+    hints = (second, ShareHint(ShareId(0, 0), VmId("d"), 0, 1))
+    state = SharesState(1, (), hints)
+    keeper.on_roster(1.0, ("a", "c"), ("b",))
+    assert keeper.status(1.0).n_vacant == 1
+    keeper.on_reply(1.0, VmId("c"), AskShares(1), state)
+    assert keeper.homes(ACCOUNT, ("a", "b", "c")) == ("c",)
+    assert keeper.status(1.0).n_vacant == 0
+    reply = keeper.on_message(1.0, VmId("d"), AskShares(1))
+    assert reply == SharesState(1, (), (second,))
+    keeper.on_roster(2.0, ("a",), ("b", "c"))
+    assert keeper.status(2.0).n_vacant == 1
--- a/packages/standins/src/wagtailpaddle_standins/fakes/quota_fleet.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/quota_fleet.py
@@ -296,7 +296,6 @@
             sent_at,
             self.listed - instance.gone,
             instance.gone,
-            self.registered.values(),
         )
         self._later(instance, CONFIRM_S, self._confirm)
 
@@ -320,10 +319,12 @@
     def _check_poll(self, instance: Instance, sent_at: float) -> None:
         heard = instance.polls.get(sent_at, {})
         seats = set(self.registered.values())
-        counted = [offset for vm, offset in heard.items() if vm in seats]
-        if 2 * len(counted) > len(seats):
+        counted = sorted((at for vm, at in heard.items() if vm in seats), reverse=True)
+        n_needed = len(seats) // 2 + 1
+        if len(counted) >= n_needed:
             now = self._clock(instance)
             instance.keeper.confirmed(now, sent_at, max(heard.values()))
+            instance.keeper.on_settled(now, sent_at, counted[n_needed - 1])
 
     def _read_log(self, instance: Instance) -> None:
         place = instance.process.place
--- a/packages/standins/src/wagtailpaddle_standins/peer_cost.py
+++ b/packages/standins/src/wagtailpaddle_standins/peer_cost.py
@@ -12,9 +12,9 @@
 from typing import Any
 
 from wagtailpaddle_core import ServerId, ServiceId, VmId
+from wagtailpaddle_fleet import RecordsAnswer, RecordsQuery
 from wagtailpaddle_health import HealthDigest, ServerDigest
 from wagtailpaddle_peer import PeerClient, PeerServer, Security
-from wagtailpaddle_quota import AskFolded, Folded
 
 HOST = "127.0.0.1"
 N_WARM_UP = 50
@@ -122,7 +122,7 @@
 
 async def report(n_calls: int) -> None:
     """Print a line for each kind and size of message."""
-    cost = await measure(AskFolded(1), Folded(1, 2), n_calls)
+    cost = await measure(RecordsQuery(1), RecordsAnswer(1, 2, ()), n_calls)
     _print("question of an offset", cost)
     for n_servers in LINES:
         cost = await measure(digest(n_servers), None, n_calls)
--- a/packages/standins/src/wagtailpaddle_standins/soak/__main__.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/__main__.py
@@ -10,7 +10,7 @@
 from wagtailpaddle_core import AccountId
 
 from wagtailpaddle_standins.fakes.fabric import Disorder
-from wagtailpaddle_standins.soak.disorder import FAULTS
+from wagtailpaddle_standins.soak.disorder import FAULTS, set_platform
 from wagtailpaddle_standins.soak.world import ACCOUNTS, World
 
 WARM_UP_S = 15.0
@@ -30,11 +30,11 @@
     return world, calm(world) + world.audit.conclude()
 
 
-def step(world: World) -> None:
+def step(world: World, *, fault_rate: float = FAULT_RATE) -> None:
     """Let one second pass, with requests and perhaps faults in it."""
     random = world.random
     begin = world.fabric.now
-    while random.random() < FAULT_RATE:
+    while random.random() < fault_rate:
         fault = FAULTS[random.choice(FAULTS.names())]
         world.fabric.at(begin + random.uniform(0.0, STEP_S), partial(fault, world))
     for name in ACCOUNTS:
@@ -71,7 +71,7 @@
 
 def calm(world: World) -> list[str]:
     """End every fault, wait, and return what did not recover."""
-    world.platform.is_up = True
+    set_platform(world, is_up=True)
     world.platform.lost = 0.0
     world.fabric.cuts.clear()
     world.fabric.disorder = Disorder()
--- a/packages/standins/src/wagtailpaddle_standins/soak/disorder.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/disorder.py
@@ -31,6 +31,12 @@
     world.fabric.at(world.fabric.now + delay_s, start)
 
 
+def set_platform(world: World, *, is_up: bool) -> None:
+    """Take the log and the list of VMs away, or bring both back."""
+    world.platform.is_up = is_up
+    world.platform.list_is_up = is_up
+
+
 @FAULTS.register("kill")
 def kill(world: World) -> None:
     """Kill a daemon; another one takes its place after a while."""
@@ -84,9 +90,9 @@
 @FAULTS.register("log outage")
 def log_outage(world: World) -> None:
     """Take the log and the list of VMs away for a while."""
-    world.platform.is_up = False
+    set_platform(world, is_up=False)
     back_at = world.fabric.now + world.random.choice((2.0, 10.0, 40.0))
-    world.fabric.at(back_at, lambda: setattr(world.platform, "is_up", True))
+    world.fabric.at(back_at, lambda: set_platform(world, is_up=True))
 
 
 @FAULTS.register("lost answers")
--- a/packages/standins/src/wagtailpaddle_standins/soak/platform.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/platform.py
@@ -28,13 +28,17 @@
 
 @dataclass(slots=True)
 class Platform:
-    """Everything that VMs share and that is not theirs."""
+    """Everything that VMs share and that is not theirs.
+
+    ``is_up`` says whether the log answers, ``list_is_up`` the list of VMs.
+    """
 
     random: Random
     streams: dict[str, FakeLog] = field(
         default_factory=lambda: {name: FakeLog() for name in STREAMS}
     )
     is_up: bool = True
+    list_is_up: bool = True
     lost: float = 0.0
     listed: dict[str, ListedVm] = field(default_factory=dict)
 
--- a/packages/standins/src/wagtailpaddle_standins/soak/world.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/world.py
@@ -1,6 +1,7 @@
 """Several nodes, the platform, backend servers and callers in one process."""
 
 import json
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
@@ -92,6 +93,7 @@
         self.n_records = 0
         self.n_committed = 0
         self._seed = seed
+        self.tick_s = TICK_S
         self._codec = LogCodec()
         self.places = [f"10.0.0.{index + 1}:7000" for index in range(n_vms)]
         self.commit(PublishBase(self.document()))
@@ -167,9 +169,9 @@
         host = self.hosts[place] = Host(process, node)
         self.platform.list_vm(vm)
         self._watch_grants(host)
-        self._every(host, TICK_S, lambda: self._tick(host))
-        self._every(host, LOG_POLL_S, lambda: self._poll(host))
-        self._every(host, LIST_POLL_S, lambda: self._list(host))
+        self._every(host, lambda: self.tick_s, lambda: self._tick(host))
+        self._every(host, lambda: LOG_POLL_S, lambda: self._poll(host))
+        self._every(host, lambda: LIST_POLL_S, lambda: self._list(host))
         return host
 
     def kill(self, place: str) -> None:
@@ -244,7 +246,7 @@
         self._later(host, LOG_DELAY_S, arrive)
 
     def _list(self, host: Host) -> None:
-        if not self.platform.is_up:
+        if not self.platform.list_is_up:
             return
         entries = tuple(self.platform.listed.values())
         now = self.fabric.clock(host.process)
@@ -389,12 +391,12 @@
     def _later(self, host: Host, delay_s: float, run: Any) -> None:
         self.fabric.on(host.process, self.fabric.now + delay_s, run)
 
-    def _every(self, host: Host, interval_s: float, run: Any) -> None:
+    def _every(self, host: Host, interval_s: Callable[[], float], run: Any) -> None:
         def step() -> None:
             run()
-            self._later(host, interval_s, step)
+            self._later(host, interval_s(), step)
 
-        self._later(host, self.random.uniform(0.0, interval_s), step)
+        self._later(host, self.random.uniform(0.0, interval_s()), step)
 
     def result_of(self, record_id: str) -> Applied | None:
         """Return what some node that has folded it says of a record."""
