Restore the inquiries of health and the users of servers

Cause: the commit before was made over a tree from before the last merges of health and routing, and so took their changes out again: 20 files of health, routing, node and the measures. This puts back every one of them, as a merge of the same two trees gives it; nothing else differs.

--- a/packages/health/src/wagtailpaddle_health/admission.py
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -8,6 +8,7 @@
 from wagtailpaddle_core import ServerId
 
 from wagtailpaddle_health.evidence import Evidence, Mark
+from wagtailpaddle_health.inquiry import Inquiry
 from wagtailpaddle_health.messages import ServerState
 from wagtailpaddle_health.scan import NOTHING, Judgement
 
@@ -60,7 +61,8 @@
     ``severity`` ranks ejected servers, ``n_ejections`` sets the next ejection's
     length and is forgiven over time. ``kept`` says that the floor alone keeps
     the server working; ``cold`` that it is new and may be slow at first.
-    ``spread_s`` is how long the VMs take to begin testing it as a suspect.
+    ``spread_s`` is how long the VMs take to begin testing it as a suspect,
+    ``verifying`` whether this VM was last told to.
     ``hinted_at`` is when a probe last made it suspect. ``pooled`` is this VM's
     judgement of all evidence told to it, ``fleet`` what the watchers agree on.
     ``marks`` holds the evidence on the other servers when the present doubt
@@ -79,11 +81,13 @@
     reason: str = ""
     kept: bool = False
     spread_s: float = 0.0
+    verifying: bool = False
     hinted_at: float = float("-inf")
     cold: bool = False
     local: Judgement = NOTHING
     fleet: Judgement = NOTHING
     pooled: Judgement = NOTHING
+    inquiry: Inquiry = field(default_factory=Inquiry)
     marks: dict[ServerId, Mark] | None = None
     admission: Admission = field(init=False)
 
--- a/packages/health/src/wagtailpaddle_health/policies.py
+++ b/packages/health/src/wagtailpaddle_health/policies.py
@@ -56,6 +56,10 @@
     def shares(self) -> bool:
         """Whether VMs tell each other their evidence."""
 
+    @property
+    def inquires(self) -> bool:
+        """Whether a single failure starts a sequential test."""
+
     def local(self, case: Case) -> Judgement:
         """Judge a server by this VM's own evidence."""
 
@@ -78,6 +82,7 @@
 
     verifies: bool = False
     shares: bool = False
+    inquires: bool = False
 
     def local(self, case: Case) -> Judgement:
         """Find nothing."""
@@ -95,6 +100,7 @@
 
     verifies: bool = False
     shares: bool = False
+    inquires: bool = False
 
     def local(self, case: Case) -> Judgement:
         """Judge by the streak of own failures."""
@@ -109,7 +115,7 @@
 
 
 class _Scan:
-    controlled: bool
+    compares: bool
 
     def local(self, case: Case) -> Judgement:
         """Judge by own evidence, whoever else saw it."""
@@ -126,7 +132,7 @@
             ],
             threshold=threshold(case.sensitivity),
             channels=_channels(case),
-            controlled=self.controlled,
+            compares=self.compares,
         )
 
     def fleet(self, case: Case) -> Judgement:
@@ -145,28 +151,30 @@
             threshold=threshold(case.sensitivity),
             origins=tuple(case.evidence.origins.values()),
             channels=_channels(case),
-            controlled=self.controlled,
+            compares=self.compares,
         )
 
 
 @POLICIES.register("previous")
 @dataclass(frozen=True, slots=True)
-class PassiveScan(_Scan):
-    """Waits for evidence as traffic brings it."""
+class VerifyingScan(_Scan):
+    """Tests suspects, but finds them by the windows alone."""
 
-    verifies: bool = False
+    verifies: bool = True
     shares: bool = True
-    controlled: bool = False
+    inquires: bool = False
+    compares: bool = False
 
 
 @POLICIES.register("scan")
 @dataclass(frozen=True, slots=True)
-class VerifyingScan(_Scan):
-    """Asks for idempotent work on suspects, so that evidence comes sooner."""
+class InquiringScan(_Scan):
+    """Asks for idempotent work from the first failure to an answer."""
 
     verifies: bool = True
     shares: bool = True
-    controlled: bool = True
+    inquires: bool = True
+    compares: bool = True
 
 
 def _channels(case: Case) -> tuple[int, ...]:
--- a/packages/health/src/wagtailpaddle_health/poolbook.py
+++ b/packages/health/src/wagtailpaddle_health/poolbook.py
@@ -18,6 +18,7 @@
     opinion_of,
     valid_opinions,
 )
+from wagtailpaddle_health.inquiry import OTHER_LIFE_S, WATCHER_LIFE_S, Inquiry
 from wagtailpaddle_health.latency import LatencyLimit
 from wagtailpaddle_health.messages import (
     HealthDigest,
@@ -32,7 +33,7 @@
 )
 from wagtailpaddle_health.policies import Case, Other, Policy
 from wagtailpaddle_health.roster import Roster
-from wagtailpaddle_health.scan import NOTHING
+from wagtailpaddle_health.scan import FAILURE, NOTHING, long_term_rate
 from wagtailpaddle_health.standing import (
     health,
     restricted,
@@ -211,6 +212,7 @@
         if not counts:
             return
         evidence.add_own(now, self.vm, counts)
+        self._inquire(now, track, counts)
         if self._policy.shares:
             pending = self._pending.setdefault(track.server, Pending())
             pending.add(counts, observation.latency_s)
@@ -227,6 +229,7 @@
                 continue
             track = self._roster.track(line.server)
             track.evidence.add_other(now, digest.vm, counts)
+            self._inquire(now, track, counts)
             self.last_evidence_at = now
             is_bad = counts.n_failure + counts.n_slow > 0
             if is_bad or line.server in self._roster.watched:
@@ -253,6 +256,9 @@
         track.local = self._policy.local(case)
         is_watcher = bool(self._exchange.audience(now))
         track.pooled = self._policy.fleet(case) if is_watcher else NOTHING
+        inquiry = self._inquired(now, track, case.others)
+        if inquiry > track.pooled.suspicion:
+            track.pooled = replace(track.pooled, suspicion=inquiry)
         track.fleet = self._exchange.verdict(now, track.server, track.pooled)
         return self._act(now, track)
 
@@ -271,6 +277,19 @@
             cold=track.cold,
         )
 
+    def _inquire(self, now: float, track: Track, counts: Counts) -> None:
+        if self._policy.inquires and not track.is_out:
+            track.inquiry.add(now, counts)
+
+    def _inquired(self, now: float, track: Track, others: tuple[Other, ...]) -> float:
+        if not track.inquiry.is_active:
+            return 0.0
+        windows = (other.evidence.pooled for other in others)
+        usual = long_term_rate(int(now), windows, FAILURE)
+        is_watcher = bool(self._exchange.audience(now))
+        life_s = WATCHER_LIFE_S if is_watcher else OTHER_LIFE_S
+        return track.inquiry.suspicion(now, usual, life_s)
+
     def _other(self, track: Track, other: Track) -> Other:
         mark = None
         if track.marks is not None:
@@ -295,7 +314,9 @@
         if track.state is ServerState.HEALTHY and suspicion >= SUSPECT_SHARE:
             track.admission.doubt()
             track.spread_s = verify_spread_s(self._own_rate(now))
-            reason = track.local.reason or track.fleet.reason or "probe"
+            reason = track.local.reason or track.fleet.reason
+            if not reason:
+                reason = "probe" if track.hinted(now) else "failures"
             self._roster.enter(now, track, reason)
             return True
         if track.state is not ServerState.SUSPECT:
@@ -330,13 +351,14 @@
             self._roster.enter(now, track, "")
             return True
         if now < track.judged_at + JUDGE_INTERVAL_S:
-            return False
+            return track.verifying != self._verifies(now, track)
         return self._judge(now, track) or state in RECOVERING
 
     def _begin_probation(self, now: float, track: Track) -> None:
         track.admission.test()
         track.evidence.forget()
         track.fleet = track.local = track.pooled = NOTHING
+        track.inquiry = Inquiry()
         self._exchange.forget(track.server)
         self._roster.enter(now, track, track.reason)
 
@@ -356,11 +378,18 @@
         track = self._roster.watched.get(server)
         if track is None:
             return ServerHealth(server, ServerState.HEALTHY, 1.0, load=load)
-        verify = self._policy.verifies and wants_verification(now, track, self.vm)
+        track.verifying = self._verifies(now, track)
         return health(
-            now, track, idempotent_only=idempotent_only, verify=verify, load=load
+            now,
+            track,
+            idempotent_only=idempotent_only,
+            verify=track.verifying,
+            load=load,
         )
 
+    def _verifies(self, now: float, track: Track) -> bool:
+        return self._policy.verifies and wants_verification(now, track, self.vm)
+
     def _held(self, now: float) -> list[Opinion]:
         held = []
         for server, track in self._roster.watched.items():
--- a/packages/health/src/wagtailpaddle_health/scan.py
+++ b/packages/health/src/wagtailpaddle_health/scan.py
@@ -22,6 +22,7 @@
 MAX_RATE = 0.95
 CORROBORATION = 2.5
 LEAST_SHARE = 0.08
+INCIDENT_NATS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +115,12 @@
     return n_attempts, n_bad
 
 
+def long_term_rate(second: int, windows: Iterable[Window], channel: int) -> float:
+    """Return the rate of bad attempts over whole windows, the floor at least."""
+    n, k = summed((window.total(second) for window in windows), channel)
+    return max(FLOOR_RATES[channel], (k + 0.5) / (n + 1))
+
+
 def usual_rate(
     second: int, others: Sequence[Reference], length_s: int, channel: int
 ) -> float:
@@ -123,8 +130,7 @@
     the higher of the two counts, so that an incident of the whole service
     raises the bar.
     """
-    n_long, k_long = summed((other.window.total(second) for other in others), channel)
-    long_rate = max(FLOOR_RATES[channel], (k_long + 0.5) / (n_long + 1))
+    long_rate = long_term_rate(second, (other.window for other in others), channel)
     recent = (other.window.recent(second, length_s) for other in others)
     n, k = summed(recent, channel)
     short_rate = (k + PRIOR_ATTEMPTS * long_rate) / (n + PRIOR_ATTEMPTS)
@@ -143,6 +149,34 @@
     return min(MAX_RATE, (k + prior / 2) / (n + prior))
 
 
+def incident_ratio(
+    n_attempts: int, n_bad: int, others: Sequence[Reference], channel: int, usual: float
+) -> float:
+    """Return the log likelihood ratio, in nats, against an incident of the service.
+
+    In an incident the server and the others share one rate since the doubt began;
+    else the others keep the ``usual`` rate. Without evidence on the others from
+    the same time it is 0.
+    """
+    n, k = summed((other.since_mark() for other in others), channel)
+    shared = (n_bad + k) / (n_attempts + n)
+    own = n_bad / n_attempts
+    if own <= shared:
+        return 0.0
+    return (
+        log_likelihood(n_attempts, n_bad, own)
+        + log_likelihood(n, k, usual)
+        - log_likelihood(n_attempts + n, n_bad + k, shared)
+    )
+
+
+def log_likelihood(n_attempts: int, n_bad: int, rate: float) -> float:
+    """Return the log likelihood of ``n_bad`` at ``rate``, up to a constant."""
+    n_good = n_attempts - n_bad
+    bad = n_bad * math.log(rate) if n_bad > 0 else 0.0
+    return bad + (n_good * math.log(1 - rate) if n_good > 0 else 0.0)
+
+
 def judge(
     second: int,
     window: Window,
@@ -151,14 +185,15 @@
     threshold: float,
     origins: Sequence[Window] = (),
     channels: Sequence[int] = CHANNELS,
-    controlled: bool = True,
+    compares: bool = True,
 ) -> Judgement:
     """Judge a server by the worst of its windows and channels.
 
     ``others`` are the pool's other servers, ``origins`` this server's bad
     attempts by the VM that saw them. ``threshold`` is in nats; evidence below
-    ``LEAST_SHARE`` of it is taken for none. A ``controlled`` score takes the
-    ``control_rate`` into account.
+    ``LEAST_SHARE`` of it is taken for none. The score takes the
+    others since the doubt began into account: one that ``compares`` by the
+    ``incident_ratio``, else by the ``control_rate``.
     """
     best = NOTHING
     suspicion = 0.0
@@ -172,13 +207,17 @@
             usual = usual_rate(second, others, SCAN_S[index], channel)
             doubt = log_ratio(n_attempts, n_bad, usual) / threshold
             suspicion = max(suspicion, doubt)
-            if controlled:
+            limit = math.inf
+            if compares:
+                ratio = incident_ratio(n_attempts, n_bad, others, channel, usual)
+                limit = ratio / INCIDENT_NATS
+            else:
                 usual = max(usual, control_rate(others, channel))
             tops = [win.recent(second, SCAN_S[index])[channel] for win in origins]
             top = max(tops, default=0)
             share = log_ratio(n_attempts, n_bad, usual) / threshold
             rest = log_ratio(n_attempts - top, n_bad - top, usual) / threshold
-            score = min(share, CORROBORATION * rest)
+            score = min(share, CORROBORATION * rest, limit)
             if (score, doubt) > (best.score, best.suspicion):
                 best = Judgement(doubt, score, REASONS[channel], n_bad, n_attempts)
     return replace(best, suspicion=suspicion)
--- a/packages/health/src/wagtailpaddle_health/standing.py
+++ b/packages/health/src/wagtailpaddle_health/standing.py
@@ -12,7 +12,9 @@
 PROBATION_WEIGHT = 0.05
 RAMP_START_WEIGHT = 0.1
 RESTRICT_SCORE = 0.5
-VERIFY_INTERVAL_S = 0.5
+MIN_VERIFY_INTERVAL_S = 0.05
+MAX_VERIFY_INTERVAL_S = 0.5
+INTERVAL_PER_SPREAD = 2.5
 MAX_SPREAD_S = 0.4
 SPREAD_S_PER_RATE = 0.04
 
@@ -26,6 +28,16 @@
     return min(MAX_SPREAD_S, SPREAD_S_PER_RATE * own_rate)
 
 
+def verify_interval_s(spread_s: float) -> float:
+    """Return the least time in seconds between tests by one VM.
+
+    VMs with few requests send what they have; those with many take turns, so
+    that a suspect with four slots is not flooded.
+    """
+    interval_s = MIN_VERIFY_INTERVAL_S + INTERVAL_PER_SPREAD * spread_s
+    return min(MAX_VERIFY_INTERVAL_S, interval_s)
+
+
 def weight(now: float, track: Track) -> float:
     """Return the share in [0, 1] of its usual work that a server gets."""
     state = track.state
@@ -49,7 +61,7 @@
     if track.state is ServerState.SUSPECT:
         is_due = now >= track.since + phase * track.spread_s
         idle_s = now - track.evidence.last_own_at
-        return is_due and not track.kept and idle_s >= VERIFY_INTERVAL_S
+        return is_due and not track.kept and idle_s >= verify_interval_s(track.spread_s)
     if track.state is ServerState.PROBATION:
         is_due = now >= track.since + phase * PROBATION_S
         return is_due and track.evidence.last_own_at < track.since
--- a/packages/node/src/wagtailpaddle_node/backends.py
+++ b/packages/node/src/wagtailpaddle_node/backends.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from wagtailpaddle_config import Configuration, Service
-from wagtailpaddle_core import RequestId, ServerId, ServiceId
+from wagtailpaddle_core import RequestId, ServerId, ServiceId, VmId
 from wagtailpaddle_health import (
     HealthBook,
     Observation,
@@ -18,9 +18,11 @@
     AttemptResult,
     Dispatch,
     Dispatcher,
+    Job,
     LeavingMarks,
     LeavingNotice,
     ServerView,
+    Users,
 )
 
 VERDICTS: dict[AttemptOutcome, Verdict] = {
@@ -53,13 +55,15 @@
         self._restated: set[ServiceId] = set()
         self._services: dict[ServiceId, Service] = {}
         self._running: dict[RequestId, _Running] = {}
-        self._n_users = 1
+        self._vms = frozenset({health.vm})
+        self._users: dict[ServiceId, Users] = {}
 
     def configure(self, now: float, cfg: Configuration) -> tuple[Action, ...]:
         """Take in the services in force; the cost follows from what changed."""
         actions: tuple[Action, ...] = ()
         for name in [name for name in self._services if name not in cfg.services]:
             del self._services[name]
+            self._users.pop(name, None)
             self.marks.forget(name, frozenset())
             self.health.remove_pool(now, name)
             actions += self.dispatcher.remove_service(now, name)
@@ -67,6 +71,8 @@
             if self._services.get(name) is service:
                 continue
             self._services[name] = service
+            if name in self._users:
+                self._share_out(service)
             self.marks.forget(name, frozenset(item.id for item in service.servers))
             actions += self._restate(now, name)
         return actions
@@ -91,37 +97,53 @@
                 ):
                     self._restated.add(notice.service)
 
-    def set_users(self, now: float, n_users: int) -> tuple[Action, ...]:
-        """State how many VMs share the connections of the servers."""
-        if n_users == self._n_users:
-            return ()
-        self._n_users = n_users
+    def set_vms(self, now: float, vms: frozenset[VmId]) -> tuple[Action, ...]:
+        """State which VMs share the connections of the servers."""
+        self._vms = vms | {self.health.vm}
         actions: tuple[Action, ...] = ()
-        for name in self._services:
+        for name, users in self._users.items():
+            users.set_vms(self._vms)
             actions += self.refresh(now, name)
         return actions
 
+    def arrive(self, now: float, job: Job) -> tuple[Action, ...]:
+        """Take in an admitted request, the first one of its service perhaps."""
+        service = self._services.get(job.service)
+        actions: tuple[Action, ...] = ()
+        if service is not None and job.service not in self._users:
+            self._share_out(service)
+            actions = self.refresh(now, job.service)
+        return actions + self.dispatcher.arrive(now, job)
+
     def refresh(self, now: float, name: ServiceId) -> tuple[Action, ...]:
-        """Hand the present standing of a service's servers to the dispatcher."""
+        """Hand the present standing of a service's servers to the dispatcher.
+
+        It sees the servers that this VM uses, with its part of the connections.
+        """
         service = self._services.get(name)
         if service is None:
             return ()
+        users = self._users.get(name)
+        parts = {
+            server.id: users.connections(server) if users else 1
+            for server in service.servers
+        }
         standing = {item.id: item for item in self.health.standing(now, name)}
         views = tuple(
             ServerView(
                 id=server.id,
                 zone=server.zone,
                 slots=server.slots,
-                connections=server.connections,
+                connections=parts[server.id],
                 weight=standing[server.id].weight,
                 probation=standing[server.id].idempotent_only,
                 leaving=server.leaving or self.marks.is_leaving((name, server.id)),
                 verify=standing[server.id].verify,
             )
             for server in service.servers
-            if server.id in standing
+            if server.id in standing and parts[server.id]
         )
-        return self.dispatcher.set_servers(now, name, views, n_users=self._n_users)
+        return self.dispatcher.set_servers(now, name, views)
 
     def started(self, now: float, dispatch: Dispatch) -> None:
         """An attempt begins."""
@@ -173,6 +195,10 @@
         """Return the standing of the servers of a service."""
         return self.health.standing(now, name)
 
+    def _share_out(self, service: Service) -> None:
+        """Work out this VM's part of a service that has requests here."""
+        self._users[service.id] = Users(self.health.vm, service.servers, self._vms)
+
     def _knows(self, target: tuple[ServiceId, ServerId]) -> bool:
         service = self._services.get(target[0])
         return service is not None and any(
--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -206,12 +206,11 @@
 
     def tick(self, now: float) -> tuple[ControlAction, ...]:
         """Act on the passing of time; called about 20 times a second."""
-        actions: tuple[ControlAction, ...] = ()
+        actions = self._tell_health(now)
         if now - self._fleet_tick_at >= FLEET_TICK_S:
             self._fleet_tick_at = now
             actions += self._fleet(now, self.membership.tick(now))
             actions += self._follow_shares(now)
-            actions += self._tell_health(now)
             actions += self.tell_leaving(now)
             actions += self._tell_claims(now)
             actions += self.outcomes(now, self.claims.tick(now))
@@ -393,7 +392,7 @@
         self.quota.on_roster(now, known.vms, known.gone)
         self.pages.set_vms(now, known.vms)
         self.backends.marks.retell()
-        return self.backends.set_users(now, max(1, len(known.vms)))
+        return self.backends.set_vms(now, known.vms)
 
     def _tell_claims(self, now: float) -> tuple[ControlAction, ...]:
         actions: tuple[ControlAction, ...] = ()
--- a/packages/node/src/wagtailpaddle_node/flow.py
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -219,7 +219,7 @@
             arrived_at=admitted.arrived_at,
             deadline_at=admitted.deadline_at,
         )
-        return self.settle(now, self.dispatcher.arrive(now, job))
+        return self.settle(now, self.backends.arrive(now, job))
 
     def _run(self, now: float, request: RequestId) -> tuple[NodeAction, ...]:
         """The claim stands: dispatch, unless the request may no longer run."""
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -73,7 +73,10 @@
     view = ServerView(id="s1", zone=ZoneId("a"), slots=1, connections=300, weight=1.0)
     dispatcher.set_servers(0.0, SERVICE, (view,), n_users=1)
     backends = SimpleNamespace(
-        started=lambda *_: None, forget=lambda *_: None, finished=lambda *_: ()
+        arrive=dispatcher.arrive,
+        started=lambda *_: None,
+        forget=lambda *_: None,
+        finished=lambda *_: (),
     )
     return RequestFlow(control, backends, dispatcher)
 
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -35,6 +35,7 @@
 from wagtailpaddle_routing.queues import QUEUES
 from wagtailpaddle_routing.serverset import connection_cap
 from wagtailpaddle_routing.subset import SUBSETTERS, subset, subset_size
+from wagtailpaddle_routing.users import Users, part_size
 
 __all__ = [
     "CHOOSERS",
@@ -62,10 +63,12 @@
     "ServerStatus",
     "ServerView",
     "ServiceStatus",
+    "Users",
     "interpret",
     "connection_cap",
     "is_leaving",
     "parse_load",
+    "part_size",
     "read_probe",
     "subset",
     "subset_size",
--- a/packages/routing/src/wagtailpaddle_routing/subset.py
+++ b/packages/routing/src/wagtailpaddle_routing/subset.py
@@ -65,17 +65,18 @@
     size: int,
     *,
     method: str = "rendezvous",
+    least: int = MIN_SUBSET,
 ) -> tuple[ServerId, ...]:
     """Return the ids of the servers that ``vm`` uses, equal on every VM.
 
-    Takes ``size`` servers, but ``MIN_SUBSET`` at least, or all if there are
+    Takes ``size`` servers, but ``least`` at least, or all if there are
     no more. The zones are represented in proportion to their servers, as far
     as ``size`` allows with one of each; which zones get the odd servers
     differs from VM to VM. Raises ``ValueError`` if ``size`` is under 1.
     """
     if size < 1:
         raise ValueError(f"subset size {size} is under 1")
-    wanted = max(size, MIN_SUBSET)
+    wanted = max(size, least)
     if len(servers) <= wanted:
         return tuple(sorted(server.id for server in servers))
     by_zone: dict[ZoneId, list[ServerId]] = defaultdict(list)
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/users.py
@@ -0,0 +1,132 @@
+"""Who uses which server of a service, and how many connections each may open."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Protocol
+
+from wagtailpaddle_core import ServerId, VmId, ensure, score
+
+from wagtailpaddle_routing.subset import MIN_SUBSET, Placed, subset
+
+WANTED_CONNECTIONS = 4
+PROBE_CONNECTIONS = 3
+SPREAD = 1.5
+VM_STEP = 1.25
+
+
+class Limited(Placed, Protocol):
+    """A server with its zone and the connections that it takes in all."""
+
+    @property
+    def connections(self) -> int:
+        """How many connections all VMs together may open."""
+
+
+def part_size(n_servers: int, connections: int, n_vms: int) -> int:
+    """Return how many servers of a service each of ``n_vms`` VMs uses.
+
+    As many as leave every VM ``WANTED_CONNECTIONS`` to each, even to a server
+    with ``SPREAD`` times the mean of VMs; ``MIN_SUBSET`` at least, as long as
+    one connection each is left; one at least. The number of VMs is rounded up
+    in steps, so that the size seldom changes.
+
+    >>> part_size(12, 300, 36), part_size(100, 300, 1500), part_size(19, 300, 6500)
+    (12, 6, 1)
+    """
+    step = 1.0
+    while step < n_vms:
+        step *= VM_STEP
+    each = n_servers * connections / (step * SPREAD)
+    size = max(each / WANTED_CONNECTIONS, min(MIN_SUBSET, each), 1)
+    return min(n_servers, int(size))
+
+
+class Users:
+    """The VMs that use the servers of one service, as one roster has it.
+
+    A server's connections are divided by the VMs that use it. If there are
+    more VMs than connections, those that come first for the server get one
+    each and the others none, so the sum over all VMs with the same roster
+    stays within the server's connections. A VM that comes or goes changes the
+    counts of the servers that it uses, and costs a score for each server.
+    """
+
+    def __init__(
+        self, vm: VmId, servers: Sequence[Limited], vms: frozenset[VmId]
+    ) -> None:
+        self._vm = vm
+        self._servers = tuple(servers)
+        self._vms: frozenset[VmId] = frozenset()
+        self._size = 0
+        self._own: frozenset[ServerId] = frozenset()
+        self._n_users: Counter[ServerId] = Counter()
+        self._n_ahead: Counter[ServerId] = Counter()
+        self.set_vms(vms)
+
+    def set_vms(self, known: frozenset[VmId]) -> None:
+        """Replace the roster, which holds this VM."""
+        connections = min((item.connections for item in self._servers), default=1)
+        size = part_size(len(self._servers), connections, len(known))
+        if size != self._size:
+            self._size = size
+            self._vms = frozenset()
+            self._n_users.clear()
+            self._n_ahead.clear()
+            self._own = frozenset(self._part(self._vm))
+        if not self.uses_all:
+            for vm in known - self._vms:
+                self._count(vm, 1)
+            for vm in self._vms - known:
+                self._count(vm, -1)
+        self._vms = known
+
+    @property
+    def uses_all(self) -> bool:
+        """Whether every VM uses every server."""
+        return self._size >= len(self._servers)
+
+    def n_users(self, server: ServerId) -> int:
+        """Return how many VMs use a server."""
+        return len(self._vms) if self.uses_all else self._n_users[server]
+
+    def connections(self, server: Limited) -> int:
+        """Return how many connections this VM may open to a server; 0 for none."""
+        if server.id not in self._own:
+            return 0
+        n_users = self.n_users(server.id)
+        total = self.usable(server)
+        if n_users > total:
+            return int(self._ahead(server.id) < total)
+        allowed = total // n_users
+        ensure(
+            allowed * n_users <= server.connections,
+            "connections-within-limit",
+            server=server.id,
+            n_users=n_users,
+        )
+        return allowed
+
+    def usable(self, server: Limited) -> int:
+        """Return the connections of a server that are left beside probes."""
+        return max(1, server.connections - PROBE_CONNECTIONS)
+
+    def _ahead(self, server: ServerId) -> int:
+        """Return how many users come before this VM for a server."""
+        if self.uses_all:
+            return sum(self._is_ahead(vm, server) for vm in self._vms)
+        return self._n_ahead[server]
+
+    def _part(self, vm: VmId) -> tuple[ServerId, ...]:
+        return subset(vm, (), self._servers, self._size, least=1)
+
+    def _count(self, vm: VmId, sign: int) -> None:
+        for server in self._part(vm):
+            self._n_users[server] += sign
+            if server in self._own and self._is_ahead(vm, server):
+                self._n_ahead[server] += sign
+
+    def _is_ahead(self, vm: VmId, server: ServerId) -> bool:
+        if vm == self._vm:
+            return False
+        key = f"{server}/user"
+        return (score(key, vm), vm) > (score(key, self._vm), self._vm)
--- /dev/null
+++ b/packages/routing/tests/test_users.py
@@ -0,0 +1,76 @@
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wagtailpaddle_core import ServerId, VmId, ZoneId
+from wagtailpaddle_routing import ServerView, Users, part_size
+
+BOUNDED = settings(derandomize=True, deadline=None, max_examples=25)
+
+
+def fleet(n_vms, first=0):
+    return frozenset(VmId(f"vm-{index}") for index in range(first, first + n_vms))
+
+
+def pool(n_servers, connections=300):
+    return tuple(
+        ServerView(ServerId(f"s{i}"), ZoneId(f"z{i % 8}"), 4, connections)
+        for i in range(n_servers)
+    )
+
+
+def opened(servers, vms):
+    """Return what all VMs of one roster may open to each server."""
+    total = Counter()
+    for vm in vms:
+        users = Users(vm, servers, vms)
+        total.update({item.id: users.connections(item) for item in servers})
+    return total
+
+
+@pytest.mark.parametrize("n_servers", [10, 12, 15])
+def test_every_vm_of_today_uses_every_server(n_servers):
+    servers = pool(n_servers)
+    users = Users(VmId("vm-0"), servers, fleet(36))
+    assert {users.connections(item) for item in servers} == {297 // 36}
+
+
+@BOUNDED
+@given(st.integers(1, 60), st.integers(1, 30), st.integers(4, 60))
+def test_connections_to_a_server_stay_within_its_limit(n_vms, n_servers, connections):
+    servers = pool(n_servers, connections)
+    assert max(opened(servers, fleet(n_vms)).values()) <= connections
+
+
+def test_server_with_more_vms_than_connections_is_used_by_the_first_of_them():
+    servers = pool(3, connections=20)
+    total = opened(servers, fleet(200))
+    assert set(total.values()) == {17}
+
+
+def test_roster_that_changes_counts_like_a_new_one():
+    servers = pool(40, connections=30)
+    users = Users(VmId("vm-9"), servers, fleet(120))
+    for vms in (fleet(119, 1), fleet(118, 3), fleet(90), fleet(130)):
+        users.set_vms(vms)
+        fresh = Users(VmId("vm-9"), servers, vms)
+        for item in servers:
+            assert users.n_users(item.id) == fresh.n_users(item.id)
+            assert users.connections(item) == fresh.connections(item)
+
+
+def test_replaced_vm_moves_no_server_of_the_others():
+    servers = pool(40, connections=30)
+    before, after = fleet(120), fleet(120, 1)
+    for vm in sorted(before & after)[:20]:
+        old, new = Users(vm, servers, before), Users(vm, servers, after)
+        used = [item.id for item in servers if old.connections(item)]
+        assert used == [item.id for item in servers if new.connections(item)]
+
+
+def test_vms_use_as_many_servers_as_connections_allow():
+    assert part_size(19, 300, 36) == 19
+    assert part_size(100, 300, 1500) == 6
+    assert part_size(19, 300, 6500) == 1
+    assert part_size(1, 1, 10_000) == 1
--- a/packages/standins/src/wagtailpaddle_standins/measure/background.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/background.py
@@ -23,7 +23,7 @@
 DAY_S = 86_400
 CONFIDENCE = 0.95
 MOST_PER_SECOND = 40
-OBSERVER = VmId("vm-00")
+TESTS_PER_FAILURE = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,9 +96,15 @@
 
 
 class Server:
-    """Draws the usual evidence of one healthy server, second by second."""
+    """Draws the usual evidence of one healthy server, second by second.
 
-    def __init__(self, random: Random, rate: float) -> None:
+    With ``n_tests`` each failure brings as many more attempts in the next second,
+    as the tests of a suspect do.
+    """
+
+    def __init__(self, random: Random, rate: float, n_tests: int) -> None:
+        self._n_tests = n_tests
+        self._n_more = 0
         self.evidence = Evidence()
         self._random = random
         self._arrivals = arrivals(random, rate)
@@ -110,10 +116,12 @@
 
     def step(self, second: int, vms: list[VmId]) -> bool:
         """Draw one second; return whether something bad was in it."""
-        n_attempts = next(self._arrivals)
+        n_attempts = next(self._arrivals) + self._n_more
+        self._n_more = 0
         if not n_attempts:
             return False
         n_failure, n_slow = self._draw(0, n_attempts), self._draw(1, n_attempts)
+        self._n_more = self._n_tests if n_failure else 0
         if not n_failure + n_slow:
             self.evidence.own.add(second, Counts(n_attempts))
             return False
@@ -163,7 +171,8 @@
         random = Random(seed)
         policy: Policy = POLICIES[self.policy]()
         vms = [VmId(f"vm-{index:02d}") for index in range(self.n_vms)]
-        servers = [Server(random, self.rate) for _ in range(self.n_servers)]
+        n_tests = TESTS_PER_FAILURE if policy.inquires and self.fleet else 0
+        servers = [Server(random, self.rate, n_tests) for _ in range(self.n_servers)]
         n_seconds = int(server_days * DAY_S / self.n_servers)
         n_false = 0
         for second in range(n_seconds):
@@ -178,7 +187,7 @@
     def _ejects(
         self, second: int, policy: Policy, server: Server, servers: list[Server]
     ) -> bool:
-        if self.policy == "scan" and not could_eject(
+        if self.policy in ("scan", "previous") and not could_eject(
             second, server.evidence, self.sensitivity
         ):
             return False
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/measure/connections.py
@@ -0,0 +1,56 @@
+"""What a VM opens to the servers of one service, and what it costs to know."""
+
+from collections.abc import Iterator
+from time import perf_counter
+
+from wagtailpaddle_core import ServerId, VmId, ZoneId
+from wagtailpaddle_routing import ServerView, Users, part_size
+
+from wagtailpaddle_standins.measure.registry import MEASURES
+
+N_ZONES = 8
+CONNECTIONS = 300
+CASES = ((36, 12), (36, 15), (90, 19), (1500, 100), (6500, 19), (6500, 150))
+"""VMs in the roster, and servers of the service."""
+N_CHANGES = 20
+
+
+@MEASURES.register("connections")
+def connections(seed: int) -> Iterator[str]:
+    """Yield one line for each case.
+
+    ``users`` are the VMs that use the busiest server, ``total`` what all of
+    them open to it at most; ``without`` is the share of places for a VM at a
+    server that get no connection. The times are those of a service's first
+    request and of one VM that comes or goes.
+    """
+    yield (
+        f"{'VMs':>5} {'servers':>7} {'size':>4} {'users':>5} {'total':>5} "
+        f"{'without':>7} {'first ms':>8} {'change us':>9}"
+    )
+    for n_vms, n_servers in CASES:
+        vms = [VmId(f"{seed}/vm-{index}") for index in range(n_vms)]
+        servers = [_view(f"{seed}/server-{i}", i) for i in range(n_servers)]
+        started_at = perf_counter()
+        users = Users(vms[0], servers, frozenset(vms))
+        first_s = perf_counter() - started_at
+        counts = [users.n_users(item.id) for item in servers]
+        rosters = [frozenset(vms[: n_vms - i % 2]) for i in range(N_CHANGES)]
+        started_at = perf_counter()
+        for roster in rosters:
+            users.set_vms(roster)
+        change_s = (perf_counter() - started_at) / N_CHANGES
+        usable = users.usable(servers[0])
+        most = max(counts)
+        each = usable // most
+        lacking = sum(max(0, count - usable) for count in counts)
+        yield (
+            f"{n_vms:5} {n_servers:7} {part_size(n_servers, CONNECTIONS, n_vms):4} "
+            f"{most:5} {each * most if each else usable:5} "
+            f"{lacking / sum(counts):7.3f} {first_s * 1e3:8.1f} {change_s * 1e6:9.0f}"
+        )
+
+
+def _view(name: str, index: int) -> ServerView:
+    zone = ZoneId(f"zone-{index % N_ZONES}")
+    return ServerView(ServerId(name), zone, 4, CONNECTIONS)
--- a/packages/standins/src/wagtailpaddle_standins/measure/pools.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/pools.py
@@ -22,7 +22,7 @@
 
 N_VMS = 36
 ZONES = (ZoneId("a"), ZoneId("b"), ZoneId("c"))
-TICK_S = 0.1
+TICK_S = 0.05
 PEER_DELAY_S = 0.0015
 WARM_AT = -120.0
 IDEMPOTENT_SHARE = 0.7
@@ -44,6 +44,7 @@
     n_failed_attempts: int = 0
     n_failed_requests: int = 0
     n_refused: int = 0
+    n_tests: int = 0
 
     @property
     def servers(self) -> tuple[ServerId, ...]:
@@ -231,6 +232,7 @@
         if idempotent and not tried:
             for item in usable:
                 if item.verify and not self._in_flight.get((vm, item.id)):
+                    pool.n_tests += 1
                     return item.id
         weights = [item.weight for item in usable]
         return self.random.choices(usable, weights)[0].id
