--- a/packages/node/src/wagtailpaddle_node/flow.py
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -83,10 +83,9 @@
         answer: StoredAnswer | None,
     ) -> tuple[NodeAction, ...]:
         """Take in the end of an attempt."""
-        swept = self.sweep(now)
         freed = self.backends.finished(now, request, result)
         actions = self.dispatcher.finish(now, request, result)
-        return swept + self.settle(now, freed + actions, answer=answer)
+        return self.settle(now, freed + actions, answer=answer)
 
     def cancel(
         self, now: float, request: RequestId
@@ -142,11 +141,7 @@
         return tuple(settled)
 
     def sweep(self, now: float) -> tuple[NodeAction, ...]:
-        """Refuse what waits and may no longer run; what runs is not tried again.
-
-        Comes before anything that may dispatch: the process may have been
-        paused since the last event.
-        """
+        """Refuse what waits and may no longer run; what runs is not tried again."""
         fresh = self.control.membership.is_fresh(now)
         revision = self.control.configuration.revision
         if revision == self._swept_revision and (fresh or not self._swept_fresh):
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -131,9 +131,9 @@
         head: Offset,
     ) -> tuple[NodeAction, ...]:
         """The log answered a read of ``config`` that was sent at ``sent_at``."""
-        self._note_time(now)
+        swept = self._begin(now)
         actions = self.control.on_config_read(now, sent_at, records, first, head)
-        return self._flow.settle(now, actions) + self._flow.sweep(now)
+        return swept + self._flow.settle(now, actions) + self._flow.sweep(now)
 
     def on_shares_read(
         self,
@@ -156,7 +156,8 @@
         self, now: float, entries: Iterable[ListedVm]
     ) -> tuple[NodeAction, ...]:
         """The platform answered with its list of VMs."""
-        return self._flow.settle(now, self.control.on_vm_list(now, entries))
+        swept = self._begin(now)
+        return swept + self._flow.settle(now, self.control.on_vm_list(now, entries))
 
     def on_message(self, now: float, sender: VmId, body: Any) -> Any:
         """Return the reply to a peer's message, None if there is nothing to say."""
@@ -168,21 +169,21 @@
         self, now: float, call: int, reply: Any
     ) -> tuple[NodeAction, ...]:
         """A peer answered a ``CallPeer``."""
-        self._note_time(now)
+        swept = self._begin(now)
         self._pace.stir(now)
         actions = self.control.on_peer_reply(now, call, reply)
         actions = self._flow.settle(now, actions) + self._flow.retry_tokens(now)
-        return actions + self._flow.sweep(now)
+        return swept + actions + self._flow.sweep(now)
 
     def on_peer_failed(self, now: float, call: int) -> tuple[NodeAction, ...]:
         """A ``CallPeer`` brought no reply; it may have arrived."""
-        return self._flow.settle(now, self.control.on_peer_failed(now, call))
+        swept = self._begin(now)
+        return swept + self._flow.settle(now, self.control.on_peer_failed(now, call))
 
     def on_tick(self, now: float) -> tuple[NodeAction, ...]:
         """Act on the passing of time; called when ``next_wake`` says."""
-        self._note_time(now)
+        actions = self._begin(now)
         self._pace.ticked(now)
-        actions = self._flow.sweep(now)
         actions += self._flow.settle(now, self.control.tick(now))
         actions += self._flow.settle(now, self.backends.tick(now))
         actions += self._flow.retry_tokens(now)
@@ -228,9 +229,9 @@
 
     def on_request(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
         """Admit a request or refuse it."""
-        self._note_time(now)
+        swept = self._begin(now)
         self._pace.stir(now)
-        return self._flow.begin(now, head)
+        return swept + self._flow.begin(now, head)
 
     def on_attempt(
         self,
@@ -243,8 +244,8 @@
 
         ``answer`` is the whole answer if it can be kept for repeats.
         """
-        self._note_time(now)
-        return self._flow.finish(now, request, result, answer)
+        swept = self._begin(now)
+        return swept + self._flow.finish(now, request, result, answer)
 
     def on_cancel(
         self, now: float, request: RequestId
@@ -254,13 +255,15 @@
         A request whose repeats are caught does, so that its outcome is kept
         for the caller's next try.
         """
-        return self._flow.cancel(now, request)
+        swept = self._begin(now)
+        goes_on, actions = self._flow.cancel(now, request)
+        return goes_on, swept + actions
 
     def on_server_leaving(
         self, now: float, service: ServiceId, server: ServerId
     ) -> tuple[NodeAction, ...]:
         """A server said in an answer that it gets no new work."""
-        swept = self._flow.sweep(now)
+        swept = self._begin(now)
         marked = self.backends.note_leaving(now, (service, server), leaving=True)
         told = self.control.tell_leaving(now)
         return swept + self._flow.settle(now, marked + told)
@@ -279,11 +282,19 @@
         self, now: float, probe: Probe, result: ProbeResult
     ) -> tuple[NodeAction, ...]:
         """Take in what came of a probe."""
-        swept = self._flow.sweep(now)
+        swept = self._begin(now)
         actions = self.control.pages.on_probe(now, probe, result)
         told = self.control.tell_leaving(now)
         return swept + self._flow.settle(now, actions + told)
 
+    def _begin(self, now: float) -> tuple[NodeAction, ...]:
+        """Begin an event that may dispatch: refuse what may no longer run.
+
+        It comes first, because the process may have been paused.
+        """
+        self._note_time(now)
+        return self._flow.sweep(now)
+
     def _note_time(self, now: float) -> None:
         """Find out whether the loop stood still since the last event."""
         last = self._event_at
--- a/packages/node/tests/test_flow.py
+++ b/packages/node/tests/test_flow.py
@@ -55,7 +55,7 @@
     flow.begin(1.0, first)
     flow.begin(1.0, replace(head, idempotency_key=None))
     control.fresh = False
-    actions = flow.finish(5.0, first.id, DONE, None)
+    actions = flow.sweep(5.0) + flow.finish(5.0, first.id, DONE, None)
     assert kinds(actions) == [ErrorKind.NOT_FRESH]
     assert not any(isinstance(action, Dispatch) for action in actions)
 
