--- a/packages/standins/src/wagtailpaddle_standins/measure/health.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/health.py
@@ -31,26 +31,28 @@
 BASELINES = ("previous", "consecutive", "none")
 SERVICE_RATE = 50.0
 N_VMS = 36
+ADVISED = {"namur": 0.4, "returhuset": 0.7}
 SENSITIVITIES = (0.2, 0.5, 0.8, 1.0)
 
 
 @MEASURES.register("health")
 def health(seed: int) -> Iterator[str]:
-    """Compare the policies on single trials, in about half a minute.
+    """Compare the policies on a few trials, in some minutes.
 
-    A single trial shows that a fault is seen, not how soon at p95: for that there
+    So few trials show that a fault is seen, not how soon at p95: for that there
     are ``health-main`` and ``health-long``.
     """
     for site, sizes in POOLS.items():
-        yield f"{site}: {sizes[0]} servers, {SERVICE_RATE:.0f} requests/s, 36 VMs"
-        yield from detection("scan", sizes[0], seed, n_trials=1)
-    yield "baselines: 12 servers"
-    for policy in BASELINES:
-        yield from detection(policy, 12, seed, n_trials=1, kinds=MAIN_KINDS)
+        for size in sizes:
+            yield f"{site}: {size} servers, {SERVICE_RATE:.0f} requests/s, 36 VMs"
+            yield from detection("scan", size, seed, n_trials=2)
+            for policy in BASELINES:
+                yield from detection(policy, size, seed, n_trials=1, kinds=MAIN_KINDS)
     yield run_incident(Plan("scan", "incident-30%", 12, 1, seed))
     yield run_path(Plan("scan", "path", 12, 1, seed))
     yield run_half_down(Plan("scan", "half", 12, 1, seed))
-    yield from false_ejections(12, seed, server_days=2, vm_days=5)
+    yield from false_ejections("scan", 12, seed, server_days=2, vm_days=5)
+    yield from false_ejections("previous", 12, seed, server_days=2, vm_days=0)
 
 
 @LONG_MEASURES.register("health-long")
@@ -68,14 +70,18 @@
 
 @LONG_MEASURES.register("health-main")
 def health_main(seed: int) -> Iterator[str]:
-    """Repeat the targets' two kinds of fault for a p95."""
-    yield from detection("scan", 12, seed, n_trials=20, kinds=MAIN_KINDS)
+    """Repeat the targets' kinds of fault for a p95, at each sensitivity advised."""
+    for sensitivity in (0.5, ADVISED["returhuset"], ADVISED["namur"]):
+        yield f"sensitivity {sensitivity}"
+        for kind in MAIN_KINDS:
+            plan = Plan("scan", kind, 12, 100, seed, SERVICE_RATE, sensitivity)
+            yield report(plan, run_trials(plan))
 
 
 @LONG_MEASURES.register("health-false")
 def health_false(seed: int) -> Iterator[str]:
     """Count false ejections over enough server-days for a useful bound."""
-    yield from false_ejections(12, seed, server_days=40, vm_days=100)
+    yield from false_ejections("scan", 12, seed, server_days=60, vm_days=100)
 
 
 @LONG_MEASURES.register("health-curves")
@@ -109,14 +115,16 @@
 
 
 def false_ejections(
-    n_servers: int, seed: int, *, server_days: float, vm_days: float
+    policy: str, n_servers: int, seed: int, *, server_days: float, vm_days: float
 ) -> Iterator[str]:
     """Count false ejections by the fleet and by single VMs."""
     rate = SERVICE_RATE / n_servers
-    fleet = Background("scan", n_servers, rate, 0.5).run(seed, server_days)
-    yield f"false ejections, fleet: {fleet}"
-    alone = Background("scan", n_servers, rate / N_VMS, 0.5, fleet=False)
-    yield f"false ejections, one VM alone: {alone.run(seed, vm_days)}"
+    fleet = Background(policy, n_servers, rate, 0.5).run(seed, server_days)
+    yield f"false ejections, {policy}, fleet: {fleet}"
+    if vm_days:
+        alone = Background(policy, n_servers, rate / N_VMS, 0.5, fleet=False)
+        found = alone.run(seed, vm_days)
+        yield f"false ejections, {policy}, one VM alone: {found}"
 
 
 def curve(seed: int, sensitivity: float) -> Iterator[str]:
--- a/packages/standins/src/wagtailpaddle_standins/measure/pools.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/pools.py
@@ -1,8 +1,9 @@
 """Small fakes: VMs with health books before pools of faulty servers."""
 
 import heapq
+from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from wagtailpaddle_core import ServerId, ServiceId, VmId, ZoneId
@@ -18,7 +19,7 @@
     watchers,
 )
 
-from wagtailpaddle_standins.measure.faults import Fault, Moment, usual
+from wagtailpaddle_standins.measure.faults import Attempt, Fault, Moment, usual
 
 N_VMS = 36
 ZONES = (ZoneId("a"), ZoneId("b"), ZoneId("c"))
@@ -27,6 +28,10 @@
 WARM_AT = -120.0
 IDEMPOTENT_SHARE = 0.7
 MAX_ATTEMPTS = 3
+ACCOUNT_SHARES = (0.3, 0.25, 0.15, 0.1, 0.08, 0.06, 0.04, 0.02)
+"""Shares of the requests that the client accounts send."""
+
+ACCOUNTS = tuple(range(len(ACCOUNT_SHARES)))
 OUT = (ServerState.EJECTED, ServerState.AVOIDED)
 
 
@@ -45,6 +50,8 @@
     n_failed_requests: int = 0
     n_refused: int = 0
     n_tests: int = 0
+    n_sent_by: Counter[int] = field(default_factory=Counter)
+    n_lost_by: Counter[int] = field(default_factory=Counter)
 
     @property
     def servers(self) -> tuple[ServerId, ...]:
@@ -63,12 +70,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Try:
+class _Request:
     pool: FakePool
     vm: VmId
-    server: ServerId
     idempotent: bool
-    tried: frozenset[ServerId]
+    account: int
+    tried: frozenset[ServerId] = frozenset()
 
 
 class FakeFleet:
@@ -189,50 +196,49 @@
         pool.n_requests += 1
         vm = self.random.choice(self.vms)
         idempotent = self.random.random() < IDEMPOTENT_SHARE
-        self._dispatch(pool, vm, idempotent, frozenset())
+        account = self.random.choices(ACCOUNTS, ACCOUNT_SHARES)[0]
+        pool.n_sent_by[account] += 1
+        self._dispatch(_Request(pool, vm, idempotent, account))
         self._at(self.now + self.random.expovariate(pool.rate), self._arrival(pool))
 
     def _arrival(self, pool: FakePool) -> Callable[[], None]:
         return lambda: self._arrive(pool)
 
-    def _dispatch(
-        self, pool: FakePool, vm: VmId, idempotent: bool, tried: frozenset[ServerId]
-    ) -> None:
-        server = self._choose(pool, vm, idempotent, tried)
+    def _dispatch(self, req: _Request) -> None:
+        pool = req.pool
+        server = self._choose(req)
         if server is None:
-            pool.n_failed_requests += 1
-            pool.n_refused += not tried
+            self._lose(req)
+            pool.n_refused += not req.tried
             return
-        age_s, fault = self._fault(pool, vm, server)
-        attempt = fault(Moment(age_s, vm, self.random))
-        this = _Try(pool, vm, server, idempotent, tried)
-        key = (vm, server)
+        age_s, fault = self._fault(pool, req.vm, server)
+        attempt = fault(Moment(age_s, req.vm, self.random))
+        key = (req.vm, server)
         self._in_flight[key] = self._in_flight.get(key, 0) + 1
-        limit_s = self.books[vm].overdue_after(self.now, pool.service)
+        limit_s = self.books[req.vm].overdue_after(self.now, pool.service)
         overdue = attempt.latency_s > limit_s
         if overdue:
-            self._at(self.now + limit_s, lambda: self._overdue(this, limit_s))
+            late = Attempt(Verdict.OVERDUE, limit_s)
+            self._at(self.now + limit_s, lambda: self._observe(req, server, late))
         self._at(
             self.now + attempt.latency_s,
-            lambda: self._finish(this, attempt.verdict, attempt.latency_s, overdue),
+            lambda: self._finish(req, server, attempt, overdue),
         )
 
-    def _choose(
-        self, pool: FakePool, vm: VmId, idempotent: bool, tried: frozenset[ServerId]
-    ) -> ServerId | None:
+    def _choose(self, req: _Request) -> ServerId | None:
         usable = [
             item
-            for item in self._standing[vm, pool.service]
+            for item in self._standing[req.vm, req.pool.service]
             if item.weight > 0
-            and item.id not in tried
-            and (idempotent or not item.idempotent_only)
+            and item.id not in req.tried
+            and (req.idempotent or not item.idempotent_only)
         ]
         if not usable:
             return None
-        if idempotent and not tried:
+        if req.idempotent and not req.tried:
             for item in usable:
-                if item.verify and not self._in_flight.get((vm, item.id)):
-                    pool.n_tests += 1
+                if item.verify and not self._in_flight.get((req.vm, item.id)):
+                    req.pool.n_tests += 1
                     return item.id
         weights = [item.weight for item in usable]
         return self.random.choices(usable, weights)[0].id
@@ -243,29 +249,30 @@
             fault = usual
         return self.now - since, fault
 
-    def _overdue(self, this: _Try, limit_s: float) -> None:
-        self._observe(this, Verdict.OVERDUE, limit_s, False)
-
     def _finish(
-        self, this: _Try, verdict: Verdict, latency_s: float, overdue: bool
+        self, req: _Request, server: ServerId, attempt: Attempt, overdue: bool
     ) -> None:
-        self._in_flight[this.vm, this.server] -= 1
-        self._observe(this, verdict, latency_s, overdue)
-        if verdict is Verdict.SUCCESS:
+        self._in_flight[req.vm, server] -= 1
+        self._observe(req, server, attempt, overdue)
+        if attempt.verdict is Verdict.SUCCESS:
             return
-        pool, tried = this.pool, this.tried | {this.server}
+        pool, tried = req.pool, req.tried | {server}
         pool.n_failed_attempts += 1
-        may_repeat = this.idempotent or verdict is Verdict.UNREACHABLE
+        may_repeat = req.idempotent or attempt.verdict is Verdict.UNREACHABLE
         if may_repeat and len(tried) < MAX_ATTEMPTS and not pool.stopped:
-            self._dispatch(pool, this.vm, this.idempotent, tried)
+            self._dispatch(replace(req, tried=tried))
         else:
-            pool.n_failed_requests += 1
+            self._lose(req)
+
+    def _lose(self, req: _Request) -> None:
+        req.pool.n_failed_requests += 1
+        req.pool.n_lost_by[req.account] += 1
 
     def _observe(
-        self, this: _Try, verdict: Verdict, latency_s: float, overdue: bool
+        self, req: _Request, server: ServerId, attempt: Attempt, overdue: bool = False
     ) -> None:
-        service = this.pool.service
-        seen = Observation(service, this.server, verdict, latency_s, overdue)
-        if self.books[this.vm].observe(self.now, seen):
-            self._refresh(this.vm, service)
-            self._send(this.vm)
+        service = req.pool.service
+        seen = Observation(service, server, attempt.verdict, attempt.latency_s, overdue)
+        if self.books[req.vm].observe(self.now, seen):
+            self._refresh(req.vm, service)
+            self._send(req.vm)
--- a/packages/standins/src/wagtailpaddle_standins/measure/trials.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/trials.py
@@ -8,10 +8,11 @@
 from wagtailpaddle_health import ServerState
 
 from wagtailpaddle_standins.measure.faults import FAULTS, incident, incident_slow
-from wagtailpaddle_standins.measure.pools import OUT, FakeFleet, FakePool
+from wagtailpaddle_standins.measure.pools import ACCOUNTS, OUT, FakeFleet, FakePool
 
 SETTLE_S = 5.0
 WATCH_S = 15.0
+SERVED_S = 5.0
 STEP_S = 0.05
 DETECTED_SHARE = 0.5
 
@@ -37,7 +38,9 @@
     ``first_s`` when the first did. ``n_failed_requests`` counts requests that
     their caller saw fail until then, ``n_failed_attempts`` also those that a
     retry saved. ``n_wrong`` is the number of healthy servers out, averaged over
-    the VMs.
+    the VMs. ``n_refused`` of ``n_requests`` found no server; ``lost_by`` of
+    ``sent_by`` are the requests without a good answer by client account. These
+    count from the fault until ``SERVED_S`` seconds later or the detection.
     """
 
     detected_s: float | None
@@ -45,6 +48,10 @@
     n_failed_attempts: int
     n_failed_requests: int
     n_wrong: float
+    n_requests: int
+    n_refused: int
+    sent_by: tuple[int, ...]
+    lost_by: tuple[int, ...]
 
 
 def quantile(times: Sequence[float | None], share: float) -> float | None:
@@ -83,28 +90,55 @@
 def watch(fleet: FakeFleet, pools: Sequence[FakePool]) -> list[Trial]:
     """Watch the first server of each pool until it is detected."""
     began = fleet.now
-    before = {pool.service: counted(pool) for pool in pools}
-    first: dict[ServiceId, float] = {}
-    found: dict[ServiceId, Trial] = {}
-    while fleet.now < began + WATCH_S and len(found) < len(pools):
+    watches = [_Watch(pool, began) for pool in pools]
+    running = list(watches)
+    while running and fleet.now < began + WATCH_S:
         fleet.run_until(fleet.now + STEP_S)
-        for pool in pools:
-            if pool.service in found:
-                continue
+        running = [item for item in running if not item.look(fleet)]
+    return [item.trial(fleet) for item in watches]
+
+
+class _Watch:
+    """Follows one trial from its fault on."""
+
+    def __init__(self, pool: FakePool, began: float) -> None:
+        self._pool = pool
+        self._began = began
+        self._first_s: float | None = None
+        self._detected_s: float | None = None
+        self._failed = (0, 0)
+        self._before = counted(pool)
+        self._n_before = (pool.n_requests, pool.n_refused)
+        pool.n_sent_by.clear()
+        pool.n_lost_by.clear()
+
+    def look(self, fleet: FakeFleet) -> bool:
+        """Return whether there is nothing more to see."""
+        pool, age_s = self._pool, fleet.now - self._began
+        if self._detected_s is None:
             share = fleet.share_out(pool.service, pool.servers[0])
-            age_s = fleet.now - began
-            if share > 0:
-                first.setdefault(pool.service, age_s)
+            self._failed = counted(pool)
+            if share > 0 and self._first_s is None:
+                self._first_s = age_s
             if share >= DETECTED_SHARE:
-                start_s = first[pool.service]
-                was = before[pool.service]
-                found[pool.service] = outcome(fleet, pool, age_s, start_s, was)
-                pool.stopped = True
-    return [
-        found.get(pool.service)
-        or outcome(fleet, pool, None, first.get(pool.service), before[pool.service])
-        for pool in pools
-    ]
+                self._detected_s = age_s
+        pool.stopped = self._detected_s is not None and age_s >= SERVED_S
+        return pool.stopped
+
+    def trial(self, fleet: FakeFleet) -> Trial:
+        """Return the outcome."""
+        pool = self._pool
+        return Trial(
+            self._detected_s,
+            self._first_s,
+            self._failed[0] - self._before[0],
+            self._failed[1] - self._before[1],
+            n_wrong(fleet, pool, pool.servers[1:]),
+            pool.n_requests - self._n_before[0],
+            pool.n_refused - self._n_before[1],
+            tuple(pool.n_sent_by[account] for account in ACCOUNTS),
+            tuple(pool.n_lost_by[account] for account in ACCOUNTS),
+        )
 
 
 def counted(pool: FakePool) -> tuple[int, int]:
@@ -112,22 +146,15 @@
     return pool.n_failed_attempts, pool.n_failed_requests
 
 
-def outcome(
-    fleet: FakeFleet,
-    pool: FakePool,
-    detected_s: float | None,
-    first_s: float | None,
-    before: tuple[int, int],
-) -> Trial:
-    """Return the outcome of a trial that ends now."""
-    n_attempts, n_requests = counted(pool)
-    return Trial(
-        detected_s,
-        first_s,
-        n_attempts - before[0],
-        n_requests - before[1],
-        n_wrong(fleet, pool, pool.servers[1:]),
-    )
+def worst_served(trials: Sequence[Trial]) -> float:
+    """Return the share of requests served of the worst-served client account."""
+    shares = []
+    for account in ACCOUNTS:
+        n_sent = sum(trial.sent_by[account] for trial in trials)
+        n_lost = sum(trial.lost_by[account] for trial in trials)
+        if n_sent:
+            shares.append(1 - n_lost / n_sent)
+    return min(shares, default=1.0)
 
 
 def n_wrong(fleet: FakeFleet, pool: FakePool, healthy: Sequence[ServerId]) -> float:
@@ -142,10 +169,13 @@
     failed = fmean(trial.n_failed_requests for trial in trials)
     attempts = fmean(trial.n_failed_attempts for trial in trials)
     wrong = sum(trial.n_wrong for trial in trials)
+    n_refused = sum(trial.n_refused for trial in trials)
+    n_requests = sum(trial.n_requests for trial in trials)
     return (
         f"{plan.kind:15} {plan.policy:12} n={len(trials):3} detected p50 {p50:>5} s"
         f" p95 {p95:>5} s, before it failed: {attempts:6.1f} attempts,"
-        f" {failed:5.1f} requests; healthy ones out {wrong:.2f}"
+        f" {failed:5.1f} requests; healthy ones out {wrong:.2f}; worst-served account"
+        f" {worst_served(trials):.4f}; refused {n_refused} of {n_requests}"
     )
 
 
