Tell a path problem of a zone from a server's

Cause: several VMs of one zone that are cut off from a server look like a server that fails, so it was ejected for all.

Change: digests name the zone of their VM, and evidence is kept by zone, eight at most. Where several zones use a server its score counts only as far as the evidence outside the zone with the most failures supports it. The cut-off VMs avoid the server by their own evidence.

--- /dev/null
+++ b/packages/health/src/wagtailpaddle_health/attempts.py
@@ -0,0 +1,19 @@
+"""What one attempt counts for."""
+
+from wagtailpaddle_health.messages import Observation, Verdict
+from wagtailpaddle_health.window import Counts
+
+
+def attempt_counts(observation: Observation, limit_s: float) -> Counts:
+    """Return the counts of an attempt that is slow beyond ``limit_s`` seconds.
+
+    The end of an attempt that was reported as overdue adds no second attempt.
+    """
+    verdict = observation.verdict
+    if verdict is Verdict.OVERDUE:
+        return Counts(1, 0, 0, 1)
+    is_new = not observation.overdue
+    is_slow = is_new and observation.latency_s > limit_s
+    is_unsent = verdict is Verdict.UNREACHABLE
+    is_failure = verdict is not Verdict.SUCCESS
+    return Counts(int(is_new), int(is_failure), int(is_unsent), int(is_slow))
--- a/packages/health/src/wagtailpaddle_health/book.py
+++ b/packages/health/src/wagtailpaddle_health/book.py
@@ -2,11 +2,13 @@
 
 from collections import Counter, deque
 
-from wagtailpaddle_core import ServerId, ServiceId, VmId
+from wagtailpaddle_core import ServerId, ServiceId, VmId, ZoneId
 
+from wagtailpaddle_health.evidence import Observer
 from wagtailpaddle_health.exchange import is_amount
 from wagtailpaddle_health.latency import UNKNOWN_LIMIT_S
 from wagtailpaddle_health.messages import (
+    NO_ZONE,
     HealthDigest,
     HealthEvent,
     Observation,
@@ -25,16 +27,25 @@
     """Judges the backend servers of every service from real work.
 
     All times are seconds of one monotonic clock. ``policy`` names an entry of
-    ``POLICIES``. Work per tick grows with the servers that are not simply
-    healthy and with the services that got traffic, not with all configured.
+    ``POLICIES``, ``zone`` is the VM's own. Work per tick grows with the servers
+    that are not simply healthy and with the services that got traffic, not with
+    all configured.
 
     >>> book = HealthBook(VmId("vm-1"))
     >>> book.tick(0.0)
     frozenset()
     """
 
-    def __init__(self, vm: VmId, *, policy: str = "scan", seed: int = 0) -> None:
+    def __init__(
+        self,
+        vm: VmId,
+        *,
+        zone: ZoneId = NO_ZONE,
+        policy: str = "scan",
+        seed: int = 0,
+    ) -> None:
         self.vm = vm
+        self.zone = zone
         self._policy = POLICIES[policy]()
         self._pools: dict[ServiceId, PoolBook] = {}
         self._watching: dict[ServiceId, None] = {}
@@ -53,7 +64,7 @@
         known = self._pools.get(pool.service)
         if known is None:
             self._pools[pool.service] = PoolBook(
-                now, self.vm, self._policy, pool, self._events
+                now, Observer(self.vm, self.zone), self._policy, pool, self._events
             )
             self._changed.add(pool.service)
             return True
--- a/packages/health/src/wagtailpaddle_health/evidence.py
+++ b/packages/health/src/wagtailpaddle_health/evidence.py
@@ -2,12 +2,21 @@
 
 from dataclasses import dataclass
 
-from wagtailpaddle_core import ServerId, VmId
+from wagtailpaddle_core import ServerId, VmId, ZoneId
 
-from wagtailpaddle_health.messages import ServerDigest
+from wagtailpaddle_health.messages import NO_ZONE, ServerDigest
 from wagtailpaddle_health.window import NO_COUNTS, Counts, Window
 
 MAX_ORIGINS = 64
+MAX_ZONES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Observer:
+    """The VM that saw something, and its availability zone, empty if unknown."""
+
+    vm: VmId
+    zone: ZoneId = NO_ZONE
 
 
 class Evidence:
@@ -15,15 +24,16 @@
 
     ``own`` is from this VM. ``pooled`` holds the evidence of all VMs that
     reported here; it is a second window only once another VM reported.
-    ``origins`` holds failures and slow attempts by VM. ``streak`` counts own
-    failures in a row.
+    ``origins`` holds failures and slow attempts by VM, ``zones`` all attempts by
+    the zone of the VM. ``streak`` counts own failures in a row.
     """
 
-    __slots__ = ("_pooled", "last_own_at", "origins", "own", "streak")
+    __slots__ = ("_pooled", "last_own_at", "origins", "own", "streak", "zones")
 
     def __init__(self) -> None:
         self.own = Window()
         self.origins: dict[VmId, Window] = {}
+        self.zones: dict[ZoneId, Window] = {}
         self.streak = 0
         self.last_own_at = float("-inf")
         self._pooled: Window | None = None
@@ -33,21 +43,21 @@
         """The evidence of all VMs."""
         return self.own if self._pooled is None else self._pooled
 
-    def add_own(self, now: float, vm: VmId, counts: Counts) -> None:
+    def add_own(self, now: float, observer: Observer, counts: Counts) -> None:
         """Count attempts of this VM."""
         second = int(now)
         self.own.add(second, counts)
         if self._pooled is not None:
             self._pooled.add(second, counts)
-        self._attribute(second, vm, counts)
+        self._attribute(second, observer, counts)
 
-    def add_other(self, now: float, vm: VmId, counts: Counts) -> None:
+    def add_other(self, now: float, observer: Observer, counts: Counts) -> None:
         """Count attempts that another VM reported."""
         if self._pooled is None:
             self._pooled = self.own.copy()
         second = int(now)
         self._pooled.add(second, counts)
-        self._attribute(second, vm, counts)
+        self._attribute(second, observer, counts)
 
     def mark(self) -> "Mark":
         """Return how much evidence there is now."""
@@ -57,10 +67,14 @@
         """Drop the windows: what they say is out of date."""
         self.own = Window()
         self.origins = {}
+        self.zones = {}
         self.streak = 0
         self._pooled = None
 
-    def _attribute(self, second: int, vm: VmId, counts: Counts) -> None:
+    def _attribute(self, second: int, observer: Observer, counts: Counts) -> None:
+        vm, zone = observer.vm, observer.zone
+        if zone and (zone in self.zones or len(self.zones) < MAX_ZONES):
+            self.zones.setdefault(zone, Window()).add(second, counts)
         n_bad = max(counts[1:])
         if not n_bad:
             return
--- a/packages/health/src/wagtailpaddle_health/exchange.py
+++ b/packages/health/src/wagtailpaddle_health/exchange.py
@@ -4,10 +4,15 @@
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, replace
 
-from wagtailpaddle_core import ServerId, ServiceId, VmId
+from wagtailpaddle_core import ServerId, ServiceId, VmId, ZoneId
 
 from wagtailpaddle_health.evidence import Pending
-from wagtailpaddle_health.messages import HealthDigest, Opinion, ServerDigest
+from wagtailpaddle_health.messages import (
+    NO_ZONE,
+    HealthDigest,
+    Opinion,
+    ServerDigest,
+)
 from wagtailpaddle_health.scan import NOTHING, Judgement
 from wagtailpaddle_health.window import Counts
 
@@ -43,8 +48,9 @@
     for a watcher of the service and get its opinions.
     """
 
-    def __init__(self, vm: VmId, service: ServiceId) -> None:
+    def __init__(self, vm: VmId, service: ServiceId, zone: ZoneId = NO_ZONE) -> None:
         self.vm = vm
+        self.zone = zone
         self.service = service
         self.last_sent_at = float("-inf")
         self._sequence = 0
@@ -157,7 +163,7 @@
         """Return the next digest."""
         self._sequence += 1
         return HealthDigest(
-            self.vm, self.service, servers, opinions, self._sequence, to
+            self.vm, self.service, servers, opinions, self._sequence, to, self.zone
         )
 
     def _is_news(self, now: float, opinion: Opinion) -> bool:
--- a/packages/health/src/wagtailpaddle_health/messages.py
+++ b/packages/health/src/wagtailpaddle_health/messages.py
@@ -5,6 +5,8 @@
 
 from wagtailpaddle_core import ServerId, ServiceId, VmId, ZoneId
 
+NO_ZONE = ZoneId("")
+
 
 class Verdict(StrEnum):
     """What one attempt says about its server.
@@ -144,7 +146,8 @@
 
     ``to`` lists the VMs to send it to; empty means the service's watchers
     (``watchers``). ``sequence`` rises with each digest of ``vm`` for
-    ``service``, so that a repeated one is ignored.
+    ``service``, so that a repeated one is ignored. ``zone`` is the availability
+    zone of ``vm``, empty if unknown.
     """
 
     vm: VmId
@@ -153,6 +156,7 @@
     opinions: tuple[Opinion, ...] = ()
     sequence: int = 0
     to: tuple[VmId, ...] = ()
+    zone: ZoneId = NO_ZONE
 
 
 class HealthEventKind(StrEnum):
--- a/packages/health/src/wagtailpaddle_health/policies.py
+++ b/packages/health/src/wagtailpaddle_health/policies.py
@@ -15,6 +15,7 @@
     Reference,
     judge,
 )
+from wagtailpaddle_health.window import Window
 
 CONSECUTIVE_FAILURES = 5
 LEAST_THRESHOLD = 9.0
@@ -117,6 +118,12 @@
 class _Scan:
     compares: bool
 
+    def _zones(self, case: Case) -> tuple[Window, ...]:
+        """Return the evidence by zone, if more than one zone uses the server."""
+        windows = case.evidence.zones.values() if self.compares else ()
+        used = tuple(item for item in windows if item.total(case.second).n_attempts)
+        return used if len(used) > 1 else ()
+
     def local(self, case: Case) -> Judgement:
         """Judge by own evidence, whoever else saw it."""
         return judge(
@@ -150,6 +157,7 @@
             ],
             threshold=threshold(case.sensitivity),
             origins=tuple(case.evidence.origins.values()),
+            zones=self._zones(case),
             channels=_channels(case),
             compares=self.compares,
         )
--- a/packages/health/src/wagtailpaddle_health/poolbook.py
+++ b/packages/health/src/wagtailpaddle_health/poolbook.py
@@ -3,7 +3,7 @@
 from collections import Counter, deque
 from dataclasses import replace
 
-from wagtailpaddle_core import ServerId, VmId
+from wagtailpaddle_core import ServerId
 
 from wagtailpaddle_health.admission import (
     MAX_PROBATION_S,
@@ -11,7 +11,8 @@
     RECOVERING,
     Track,
 )
-from wagtailpaddle_health.evidence import NO_MARK, Pending
+from wagtailpaddle_health.attempts import attempt_counts
+from wagtailpaddle_health.evidence import NO_MARK, Observer, Pending
 from wagtailpaddle_health.exchange import (
     Exchange,
     counts_of,
@@ -40,7 +41,7 @@
     verify_spread_s,
     wants_verification,
 )
-from wagtailpaddle_health.window import WINDOW_S, Counts
+from wagtailpaddle_health.window import Counts
 
 SUSPECT_SHARE = 0.16
 TRUST_SHARE = 0.1
@@ -64,18 +65,18 @@
     def __init__(
         self,
         now: float,
-        vm: VmId,
+        observer: Observer,
         policy: Policy,
         pool: Pool,
         events: deque[HealthEvent],
     ) -> None:
-        self.vm = vm
+        self.observer = observer
         self.ignored: Counter[str] = Counter()
         self.limit = LatencyLimit()
         self.last_evidence_at = now
         self._policy = policy
         self._roster = Roster(pool, events)
-        self._exchange = Exchange(vm, pool.service)
+        self._exchange = Exchange(observer.vm, pool.service, observer.zone)
         self._loads: dict[ServerId, tuple[float, float]] = {}
         self._pending: dict[ServerId, Pending] = {}
 
@@ -190,15 +191,10 @@
             return None
         if verdict is Verdict.NEUTRAL:
             return None
-        if verdict is Verdict.OVERDUE:
-            return Counts(1, 0, 0, 1)
-        is_new = not observation.overdue
-        is_slow = is_new and latency_s > self.limit.limit_s
+        counts = attempt_counts(observation, self.limit.limit_s)
         if verdict is Verdict.SUCCESS:
             self.limit.add(latency_s)
-            return Counts(int(is_new), 0, 0, int(is_slow))
-        is_unsent = verdict is Verdict.UNREACHABLE
-        return Counts(int(is_new), 1, int(is_unsent), int(is_slow))
+        return counts
 
     def _note_own(
         self, now: float, track: Track, observation: Observation, counts: Counts
@@ -211,7 +207,7 @@
             evidence.streak = 0
         if not counts:
             return
-        evidence.add_own(now, self.vm, counts)
+        evidence.add_own(now, self.observer, counts)
         self._inquire(now, track, counts)
         if self._policy.shares:
             pending = self._pending.setdefault(track.server, Pending())
@@ -219,6 +215,7 @@
 
     def _take_lines(self, now: float, digest: HealthDigest) -> dict[ServerId, Track]:
         dirty = {}
+        observer = Observer(digest.vm, digest.zone)
         for line in digest.servers:
             counts = counts_of(line)
             if line.server not in self._roster.servers:
@@ -228,7 +225,7 @@
                 self.ignored["impossible counts"] += 1
                 continue
             track = self._roster.track(line.server)
-            track.evidence.add_other(now, digest.vm, counts)
+            track.evidence.add_other(now, observer, counts)
             self._inquire(now, track, counts)
             self.last_evidence_at = now
             is_bad = counts.n_failure + counts.n_slow > 0
@@ -313,7 +310,7 @@
         suspicion = max(track.suspicion, track.hinted(now))
         if track.state is ServerState.HEALTHY and suspicion >= SUSPECT_SHARE:
             track.admission.doubt()
-            track.spread_s = verify_spread_s(self._own_rate(now))
+            track.spread_s = verify_spread_s(self._roster.own_rate(int(now)))
             reason = track.local.reason or track.fleet.reason
             if not reason:
                 reason = "probe" if track.hinted(now) else "failures"
@@ -328,13 +325,6 @@
             track.kept = False
         return True
 
-    def _own_rate(self, now: float) -> float:
-        totals = (
-            track.evidence.own.total(int(now)).n_attempts
-            for track in self._roster.tracks.values()
-        )
-        return sum(totals) / WINDOW_S
-
     def _advance(self, now: float, track: Track) -> bool:
         state = track.state
         if track.is_out and now >= track.until:
@@ -388,7 +378,9 @@
         )
 
     def _verifies(self, now: float, track: Track) -> bool:
-        return self._policy.verifies and wants_verification(now, track, self.vm)
+        return self._policy.verifies and wants_verification(
+            now, track, self.observer.vm
+        )
 
     def _held(self, now: float) -> list[Opinion]:
         held = []
--- a/packages/health/src/wagtailpaddle_health/roster.py
+++ b/packages/health/src/wagtailpaddle_health/roster.py
@@ -21,6 +21,7 @@
     ServerState,
 )
 from wagtailpaddle_health.scan import NOTHING, Judgement
+from wagtailpaddle_health.window import WINDOW_S
 
 
 class Roster:
@@ -44,6 +45,12 @@
         """How many more servers could go without breaking the floor."""
         return self._n_usable() - n_required(self.pool)
 
+    def own_rate(self, second: int) -> float:
+        """Return the attempts a second of this VM on all servers."""
+        tracks = self.tracks.values()
+        totals = (item.evidence.own.total(second).n_attempts for item in tracks)
+        return sum(totals) / WINDOW_S
+
     def track(self, server: ServerId) -> Track:
         """Return the track of a configured server, a new one if needed."""
         found = self.tracks.get(server)
--- a/packages/health/src/wagtailpaddle_health/scan.py
+++ b/packages/health/src/wagtailpaddle_health/scan.py
@@ -21,6 +21,7 @@
 PRIOR_ATTEMPTS = 20
 MAX_RATE = 0.95
 CORROBORATION = 2.5
+ZONE_CORROBORATION = 4.0
 LEAST_SHARE = 0.08
 INCIDENT_NATS = 4.0
 
@@ -170,6 +171,16 @@
     )
 
 
+def elsewhere_ratio(zones: Iterable[Counts], channel: int, usual: float) -> float:
+    """Return ``ZONE_CORROBORATION`` times the evidence in nats outside one zone.
+
+    The zone left out is the one with the most failures.
+    """
+    ranked = sorted(zones, key=lambda counts: counts[channel])
+    n, k = summed(ranked[:-1], channel)
+    return ZONE_CORROBORATION * log_ratio(n, k, usual)
+
+
 def log_likelihood(n_attempts: int, n_bad: int, rate: float) -> float:
     """Return the log likelihood of ``n_bad`` at ``rate``, up to a constant."""
     n_good = n_attempts - n_bad
@@ -184,13 +195,15 @@
     *,
     threshold: float,
     origins: Sequence[Window] = (),
+    zones: Sequence[Window] = (),
     channels: Sequence[int] = CHANNELS,
     compares: bool = True,
 ) -> Judgement:
     """Judge a server by the worst of its windows and channels.
 
     ``others`` are the pool's other servers, ``origins`` this server's bad
-    attempts by the VM that saw them. ``threshold`` is in nats; evidence below
+    attempts by the VM that saw them, ``zones`` all its attempts by zone: without
+    failures in a second one the score stays 0. ``threshold`` is in nats; evidence below
     ``LEAST_SHARE`` of it is taken for none. The score takes the
     others since the doubt began into account: one that ``compares`` by the
     ``incident_ratio``, else by the ``control_rate``.
@@ -217,6 +230,9 @@
             top = max(tops, default=0)
             share = log_ratio(n_attempts, n_bad, usual) / threshold
             rest = log_ratio(n_attempts - top, n_bad - top, usual) / threshold
+            if zones:
+                seen = [win.recent(second, SCAN_S[index]) for win in zones]
+                limit = min(limit, elsewhere_ratio(seen, channel, usual) / threshold)
             score = min(share, CORROBORATION * rest, limit)
             if (score, doubt) > (best.score, best.suspicion):
                 best = Judgement(doubt, score, REASONS[channel], n_bad, n_attempts)
--- a/packages/node/src/wagtailpaddle_node/node.py
+++ b/packages/node/src/wagtailpaddle_node/node.py
@@ -40,7 +40,7 @@
         max_waiting: int = 1024,
     ):
         self.vm = vm
-        self.health = HealthBook(vm.id, policy=policy, seed=seed)
+        self.health = HealthBook(vm.id, zone=vm.zone, policy=policy, seed=seed)
         self.dispatcher = Dispatcher(zone=vm.zone, max_waiting=max_waiting, seed=seed)
         self.backends = Backends(self.health, self.dispatcher)
         self.control = Control(vm, self.backends, codec, site=site, seed=seed)
--- a/packages/standins/src/wagtailpaddle_standins/measure/background.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/background.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from wagtailpaddle_core import VmId
-from wagtailpaddle_health.evidence import NO_MARK, Evidence
+from wagtailpaddle_health.evidence import NO_MARK, Evidence, Observer
 from wagtailpaddle_health.latency import SLOW_FACTOR
 from wagtailpaddle_health.policies import POLICIES, Case, Other, Policy, threshold
 from wagtailpaddle_health.scan import FAILURE, FLOOR_RATES, SLOW, log_ratio
@@ -126,7 +126,7 @@
             self.evidence.own.add(second, Counts(n_attempts))
             return False
         bad = Counts(n_attempts, n_failure, 0, n_slow)
-        self.evidence.add_own(second, self._random.choice(vms), bad)
+        self.evidence.add_own(second, Observer(self._random.choice(vms)), bad)
         return True
 
     def _draw(self, kind: int, n_attempts: int) -> int:
--- a/packages/standins/src/wagtailpaddle_standins/measure/health.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/health.py
@@ -27,6 +27,7 @@
     "flapping",
 )
 MAIN_KINDS = ("down", "fails-all-work", "errors-20%")
+PATHS = ("path of one VM", "path of a zone")
 POOLS = {"namur": (12, 10), "returhuset": (15, 10)}
 BASELINES = ("previous", "consecutive", "none")
 SERVICE_RATE = 50.0
@@ -49,7 +50,8 @@
             for policy in BASELINES:
                 yield from detection(policy, size, seed, n_trials=1, kinds=MAIN_KINDS)
     yield run_incident(Plan("scan", "incident-30%", 12, 1, seed))
-    yield run_path(Plan("scan", "path", 12, 1, seed))
+    for kind in PATHS:
+        yield run_path(Plan("scan", kind, 12, 1, seed))
     yield run_half_down(Plan("scan", "half", 12, 1, seed))
     yield from false_ejections("scan", 12, seed, server_days=2, vm_days=5)
     yield from false_ejections("previous", 12, seed, server_days=2, vm_days=0)
@@ -109,7 +111,8 @@
     """Run what should eject nobody, or on one VM only."""
     for kind in ("incident-30%", "incident-slow"):
         yield run_incident(Plan(policy, kind, n_servers, n_trials, seed))
-    yield run_path(Plan(policy, "path", n_servers, n_trials, seed))
+    for kind in PATHS:
+        yield run_path(Plan(policy, kind, n_servers, n_trials, seed))
     yield run_cold_start(Plan(policy, "cold", n_servers, n_trials, seed))
     yield run_half_down(Plan(policy, "half", n_servers, n_trials, seed))
 
--- a/packages/standins/src/wagtailpaddle_standins/measure/pools.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/pools.py
@@ -90,7 +90,9 @@
         self.random = Random(seed)
         self.vms = [VmId(f"vm-{index:02d}") for index in range(n_vms)]
         self.books = {
-            vm: HealthBook(vm, policy=policy, seed=seed + index)
+            vm: HealthBook(
+                vm, zone=ZONES[index % len(ZONES)], policy=policy, seed=seed + index
+            )
             for index, vm in enumerate(self.vms)
         }
         self.now = 0.0
--- a/packages/standins/src/wagtailpaddle_standins/measure/trials.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/trials.py
@@ -195,11 +195,12 @@
 
 
 def run_path(plan: Plan) -> str:
-    """Cut one VM off from one server; return who reacts."""
+    """Cut one VM, or those of one zone, off from one server; return who reacts."""
     fleet, pools = start(plan)
-    vm = fleet.vms[0]
+    cut = {"path of one VM": [0], "path of a zone": range(0, len(fleet.vms), 3)}
+    indices = cut[plan.kind]
     for pool in pools:
-        pool.cut_vms = frozenset([vm])
+        pool.cut_vms = frozenset(fleet.vms[index] for index in indices)
         pool.faults[pool.servers[0]] = (fleet.now, FAULTS["down"])
     began = fleet.now
     times: dict[ServiceId, float] = {}
@@ -208,12 +209,14 @@
         fleet.run_until(fleet.now + STEP_S)
         for pool in pools:
             states = fleet.states(pool.service, pool.servers[0])
-            if states[0] in OUT:
+            n_avoiding = sum(states[index] in OUT for index in indices)
+            if n_avoiding >= DETECTED_SHARE * len(indices):
                 times.setdefault(pool.service, fleet.now - began)
-            n_others = max(n_others, sum(state in OUT for state in states[1:]))
+            n_out = sum(state in OUT for state in states)
+            n_others = max(n_others, n_out - n_avoiding)
     found = [times.get(pool.service) for pool in pools]
     return (
-        f"{'path of one VM':15} {plan.policy:12} n={len(pools):3} avoided there p50"
+        f"{plan.kind:15} {plan.policy:12} n={len(pools):3} avoided there p50"
         f" {show(quantile(found, 0.5)):>5} s; other VMs that react: {n_others}"
     )
 
