Keep open connections within a VM's part; test limits without told slots

A VM kept up to 16 idle connections to a server beside those in use, while its part at 36 VMs is 8: with requests that cannot be repeated, old idle ones are not used again and new ones came on top.

Dispatch carries the part, and a kept connection that is too old makes room when the part is used up. Weighed: fewer idle connections for all (reopens more often than needed).

Both limiters come near 4 slots, whether 1, 4 or 32 are stated: new test, no change.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -4,7 +4,7 @@
 a request goes out on, without the timers and Deferreds of its pool.
 """
 
-from collections import deque
+from collections import Counter, deque
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
@@ -56,6 +56,7 @@
 
     _n_head_bytes = 0
     idle_since = 0.0
+    is_forgotten = False
 
     def __init__(self, pool: "Connections", address: Address):
         super().__init__(self._finished)
@@ -119,15 +120,30 @@
 
 
 class Connections:
-    """Connections by address of the backend server; nothing is sent twice."""
+    """Connections by address of the backend server; nothing is sent twice.
+
+    No more are open to one address than the caller's ``max_open``, as long as
+    that many requests at most are in flight there: where a kept connection is
+    too old for a request, it makes room for a new one.
+    """
 
     def __init__(self, reactor: Any, *, max_idle_s: float):
         self._reactor = reactor
         self._max_idle_s = max_idle_s
         self._idle: dict[Address, deque[ClientConnection]] = {}
+        self._n_open: Counter[Address] = Counter()
+
+    def n_open(self, address: Address) -> int:
+        """Return how many connections to a server are open or being opened."""
+        return self._n_open[address]
 
     def send(
-        self, address: Address, req: WholeRequest, *, max_idle_s: float
+        self,
+        address: Address,
+        req: WholeRequest,
+        *,
+        max_idle_s: float,
+        max_open: int = IDLE_CONNECTIONS,
     ) -> Deferred[Any]:
         """Return the response to ``req``; cancelling closes the connection.
 
@@ -138,11 +154,25 @@
         oldest = self._reactor.seconds() - max_idle_s
         if kept and kept[-1].idle_since >= oldest:
             return kept.pop().request(req)
+        if kept and self._n_open[address] >= max_open:
+            kept[0].close()
+        self._n_open[address] += 1
         endpoint = TCP4ClientEndpoint(self._reactor, *address, CONNECT_TIMEOUT_S)
         opened = endpoint.connect(_ClientFactory(self, address))
-        opened.addCallback(lambda conn: conn.request(req))
+        opened.addCallbacks(
+            lambda conn: conn.request(req), self._not_opened, errbackArgs=(address,)
+        )
         return opened
 
+    def _not_opened(self, failure: Failure, address: Address) -> Failure:
+        self._closed(address)
+        return failure
+
+    def _closed(self, address: Address) -> None:
+        self._n_open[address] -= 1
+        if self._n_open[address] <= 0:
+            del self._n_open[address]
+
     def keep(self, conn: ClientConnection) -> None:
         """Keep a connection whose answer came whole, the latest used last."""
         kept = self._idle.setdefault(conn.address, deque())
@@ -153,6 +183,9 @@
 
     def forget(self, conn: ClientConnection) -> None:
         """A connection is lost or of no more use."""
+        if not conn.is_forgotten:
+            conn.is_forgotten = True
+            self._closed(conn.address)
         kept = self._idle.get(conn.address)
         if kept is not None and conn in kept:
             kept.remove(conn)
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -191,7 +191,9 @@
         )
         attempt = action.attempt
         request = action.request
-        exchange.pending = self._upstream.send(address, port, out)
+        exchange.pending = self._upstream.send(
+            address, port, out, max_open=action.connections
+        )
         exchange.timer = self._reactor.callLater(
             left, self._timed_out, request, attempt
         )
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -69,15 +69,22 @@
     def __init__(self, reactor: Any):
         self._connections = Connections(reactor, max_idle_s=SAFE_IDLE_S)
 
-    def send(self, address: str, port: int, out: Outgoing) -> Deferred[Any]:
-        """Return the response to ``out``; cancelling closes the connection."""
+    def send(
+        self, address: str, port: int, out: Outgoing, *, max_open: int = 1
+    ) -> Deferred[Any]:
+        """Return the response to ``out``; cancelling closes the connection.
+
+        Idle connections are kept as far as no more than ``max_open`` are open.
+        """
         try:
             data = encode_request(out, b"%s:%d" % (address.encode(), port))
         except ValueError as exc:
             return fail(RequestNotSent(str(exc)))
         req = WholeRequest(out.method, data)
         idle_s = SAFE_IDLE_S if out.method in SAFE_METHODS else UNSAFE_IDLE_S
-        return self._connections.send((address, port), req, max_idle_s=idle_s)
+        return self._connections.send(
+            (address, port), req, max_idle_s=idle_s, max_open=max_open
+        )
 
     def close_idle(self, now: float) -> None:
         """Close connections that were idle for too long."""
--- a/packages/daemon/tests/test_connections.py
+++ b/packages/daemon/tests/test_connections.py
@@ -1,8 +1,10 @@
 """Which connections to a server serve again, and what may go out on them."""
 
 import pytest
+from twisted.internet.error import ConnectionDone
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 from wagtailpaddle_daemon.connections import ClientConnection, Connections, WholeRequest
 from wagtailpaddle_daemon.upstream import BodyReader, Outgoing, encode_request
 
@@ -105,6 +107,22 @@
     assert not is_kept(pool, conn)
 
 
+def test_old_connection_makes_room_when_no_more_may_be_open(pool, conn, clock):
+    pool._n_open[ADDRESS] = 1
+    exchange(conn.request(get()), conn, GOOD + b"\r\nok")
+    clock.advance(2.0)
+    pool.send(ADDRESS, get(), max_idle_s=1.0, max_open=1).addErrback(lambda _: None)
+    assert not is_kept(pool, conn)
+    assert pool.n_open(ADDRESS) <= 1
+    conn.connectionLost(Failure(ConnectionDone()))
+    assert pool.n_open(ADDRESS) <= 1
+
+
+def test_connection_that_could_not_be_opened_is_not_counted(pool):
+    pool.send(ADDRESS, get(), max_idle_s=1.0).addErrback(lambda _: None).cancel()
+    assert pool.n_open(ADDRESS) == 0
+
+
 def test_idle_connection_is_closed_in_time(pool, conn, clock):
     exchange(conn.request(get()), conn, GOOD + b"\r\nok")
     clock.advance(31.0)
--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -363,14 +363,11 @@
 
         All of them, because any of them may get a request for the service.
         """
-        notices = self.backends.marks.notices(now) if self.backends.marks else ()
-        if not notices:
-            return ()
-        vms = [vm.id for vm in self.membership.vms(now) if vm.id != self.vm.id]
         return tuple(
-            self.calls.to_vm(now, Part.HEALTH, vm, notice)
-            for notice in notices
-            for vm in vms
+            self.calls.to_vm(now, Part.HEALTH, vm.id, notice)
+            for notice in self.backends.marks.notices(now)
+            for vm in self.membership.vms(now)
+            if vm.id != self.vm.id
         )
 
     def _tell_health(self, now: float) -> tuple[ControlAction, ...]:
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -89,7 +89,8 @@
 class Dispatch:
     """Send the request to ``server``; give up at ``timeout_at``.
 
-    ``queued_s`` is how long the request waited for this attempt.
+    ``queued_s`` is how long the request waited for this attempt;
+    ``connections`` is how many this VM may have open to the server.
     """
 
     request: RequestId
@@ -98,6 +99,7 @@
     attempt: int
     timeout_at: float
     queued_s: float = 0.0
+    connections: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -292,7 +292,13 @@
         queued_s = now - pending.waiting_since
         timeout_at = self._timeout_at(now, pending)
         return Dispatch(
-            job.id, job.service, server.id, pending.n_attempts, timeout_at, queued_s
+            job.id,
+            job.service,
+            server.id,
+            pending.n_attempts,
+            timeout_at,
+            queued_s,
+            int(server.limiter.cap),
         )
 
     def _timeout_at(self, now: float, pending: Pending) -> float:
--- a/packages/routing/tests/test_choice.py
+++ b/packages/routing/tests/test_choice.py
@@ -120,3 +120,32 @@
     started = busy.set_servers(0.1, SERVICE, (replace(view("s0")),), n_users=100)
     assert len(started) <= 1
     assert busy.status(0.1)[0].servers[0].limit <= 3
+
+
+@pytest.mark.parametrize("limiter", ["aimd", "gradient"])
+@pytest.mark.parametrize("stated", [1, 4, 32])
+def test_limit_comes_near_the_slots_that_the_server_does_not_tell(
+    make_dispatcher, view, job, ended, limiter, stated
+):
+    n_slots = 4
+    dispatcher = make_dispatcher((view("s0", slots=stated),), limiter=limiter)
+    running, limits, n_sent = [], [], 0
+    for step in range(4000):
+        now = step * 0.01
+        if step % 5 == 0 and running:
+            name = running.pop(0)
+            started = dispatcher.finish(now, name, ended(latency_s=0.05))
+        else:
+            n_sent += 1
+            name = RequestId(f"r{n_sent}")
+            started = dispatcher.arrive(now, job(name, at=now, timeout_s=1.0))
+        for action in (*started, *dispatcher.tick(now)):
+            if not isinstance(action, Dispatch):
+                continue
+            if len(running) < n_slots:
+                running.append(action.request)
+            else:
+                dispatcher.finish(now, action.request, ended("shed", 0.001))
+        limits.append(dispatcher.status(now)[0].servers[0].limit)
+    settled = limits[len(limits) // 2 :]
+    assert 2.0 <= sum(settled) / len(settled) <= 2.0 * n_slots
