--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -195,7 +195,7 @@
             left, self._timed_out, request, attempt
         )
         # The attempt may be over before the callbacks are added.
-        pending = self._upstream.send(address, port, out)
+        pending = self._upstream.send(address, port, out, max_open=action.connections)
         exchange.pending = pending
         pending.addCallbacks(
             lambda response: self._answered(request, attempt, response),
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -41,7 +41,7 @@
 class NeverSends:
     """Connections on which every request fails before ``send`` returns."""
 
-    def send(self, address, port, out):
+    def send(self, address, port, out, *, max_open):
         return fail(RequestNotSent())
 
 
