--- a/packages/cli/tests/test_config.py
+++ b/packages/cli/tests/test_config.py
@@ -101,7 +101,7 @@
     assert main(["config", "show", BASE, NAMUR, "--section", "services"]) == Exit.OK
     lines = [line.split() for line in capsys.readouterr().out.splitlines()]
     assert ["services.booking.floor", "0.5", "base"] in lines
-    assert ["services.booking.sensitivity", "0.3", "overlay:namur"] in lines
+    assert ["services.booking.sensitivity", "0.4", "overlay:namur"] in lines
 
 
 def test_diff_of_two_overlays_shows_what_differs(capsys):
