Let limits known from the start count from then

Cause: limits known when a process starts had no time from which they count, against what Limit states, so an account idle at a former holder started full at a VM that could not know what came before. A claimed share was never at risk, since it fills from its settling on.

--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -250,7 +250,7 @@
         known = self.configuration.accounts.get(account)
         if known is None or not known.active:
             return None
-        return self._limits.get(account) or Limit(known.rate, known.burst)
+        return self._limits.get(known)
 
     def borrow(self, now: float, account: AccountId) -> tuple[ControlAction, ...]:
         """Ask other holders for the tokens that an account lacks here."""
--- a/packages/node/src/wagtailpaddle_node/limits.py
+++ b/packages/node/src/wagtailpaddle_node/limits.py
@@ -16,19 +16,26 @@
 
     Another VM may go by a burst before a change until a majority of the seats
     confirmed the change, and for one window of the freshness rule more. Until
-    then these bursts are stated as unsettled.
+    then these bursts are stated as unsettled. What came before the process
+    knew any account is unknown to it, so all limits known from then on count
+    from that time.
     """
 
     def __init__(self, *, window_s: float):
         self._window_s = window_s
+        self._known_from = float("-inf")
+        self._knows_accounts = False
         self._limits: dict[AccountId, Limit] = {}
         self._unsettled: dict[AccountId, Offset] = {}
         self._accepted_at: dict[Offset, float] = {}
         self._order: deque[tuple[float, AccountId]] = deque()
 
-    def get(self, account: AccountId) -> Limit | None:
-        """Return the limit of an account that changed lately."""
-        return self._limits.get(account)
+    def get(self, account: ClientAccount) -> Limit:
+        """Return the limit of an account as it is to be applied now."""
+        known = self._limits.get(account.id)
+        if known is not None:
+            return known
+        return Limit(account.rate, account.burst, self._known_from)
 
     def note(
         self,
@@ -42,6 +49,9 @@
 
         ``names`` None means that any account may differ.
         """
+        if not self._knows_accounts and after:
+            self._knows_accounts = True
+            self._known_from = now
         differs = False
         for name in after if names is None else names:
             old, new = before.get(name), after.get(name)
--- a/packages/standins/tests/test_soak.py
+++ b/packages/standins/tests/test_soak.py
@@ -28,6 +28,23 @@
     assert world.audit.served.total() > 30
 
 
+def test_restarts_hand_out_no_second_burst():
+    world = World(6)
+    world.fabric.run_until(soak.WARM_UP_S)
+    for index, place in enumerate(world.places):
+        if index % 2:
+            world.stop(place)
+        else:
+            world.kill(place)
+        while world.hosts[place].process.alive:
+            soak.step(world, fault_rate=0.0)
+        world.start(place)
+        for _ in range(4):
+            soak.step(world, fault_rate=0.0)
+    assert world.audit.conclude() == []
+    assert world.audit.served.total() > 300
+
+
 def test_audit_sees_what_breaks_a_promise():
     world = World(1)
     audit = world.audit
