Ask again sooner when freshness runs out; audit refusals as not fresh

Cause: random runs refused much as not fresh and nobody knew how much of it was due. The runs now tell refusals of VMs that reached the log or majorities of the seats for 6 s (wrongful) from due ones and from those without a share.

The audit of leaving servers stays as strict: the last base counts.

--- a/packages/fleet/src/wagtailpaddle_fleet/membership.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/membership.py
@@ -275,6 +275,11 @@
             return False
         return self.freshness.is_fresh(now)
 
+    @property
+    def held_seats(self) -> frozenset[SeatId]:
+        """The seats for which this VM speaks."""
+        return frozenset(self._own_seats())
+
     def confirmed(self, seat: SeatId) -> Offset:
         """Return the highest next offset that was named for a seat."""
         known = self._answers.confirmed(seat)
--- a/packages/fleet/src/wagtailpaddle_fleet/questions.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/questions.py
@@ -41,7 +41,7 @@
     ) -> tuple[Action, ...]:
         """Ask a majority and some spare, or everyone if that does not do."""
         if now - confirmed_at > window_s / 2:
-            return self.of_everyone(now, every_s=window_s / 3)
+            return self.of_everyone(now)
         return (
             *self._asker.ask(now, self._preferred(), every_s=window_s / 3),
             *self.of_everyone(now, every_s=ASK_ALL_EVERY_S),
--- a/packages/standins/src/wagtailpaddle_standins/fakes/fabric.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/fabric.py
@@ -32,6 +32,10 @@
     alive: bool = True
     paused_until: float = 0.0
 
+    def pause_until(self, when: float) -> None:
+        """Let the process stand still; a pause under way is not cut short."""
+        self.paused_until = max(self.paused_until, when)
+
 
 @dataclass(order=True, slots=True)
 class _Event:
--- a/packages/standins/src/wagtailpaddle_standins/fakes/quota_fleet.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/quota_fleet.py
@@ -149,7 +149,7 @@
         """Let a process stand still while time passes."""
         instance = self.instances.get(place)
         if instance is not None:
-            instance.process.paused_until = self.fabric.now + seconds
+            instance.process.pause_until(self.fabric.now + seconds)
 
     # Limits
 
--- a/packages/standins/src/wagtailpaddle_standins/soak/__main__.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/__main__.py
@@ -117,6 +117,10 @@
         f" {world.fabric.n_messages} messages",
         "refused: " + ", ".join(f"{kind} {n}" for kind, n in refused.most_common()),
     ]
+    causes = world.freshness.causes
+    if causes:
+        counts = ", ".join(f"{cause.value} {n}" for cause, n in causes.most_common())
+        lines.append(f"not-fresh: {counts}")
     kinds = Counter(line.partition(" at ")[0] for line in broken)
     lines += [f"BROKEN {n}x {line}" for line, n in kinds.most_common(20)]
     return "\n".join(lines)
--- a/packages/standins/src/wagtailpaddle_standins/soak/audit.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/audit.py
@@ -15,7 +15,10 @@
 
 @dataclass(slots=True)
 class Audit:
-    """Collects evidence while the run goes on; ``broken`` lists violations."""
+    """Collects evidence while the run goes on; ``broken`` lists violations.
+
+    ``base_record`` is the last base published, which alone says who leaves.
+    """
 
     servers: Servers
     rates: Mapping[AccountId, RateAudit]
@@ -26,6 +29,7 @@
     answered: Counter[RequestId] = field(default_factory=Counter)
     withdrawn_at: dict[str, float] = field(default_factory=dict)
     leaving_at: dict[str, float] = field(default_factory=dict)
+    base_record: str = ""
     once_only: set[RequestId] = field(default_factory=set)
 
     def on_dispatch(self, now: float, key_hash: str | None, server: str) -> None:
--- a/packages/standins/src/wagtailpaddle_standins/soak/disorder.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/disorder.py
@@ -61,7 +61,7 @@
     host = _any_host(world)
     if host is not None:
         length_s = world.random.choice((0.5, 2.0, 6.0, 15.0))
-        host.process.paused_until = world.fabric.now + length_s
+        host.process.pause_until(world.fabric.now + length_s)
 
 
 @FAULTS.register("cut one way")
@@ -127,9 +127,13 @@
     leaving = f"s{world.random.randrange(N_SERVERS)}"
     record_id = world.commit(PublishBase(world.document(leaving=frozenset({leaving}))))
     world.audit.leaving_at.clear()
-    _when_accepted(
-        world, record_id, lambda now: world.audit.leaving_at.update({leaving: now})
-    )
+    world.audit.base_record = record_id
+
+    def accepted(now: float) -> None:
+        if world.audit.base_record == record_id:
+            world.audit.leaving_at[leaving] = now
+
+    _when_accepted(world, record_id, accepted)
 
 
 @FAULTS.register("withdraw")
--- a/packages/standins/src/wagtailpaddle_standins/soak/world.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/world.py
@@ -3,7 +3,6 @@
 import json
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 from typing import Any
@@ -16,7 +15,7 @@
     Record,
     hash_secret,
 )
-from wagtailpaddle_core import AccountId, KeyId, RequestId, ZoneId
+from wagtailpaddle_core import AccountId, ErrorKind, KeyId, RequestId, ZoneId
 from wagtailpaddle_fleet import Vm, new_incarnation, vm_id
 from wagtailpaddle_node import (
     Append,
@@ -41,6 +40,8 @@
 from wagtailpaddle_standins.fakes.audit import RateAudit
 from wagtailpaddle_standins.fakes.fabric import Fabric, Process
 from wagtailpaddle_standins.soak.audit import Audit
+from wagtailpaddle_standins.soak.freshaudit import FreshAudit
+from wagtailpaddle_standins.soak.host import Exchange, Host
 from wagtailpaddle_standins.soak.platform import LogDownError, Platform
 from wagtailpaddle_standins.soak.servers import Ending, Servers
 
@@ -55,25 +56,6 @@
 OVERLAP_S = 12.0
 
 
-@dataclass(slots=True)
-class Exchange:
-    """A request at one node."""
-
-    head: RequestHead
-    account: AccountId
-    attempt: int = 0
-
-
-@dataclass(slots=True)
-class Host:
-    """One incarnation of a daemon with its requests in flight."""
-
-    process: Process
-    node: Node
-    exchanges: dict[RequestId, Exchange] = field(default_factory=dict)
-    stopping: bool = False
-
-
 class World:
     """Drives nodes as a front end would, and tells the audit what it sees."""
 
@@ -88,6 +70,7 @@
         }
         self.audit = Audit(self.servers, self.rates)
         self.hosts: dict[str, Host] = {}
+        self.freshness = FreshAudit(self.fabric, self.platform, self.hosts)
         self.secrets: dict[AccountId, list[str]] = {}
         self.n_requests = 0
         self.n_records = 0
@@ -296,6 +279,8 @@
                 case Refuse():
                     if host.exchanges.pop(action.request, None) is not None:
                         self.audit.on_refusal(action.request, action.kind)
+                        if action.kind is ErrorKind.NOT_FRESH:
+                            self.freshness.on_refusal(host)
                 case CancelAttempt():
                     pass
                 case CallPeer():
