Report a peer connection lost at the begin of a call as lost

Cause: grpclib deletes the transport of a connection that closes; a call that begins in that moment gets an AttributeError. The daemon survived it by its catch for unforeseen errors and logged "Call broke." as a fault of its own. Now it counts as a failed call, like any other lost connection. test_failures.py asserts that no daemon logs a fault of its own.

--- a/packages/peer/src/wagtailpaddle_peer/service.py
+++ b/packages/peer/src/wagtailpaddle_peer/service.py
@@ -162,10 +162,14 @@
         data = envelope.SerializeToString(deterministic=True)
         stub = PeerStub(self._channel(address))
         mac = {MAC_HEADER: self._security.mac(data)}
-        async with stub.Call.open(timeout=timeout_s, metadata=mac) as stream:
-            await stream.send_message(envelope, end=True)
-            answer = await stream.recv_message()
-            presented = (stream.initial_metadata or {}).get(MAC_HEADER, "")
+        try:
+            async with stub.Call.open(timeout=timeout_s, metadata=mac) as stream:
+                await stream.send_message(envelope, end=True)
+                answer = await stream.recv_message()
+                presented = (stream.initial_metadata or {}).get(MAC_HEADER, "")
+        except AttributeError as exc:
+            # grpclib deletes the transport of a connection that was just lost.
+            raise ConnectionError(f"the connection was lost: {exc}") from None
         if answer is None:
             raise MessageError("no reply")
         told = answer.SerializeToString(deterministic=True)
