Prove more failures on real processes; reserve ports

Ports: free_ports closed its sockets before the processes listened, so another process, or a connection from any free port, could take a port in between, and again while a daemon was down. A reserved port stays bound, without listening, for as long as the system runs.

Tests added: killed while requests run there, paused for longer than any time-out of the fleet (12 s), a log that is slow and loses answers, one-way cuts between daemons and from the log to one daemon, keys issued and withdrawn on kept connections and for a waiting request, servers that hang, cut, slow down, cross answers and flap while a daemon dies, a server taken out of the configuration. Operators race at the same time instead of one after the other. Every load checks that answers are whole and the caller's own, and the end of the module that no daemon logged a fault of its own.

The load's callers try addresses that were not tried yet first.

--- a/packages/cli/tests/test_end_to_end.py
+++ b/packages/cli/tests/test_end_to_end.py
@@ -6,7 +6,7 @@
 import pytest
 from wagtailpaddle_cli.exits import Exit
 from wagtailpaddle_standins.client import wait_for
-from wagtailpaddle_standins.processes import OPERATOR_TOKEN, free_ports
+from wagtailpaddle_standins.processes import OPERATOR_TOKEN, ReservedPorts
 from wagtailpaddle_standins.system import System
 
 
@@ -53,6 +53,14 @@
     return base
 
 
+@pytest.fixture
+def nobody():
+    """Return an address on which nobody listens as long as the test runs."""
+    ports = ReservedPorts(1)
+    yield f"127.0.0.1:{ports.take()}"
+    ports.close()
+
+
 def served(system, secret):
     return [
         system.caller(index, secret).request("GET", "/catalogue/1").status
@@ -92,8 +100,7 @@
     assert cli("account", "list", "--bad").returncode == Exit.USAGE
 
 
-def test_address_where_nobody_listens_is_passed_over(system, cli, published):
-    nobody = f"127.0.0.1:{free_ports(1)[0]}"
+def test_address_where_nobody_listens_is_passed_over(system, cli, published, nobody):
     live = system.daemons[1].admin
     assert cli("route", "list", admin=f"{nobody},{live}").returncode == Exit.OK
     changed = cli(
--- a/packages/standins/src/wagtailpaddle_standins/attempts.py
+++ b/packages/standins/src/wagtailpaddle_standins/attempts.py
@@ -5,8 +5,10 @@
 from typing import Any
 
 from twisted.internet import error
+from twisted.internet.defer import CancelledError
 from twisted.web.client import RequestNotSent
 
+GAVE_UP = "caller-gave-up"
 NOT_SENT = (
     error.ConnectError,
     error.ConnectionRefusedError,
@@ -34,7 +36,7 @@
             problem = json.loads(body)
         except ValueError:
             problem = {}
-        kind = str(problem.get("type", "unnamed")).rpartition(":")[2]
+        kind = str(problem.get("type", f"status-{status}")).rpartition(":")[2]
         elsewhere = bool(problem.get("retry_elsewhere"))
         return cls(status, kind, outcome != "not-run", elsewhere)
 
@@ -47,4 +49,7 @@
 
 def outcome_of(exc: Exception) -> Outcome:
     """Return the outcome of an attempt that brought no answer."""
+    reasons = getattr(exc, "reasons", ())
+    if any(reason.check(CancelledError) for reason in reasons):
+        return Outcome(0, GAVE_UP, may_have_run=True)
     return Outcome(0, type(exc).__name__, not isinstance(exc, NOT_SENT))
--- a/packages/standins/src/wagtailpaddle_standins/bench.py
+++ b/packages/standins/src/wagtailpaddle_standins/bench.py
@@ -13,7 +13,7 @@
 from functools import partial
 
 from wagtailpaddle_standins.client import wait_for
-from wagtailpaddle_standins.processes import free_ports
+from wagtailpaddle_standins.processes import ReservedPorts
 from wagtailpaddle_standins.system import System
 
 PATH = "/catalogue/item"
@@ -145,7 +145,8 @@
 def prepare(system: System) -> list[Target]:
     """Start the forwarders, issue a key and return all targets."""
     document = system.base_document()
-    backend_port, klein_port, web_port = free_ports(3)
+    reserved = ReservedPorts(3)
+    backend_port, klein_port, web_port = (reserved.take() for _ in range(3))
     system.processes.start(
         "bench-backend",
         "wagtailpaddle_standins.backend",
--- a/packages/standins/src/wagtailpaddle_standins/demo.py
+++ b/packages/standins/src/wagtailpaddle_standins/demo.py
@@ -65,6 +65,7 @@
     broken += [
         f"{item.path} ran but was refused" for item in refused if runs[item.path]
     ]
+    broken += system.complaints()
     if any("wp_" in str(item) for item in system.seen()):
         broken.append("a backend server saw a key")
     elapsed_s = max(item.at + item.latency_s for item in done) - done[0].at
--- a/packages/standins/src/wagtailpaddle_standins/faults.py
+++ b/packages/standins/src/wagtailpaddle_standins/faults.py
@@ -29,6 +29,13 @@
     loop.callLater(seconds, answer, request, body)
 
 
+@FAULTS.register("leaving")
+def leaving(request: Any, body: bytes, seconds: float) -> None:
+    """Answer well after ``seconds`` and say that the server leaves."""
+    request.setHeader(b"x-server-state", b"leaving")
+    slow(request, body, seconds)
+
+
 @FAULTS.register("hang")
 def hang(request: Any, body: bytes, _: float) -> None:
     """Never answer."""
--- a/packages/standins/src/wagtailpaddle_standins/load.py
+++ b/packages/standins/src/wagtailpaddle_standins/load.py
@@ -1,7 +1,9 @@
 """A load of callers that ask the directory, keep its answer and connect.
 
 Reads a plan as JSON from a file and writes one JSON line for each request.
-Arrivals are open-loop: a slow answer does not delay the next request.
+Arrivals are open-loop: a slow answer does not delay the next request. Backend
+servers are to name the request's path in their answers; one that does not is
+an answer to somebody else, or not whole.
 """
 
 import argparse
@@ -29,6 +31,7 @@
 MAX_TRIES = 6
 RETRY_DELAY_S = 0.1
 IDLE_S = 1.0
+WRONG_ANSWER = "wrong-answer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,7 @@
     kind: str
     n_tries: int
     address: str
+    may_have_run: bool
 
 
 class Addresses:
@@ -130,10 +134,10 @@
         give_up_at = started + self._plan.timeout_s
         outcome = Outcome(0, "no-address", may_have_run=False)
         address = ""
-        n_tries = 0
-        while n_tries < MAX_TRIES and time.monotonic() < give_up_at:
-            address = await self._next_address(n_tries)
-            n_tries += 1
+        tried: list[str] = []
+        while len(tried) < MAX_TRIES and time.monotonic() < give_up_at:
+            address = await self._next_address(tried)
+            tried.append(address)
             left_s = give_up_at - time.monotonic()
             outcome = await self._try(address, method, path, number, left_s)
             repeatable = method == "GET" or self._plan.keyed
@@ -149,17 +153,18 @@
             time.monotonic() - started,
             outcome.status,
             outcome.kind,
-            n_tries,
+            len(tried),
             address,
+            outcome.may_have_run,
         )
         self._out.write(json.dumps(asdict(done)) + "\n")
 
-    async def _next_address(self, n_tries: int) -> str:
+    async def _next_address(self, tried: Sequence[str]) -> str:
+        """Return the first address of those that were tried least often."""
         now = time.monotonic()
-        if now >= self._addresses.good_until or n_tries:
+        if now >= self._addresses.good_until or tried:
             await self._ask_directory(now)
-        candidates = self._addresses.candidates()
-        return candidates[n_tries % len(candidates)]
+        return min(self._addresses.candidates(), key=tried.count)
 
     async def _ask_directory(self, now: float) -> None:
         for address in self._addresses.candidates():
@@ -193,6 +198,8 @@
             body = await treq.content(answer)
         except Exception as exc:
             return outcome_of(exc)
+        if answer.code == 200 and path.encode() not in body:
+            return Outcome(0, WRONG_ANSWER, may_have_run=True)
         return Outcome.of_answer(answer.code, answer.headers, body)
 
 
--- a/packages/standins/src/wagtailpaddle_standins/processes.py
+++ b/packages/standins/src/wagtailpaddle_standins/processes.py
@@ -6,23 +6,41 @@
 import socket
 import subprocess
 import sys
+import tempfile
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from pathlib import Path
 
 OPERATOR_TOKEN = "operator-token-of-the-demo"
 FLEET_SECRET = "fleet-secret-of-the-demo"
 STOP_TIMEOUT_S = 15.0
+SECOND_SIGNAL_AFTER_S = 0.2
 
 
-def free_ports(n_ports: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+class ReservedPorts:
+    """Ports of the loopback address that only this program's processes use.
+
+    Each port stays bound, without listening, until ``close``. The system gives
+    a bound port to nobody who asks for any free one, neither to listen on nor
+    to connect from, and still lets a server that reuses addresses listen on it.
+    """
+
+    def __init__(self, n_ports: int):
+        self._sockets = [socket.socket() for _ in range(n_ports)]
+        for sock in self._sockets:
+            sock.bind(("127.0.0.1", 0))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._ports = [sock.getsockname()[1] for sock in self._sockets]
+
+    def take(self) -> int:
+        """Return a port that was not taken before."""
+        return self._ports.pop()
+
+    def close(self) -> None:
+        """Give the ports back."""
+        for sock in self._sockets:
+            sock.close()
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,18 +58,38 @@
     """Processes that this program started, by name."""
 
     running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    folder: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix="wagtailpaddle-"))
+    )
 
     def start(self, name: str, module: str, args: Sequence[str]) -> None:
-        """Start ``python -m module args``."""
+        """Start ``python -m module args``; it logs to a file of its name."""
         command = [sys.executable, "-m", module, *args]
-        self.running[name] = subprocess.Popen(command, env=dict(os.environ))
+        with open(self.log_path(name), "ab") as log:
+            self.running[name] = subprocess.Popen(
+                command, env=dict(os.environ), stderr=log
+            )
+
+    def log_path(self, name: str) -> Path:
+        """Return the file to which a process logs."""
+        return self.folder / f"{name}.log"
 
     def start_daemon(
-        self, name: str, at: DaemonAddress, log_port: int, extra: Sequence[str] = ()
+        self,
+        name: str,
+        at: DaemonAddress,
+        log_port: int,
+        *,
+        site: str = "default",
+        vias: Sequence[str] = (),
     ) -> None:
-        """Start one daemon that follows the log on ``log_port``."""
+        """Start one daemon that follows the log on ``log_port``.
+
+        ``vias`` are relays as ``relayed`` takes them, for its calls of peers.
+        """
         operators = "demo=" + hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         args = [
+            f"--site={site}",
             f"--zone={at.zone}",
             f"--caller-address={at.caller}",
             f"--peer-address={at.peer}",
@@ -61,9 +99,11 @@
             f"--operators={operators}",
             f"--fleet-secret={FLEET_SECRET}",
             "--log-level=warning",
-            *extra,
         ]
-        self.start(name, "wagtailpaddle_daemon.main", args)
+        if vias:
+            args = [*(f"--via={via}" for via in vias), *args]
+        module = "standins.relayed" if vias else "daemon.main"
+        self.start(name, f"wagtailpaddle_{module}", args)
 
     def kill(self, name: str) -> None:
         """End one process without notice."""
@@ -90,5 +130,12 @@
             return process.wait()
 
     def stop_all(self) -> dict[str, int]:
-        """Stop every process and return the exit statuses."""
+        """Stop every process and return the exit statuses.
+
+        Each gets a second signal, at which a daemon ends at once.
+        """
+        for number in (signal.SIGCONT, signal.SIGTERM):
+            for process in self.running.values():
+                process.send_signal(number)
+        time.sleep(SECOND_SIGNAL_AFTER_S)
         return {name: self.stop(name) for name in reversed(list(self.running))}
--- a/packages/standins/src/wagtailpaddle_standins/system.py
+++ b/packages/standins/src/wagtailpaddle_standins/system.py
@@ -6,58 +6,76 @@
 
 from wagtailpaddle_standins.backend import CONTROL_PATH, SEEN_PATH
 from wagtailpaddle_standins.client import Client, wait_for
+from wagtailpaddle_standins.deployments import (
+    ZONES,
+    Deployment,
+    Document,
+    at_ports,
+    small_deployment,
+)
 from wagtailpaddle_standins.logservice import CONTROL_PATH as LOG_CONTROL_PATH
 from wagtailpaddle_standins.logservice import VMS_CONTROL_PATH
 from wagtailpaddle_standins.processes import (
     OPERATOR_TOKEN,
     DaemonAddress,
     Processes,
-    free_ports,
+    ReservedPorts,
 )
+from wagtailpaddle_standins.relaying import Relays
 
-ZONES = ("a", "b", "c")
-N_BOOKING = 12
-N_INVENTORY = 10
 READY_TIMEOUT_S = 60.0
+COMPLAINTS = ("Traceback", "invariant", "failed.", "died", "broke")
 
 
 class System:
-    """Separate processes that make up a deployment; use it in a ``with``."""
-
-    def __init__(self, *, n_daemons: int = 3):
+    """Separate processes that make up a deployment; use it in a ``with``.
+
+    With ``relayed`` what daemons send to each other and to the log goes through
+    relays, so that ``cut`` and ``cut_log`` can drop what goes one way.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment | None = None,
+        *,
+        n_daemons: int = 3,
+        relayed: bool = False,
+    ):
+        self.deployment = deployment or small_deployment()
         self.processes = Processes()
         self.load_numbers = count(1)
-        ports = free_ports(1 + N_BOOKING + N_INVENTORY + 3 * n_daemons)
-        self.log_port = ports.pop()
-        self.servers = {
-            f"booking-{index:02}": ports.pop() for index in range(N_BOOKING)
-        }
-        self.servers.update(
-            {f"inventory-{index:02}": ports.pop() for index in range(N_INVENTORY)}
-        )
-        self.daemons = [
-            DaemonAddress(
-                ZONES[index % len(ZONES)],
-                *(f"127.0.0.1:{ports.pop()}" for _ in range(3)),
-            )
-            for index in range(n_daemons)
-        ]
+        names = sorted(self.deployment.servers())
+        n_relays = n_daemons * n_daemons + 1 if relayed else 0
+        self._ports = ReservedPorts(1 + len(names) + 3 * n_daemons + n_relays)
+        self.log_port = self._ports.take()
+        self.servers = {name: self._ports.take() for name in names}
+        self.daemons = [self._address(index) for index in range(n_daemons)]
+        self._relays = Relays(self._ports, self.daemons, self.log_port, relayed)
+
+    def _address(self, index: int) -> DaemonAddress:
+        addresses = (f"127.0.0.1:{self._ports.take()}" for _ in range(3))
+        return DaemonAddress(ZONES[index % len(ZONES)], *addresses)
 
     def __enter__(self) -> "System":
         try:
             self._start()
         except BaseException:
-            self.processes.stop_all()
+            self.__exit__()
             raise
         return self
 
     def __exit__(self, *_: object) -> None:
         self.processes.stop_all()
+        self._ports.close()
 
     def _start(self) -> None:
         self.processes.start(
             "log", "wagtailpaddle_standins.logservice", [f"--port={self.log_port}"]
         )
+        if self._relays.arguments:
+            self.processes.start(
+                "relays", "wagtailpaddle_standins.relays", self._relays.arguments
+            )
         servers = [f"--server={name}={port}" for name, port in self.servers.items()]
         self.processes.start("backends", "wagtailpaddle_standins.backend", servers)
         self._await(lambda: Client(f"127.0.0.1:{self.log_port}").request("GET", "/vms"))
@@ -101,6 +119,27 @@
         mode = {"fault": fault, "fraction": fraction, "parameter": parameter}
         Client(f"127.0.0.1:{self.servers[server]}").send("PUT", CONTROL_PATH, mode)
 
+    def cut(self, sender: int, receiver: int) -> None:
+        """Drop what one daemon sends to another from now on."""
+        self._relays.cut(sender, receiver)
+
+    def cut_log(self, index: int) -> None:
+        """Drop what the log and the list of VMs answer to a daemon."""
+        self._relays.cut_log(index)
+
+    def heal(self) -> None:
+        """Drop nothing more."""
+        self._relays.heal()
+
+    def complaints(self) -> list[str]:
+        """Return the lines in which a daemon logged a fault of its own."""
+        return [
+            f"{path.stem}: {line}"
+            for path in sorted(self.processes.folder.glob("daemon-*.log"))
+            for line in path.read_text(errors="replace").splitlines()
+            if any(word in line for word in COMPLAINTS)
+        ]
+
     def seen(self) -> list[dict[str, Any]]:
         """Return every request that some backend server began to run."""
         found = []
@@ -112,9 +151,17 @@
         """Return the revision that a daemon has folded."""
         return self.operator(index).request("GET", "/v1/status").json()["revision"]
 
-    def publish(self, document: dict[str, Any]) -> None:
-        """Publish a base document and wait until every daemon has it."""
-        reply = self.operator(0).send("PUT", "/v1/base", document)
+    def deploy(self) -> None:
+        """Publish the deployment's documents and wait until all daemons serve."""
+        self.publish(self.base_document())
+        if self.deployment.overlay:
+            overlay = at_ports(self.deployment.overlay, self.servers)
+            self.publish(overlay, to=f"/v1/overlays/{self.deployment.site}")
+        self.wait_until_ready()
+
+    def publish(self, document: Document, *, to: str = "/v1/base") -> None:
+        """Publish a document and wait until every daemon has it."""
+        reply = self.operator(0).send("PUT", to, document)
         if reply.status != 200:
             raise RuntimeError(f"publish failed: {reply.body!r}")
         revision = reply.json()["revision"] + 1
@@ -151,56 +198,18 @@
     def start(self, index: int) -> None:
         """Start a daemon, a new incarnation on its address."""
         address = self.daemons[index]
-        self.processes.start_daemon(f"daemon-{index}", address, self.log_port)
+        self.processes.start_daemon(
+            f"daemon-{index}",
+            address,
+            self._relays.log_port(index),
+            site=self.deployment.site,
+            vias=self._relays.vias(index),
+        )
 
     def stop(self, index: int) -> int:
         """Stop a daemon gracefully and return its exit status."""
         return self.processes.stop(f"daemon-{index}")
 
-    def base_document(self) -> dict[str, Any]:
-        """Return the base document of a small deployment."""
-        accounts = {
-            f"account-{index}": {"rate": 300.0, "burst": 300.0} for index in range(8)
-        }
-        return {
-            "accounts": accounts,
-            "services": {
-                name: {"servers": self._server_tables(name)}
-                for name in ("booking", "inventory")
-            },
-            "routes": {
-                "catalogue": {
-                    "path": "/catalogue",
-                    "service": "booking",
-                    "methods": ["GET"],
-                    "idempotent": True,
-                },
-                "book": {
-                    "path": "/deliveries",
-                    "service": "booking",
-                    "methods": ["POST"],
-                },
-                "inventory": {
-                    "path": "/inventory",
-                    "service": "inventory",
-                    "methods": ["GET"],
-                    "idempotent": True,
-                },
-                "claims": {
-                    "path": "/claims",
-                    "service": "inventory",
-                    "methods": ["POST"],
-                },
-            },
-        }
-
-    def _server_tables(self, service: str) -> dict[str, Any]:
-        return {
-            name: {
-                "address": "127.0.0.1",
-                "port": port,
-                "zone": ZONES[index % len(ZONES)],
-            }
-            for index, (name, port) in enumerate(sorted(self.servers.items()))
-            if name.startswith(service)
-        }
+    def base_document(self) -> Document:
+        """Return the base with the addresses of the running backend servers."""
+        return at_ports(self.deployment.base, self.servers)
--- a/packages/standins/tests/test_failures.py
+++ b/packages/standins/tests/test_failures.py
@@ -6,22 +6,30 @@
 import signal
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPException
 
 import pytest
 from wagtailpaddle_standins.client import Client, wait_for
-from wagtailpaddle_standins.load import CallerPlan
+from wagtailpaddle_standins.load import WRONG_ANSWER, CallerPlan
 from wagtailpaddle_standins.runs import CATALOGUE, DELIVERIES, count_runs, start_load
 from wagtailpaddle_standins.system import System
 
 LONGER_THAN_FRESHNESS_S = 5.0
+LONGER_THAN_ANY_TIMEOUT_S = 12.0
+KEY_CHANGE_S = 5.0
+NO_NEW_WORK_AFTER_S = 3.0
+INVENTORY = "GET /inventory"
+CLAIMS = "POST /claims"
+NO_ANSWER = {"ResponseNeverReceived", "ConnectionLost", "ResponseFailed"}
 
 
 @pytest.fixture(scope="module")
 def system():
-    with System() as running:
-        running.publish(running.base_document())
-        running.wait_until_ready()
+    with System(relayed=True) as running:
+        running.deploy()
         yield running
+        assert running.complaints() == []
 
 
 @pytest.fixture(scope="module")
@@ -50,10 +58,24 @@
     assert doubled == {}
 
 
+def not_run(done):
+    return [item for item in done if item.status >= 400 and not item.may_have_run]
+
+
 def assert_refusals_are_true(system, done):
     runs = count_runs(system)
-    refused = [item for item in done if item.kind in ("not-fresh", "rate-exceeded")]
-    assert [item for item in refused if runs[item.path]] == []
+    assert [item for item in not_run(done) if runs[item.path]] == []
+
+
+def assert_every_answer_is_right(done):
+    assert [item for item in done if item.kind == WRONG_ANSWER] == []
+
+
+def assert_promises_hold(system, done):
+    assert_ran_at_most_once(system)
+    assert_refusals_are_true(system, done)
+    assert_every_answer_is_right(done)
+    assert [item for item in system.seen() if "wp_" in str(item)] == []
 
 
 def test_graceful_stop_cuts_no_request(system, secrets, load):
@@ -73,17 +95,52 @@
 
 def test_killed_daemon_loses_no_promise(system, secrets, load):
     run = load(5.0)
-    time.sleep(1.5)
-    system.kill(1)
+    keyed = {"Idempotency-Key": "killed"}
+    paths = [f"/deliveries/killed-{index}/fault/slow/1.5" for index in range(3)]
+    midway = [system.caller(1, secrets["account-0"]) for _ in paths]
     time.sleep(1.0)
+    for caller, path, headers in zip(midway, paths, (keyed, {}, {}), strict=True):
+        caller.begin("POST", path, b"bed", headers)
+    time.sleep(0.5)
+    system.kill(1)
+    for caller in midway:
+        with pytest.raises((OSError, HTTPException)):
+            caller.end()
+    other = system.caller(0, secrets["account-0"])
+    repeat = other.request("POST", paths[0], b"bed", keyed)
+    assert repeat.status in (200, 409, 502, 503)
+    time.sleep(0.5)
     system.start(1)
     done = run.finish()
     system.wait_until_ready()
-    lost = {kind for _, kind in problems(done)}
-    assert lost <= {"ResponseNeverReceived", "ConnectionLost", "ResponseFailed"}
+    assert {kind for _, kind in problems(done)} <= NO_ANSWER
     assert sum(problems(done).values()) <= 5
-    assert_ran_at_most_once(system)
-    assert_refusals_are_true(system, done)
+    assert [count_runs(system)[path] for path in paths] == [1, 1, 1]
+    assert_promises_hold(system, done)
+
+
+def test_daemon_paused_longer_than_any_timeout_keeps_its_promises(
+    system, secrets, load
+):
+    run = load(LONGER_THAN_ANY_TIMEOUT_S + 3.0, rate=10.0, keyed=True)
+    held = system.caller(2, secrets["account-1"])
+    path = "/deliveries/paused/fault/slow/2"
+    held.begin("POST", path, b"bed", {"Idempotency-Key": "paused"}, timeout_s=60.0)
+    time.sleep(0.5)
+    system.processes.signal("daemon-2", signal.SIGSTOP)
+    try:
+        time.sleep(LONGER_THAN_ANY_TIMEOUT_S)
+    finally:
+        system.processes.signal("daemon-2", signal.SIGCONT)
+    answer = held.end()
+    assert answer.status == 200 or answer.headers["x-outcome"] == "unknown"
+    done = run.finish()
+    system.wait_until_ready()
+    paused = system.daemons[2].caller
+    failed = [item for item in done if item.status != 200]
+    assert [item for item in failed if item.address != paused] == []
+    assert count_runs(system)[path] == 1
+    assert_promises_hold(system, done)
 
 
 def test_paused_daemon_serves_no_withdrawn_key(system):
@@ -140,20 +197,104 @@
     )
 
 
+def test_slow_log_that_loses_answers_stops_neither_traffic_nor_changes(system, load):
+    run = load(8.0, rate=15.0)
+    system.set_log(slow_s=0.8, lost=0.5)
+    try:
+        account = {"rate": 5.0, "burst": 10.0}
+        reply = system.operator(2).send("PUT", "/v1/accounts/slow", account)
+        time.sleep(LONGER_THAN_FRESHNESS_S)
+    finally:
+        system.set_log()
+    done = run.finish()
+    assert reply.status == 200
+    assert problems(done) == {}
+    assert_promises_hold(system, done)
+
+
+def test_one_way_cuts_break_no_promise(system, secrets, load):
+    key = system.issue("account-2")
+    kept = [system.caller(index, key["secret"]) for index in range(3)]
+    run = load(10.0, rate=15.0, keyed=True)
+    system.cut(0, 1)
+    system.cut(0, 2)
+    system.cut_log(1)
+    try:
+        time.sleep(2.0)
+        deaf = system.caller(0, secrets["account-0"])
+        claim = deaf.request("POST", "/deliveries/cut", b"", {"Idempotency-Key": "cut"})
+        assert (claim.status, claim.headers["x-outcome"]) == (503, "not-run")
+        gone = system.operator(2).request("DELETE", f"/v1/keys/{key['key']}")
+        assert gone.status == 200
+        assert wait_for(lambda: is_refused(kept), timeout_s=KEY_CHANGE_S)
+        time.sleep(LONGER_THAN_FRESHNESS_S - 2.0)
+    finally:
+        system.heal()
+    done = run.finish()
+    system.wait_until_ready()
+    assert problems(done) == {}
+    assert_promises_hold(system, done)
+
+
 def test_conflicting_operators_are_told(system):
     created = {"rate": 5.0, "burst": 10.0}
     tag = system.operator(0).send("PUT", "/v1/accounts/shared", created).headers["etag"]
-    outcomes = [
-        system.operator(index).request(
-            "PUT",
-            "/v1/accounts/shared",
-            b'{"rate": %d.0}' % (index + 6),
-            {"If-Match": tag},
-        )
-        for index in range(3)
-    ]
-    assert sorted(reply.status for reply in outcomes) == [200, 409, 409]
-    assert "demo" in outcomes[1].body.decode()
+
+    def change(rate):
+        body = b'{"rate": %d.0}' % rate
+        operator = system.operator(rate % 3)
+        return operator.request("PUT", "/v1/accounts/shared", body, {"If-Match": tag})
+
+    rates = range(6, 12)
+    with ThreadPoolExecutor(len(rates)) as operators:
+        outcomes = dict(zip(rates, operators.map(change, rates), strict=True))
+    won = [rate for rate, reply in outcomes.items() if reply.status == 200]
+    lost = [reply for reply in outcomes.values() if reply.status == 409]
+    assert (len(won), len(lost)) == (1, 5)
+    assert all("demo" in reply.body.decode() for reply in lost)
+    for index in range(3):
+        system.wait_for_revision(index, outcomes[won[0]].json()["revision"] + 1)
+        shown = system.operator(index).request("GET", "/v1/accounts/shared").json()
+        assert shown["rate"] == won[0]
+
+
+def is_refused(callers, status=401):
+    replies = [caller.request("GET", "/catalogue/kept") for caller in callers]
+    return [reply.status for reply in replies] == [status] * len(callers)
+
+
+def test_keys_change_under_load_also_for_waiting_requests(system, load):
+    run = load(9.0, rate=15.0)
+    for _ in range(3):
+        key = system.operator(0).send("POST", "/v1/accounts/account-3/keys", {}).json()
+        kept = [system.caller(index, key["secret"]) for index in range(3)]
+        assert wait_for(lambda kept=kept: is_refused(kept, 200), timeout_s=KEY_CHANGE_S)
+        system.operator(1).request("DELETE", f"/v1/keys/{key['key']}")
+        assert wait_for(lambda kept=kept: is_refused(kept), timeout_s=KEY_CHANGE_S)
+    system.operator(2).send("POST", "/v1/accounts/account-3/cancel", {})
+    system.operator(2).send("POST", "/v1/accounts/account-3/restore", {})
+    done = run.finish()
+    assert problems(done) == {}
+    assert_promises_hold(system, done)
+
+
+def test_withdrawn_key_runs_no_waiting_request(system):
+    busy, key = system.issue("account-3"), system.issue("account-4")
+    slow = [system.caller(0, busy["secret"]) for _ in range(120)]
+    for index, caller in enumerate(slow):
+        caller.begin("POST", f"/claims/busy-{index}/fault/slow/4", b"x")
+    time.sleep(0.5)
+    waiting = system.caller(0, key["secret"])
+    waiting.begin("POST", "/claims/waiting", b"x")
+    time.sleep(0.2)
+    assert count_runs(system)["/claims/waiting"] == 0
+    system.operator(1).request("DELETE", f"/v1/keys/{key['key']}")
+    answer = waiting.end()
+    for caller in slow:
+        caller.end()
+    assert (answer.status, answer.headers["x-outcome"]) == (401, "not-run")
+    assert count_runs(system)["/claims/waiting"] == 0
+    assert_ran_at_most_once(system)
 
 
 def test_gray_servers_lose_their_work_and_no_caller_notices(system, load):
@@ -235,3 +376,53 @@
 def test_keys_of_callers_open_nothing_for_operators(system, secrets):
     operator = Client(system.daemons[0].admin, token=secrets["account-0"])
     assert operator.request("GET", "/v1/status").status == 401
+
+
+def test_servers_fail_in_many_ways_while_a_daemon_dies(system, load):
+    faults = {
+        "inventory-00": ("hang", 1.0),
+        "inventory-01": ("cut", 0.5),
+        "inventory-02": ("slow", 3.0),
+        "inventory-03": ("crossed", 0.0),
+    }
+    run = load(12.0, rate=20.0, paths=(INVENTORY, CLAIMS))
+    for name, (fault, parameter) in faults.items():
+        system.set_fault(name, fault, fraction=0.5, parameter=parameter)
+    try:
+        for step in range(8):
+            system.set_fault("inventory-04", "" if step % 2 else "error")
+            time.sleep(1.0)
+            if step == 4:
+                system.kill(0)
+                system.start(0)
+    finally:
+        for name in (*faults, "inventory-04"):
+            system.set_fault(name, "")
+    done = run.finish()
+    system.wait_until_ready()
+    assert [item for item in not_run(done) if item.method == "GET"] == []
+    assert_promises_hold(system, done)
+
+
+def work_of(system, *servers):
+    work = Counter(item["server"] for item in system.seen())
+    return [work[server] for server in servers]
+
+
+def test_server_taken_from_the_configuration_gets_no_new_work(system, load):
+    document = system.base_document()
+    del document["services"]["booking"]["servers"]["booking-05"]
+    system.set_fault("booking-05", "slow", parameter=1.0)
+    run = load(10.0, rate=25.0)
+    time.sleep(1.5)
+    system.publish(document)
+    time.sleep(NO_NEW_WORK_AFTER_S)
+    before = work_of(system, "booking-05")
+    done = run.finish()
+    after = work_of(system, "booking-05")
+    system.set_fault("booking-05", "")
+    system.publish(system.base_document())
+    assert min(before) > 0
+    assert after == before
+    assert problems(done) == {}
+    assert_promises_hold(system, done)
