--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SPACE := $(EMPTY) $(EMPTY)
 export PYTHONPATH := $(subst $(SPACE),:,$(strip $(abspath $(SOURCES))))
 
-.PHONY: environment check format test demo bench measure measure-state soak codec
+.PHONY: environment check format test demo bench measure measure-state report soak codec
 
 $(BIN)/.stamp: requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -44,6 +44,9 @@
 measure-state: environment
 	$(BIN)/python -m wagtailpaddle_standins.measure_state
 
+report: environment
+	$(BIN)/python -m wagtailpaddle_standins.report --seed $(SEED)
+
 SEED ?= 1
 STEPS ?= 120
 soak: environment
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/report/episodes.py
@@ -0,0 +1,102 @@
+"""The seeded list of faults that a report induces, one after the other."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from wagtailpaddle_standins.system import System
+
+WARM_UP_S = 8.0
+EPISODE_S = 8.0
+PAUSE_S = 3.0
+FLAP_S = 1.0
+BACKGROUND_ERRORS = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class FaultKind:
+    """A way to fail gray: ``fraction`` of the work meets ``fault``.
+
+    A ``flaps`` one is well again every other second.
+    """
+
+    name: str
+    fault: str
+    fraction: float = 1.0
+    parameter: float = 0.0
+    flaps: bool = False
+
+
+FAULT_KINDS = (
+    FaultKind("errors", "error"),
+    FaultKind("errors 20 %", "error", 0.2),
+    FaultKind("hang", "hang"),
+    FaultKind("slow by 1 s, 50 %", "slow", 0.5, 1.0),
+    FaultKind("cut short", "cut"),
+    FaultKind("closes", "close", 0.5),
+    FaultKind("flapping", "error", flaps=True),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Episode:
+    """One fault of one server, in seconds from the begin of the load."""
+
+    kind: FaultKind
+    server: str
+    begin_s: float
+    end_s: float
+
+
+def plan_episodes(servers: Sequence[str], seed: int) -> tuple[Episode, ...]:
+    """Return one episode of each kind, each on a server of its own."""
+    random = Random(seed)
+    chosen = random.sample(sorted(servers), len(FAULT_KINDS))
+    kinds = random.sample(FAULT_KINDS, len(FAULT_KINDS))
+    step_s = EPISODE_S + PAUSE_S
+    begins = [WARM_UP_S + index * step_s for index in range(len(kinds))]
+    return tuple(
+        Episode(kind, server, begin_s, begin_s + EPISODE_S)
+        for kind, server, begin_s in zip(kinds, chosen, begins, strict=True)
+    )
+
+
+def duration_s(episodes: Sequence[Episode]) -> float:
+    """Return how long a load has to last, in seconds."""
+    return episodes[-1].end_s + PAUSE_S
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Set ``server`` to a fault, or well with None, at ``at_s`` seconds."""
+
+    at_s: float
+    server: str
+    kind: FaultKind | None
+
+
+def steps(episodes: Sequence[Episode]) -> list[Step]:
+    """Return every change of a fault in order of time."""
+    found = [step for episode in episodes for step in _steps_of(episode)]
+    return sorted(found, key=lambda step: step.at_s)
+
+
+def _steps_of(episode: Episode) -> Iterator[Step]:
+    yield Step(episode.begin_s, episode.server, episode.kind)
+    if episode.kind.flaps:
+        n_turns = int((episode.end_s - episode.begin_s) / FLAP_S)
+        for turn in range(1, n_turns):
+            kind = None if turn % 2 else episode.kind
+            yield Step(episode.begin_s + turn * FLAP_S, episode.server, kind)
+    yield Step(episode.end_s, episode.server, None)
+
+
+def induce(system: System, step: Step) -> None:
+    """Carry out a step; a server that is well fails a little all the same."""
+    if step.kind is None:
+        system.set_fault(step.server, "error", fraction=BACKGROUND_ERRORS)
+        return
+    kind = step.kind
+    system.set_fault(
+        step.server, kind.fault, fraction=kind.fraction, parameter=kind.parameter
+    )
