Assert that no issued key goes to a backend server

The line "no backend server sees a caller's key" had no assertion in the program. Now a request that carries anything in the form of an issued key is not handed to a connection.

--- a/packages/daemon/src/wagtailpaddle_daemon/secrets.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/secrets.py
@@ -8,6 +8,11 @@
 MAX_UNQUOTE_ROUNDS = 3
 
 
+def has_key_form(data: bytes) -> bool:
+    """Return whether ``data`` contains the plain form of an issued key."""
+    return b"wp_" in data and KEY_PATTERN.search(data) is not None
+
+
 class KeyFilter:
     """Finds the key of one request, plain or encoded.
 
@@ -52,7 +57,7 @@
         for form in self._forms:
             if form in data:
                 return True
-        if b"wp_" in data and KEY_PATTERN.search(data):
+        if has_key_form(data):
             return True
         if not self._folded or len(data) < len(self._folded[0]):
             return False
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -19,10 +19,12 @@
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory
+from wagtailpaddle_core import ensure
 from wagtailpaddle_routing import AttemptOutcome
 from zope.interface import implementer
 
 from wagtailpaddle_daemon.headers import Header
+from wagtailpaddle_daemon.secrets import has_key_form
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS = 16
@@ -76,7 +78,11 @@
         self._unsafe = make_agent(reactor, endpoints, idle_s=UNSAFE_IDLE_S)
 
     def send(self, address: str, port: int, out: Outgoing) -> Deferred[Any]:
-        """Return the response to ``out``; cancelling closes the connection."""
+        """Return the response to ``out``; cancelling closes the connection.
+
+        Raises ``InvariantError`` if ``out`` carries an issued key.
+        """
+        ensure(not carries_key(out), "server-sees-no-key", server=f"{address}:{port}")
         headers = Headers()
         for name, value in out.headers:
             headers.addRawHeader(name, value)
@@ -192,6 +198,13 @@
             connection.abortConnection()
 
 
+def carries_key(out: Outgoing) -> bool:
+    """Return whether anything in a request has the form of an issued key."""
+    if has_key_form(out.uri) or has_key_form(out.body):
+        return True
+    return any(has_key_form(name) or has_key_form(value) for name, value in out.headers)
+
+
 def read_head(response: Any, headers: tuple[Header, ...]) -> AnswerHead:
     """Return the head of a response, with ``headers`` in place of its own."""
     length = None if response.length is UNKNOWN_LENGTH else response.length
