Take numbers that are not finite as wrong arguments

Now the argument is named (status 2). A conflict that already names who made the change names it once. Any file given to config check ends with a documented status, checked with hypothesis.

--- a/packages/cli/src/wagtailpaddle_cli/accounts.py
+++ b/packages/cli/src/wagtailpaddle_cli/accounts.py
@@ -3,7 +3,7 @@
 from argparse import Namespace
 from typing import Any
 
-from wagtailpaddle_cli.commands import EXPECTED, WAIT, arg, command
+from wagtailpaddle_cli.commands import EXPECTED, WAIT, arg, command, finite
 from wagtailpaddle_cli.exits import CommandError, Exit
 from wagtailpaddle_cli.session import Session
 
@@ -35,8 +35,8 @@
     "account create",
     "create a client account",
     NAME,
-    arg("--rate", type=float, required=True, help=RATE_HELP),
-    arg("--burst", type=float, required=True, help=BURST_HELP),
+    arg("--rate", type=finite, required=True, help=RATE_HELP),
+    arg("--burst", type=finite, required=True, help=BURST_HELP),
     WAIT,
 )
 async def create_account(session: Session, args: Namespace) -> Exit:
@@ -52,8 +52,8 @@
     "account set",
     "change rate or burst of a client account",
     NAME,
-    arg("--rate", type=float, help=RATE_HELP),
-    arg("--burst", type=float, help=BURST_HELP),
+    arg("--rate", type=finite, help=RATE_HELP),
+    arg("--burst", type=finite, help=BURST_HELP),
     EXPECTED,
     WAIT,
 )
--- a/packages/cli/src/wagtailpaddle_cli/commands.py
+++ b/packages/cli/src/wagtailpaddle_cli/commands.py
@@ -3,6 +3,7 @@
 import argparse
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any
 
 from wagtailpaddle_core import Registry
@@ -65,6 +66,14 @@
     return decorate
 
 
+def finite(text: str) -> float:
+    """Return a number as ``argparse`` takes it. Raises ``ValueError``."""
+    number = float(text)
+    if not isfinite(number):
+        raise ValueError(text)
+    return number
+
+
 EXPECTED = arg(
     "--expected",
     type=int,
@@ -73,7 +82,7 @@
 )
 WAIT = arg(
     "--wait",
-    type=float,
+    type=finite,
     default=0.0,
     metavar="SECONDS",
     help="wait until the change is in force, at most so long [default: 0]",
--- a/packages/cli/src/wagtailpaddle_cli/exits.py
+++ b/packages/cli/src/wagtailpaddle_cli/exits.py
@@ -57,8 +57,7 @@
     kind = str(problem.get("type", "")).rpartition(":")[2]
     status = EXIT_OF_KIND.get(kind, Exit.REFUSED)
     lines = [f"{kind or 'error'}: {problem.get('detail', '')}"]
-    if problem.get("changed_by"):
-        lines.append(
-            f"{problem['changed_by']!r} made revision {problem.get('current')}"
-        )
+    changed_by = problem.get("changed_by")
+    if changed_by and repr(changed_by) not in lines[0]:
+        lines.append(f"{changed_by!r} made revision {problem.get('current')}")
     return CommandError(status, "; ".join(lines), problem)
--- a/packages/cli/src/wagtailpaddle_cli/routes.py
+++ b/packages/cli/src/wagtailpaddle_cli/routes.py
@@ -3,7 +3,7 @@
 from argparse import BooleanOptionalAction, Namespace
 from typing import Any
 
-from wagtailpaddle_cli.commands import EXPECTED, WAIT, arg, command
+from wagtailpaddle_cli.commands import EXPECTED, WAIT, arg, command, finite
 from wagtailpaddle_cli.exits import CommandError, Exit
 from wagtailpaddle_cli.session import Session
 
@@ -50,7 +50,7 @@
     arg("--account", dest="accounts", action="append", help="allowed client account"),
     arg("--open", action=BooleanOptionalAction, help="asks for no key"),
     arg("--idempotent", action=BooleanOptionalAction, help="may run twice"),
-    arg("--timeout-s", type=float, help="longest request in seconds"),
+    arg("--timeout-s", type=finite, help="longest request in seconds"),
     EXPECTED,
     WAIT,
 )
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -144,3 +144,18 @@
     monkeypatch.setattr("sys.stdin.readline", lambda: "token\n", raising=False)
     assert main(["hash-token"]) == 0
     assert capsys.readouterr().out.strip() == hash_secret("token")
+
+
+@pytest.mark.parametrize("flag", ["--rate=nan", "--rate=inf", "--wait=nan"])
+def test_numbers_that_are_not_finite_are_wrong_arguments(flag, capsys):
+    with pytest.raises(SystemExit) as caught:
+        main(["account", "create", "x", "--rate=1", "--burst=1", flag])
+    assert caught.value.code == Exit.USAGE
+    assert "invalid finite value" in capsys.readouterr().err
+
+
+def test_conflict_names_who_changed_the_object_once():
+    detail = "account/x is at revision 4, not 1; 'anna' changed it"
+    table = {"type": "a:conflict", "detail": detail, "changed_by": "anna", "current": 4}
+    assert str(of_problem(table)).count("anna") == 1
+    assert "'anna' made revision 4" in str(of_problem({**table, "detail": "stale"}))
--- /dev/null
+++ b/packages/cli/tests/test_files_fuzz.py
@@ -0,0 +1,49 @@
+"""Files from outside: nothing but a documented exit status comes out."""
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from wagtailpaddle_cli.exits import Exit
+from wagtailpaddle_cli.main import main
+
+BOUNDED = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=100,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+LINES = st.lists(
+    st.sampled_from(
+        [
+            b"[accounts.x]",
+            b"[services.s.servers]",
+            b"[routes.r]",
+            b"rate = 1.0",
+            b"rate = nan",
+            b"burst = 1",
+            b'path = "/x"',
+            b"floor = 1e400",
+            b'a = { address = "127.0.0.1", port = 70000 }',
+            b"at = 1979-05-27T07:32:00Z",
+        ]
+    )
+    | st.binary(max_size=20),
+    max_size=6,
+).map(b"\n".join)
+
+
+@pytest.fixture
+def check_file(tmp_path):
+    path = tmp_path / "base.toml"
+
+    def run(data):
+        path.write_bytes(data)
+        return main(["config", "check", str(path)])
+
+    return run
+
+
+@BOUNDED
+@given(data=LINES)
+def test_any_file(check_file, data):
+    assert check_file(data) in (Exit.OK, Exit.REFUSED)
