--- a/packages/standins/src/wagtailpaddle_standins/report/plot.py
+++ b/packages/standins/src/wagtailpaddle_standins/report/plot.py
@@ -22,6 +22,7 @@
 HEIGHT_INCHES = 12.0
 DPI = 110
 TICKS_PER_HALVING = 5
+LEGEND_ROOM = 1.15
 COLORS = {"served": "#4c956c", "refused": "#e9a03b", "failed": "#c0392b"}
 NINES = (0.0, 50.0, 90.0, 99.0, 99.9)
 
@@ -52,7 +53,8 @@
     axis.stackplot(seconds, series, labels=list(COLORS), colors=COLORS.values())
     _mark_episodes(axis, run)
     axis.set(title=f"{run.site}: requests within their rates", ylabel="requests/s")
-    axis.legend(loc="lower right")
+    axis.set_ylim(0, LEGEND_ROOM * max(axis.get_ylim()))
+    axis.legend(loc="upper right", ncols=len(COLORS))
 
 
 def plot_standing(axis: Any, run: Recording) -> None:
