--- a/packages/standins/tests/test_failures.py
+++ b/packages/standins/tests/test_failures.py
@@ -426,3 +426,16 @@
     assert after == before
     assert problems(done) == {}
     assert_promises_hold(system, done)
+
+
+def test_server_that_answers_that_it_leaves_gets_no_new_work(system, load):
+    run = load(10.0, rate=25.0)
+    time.sleep(1.5)
+    system.set_fault("booking-04", "leaving", parameter=0.5)
+    time.sleep(NO_NEW_WORK_AFTER_S)
+    before = work_of(system, "booking-04")
+    done = run.finish()
+    assert work_of(system, "booking-04") == before
+    assert min(before) > 0
+    assert problems(done) == {}
+    assert_promises_hold(system, done)
