--- a/packages/cli/tests/test_end_to_end.py
+++ b/packages/cli/tests/test_end_to_end.py
@@ -9,6 +9,8 @@
 from wagtailpaddle_standins.processes import OPERATOR_TOKEN, ReservedPorts
 from wagtailpaddle_standins.system import System
 
+KEY_CHANGE_S = 5.0
+
 
 @pytest.fixture(scope="module")
 def system():
@@ -61,11 +63,8 @@
     ports.close()
 
 
-def served(system, secret):
-    return [
-        system.caller(index, secret).request("GET", "/catalogue/1").status
-        for index in range(len(system.daemons))
-    ]
+def statuses(callers):
+    return [caller.request("GET", "/catalogue/1").status for caller in callers]
 
 
 def test_key_issued_by_the_command_line_serves_and_withdrawn_does_not(
@@ -73,7 +72,8 @@
 ):
     assert cli("account", "create", "x", "--rate=50", "--burst=50").returncode == 0
     issued = json.loads(cli("key", "issue", "x", "--json").stdout)
-    assert wait_for(lambda: served(system, issued["secret"]) == [200, 200])
+    kept = [system.caller(index, issued["secret"]) for index in range(2)]
+    assert wait_for(lambda: statuses(kept) == [200, 200], timeout_s=KEY_CHANGE_S)
     assert issued["key"] in cli("account", "show", "x").stdout
     status = cli("status")
     assert status.returncode == Exit.OK, status.stderr
@@ -81,10 +81,13 @@
     found = json.loads(cli("status", "accounts", "--json").stdout)
     series = {item["name"]: item for item in found["accounts"]["accounts"]}
     assert series["x"]["latency"]["n"] == series["x"]["outcomes"]["answered"] > 0
-    withdrawn = cli("key", "withdraw", issued["key"], "--wait=20", "--json")
+    withdrawn = cli("key", "withdraw", issued["key"], "--json")
     assert withdrawn.returncode == Exit.OK, withdrawn.stderr
-    assert json.loads(withdrawn.stdout)["state"] == "in-force"
-    assert wait_for(lambda: served(system, issued["secret"]) == [401, 401])
+    assert wait_for(lambda: statuses(kept) == [401, 401], timeout_s=KEY_CHANGE_S)
+    record = json.loads(withdrawn.stdout)["record"]
+    shown = cli("key", "withdraw", issued["key"], "--wait=20", "--json")
+    assert json.loads(shown.stdout)["state"] == "in-force"
+    assert "in force" in cli("record", "show", record).stdout
 
 
 def test_exit_statuses_of_refusals(cli, published):
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/checks.py
@@ -0,0 +1,41 @@
+"""What must always hold, checked from outside after a load."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+from wagtailpaddle_standins.load import WRONG_ANSWER, Done
+from wagtailpaddle_standins.runs import count_runs
+from wagtailpaddle_standins.system import System
+
+
+def is_refused(item: Done) -> bool:
+    """Return whether a caller was told in the end that its request did not run."""
+    return item.status >= 400 and not item.may_have_run
+
+
+def broken_promises(system: System, done: Sequence[Done]) -> list[str]:
+    """Return the promises that did not hold, one line for each breach."""
+    runs = count_runs(system)
+    broken = [f"{path} ran {n} times" for path, n in runs.items() if n > 1]
+    broken += [
+        f"{item.path} ran but was refused with {item.kind}"
+        for item in done
+        if is_refused(item) and runs[item.path]
+    ]
+    wrong = [item for item in done if item.kind == WRONG_ANSWER]
+    broken += [f"{item.path} got the answer to another request" for item in wrong]
+    if any("wp_" in str(item) for item in system.seen()):
+        broken.append("a backend server saw a key")
+    broken += _over_their_rate(system.deployment.accounts(), done)
+    return broken + system.complaints()
+
+
+def _over_their_rate(
+    limits: Mapping[str, Mapping[str, Any]], done: Sequence[Done]
+) -> Iterator[str]:
+    elapsed_s = max(item.at + item.latency_s for item in done) - done[0].at
+    for account, limit in sorted(limits.items()):
+        n_served = sum(item.account == account and item.status == 200 for item in done)
+        allowed = limit["burst"] + limit["rate"] * elapsed_s + 1
+        if n_served > allowed:
+            yield f"{account} got {n_served} requests, {allowed:.0f} allowed"
--- a/packages/standins/src/wagtailpaddle_standins/report/measures.py
+++ b/packages/standins/src/wagtailpaddle_standins/report/measures.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from wagtailpaddle_standins.checks import is_refused
 from wagtailpaddle_standins.load import Done
 from wagtailpaddle_standins.report.episodes import Episode
 from wagtailpaddle_standins.report.watch import Change
@@ -123,11 +124,6 @@
     return sum(is_refused(item) for item in within), len(within)
 
 
-def is_refused(item: Done) -> bool:
-    """Return whether a caller was told in the end that its request did not run."""
-    return item.status >= 400 and not item.may_have_run
-
-
 def outcomes_by_second(run: Recording, items: Sequence[Done]) -> list[Counter[str]]:
     """Return served, refused and failed requests for each second of the load."""
     counts: list[Counter[str]] = [Counter() for _ in range(int(run.duration_s) + 1)]
