--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -71,9 +71,13 @@
     def __init__(self, reactor: Any):
         self._connections = Connections(reactor, max_idle_s=SAFE_IDLE_S)
 
-    def send(self, address: str, port: int, out: Outgoing) -> Deferred[Any]:
+    def send(
+        self, address: str, port: int, out: Outgoing, *, max_open: int = 1
+    ) -> Deferred[Any]:
         """Return the response to ``out``; cancelling closes the connection.
 
+        Idle connections are kept as far as no more than ``max_open`` are open.
+
         Raises ``InvariantError`` if the request carries an issued key.
         """
         try:
@@ -83,7 +87,9 @@
         ensure(not has_key_form(data), "server-sees-no-key", server=(address, port))
         req = WholeRequest(out.method, data)
         idle_s = SAFE_IDLE_S if out.method in SAFE_METHODS else UNSAFE_IDLE_S
-        return self._connections.send((address, port), req, max_idle_s=idle_s)
+        return self._connections.send(
+            (address, port), req, max_idle_s=idle_s, max_open=max_open
+        )
 
     def close_idle(self, now: float) -> None:
         """Close connections that were idle for too long."""
