--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -33,6 +33,7 @@
 from wagtailpaddle_daemon.headers import Header, end_to_end
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
+from wagtailpaddle_daemon.ticker import Ticker
 from wagtailpaddle_daemon.upstream import (
     AnswerHead,
     BodyReader,
@@ -83,9 +84,7 @@
         self._exchanges: dict[RequestId, _Exchange] = {}
         self._call_peer: Callable[[CallPeer], None] = _not_connected
         self._append: Callable[[Append], None] = _not_connected
-        self._ticks = False
-        self._wake: Any = None
-        self._wake_at = 0.0
+        self._ticker = Ticker(reactor, node, self._tick)
 
     def connect(
         self, call_peer: Callable[[CallPeer], None], append: Callable[[Append], None]
@@ -134,40 +133,19 @@
                     self._append(action)
                 case Replay():
                     self._replay(action)
-        self.plan_wake()
+        self._ticker.plan()
 
     def start(self) -> None:
         """Begin to call the node's tick when the node asks for it."""
-        self._ticks = True
-        self.plan_wake()
+        self._ticker.start()
 
     def stop(self) -> None:
         """Call the node's tick no more."""
-        self._ticks = False
-        if self._wake is not None:
-            self._wake.cancel()
-            self._wake = None
-
-    def plan_wake(self) -> None:
-        """Plan the next tick; call it when the node took in an event."""
-        if not self._ticks:
-            return
-        now = self._reactor.seconds()
-        at = self._node.next_wake(now)
-        if self._wake is not None:
-            if self._wake_at <= at:
-                return
-            self._wake.cancel()
-        self._wake_at = at
-        self._wake = self._reactor.callLater(at - now, self._wake_up)
-
-    def _wake_up(self) -> None:
-        self._wake = None
-        try:
-            self.carry_out(self._node.on_tick(self._reactor.seconds()))
-            self._metrics.flush()
-        finally:
-            self.plan_wake()
+        self._ticker.stop()
+
+    def _tick(self, now: float) -> None:
+        self.carry_out(self._node.on_tick(now))
+        self._metrics.flush()
 
     def _dispatch(self, action: Dispatch) -> None:
         exchange = self._exchanges[action.request]
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/ticker.py
@@ -0,0 +1,53 @@
+"""Calls the node's tick when the node asks for it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from wagtailpaddle_node import Node
+
+
+class Ticker:
+    """One timer, set to the time that ``Node.next_wake`` names.
+
+    ``tick`` gets the present time.
+    """
+
+    def __init__(self, reactor: Any, node: Node, tick: Callable[[float], None]):
+        self._reactor = reactor
+        self._node = node
+        self._tick = tick
+        self._runs = False
+        self._timer: Any = None
+        self._at = 0.0
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._runs = True
+        self.plan()
+
+    def stop(self) -> None:
+        """Tick no more."""
+        self._runs = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def plan(self) -> None:
+        """Plan the next tick; call it when the node took in an event."""
+        if not self._runs:
+            return
+        now = self._reactor.seconds()
+        at = self._node.next_wake(now)
+        if self._timer is not None:
+            if self._at <= at:
+                return
+            self._timer.cancel()
+        self._at = at
+        self._timer = self._reactor.callLater(at - now, self._wake_up)
+
+    def _wake_up(self) -> None:
+        self._timer = None
+        try:
+            self._tick(self._reactor.seconds())
+        finally:
+            self.plan()
