--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -12,6 +12,7 @@
 from twisted.web.client import RequestNotSent, ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
+from wagtailpaddle_core import ensure
 from wagtailpaddle_routing import AttemptOutcome
 
 from wagtailpaddle_daemon.connections import (
@@ -20,6 +21,7 @@
     WholeRequest,
 )
 from wagtailpaddle_daemon.headers import Header
+from wagtailpaddle_daemon.secrets import has_key_form
 
 SAFE_IDLE_S = 30.0
 UNSAFE_IDLE_S = 1.0
@@ -75,11 +77,14 @@
         """Return the response to ``out``; cancelling closes the connection.
 
         Idle connections are kept as far as no more than ``max_open`` are open.
+
+        Raises ``InvariantError`` if the request carries an issued key.
         """
         try:
             data = encode_request(out, b"%s:%d" % (address.encode(), port))
         except ValueError as exc:
             return fail(RequestNotSent(str(exc)))
+        ensure(not has_key_form(data), "server-sees-no-key", server=(address, port))
         req = WholeRequest(out.method, data)
         idle_s = SAFE_IDLE_S if out.method in SAFE_METHODS else UNSAFE_IDLE_S
         return self._connections.send(
