Take one of two ways out by which a server leaves; names of IPv6 hosts

Cause: since leaving servers are told among VMs, the node states them in the views of the servers, and nothing but tests used Dispatcher.mark_leaving with its 600 s mark. A Host of the form [::1]:8080 was cut at its first colon, so routes that name such a host never matched. Target.host_name takes off the port only.

--- a/packages/daemon/src/wagtailpaddle_daemon/front.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/front.py
@@ -142,7 +142,7 @@
             fingerprint = sha256(b"\n".join((self.method, uri, body))).hexdigest()
         head = RequestHead(
             id=self.id,
-            host=target.host.partition(b":")[0].decode("latin-1").lower(),
+            host=target.host_name,
             path=path,
             method=self.method.decode("latin-1"),
             key_hash=None if key is None else hash_secret(key.decode("latin-1")),
--- a/packages/daemon/src/wagtailpaddle_daemon/intake.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/intake.py
@@ -13,6 +13,7 @@
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 MAX_TIMEOUT_MS = 86_400_000
 VALID_TARGET = re.compile(rb"[!\"$-~]+")
+PORT = re.compile(rb":[0-9]*$")
 ABSOLUTE_TARGET = re.compile(rb"https?://([^/?@]+)(/[^?]*)?(\?.*)?", re.IGNORECASE)
 
 
@@ -23,6 +24,15 @@
     host: bytes
     uri: bytes
 
+    @property
+    def host_name(self) -> str:
+        """The host in lower case without the port; IPv6 keeps its brackets.
+
+        >>> Target(b"[::1]:8080", b"/").host_name
+        '[::1]'
+        """
+        return PORT.sub(b"", self.host).decode("latin-1").lower()
+
     @property
     def path(self) -> bytes:
         """The path without the query."""
--- a/packages/daemon/tests/test_edges.py
+++ b/packages/daemon/tests/test_edges.py
@@ -12,7 +12,7 @@
     query_without_key,
     without_key,
 )
-from wagtailpaddle_daemon.intake import read_idempotency_key, read_timeout
+from wagtailpaddle_daemon.intake import Target, read_idempotency_key, read_timeout
 from wagtailpaddle_daemon.lifecycle import Lifecycle
 from wagtailpaddle_daemon.secrets import KeyFilter
 from wagtailpaddle_daemon.vmlist import VmListError, decode_list
@@ -79,3 +79,17 @@
     life.drain()
     life.stopped()
     assert life.state == "stopped"
+
+
+@pytest.mark.parametrize(
+    "host, name",
+    [
+        (b"Shop.example:8080", "shop.example"),
+        (b"shop.example", "shop.example"),
+        (b"[::1]:8080", "[::1]"),
+        (b"[::1]", "[::1]"),
+        (b"", ""),
+    ],
+)
+def test_name_of_a_host_has_no_port(host, name):
+    assert Target(host, b"/").host_name == name
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -105,19 +105,6 @@
             del self._pools[service]
         return tuple(actions)
 
-    def mark_leaving(
-        self, now: float, service: ServiceId, server: ServerId, *, leaving: bool = True
-    ) -> tuple[Action, ...]:
-        """Give no new work to a server that says it drains, or take that back.
-
-        The mark ends when the server leaves the configuration, or after
-        ``LEAVING_HOLD_S`` without another one.
-        """
-        pool = self._pool(now, service)
-        if pool is None:
-            return ()
-        return tuple(pool.mark_leaving(now, server, leaving))
-
     def report_load(
         self, now: float, service: ServiceId, server: ServerId, load: float
     ) -> None:
@@ -172,7 +159,7 @@
         actions: list[Action] = []
         for service, pool in list(self._pools.items()):
             actions += pool.tick(now)
-            if not pool.is_idle or pool.servers.is_marked:
+            if not pool.is_idle:
                 continue
             if service not in self._views or now - pool.used_at > IDLE_S:
                 del self._pools[service]
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -7,7 +7,6 @@
     AccountId,
     ErrorKind,
     RequestId,
-    ServerId,
     ServiceId,
     ensure,
 )
@@ -99,11 +98,6 @@
             return []
         return self._give_up_hopeless() + self._pump(now)
 
-    def mark_leaving(self, now: float, server: ServerId, leaving: bool) -> list[Action]:
-        """Stop, or start again, giving new work to a server."""
-        self.servers.mark_leaving(now, server, leaving)
-        return self._give_up_hopeless() + self._pump(now)
-
     def arrive(self, now: float, job: Job) -> list[Action]:
         """Take in an admitted request."""
         self.used_at = now
@@ -169,7 +163,7 @@
         actions: list[Action] = [
             self._ledger.refuse_late(pending) for pending in self._room.expired(now)
         ]
-        if self.servers.expire(now) or self._room.n_queued:
+        if self._room.n_queued:
             actions += self._pump(now)
         return actions
 
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -14,7 +14,7 @@
     ServerView,
 )
 from wagtailpaddle_routing.retry import Pending
-from wagtailpaddle_routing.server import LEAVING_HOLD_S, Server
+from wagtailpaddle_routing.server import Server
 
 
 def connection_cap(connections: int, n_users: int) -> int:
@@ -52,18 +52,12 @@
         self._to_verify: tuple[Server, ...] = ()
         self._sides = Sides()
         self._limit = 0.0
-        self._leaving: dict[ServerId, float] = {}
 
     @property
     def n_usable(self) -> int:
         """How many servers take new work."""
         return len(self._usable)
 
-    @property
-    def is_marked(self) -> bool:
-        """Whether some server is known to leave other than by its view."""
-        return bool(self._leaving)
-
     def replace(self, views: tuple[ServerView, ...], n_users: int) -> bool:
         """Take in the servers; return whether anything changed."""
         if n_users == self._n_users and views == self._views:
@@ -76,10 +70,6 @@
         for view in views:
             kept[view.id] = self._known(view)
         self._servers = kept
-        known_ids = {view.id for view in views}
-        self._leaving = {
-            name: until for name, until in self._leaving.items() if name in known_ids
-        }
         self._settle()
         return True
 
@@ -95,25 +85,6 @@
         server.see(view)
         return server
 
-    def mark_leaving(self, now: float, server: ServerId, leaving: bool) -> None:
-        """Give no new work to a server that says it drains, or take that back."""
-        if not leaving:
-            self._leaving.pop(server, None)
-        elif server in self._servers:
-            self._leaving[server] = now + LEAVING_HOLD_S
-        self._settle()
-
-    def expire(self, now: float) -> bool:
-        """Forget marks that are past; return whether there were any."""
-        if not self._leaving:
-            return False
-        past = [name for name, until in self._leaving.items() if until <= now]
-        for name in past:
-            del self._leaving[name]
-        if past:
-            self._settle()
-        return bool(past)
-
     def can_serve(self, pending: Pending) -> bool:
         """Return whether some server may take the request, now or later."""
         return any(_may_take(server, pending) for server in self._usable)
@@ -222,7 +193,6 @@
                 server.id in known_ids
                 and server.view.weight > 0
                 and not server.view.leaving
-                and server.id not in self._leaving
             )
         self._usable = tuple(
             server for server in self._servers.values() if server.usable
