Spread the shares of a group when a VM stops

Cause: a VM that stops gave each share to the VM that is best placed for it alone, and misplaced shares moved back one a second. Ruled out: shorter settling, which the proof needs. Change: the receiver is the best placed VM among those with the fewest shares of the group, hand-overs on their way counted; up to four misplaced shares move a second, those of the groups first of which the VM holds most.

--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -205,9 +205,8 @@
         """Act on the passing of time; called about 20 times a second."""
         actions = self.shares.tick(now)
         if self.log_answers and self.may_spend(now):
-            misplaced = self.shares.misplaced(now)
-            if misplaced is not None:
-                actions += (self._pass_on(now, *misplaced),)
+            for holding, preferred in self.shares.misplaced(now):
+                actions += (self._pass_on(now, holding, preferred),)
         actions += self._borrow_all(now)
         self._buckets.sweep(now)
         return actions
@@ -240,7 +239,7 @@
         self.shares.leaving = True
         actions: tuple[QuotaAction, ...] = ()
         for share, holding in sorted(self.shares.holdings.items()):
-            receiver = self.shares.placement.receiver(share, {self.vm})
+            receiver = self.shares.receiver(share)
             if holding.ready(now) and receiver is not None:
                 actions += (self._pass_on(now, holding, receiver),)
             else:
--- a/packages/quota/src/wagtailpaddle_quota/placement.py
+++ b/packages/quota/src/wagtailpaddle_quota/placement.py
@@ -1,6 +1,6 @@
 """Which VM should hold which share."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from wagtailpaddle_core import VmId, rank
 
@@ -40,10 +40,17 @@
         others = [other for other in self._rank(share) if other != first]
         return 1 + others.index(vm)
 
-    def receiver(self, share: ShareId, excluded: Iterable[VmId]) -> VmId | None:
-        """Return the best VM for ``share`` that is not excluded."""
+    def receiver(
+        self, share: ShareId, excluded: Iterable[VmId], n_held: Mapping[VmId, int]
+    ) -> VmId | None:
+        """Return the VM that should take ``share`` and is not excluded.
+
+        One of those with the fewest shares of the group, which ``n_held``
+        counts; the best placed one of these.
+        """
         left_out = frozenset(excluded)
-        return next((vm for vm in self._rank(share) if vm not in left_out), None)
+        ranked = [vm for vm in self._rank(share) if vm not in left_out]
+        return min(ranked, key=lambda vm: n_held.get(vm, 0), default=None)
 
     def _rank(self, share: ShareId) -> list[VmId]:
         return rank(f"{share.group}/{share.index}", self._vms)
--- a/packages/quota/src/wagtailpaddle_quota/shares.py
+++ b/packages/quota/src/wagtailpaddle_quota/shares.py
@@ -1,5 +1,6 @@
 """The shares that one VM holds: claims, settling and hand-over."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -34,6 +35,7 @@
 MAX_CHANGES = 64
 REBALANCE_AFTER_S = 10.0
 REBALANCE_INTERVAL_S = 1.0
+MAX_REBALANCED = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +190,26 @@
         self.on_hints(now, (_hint(message),))
         return True
 
+    def receiver(
+        self, share: ShareId, *, declined_by: VmId | None = None
+    ) -> VmId | None:
+        """Return the VM to pass ``share`` on to, None if there is no other.
+
+        A crash must not strand all shares of a group, so they are spread over
+        the VMs that stay.
+        """
+        excluded = {self.vm} if declined_by is None else {self.vm, declined_by}
+        return self.placement.receiver(share, excluded, self._n_held(share.group))
+
+    def _n_held(self, group: int) -> Counter[VmId]:
+        """Count the shares of a group by holder, those on their way included."""
+        outgoing = self.hand_overs.outgoing
+        shares = (ShareId(group, index) for index in range(self.fold.n_shares))
+        return Counter(
+            outgoing[share].receiver if share in outgoing else self.holder_of(share)
+            for share in shares
+        )
+
     def pass_on(
         self,
         holding: Holding,
@@ -216,7 +238,7 @@
         if reply.taken:
             self.on_hints(now, (_hint(message),))
             return ()
-        receiver = self.placement.receiver(message.share, {message.receiver, self.vm})
+        receiver = self.receiver(message.share, declined_by=message.receiver)
         if receiver is None:
             return ()
         return (self.hand_overs.send_on(message, receiver),)
@@ -236,19 +258,29 @@
         claims = self._releases(now) if self.leaving else self._claims(now)
         return claims + self.hand_overs.resend(now)
 
-    def misplaced(self, now: float) -> tuple[Holding, VmId] | None:
-        """Return a holding that another live VM should have, now and then."""
+    def misplaced(self, now: float) -> tuple[tuple[Holding, VmId], ...]:
+        """Return a few holdings that other live VMs should have, now and then.
+
+        Those of groups of which this VM holds most go first, since a crash
+        strands them together.
+        """
         if self.leaving or self.hand_overs.outgoing or now < self._rebalance_at:
-            return None
+            return ()
         self._rebalance_at = now + REBALANCE_INTERVAL_S
-        for share in sorted(self.holdings):
+        n_held = Counter(share.group for share in self.holdings)
+        found = []
+        for share in sorted(
+            self.holdings, key=lambda item: (-n_held[item.group], item)
+        ):
             holding = self.holdings[share]
             if not holding.recorded or not holding.ready(now - REBALANCE_AFTER_S):
                 continue
             preferred = self.placement.preferred(share)
             if preferred is not None and preferred != self.vm:
-                return holding, preferred
-        return None
+                found.append((holding, preferred))
+            if len(found) == MAX_REBALANCED:
+                break
+        return tuple(found)
 
     def _on_entries(
         self, now: float, changed: tuple[ShareEntry, ...], in_order: bool
--- a/packages/quota/tests/test_keeper.py
+++ b/packages/quota/tests/test_keeper.py
@@ -1,3 +1,4 @@
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -124,6 +125,13 @@
     assert keeper.status(100.0).n_bad_messages == 1
 
 
+def test_stop_spreads_the_shares_of_a_group(make_keeper):
+    keeper = make_keeper(n_shares=4)
+    keeper.on_roster(100.0, ("a", "b", "c"), ())
+    sent = [a.message for a in keeper.release(100.0) if isinstance(a, SendPeer)]
+    assert Counter(item.receiver for item in sent) == {"b": 2, "c": 2}
+
+
 def test_hand_over_is_taken_once_and_moves_the_tokens(make_keeper):
     old = make_keeper("a", vms=("a", "b"))
     new = make_keeper("b", vms=("a", "b"), ready=False)
--- a/packages/quota/tests/test_random_run.py
+++ b/packages/quota/tests/test_random_run.py
@@ -108,3 +108,16 @@
     run = Run(seed)
     run.go(40.0)
     assert all(tally.n_granted > 10 for tally in run.fleet.tallies.values())
+
+
+def test_roll_leaves_no_group_to_one_vm():
+    """Else a crash after the roll strands all of an account's allowance."""
+    fleet = QuotaFleet(1, {}, n_vms=3, n_groups=64, n_shares=4)
+    fabric = fleet.fabric
+    fabric.run_until(30.0)
+    for place in list(fleet.places):
+        fleet.replace(place)
+        fabric.run_until(fabric.now + 6.0)
+    held = [set(item.keeper.shares.holdings) for item in fleet.instances.values()]
+    for group in range(64):
+        assert max(sum(s.group == group for s in shares) for shares in held) < 4
