Do not wait for a lost answer before asking for the next

Ruled out: a shorter time-out of the questions (same history, since the fabric tells a lost one after 0.5 s). Change: a question is waited for no longer than until the next one is due, 0.4 s when freshness runs out. Conclusion: six to seven tries in a window, at no cost while answers come.

--- a/packages/fleet/src/wagtailpaddle_fleet/asking.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/asking.py
@@ -10,7 +10,11 @@
 
 
 class Asker:
-    """Sends offset queries: one at a time to each VM, and not too often."""
+    """Sends offset queries to each VM, and not too often.
+
+    An answer that may be lost is not waited for longer than until the next
+    query is due.
+    """
 
     def __init__(self, own_address: str, answers: Answers):
         self._own_address = own_address
@@ -31,7 +35,7 @@
         failures = self._answers.n_failures
         due.sort(key=lambda address: (failures.get(address, 0), address))
         return tuple(
-            self._query(now, address) for address in due[:MAX_QUERIES_PER_STEP]
+            self._query(now, address, every_s) for address in due[:MAX_QUERIES_PER_STEP]
         )
 
     def done(self, address: str) -> None:
@@ -54,7 +58,7 @@
             return False
         return now - self._asked_at.get(address, float("-inf")) >= every_s
 
-    def _query(self, now: float, address: str) -> SendPeer:
-        self._open[address] = now + 2 * OFFSET_TIMEOUT_S
+    def _query(self, now: float, address: str, every_s: float) -> SendPeer:
+        self._open[address] = now + min(every_s, 2 * OFFSET_TIMEOUT_S)
         self._asked_at[address] = now
         return SendPeer(address, OffsetQuery(), OFFSET_TIMEOUT_S)
