Count the time of a leaving server from its own word

Cause: test_server_that_answers_that_it_leaves_gets_no_new_work failed once (105 requests against 104). It counted 3 s from the moment in which the stand-in began to say so; with one request a second to that server, in one run of twenty no answer says so within 3 s, and the first one to say it counted as new work. Change: the test waits for the first request after the switch, then for its answer and the 3 s; the assertion is the same, and no work at all may follow. Conclusion: the promise counts from the server's word, and so does the test.

--- a/packages/standins/tests/test_failures.py
+++ b/packages/standins/tests/test_failures.py
@@ -19,6 +19,7 @@
 LONGER_THAN_ANY_TIMEOUT_S = 12.0
 KEY_CHANGE_S = 5.0
 NO_NEW_WORK_AFTER_S = 3.0
+ANSWER_AFTER_S = 0.5
 INVENTORY = "GET /inventory"
 CLAIMS = "POST /claims"
 NO_ANSWER = {"ResponseNeverReceived", "ConnectionLost", "ResponseFailed"}
@@ -446,10 +447,12 @@
 
 
 def test_server_that_answers_that_it_leaves_gets_no_new_work(system, load):
-    run = load(10.0, rate=25.0)
+    run = load(13.0, rate=25.0)
     time.sleep(1.5)
-    system.set_fault("booking-04", "leaving", parameter=0.5)
-    time.sleep(NO_NEW_WORK_AFTER_S)
+    untold = work_of(system, "booking-04")
+    system.set_fault("booking-04", "leaving", parameter=ANSWER_AFTER_S)
+    assert wait_for(lambda: work_of(system, "booking-04") > untold)
+    time.sleep(ANSWER_AFTER_S + NO_NEW_WORK_AFTER_S)
     before = work_of(system, "booking-04")
     done = run.finish()
     assert work_of(system, "booking-04") == before
