End a quiet connection with a refusal for the request that crosses it

Cause: test_all_daemons_are_replaced_one_by_one_under_load failed in one of three runs of its module with one POST of which no answer came: the daemon closed a kept connection while the request was on its way. It did not run, but its caller could not know, and a booking cannot be sent again on a guess. Ruled out: closing quiet connections earlier (the same race, earlier).

--- a/packages/daemon/src/wagtailpaddle_daemon/front.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/front.py
@@ -254,11 +254,26 @@
         self._n_buffered = 0
 
 
+def last_word() -> bytes:
+    """Return the answer to a request that crosses the end of its connection."""
+    answer = ANSWERS[ErrorKind.DRAINING]
+    body = problem_body(ErrorKind.DRAINING, "the VM has shut down")
+    lines = (
+        b"HTTP/1.1 %d Service Unavailable" % answer.status,
+        b"Content-Type: " + CONTENT_TYPE,
+        b"Content-Length: %d" % len(body),
+        OUTCOME_HEADER + b": " + answer.outcome.value.encode(),
+        b"Connection: close",
+    )
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
 class FrontChannel(http.HTTPChannel):
     """A caller's connection whose requests must arrive in bounded time."""
 
     receiving_since: float | None = None
     heard_at = 0.0
+    dismissed = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start to serve the connection, unless there are too many."""
@@ -268,12 +283,26 @@
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Take in a piece of a request."""
+        """Take in a piece of a request, which does not run after the last word."""
+        if self.dismissed:
+            return
         self.heard_at = self.factory.seconds()
         if self.receiving_since is None and not self._handlingRequest:
             self.receiving_since = self.heard_at
         super().dataReceived(data)
 
+    def dismiss(self) -> None:
+        """Refuse the request that may be on its way, and send nothing more.
+
+        The connection has no request. One that crosses the close finds its
+        refusal, which is true, where it would find a closed connection; any
+        other caller finds that the connection is over.
+        """
+        if not self.dismissed:
+            self.dismissed = True
+            self.transport.write(last_word())
+            self.transport.loseWriteConnection()
+
     def received(self) -> None:
         """The request has arrived as a whole."""
         self.receiving_since = None
@@ -361,11 +390,11 @@
         return len(self._channels)
 
     def close_quiet(self, since: float) -> None:
-        """Close connections without a request on which nothing came ``since``."""
+        """Dismiss connections without a request on which nothing came ``since``."""
         for channel in tuple(self._channels):
             is_busy = channel.requests or channel.receiving_since is not None
             if not is_busy and channel.heard_at < since:
-                channel.loseConnection()
+                channel.dismiss()
 
     def close_idle(self) -> None:
         """Close connections on which no request is in work."""
--- a/packages/daemon/tests/test_front.py
+++ b/packages/daemon/tests/test_front.py
@@ -10,6 +10,13 @@
 REQUEST = b"GET /catalogue HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
+class Transport(StringTransport):
+    """Notes that nothing more is sent."""
+
+    def loseWriteConnection(self):  # noqa: N802
+        self.disconnecting = True
+
+
 class Refuser:
     """A gateway that keeps callers until the test answers them."""
 
@@ -42,7 +49,7 @@
 def connect(front):
     def connect():
         channel = front.buildProtocol(None)
-        transport = StringTransport()
+        transport = Transport()
         channel.makeConnection(transport)
         return channel, transport
 
@@ -110,6 +117,24 @@
     assert partial_transport.disconnecting
 
 
+def test_request_that_crosses_the_close_is_refused_as_not_run(
+    connect, front, clock, gateway
+):
+    channel, transport = connect()
+    channel.dataReceived(REQUEST)
+    answer(gateway.callers.pop())
+    transport.clear()
+    clock.advance(1.0)
+    for _ in range(2):
+        front.close_quiet(clock.seconds())
+    channel.dataReceived(REQUEST)
+    assert gateway.callers == []
+    assert transport.value().startswith(b"HTTP/1.1 503 ")
+    assert transport.value().count(b"HTTP/1.1 ") == 1
+    assert b"X-Outcome: not-run" in transport.value()
+    assert b"urn:wagtailpaddle:error:draining" in transport.value()
+
+
 def test_slow_sender_is_cut_off(connect, front, clock):
     channel, transport = connect()
     for byte in REQUEST[:20]:
