--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,18 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-SOURCES := $(wildcard packages/*/src)
+PROJECTS := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
+SOURCES := $(wildcard packages/*/src) platform/src
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
 export PYTHONPATH := $(subst $(SPACE),:,$(strip $(abspath $(SOURCES))))
 
 .PHONY: environment check format test demo bench measure measure-state report soak codec
 
-$(BIN)/.stamp: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(BIN)/.stamp: requirements.txt $(PROJECTS)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.txt
-	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,$(wildcard packages/*/pyproject.toml),--editable ./$(dir $(p)))
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(foreach p,$(PROJECTS),--editable ./$(dir $(p)))
 	touch $@
 
 environment: $(BIN)/.stamp
--- a/packages/config/src/wagtailpaddle_config/__init__.py
+++ b/packages/config/src/wagtailpaddle_config/__init__.py
@@ -27,6 +27,7 @@
     Route,
     Server,
     Service,
+    SplitPart,
 )
 from wagtailpaddle_config.records import (
     DEDUPE_WINDOW,
@@ -54,8 +55,23 @@
     cut_snapshot,
 )
 from wagtailpaddle_config.state import SnapshotError
+from wagtailpaddle_config.whole import (
+    CallerLimits,
+    RegisteredServer,
+    WholeDocument,
+    by_service,
+    configure,
+    with_servers,
+)
 
 __all__ = [
+    "CallerLimits",
+    "RegisteredServer",
+    "SplitPart",
+    "WholeDocument",
+    "by_service",
+    "configure",
+    "with_servers",
     "DEDUPE_WINDOW",
     "Append",
     "AppendOutcome",
--- a/packages/config/src/wagtailpaddle_config/builders.py
+++ b/packages/config/src/wagtailpaddle_config/builders.py
@@ -36,6 +36,7 @@
         problems.append(Problem(f"{where}.rate", account.rate, "must be above 0"))
     if not (isfinite(account.burst) and account.burst >= 1):
         problems.append(Problem(f"{where}.burst", account.burst, "must be at least 1"))
+    problems += _priority_problems(where, account.priority)
     return _checked(account, problems)
 
 
@@ -51,6 +52,24 @@
         problems.append(
             Problem(f"{where}.timeout_s", route.timeout_s, "must be above 0")
         )
+    if route.target_latency_s < 0 or not isfinite(route.target_latency_s):
+        problems.append(
+            Problem(
+                f"{where}.target_latency_s",
+                route.target_latency_s,
+                "must not be below 0",
+            )
+        )
+    if route.max_attempts < 1:
+        problems.append(
+            Problem(f"{where}.max_attempts", route.max_attempts, "must be at least 1")
+        )
+    problems += _priority_problems(where, route.priority)
+    for part in route.split:
+        if not (isfinite(part.weight) and part.weight > 0):
+            problems.append(
+                Problem(f"{where}.split.{part.service}", part.weight, "must be above 0")
+            )
     for method in route.methods:
         if method != method.upper():
             rule = "methods are written in capitals"
@@ -115,6 +134,12 @@
     return _checked(server, problems)
 
 
+def _priority_problems(where: str, priority: int) -> list[Problem]:
+    if priority < 0:
+        return [Problem(f"{where}.priority", priority, "must not be below 0")]
+    return []
+
+
 def _name_problems(path: str, name: str) -> list[Problem]:
     if not 1 <= len(name) <= MAX_NAME_CHARS:
         return [Problem(path, name, f"a name has 1 to {MAX_NAME_CHARS} characters")]
--- a/packages/config/src/wagtailpaddle_config/layers.py
+++ b/packages/config/src/wagtailpaddle_config/layers.py
@@ -247,9 +247,10 @@
     for key, route in built.items():
         if key.section != "routes" or route is None:
             continue
-        if layers.table(ObjectKey("services", route.service), site) is None:
-            path = f"routes.{key.name}.service"
-            problems.append(Problem(path, route.service, "names no service"))
+        for service in route.services():
+            if layers.table(ObjectKey("services", service), site) is None:
+                path = f"routes.{key.name}.service"
+                problems.append(Problem(path, service, "names no service"))
         problems.extend(
             Problem(f"routes.{key.name}.accounts", account, "names no client account")
             for account in route.accounts
--- a/packages/config/src/wagtailpaddle_config/model.py
+++ b/packages/config/src/wagtailpaddle_config/model.py
@@ -16,16 +16,29 @@
 SERVER_SLOTS = 4
 SERVER_CONNECTIONS = 300
 ROUTE_TIMEOUT_S = 10.0
+ROUTE_MAX_ATTEMPTS = 3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientAccount:
-    """A caller's account with its fleet-wide rate (requests/s) and burst."""
+    """A caller's account with its fleet-wide rate (requests/s) and burst.
+
+    ``priority`` ranks accounts under overload, 0 is the highest.
+    """
 
     id: AccountId
     rate: float
     burst: float
     active: bool = True
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SplitPart:
+    """One service of a weighted split and its part of the requests."""
+
+    service: ServiceId
+    weight: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,7 +48,11 @@
     An ``open`` route asks for no key. ``accounts`` limits the client accounts
     that may use the route; empty means all. ``idempotent`` says whether a
     request may run twice without harm; ``timeout_s`` bounds one request whose
-    caller states no deadline.
+    caller states no deadline. A ``split`` divides the requests among services
+    by weight and goes before ``service``. ``max_attempts`` bounds the servers
+    that one request is sent to; ``target_latency_s`` is the latency objective,
+    0 if there is none. ``priority`` ranks routes under overload, 0 is the
+    highest. A ``path`` that ends with a slash matches only what is below it.
     """
 
     id: RouteId
@@ -47,6 +64,10 @@
     accounts: tuple[AccountId, ...] = ()
     idempotent: bool = False
     timeout_s: float = ROUTE_TIMEOUT_S
+    split: tuple[SplitPart, ...] = ()
+    max_attempts: int = ROUTE_MAX_ATTEMPTS
+    target_latency_s: float = 0.0
+    priority: int = 0
 
     def matches(self, host: str, path: str, method: str) -> bool:
         """Return whether a request line falls under this route."""
@@ -54,8 +75,15 @@
             return False
         if self.methods and method not in self.methods:
             return False
-        prefix = self.path.rstrip("/")
-        return path == prefix or path.startswith(prefix + "/")
+        if self.path.endswith("/"):
+            return path.startswith(self.path)
+        return path == self.path or path.startswith(self.path + "/")
+
+    def services(self) -> tuple[ServiceId, ...]:
+        """Return the services that the route may send requests to."""
+        if not self.split:
+            return (self.service,)
+        return tuple(part.service for part in self.split)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/decisions.py
@@ -0,0 +1,102 @@
+"""The log of decisions: what was done with each request, and why."""
+
+from hashlib import blake2b
+from typing import Any
+
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_routing import AttemptOutcome, AttemptResult, Dispatch
+
+from wagtailpaddle_daemon.logs import get_logger
+
+USUAL_PER_S = 100
+"""Lines a second up to which every request that went well has its lines."""
+
+SAMPLE_BITS = 4
+FIRST_SERVER_ERROR = 500
+
+log = get_logger("request")
+
+
+class DecisionLog:
+    """Writes a line for each decision that touches a request.
+
+    Failures and refusals always have their lines. Above ``USUAL_PER_S`` lines a
+    second one request in 16 that goes well keeps its own, chosen by its id, so
+    that all VMs that see a request choose alike.
+    """
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._n_lines = 0
+
+    def dispatched(
+        self, now: float, shown_id: bytes, action: Dispatch, **facts: Any
+    ) -> None:
+        """An attempt begins."""
+        if not self._keeps(now, shown_id):
+            return
+        log.info(
+            "Sent.",
+            id=_text(shown_id),
+            server=action.server,
+            service=action.service,
+            attempt=action.attempt,
+            queued_s=round(action.queued_s, 4),
+            left_s=round(action.timeout_at - now, 3),
+            **facts,
+        )
+
+    def attempt_ended(
+        self, now: float, shown_id: bytes, server: str, result: AttemptResult
+    ) -> None:
+        """An attempt ended."""
+        answered = result.outcome is AttemptOutcome.ANSWERED
+        is_good = answered and result.status < FIRST_SERVER_ERROR
+        if is_good and not self._keeps(now, shown_id):
+            return
+        log.info(
+            "Attempt ended.",
+            id=_text(shown_id),
+            server=server,
+            outcome=result.outcome.value,
+            status=result.status,
+            took_s=round(result.latency_s, 4),
+            load=result.load,
+        )
+
+    def refused(
+        self,
+        shown_id: bytes,
+        kind: ErrorKind,
+        detail: str,
+        retry_after_s: float | None,
+        **facts: Any,
+    ) -> None:
+        """A request is answered by this VM itself."""
+        log.info(
+            "Refused.",
+            id=_text(shown_id),
+            kind=kind.value,
+            detail=detail,
+            retry_after_s=retry_after_s,
+            **facts,
+        )
+
+    def caller_gone(self, shown_id: bytes) -> None:
+        """The caller went away before the answer."""
+        log.info("Caller went away.", id=_text(shown_id))
+
+    def _keeps(self, now: float, shown_id: bytes) -> bool:
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            self._n_lines = 0
+        self._n_lines += 1
+        if self._n_lines <= USUAL_PER_S:
+            return True
+        digest = blake2b(shown_id, digest_size=1).digest()[0]
+        return digest >> (8 - SAMPLE_BITS) == 0
+
+
+def _text(shown_id: bytes) -> str:
+    return shown_id.decode("latin-1")
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/dialect.py
@@ -0,0 +1,73 @@
+"""The headers that callers, this daemon and backend servers use."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from wagtailpaddle_core import AccountId, ServerId
+from wagtailpaddle_node import OPEN_ACCOUNT
+from wagtailpaddle_routing import OWN_SHED_ANSWERS
+
+from wagtailpaddle_daemon.headers import Header, bearer_key
+
+KeyReader = Callable[[bytes | None], bytes | None]
+
+
+def plain_key(value: bytes | None) -> bytes | None:
+    """Return the key of a header that holds nothing else, or None."""
+    if value is None or not value.strip():
+        return None
+    return value.strip()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Dialect:
+    """Names of headers and what they mean, for one kind of deployment.
+
+    Headers that are None are not used. ``timeout_ms`` carries the time that is
+    left, in milliseconds, from callers and to servers. ``account`` names the
+    client account and ``expected_server`` the server that is meant, both to
+    servers only. With ``must_echo`` an answer counts only if it names its
+    request. ``shed_answers`` and ``load`` name entries of the registries of
+    ``wagtailpaddle_routing``. With ``farewell`` a quiet connection gets a
+    refusal before it is closed. With ``whole_seconds`` Retry-After is rounded.
+    """
+
+    request_id: bytes = b"X-Request-Id"
+    timeout_ms: bytes = b"X-Request-Timeout-Ms"
+    key: bytes = b"Authorization"
+    read_key: KeyReader = bearer_key
+    outcome: bytes = b"X-Outcome"
+    idempotency_key: bytes | None = b"Idempotency-Key"
+    account: bytes | None = None
+    expected_server: bytes | None = None
+    must_echo: bool = False
+    shed_answers: tuple[str, ...] = OWN_SHED_ANSWERS
+    load: str = "fraction"
+    farewell: bool = True
+    whole_seconds: bool = True
+    decoded_paths: bool = True
+
+    def replaced(self) -> frozenset[bytes]:
+        """Return the headers of callers that are not passed on, in lower case."""
+        named = (self.request_id, self.timeout_ms, self.account, self.expected_server)
+        found = {name.lower() for name in named if name is not None}
+        return frozenset(found | {b"content-length", b"expect", b"host"})
+
+    def for_server(
+        self, left_s: float, server: ServerId, account: AccountId | None
+    ) -> Iterator[Header]:
+        """Yield the headers of one attempt at ``server``."""
+        yield self.timeout_ms, b"%d" % max(1, int(left_s * 1000))
+        if self.expected_server is not None:
+            yield self.expected_server, server.encode()
+        if self.account is not None and account not in (None, OPEN_ACCOUNT):
+            yield self.account, str(account).encode()
+
+    def retry_after(self, seconds: float) -> bytes:
+        """Return the value of Retry-After."""
+        if self.whole_seconds:
+            return b"%d" % max(1, round(seconds))
+        return b"%.2f" % max(0.01, seconds)
+
+
+OWN_DIALECT = Dialect()
--- a/packages/daemon/src/wagtailpaddle_daemon/front.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/front.py
@@ -13,10 +13,10 @@
 from wagtailpaddle_core import ANSWERS, ErrorKind, RequestId, WagtailError
 from wagtailpaddle_node import RequestHead
 
+from wagtailpaddle_daemon.dialect import OWN_DIALECT, Dialect
 from wagtailpaddle_daemon.gateway import Gateway
 from wagtailpaddle_daemon.headers import (
     Header,
-    bearer_key,
     end_to_end,
     query_without_key,
     without_key,
@@ -31,24 +31,10 @@
     read_target,
     read_timeout,
 )
-from wagtailpaddle_daemon.problems import CONTENT_TYPE, problem_body
+from wagtailpaddle_daemon.problems import CONTENT_TYPE, last_word, problem_body
 from wagtailpaddle_daemon.secrets import KeyFilter
 from wagtailpaddle_daemon.upstream import AnswerHead, Outgoing, list_headers
 
-REQUEST_ID_HEADER = b"X-Request-Id"
-TIMEOUT_HEADER = b"X-Request-Timeout-Ms"
-OUTCOME_HEADER = b"X-Outcome"
-IDEMPOTENCY_HEADER = b"Idempotency-Key"
-REPLACED_HEADERS = frozenset(
-    {
-        REQUEST_ID_HEADER.lower(),
-        TIMEOUT_HEADER.lower(),
-        b"content-length",
-        b"expect",
-        b"host",
-    }
-)
-
 Directory = Callable[[str | None, str | None], bytes]
 """Answers a caller's question for addresses: (key hash, zone) to a document."""
 
@@ -66,6 +52,7 @@
     connections: int = 4096
     receive_s: float = 20.0
     idle_s: float = 60.0
+    header_bytes: int = 16384
 
 
 class FrontRequest(http.Request):
@@ -107,8 +94,9 @@
         """Hand the whole request to the gateway, or answer it here."""
         self.channel.received()
         self._release()
-        given = self.getHeader(REQUEST_ID_HEADER)
-        key = bearer_key(self.getHeader(b"authorization"))
+        dialect = self.front.dialect
+        given = self.getHeader(dialect.request_id)
+        key = dialect.read_key(self.getHeader(dialect.key))
         keys = KeyFilter(key)
         self._shown_id = choose_request_id(given, keys)
         self.id = RequestId(uuid4().hex)
@@ -119,7 +107,7 @@
                 raise self._fault
             check_framing(self.requestHeaders)
             target = read_target(self.uri, self.clientproto, self.requestHeaders)
-            if target.path == self.front.directory_path:
+            if target.path == self.front.directory_path and self.front.directory:
                 self._answer_directory(key)
                 return
             head, out = self._read(target, key, keys)
@@ -132,10 +120,13 @@
         self, target: Target, key: bytes | None, keys: KeyFilter
     ) -> tuple[RequestHead, Outgoing]:
         body = self.content.getvalue()
-        path = unquote(target.path.decode("latin-1"), errors="replace")
+        dialect = self.front.dialect
+        path = target.path.decode("latin-1")
+        if dialect.decoded_paths:
+            path = unquote(path, errors="replace")
         check_key_free(keys, self.method, target.path, body)
         check_path(path)
-        idempotency_key = read_idempotency_key(self.getHeader(IDEMPOTENCY_HEADER))
+        idempotency_key = self._idempotency_key()
         uri = query_without_key(target.uri, keys)
         fingerprint = ""
         if idempotency_key is not None:
@@ -146,26 +137,33 @@
             path=path,
             method=self.method.decode("latin-1"),
             key_hash=None if key is None else hash_secret(key.decode("latin-1")),
-            timeout_s=read_timeout(self.getHeader(TIMEOUT_HEADER)),
+            timeout_s=read_timeout(self.getHeader(dialect.timeout_ms)),
             idempotency_key=idempotency_key,
             fingerprint=fingerprint,
         )
         headers = tuple(self._outgoing_headers(target.host, keys))
         return head, Outgoing(self.method, uri, headers, body)
 
+    def _idempotency_key(self) -> str | None:
+        name = self.front.dialect.idempotency_key
+        return None if name is None else read_idempotency_key(self.getHeader(name))
+
     def _outgoing_headers(self, host: bytes, keys: KeyFilter) -> Iterator[Header]:
         passed_on = end_to_end(list_headers(self.requestHeaders))
-        for name, value in without_key(passed_on, keys):
-            if name.lower() not in REPLACED_HEADERS:
+        dialect = self.front.dialect
+        replaced = self.front.replaced_headers
+        for name, value in without_key(passed_on, keys, key_header=dialect.key):
+            if name.lower() not in replaced:
                 yield name, value
         if host and not keys.found_in(host):
             yield b"Host", host
-        yield REQUEST_ID_HEADER, self._shown_id
+        yield dialect.request_id, self._shown_id
 
     def _answer_directory(self, key: bytes | None) -> None:
         key_hash = None if key is None else hash_secret(key.decode("latin-1"))
         zones = self.args.get(b"zone", [])
         zone = zones[0].decode("latin-1") if zones else None
+        assert self.front.directory is not None
         body = self.front.directory(key_hash, zone)
         self.setHeader(b"content-type", b"application/json")
         self.setHeader(b"cache-control", b"private")
@@ -179,11 +177,11 @@
         """Send the status line and the headers of an answer."""
         self.setResponseCode(head.status, head.phrase)
         for name, value in head.headers:
-            if name.lower() != b"x-request-id":
+            if name.lower() != self.front.dialect.request_id.lower():
                 self.responseHeaders.addRawHeader(name, value)
         if head.length is not None:
             self.setHeader(b"content-length", b"%d" % head.length)
-        self.setHeader(REQUEST_ID_HEADER, self._shown_id)
+        self.setHeader(self.front.dialect.request_id, self._shown_id)
         if self.front.draining:
             self._close_after()
 
@@ -208,10 +206,12 @@
         self.setResponseCode(answer.status)
         self.setHeader(b"content-type", CONTENT_TYPE)
         self.setHeader(b"content-length", b"%d" % len(body))
-        self.setHeader(OUTCOME_HEADER, answer.outcome.value.encode())
-        self.setHeader(REQUEST_ID_HEADER, self._shown_id)
+        self.setHeader(self.front.dialect.outcome, answer.outcome.value.encode())
+        self.setHeader(self.front.dialect.request_id, self._shown_id)
         if retry_after_s is not None:
-            self.setHeader(b"retry-after", b"%d" % max(1, round(retry_after_s)))
+            self.setHeader(
+                b"retry-after", self.front.dialect.retry_after(retry_after_s)
+            )
         if self.front.draining:
             self._close_after()
         self.write(body)
@@ -222,8 +222,9 @@
         if self._fault is None:
             return False
         self.method, self.clientproto = b"POST", b"HTTP/1.1"
-        given = self.getHeader(REQUEST_ID_HEADER)
-        keys = KeyFilter(bearer_key(self.getHeader(b"authorization")))
+        dialect = self.front.dialect
+        given = self.getHeader(dialect.request_id)
+        keys = KeyFilter(dialect.read_key(self.getHeader(dialect.key)))
         self._shown_id = choose_request_id(given, keys)
         self._close_after()
         self.refuse(self._fault.kind, self._fault.detail, None)
@@ -254,20 +255,6 @@
         self._n_buffered = 0
 
 
-def last_word() -> bytes:
-    """Return the answer to a request that crosses the end of its connection."""
-    answer = ANSWERS[ErrorKind.DRAINING]
-    body = problem_body(ErrorKind.DRAINING, "the VM has shut down")
-    lines = (
-        b"HTTP/1.1 %d Service Unavailable" % answer.status,
-        b"Content-Type: " + CONTENT_TYPE,
-        b"Content-Length: %d" % len(body),
-        OUTCOME_HEADER + b": " + answer.outcome.value.encode(),
-        b"Connection: close",
-    )
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
-
-
 class FrontChannel(http.HTTPChannel):
     """A caller's connection whose requests must arrive in bounded time."""
 
@@ -298,10 +285,14 @@
         refusal, which is true, where it would find a closed connection; any
         other caller finds that the connection is over.
         """
-        if not self.dismissed:
-            self.dismissed = True
-            self.transport.write(last_word())
-            self.transport.loseWriteConnection()
+        if self.dismissed:
+            return
+        self.dismissed = True
+        if not self.factory.dialect.farewell:
+            self.transport.loseConnection()
+            return
+        self.transport.write(last_word(self.factory.dialect.outcome))
+        self.transport.loseWriteConnection()
 
     def received(self) -> None:
         """The request has arrived as a whole."""
@@ -331,10 +322,13 @@
         self,
         reactor: Any,
         gateway: Gateway,
-        directory: Directory,
+        directory: Directory | None,
         *,
         limits: Limits | None = None,
+        dialect: Dialect = OWN_DIALECT,
     ):
+        self.dialect = dialect
+        self.replaced_headers = dialect.replaced()
         self.limits = limits or Limits()
         super().__init__(timeout=self.limits.idle_s, reactor=reactor)
         self.seconds = reactor.seconds
@@ -351,6 +345,7 @@
         channel.site = self
         channel.requestFactory = FrontRequest
         channel.timeOut = self.limits.idle_s
+        channel.totalHeadersSize = self.limits.header_bytes
         channel.callLater = self.reactor.callLater
         return channel
 
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -1,6 +1,6 @@
 """The gateway: carries out the node's actions on callers and servers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -9,15 +9,14 @@
 from twisted.web.http import NO_BODY_CODES
 from wagtailpaddle_core import ErrorKind, RequestId, ServerId, ServiceId
 from wagtailpaddle_node import (
-    Append,
-    CallPeer,
-    Node,
     NodeAction,
     Replay,
     RequestHead,
+    RequestNode,
 )
 from wagtailpaddle_once import StoredAnswer
 from wagtailpaddle_routing import (
+    LOAD_PARSERS,
     AttemptOutcome,
     AttemptResult,
     CancelAttempt,
@@ -26,10 +25,11 @@
     Refuse,
     interpret,
     is_leaving,
-    parse_load,
 )
 
 from wagtailpaddle_daemon.caller import Caller, NobodyThere
+from wagtailpaddle_daemon.decisions import DecisionLog
+from wagtailpaddle_daemon.dialect import OWN_DIALECT, Dialect
 from wagtailpaddle_daemon.headers import Header, end_to_end
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
@@ -46,7 +46,6 @@
 )
 
 ANSWER_BUFFER_BYTES = 65536
-REQUEST_ID_HEADER = b"X-Request-Id"
 
 log = get_logger("gateway")
 
@@ -57,6 +56,7 @@
 
     caller: Caller
     out: Outgoing
+    shown_id: bytes = b""
     arrived_at: float = 0.0
     queued_s: float = 0.0
     n_attempts: int = 0
@@ -76,22 +76,28 @@
 class Gateway:
     """Joins callers, the node's decisions and backend servers."""
 
-    def __init__(self, reactor: Any, node: Node, upstream: Upstream, metrics: Metrics):
+    def __init__(
+        self,
+        reactor: Any,
+        node: RequestNode,
+        upstream: Upstream,
+        metrics: Metrics,
+        *,
+        dialect: Dialect = OWN_DIALECT,
+    ):
+        self._dialect = dialect
+        self._decisions = DecisionLog()
         self._reactor = reactor
         self._node = node
         self._upstream = upstream
         self._metrics = metrics
         self._exchanges: dict[RequestId, _Exchange] = {}
-        self._call_peer: Callable[[CallPeer], None] = _not_connected
-        self._append: Callable[[Append], None] = _not_connected
+        self._carriers: dict[type, Callable[[Any], None]] = {}
         self._ticker = Ticker(reactor, node, self._tick)
 
-    def connect(
-        self, call_peer: Callable[[CallPeer], None], append: Callable[[Append], None]
-    ) -> None:
-        """State who carries out calls of peers and appends to the log."""
-        self._call_peer = call_peer
-        self._append = append
+    def connect(self, carriers: Mapping[type, Callable[[Any], None]]) -> None:
+        """State who carries out actions that concern no request, by their type."""
+        self._carriers = dict(carriers)
 
     @property
     def n_in_flight(self) -> int:
@@ -101,7 +107,9 @@
     def take(self, head: RequestHead, out: Outgoing, caller: Caller) -> None:
         """Take in a whole request from a caller."""
         now = self._reactor.seconds()
-        self._exchanges[head.id] = _Exchange(caller, out, arrived_at=now)
+        self._exchanges[head.id] = _Exchange(
+            caller, out, shown_id=self._shown_id(out), arrived_at=now
+        )
         self.carry_out(self._node.on_request(now, head))
 
     def caller_gone(self, request: RequestId) -> None:
@@ -110,6 +118,7 @@
         if exchange is None:
             return
         exchange.caller = NobodyThere()
+        self._decisions.caller_gone(exchange.shown_id)
         goes_on, actions = self._node.on_cancel(self._reactor.seconds(), request)
         self.carry_out(actions)
         if not goes_on:
@@ -127,12 +136,10 @@
                     self._refuse(action)
                 case CancelAttempt():
                     self._cancel(action)
-                case CallPeer():
-                    self._call_peer(action)
-                case Append():
-                    self._append(action)
                 case Replay():
                     self._replay(action)
+                case _:
+                    self._carriers[type(action)](action)
         self._ticker.plan()
 
     def start(self) -> None:
@@ -160,13 +167,23 @@
         exchange.buffer = []
         exchange.n_buffered = 0
         left = max(0.0, action.timeout_at - now)
-        deadline = (b"X-Request-Timeout-Ms", b"%d" % int(left * 1000))
+        account = self._node.request_view(action.request).account
+        added = self._dialect.for_server(left, action.server, account)
         out = Outgoing(
             exchange.out.method,
             exchange.out.uri,
-            (*exchange.out.headers, deadline),
+            (*exchange.out.headers, *added),
             exchange.out.body,
         )
+        view = self._node.request_view(action.request)
+        self._decisions.dispatched(
+            now,
+            exchange.shown_id,
+            action,
+            route=view.route,
+            account=view.account,
+            revision=self._node.configuration.revision,
+        )
         attempt = action.attempt
         request = action.request
         exchange.timer = self._reactor.callLater(
@@ -194,7 +211,9 @@
         response.deliverBody(reader)
         if exchange is None:
             reader.abort()
-        elif is_crossed(exchange.out, response.headers) or is_oversized(headers):
+        elif is_crossed(exchange.out, response.headers, self._dialect) or is_oversized(
+            headers
+        ):
             log.warning("Answer is crossed or oversized.", request=request)
             reader.abort()
             self._finish(request, exchange, AttemptOutcome.FAILED)
@@ -232,9 +251,10 @@
             return
         status = exchange.head.status
         headers = lowered(exchange.head.headers)
-        exchange.load = parse_load(headers)
+        exchange.load = LOAD_PARSERS[self._dialect.load](headers)
         self._note_leaving(exchange, headers)
-        self._finish(request, exchange, interpret(status, headers), status)
+        outcome = interpret(status, headers, self._dialect.shed_answers)
+        self._finish(request, exchange, outcome, status)
 
     def _note_leaving(self, exchange: _Exchange, headers: dict[str, str]) -> None:
         if is_leaving(headers):
@@ -278,6 +298,9 @@
             outcome, latency_s, status, exchange.load, committed=exchange.committed
         )
         self._metrics.attempt_done(now, *exchange.server, latency_s, outcome)
+        self._decisions.attempt_ended(
+            now, exchange.shown_id, exchange.server[1], result
+        )
         answer = stored_answer(exchange) if outcome is AttemptOutcome.ANSWERED else None
         self.carry_out(self._node.on_attempt(now, request, result, answer))
 
@@ -311,6 +334,15 @@
     def _refuse(self, action: Refuse) -> None:
         exchange = self._exchanges.pop(action.request)
         self._measure(action.request, exchange, action.kind)
+        self._decisions.refused(
+            exchange.shown_id,
+            action.kind,
+            action.detail,
+            action.retry_after_s,
+            attempts=exchange.n_attempts,
+            waited_s=round(self._reactor.seconds() - exchange.arrived_at, 4),
+            revision=self._node.configuration.revision,
+        )
         if exchange.committed:
             exchange.caller.abort()
             return
@@ -330,6 +362,11 @@
         elif exchange.pending is not None:
             exchange.pending.cancel()
 
+    def _shown_id(self, out: Outgoing) -> bytes:
+        """Return the id by which the caller knows its request."""
+        named = (v for name, v in out.headers if name == self._dialect.request_id)
+        return next(named, b"")
+
     def _current(self, request: RequestId, attempt: int) -> _Exchange | None:
         exchange = self._exchanges.get(request)
         if exchange is None or exchange.attempt != attempt:
@@ -353,10 +390,6 @@
             self._metrics.queue_wait(now, view.account, view.route, exchange.queued_s)
 
 
-def _not_connected(action: object) -> None:
-    raise RuntimeError(f"nobody carries out {action!r}")
-
-
 def lowered(headers: tuple[Header, ...]) -> dict[str, str]:
     """Return headers by lower-case name; the last of equal ones counts."""
     return {
@@ -376,10 +409,10 @@
     return StoredAnswer(exchange.head.status, headers, b"".join(exchange.buffer))
 
 
-def is_crossed(out: Outgoing, headers: Any) -> bool:
-    """Return whether an answer names another request than the one sent."""
-    echoed = headers.getRawHeaders(REQUEST_ID_HEADER)
+def is_crossed(out: Outgoing, headers: Any, dialect: Dialect = OWN_DIALECT) -> bool:
+    """Return whether an answer belongs to another request than the one sent."""
+    echoed = headers.getRawHeaders(dialect.request_id)
     if not echoed:
-        return False
-    sent = [value for name, value in out.headers if name == REQUEST_ID_HEADER]
+        return dialect.must_echo
+    sent = [value for name, value in out.headers if name == dialect.request_id]
     return bool(sent) and echoed[0] != sent[0]
--- a/packages/daemon/src/wagtailpaddle_daemon/headers.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/headers.py
@@ -45,10 +45,12 @@
             yield name, value
 
 
-def without_key(headers: Iterable[Header], keys: KeyFilter) -> Iterator[Header]:
+def without_key(
+    headers: Iterable[Header], keys: KeyFilter, *, key_header: bytes = AUTHORIZATION
+) -> Iterator[Header]:
     """Yield the headers that carry no key; a cookie loses only the parts that do."""
     for name, value in headers:
-        if name.lower() == AUTHORIZATION or keys.found_in(name):
+        if name.lower() == key_header.lower() or keys.found_in(name):
             continue
         if not keys.found_in(value):
             yield name, value
--- a/packages/daemon/src/wagtailpaddle_daemon/logs.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/logs.py
@@ -17,8 +17,10 @@
 }
 
 
-def setup_logs(*, format: str = "console", level: str = "info") -> None:
-    """Send log lines to standard error as text or JSON."""
+def setup_logs(
+    *, format: str = "console", level: str = "info", stream: Any = None
+) -> None:
+    """Send log lines to ``stream`` (standard error) as text or JSON."""
     for name in NOISY_LOGGERS:
         logging.getLogger(name).setLevel(logging.CRITICAL)
     renderer: Any
@@ -34,7 +36,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=False,
     )
 
--- a/packages/daemon/src/wagtailpaddle_daemon/main.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/main.py
@@ -1,7 +1,7 @@
 """Entry point of ``wagtailpaddled``."""
 
 import signal
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -23,12 +23,27 @@
 
 
 def run(cfg: Settings) -> int:
-    """Run a daemon until SIGTERM or SIGINT; a second signal ends at once."""
-    reactor: Any = install()
-    from wagtailpaddle_daemon.service import Daemon
+    """Run a daemon whose fleet has a log of its own."""
+
+    def make(reactor: Any) -> Any:
+        from wagtailpaddle_daemon.service import Daemon
+
+        return Daemon(reactor, cfg)
+
+    return run_daemon(make)
 
+
+def run_daemon(
+    make: Callable[[Any], Any], *, on_reload: Callable[[], None] | None = None
+) -> int:
+    """Run a daemon until SIGTERM or SIGINT; a second signal ends at once.
+
+    ``make`` gets the reactor and returns an object with ``start`` and ``stop``.
+    SIGHUP calls ``on_reload``.
+    """
+    reactor: Any = install()
     log = get_logger("daemon")
-    daemon = Daemon(reactor, cfg)
+    daemon = make(reactor)
     n_signals = 0
     exit_status = 0
 
@@ -54,6 +69,8 @@
         Deferred.fromCoroutine(daemon.start()).addErrback(fail)
 
     reactor.callWhenRunning(begin)
+    if on_reload is not None:
+        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(on_reload))
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     reactor.run(installSignalHandlers=False)
--- a/packages/daemon/src/wagtailpaddle_daemon/peerlink.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/peerlink.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import ssl
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from wagtailpaddle_core import VmId
-from wagtailpaddle_node import CallPeer, Node, NodeAction
+from wagtailpaddle_node import CallPeer, NodeAction, RequestNode
 from wagtailpaddle_peer import PeerClient, PeerError, PeerServer, Security
 
 from wagtailpaddle_daemon.logs import get_logger
@@ -17,20 +17,27 @@
 
 
 class PeerLink:
-    """Serves calls of other daemons and makes calls to them."""
+    """Serves calls of other daemons and makes calls to them.
+
+    ``answerers`` answer messages of their type later than at once.
+    """
 
     def __init__(
         self,
         reactor: Any,
-        node: Node,
+        vm: VmId,
+        node: RequestNode,
         security: Security,
         carry_out: Callable[[tuple[NodeAction, ...]], None],
+        *,
+        answerers: Mapping[type, Callable[[Any], Awaitable[Any]]] | None = None,
     ):
         self._reactor = reactor
         self._node = node
         self._carry_out = carry_out
-        self._server = PeerServer(node.vm.id, self._on_message, security)
-        self._client = PeerClient(node.vm.id, security, reactor.seconds)
+        self._server = PeerServer(vm, self._on_message, security)
+        self._client = PeerClient(vm, security, reactor.seconds)
+        self._answerers = dict(answerers or {})
         self._tasks: set[Any] = set()
 
     def start(self, host: str, port: int) -> Deferred[None]:
@@ -74,6 +81,9 @@
         self._carry_out(actions)
 
     def _on_message(self, sender: VmId, body: Any) -> Any:
+        answer = self._answerers.get(type(body))
+        if answer is not None:
+            return answer(body)
         return self._node.on_message(self._reactor.seconds(), sender, body)
 
 
--- a/packages/daemon/src/wagtailpaddle_daemon/prober.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/prober.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
-from wagtailpaddle_node import Node, NodeAction
+from wagtailpaddle_node import NodeAction, RequestNode
 from wagtailpaddle_routing import AttemptOutcome, Probe, ProbeOutcome, ProbeResult
 
 from wagtailpaddle_daemon.healthpage import MAX_PAGE_BYTES, PageError, read_page
@@ -36,7 +36,7 @@
     def __init__(
         self,
         reactor: Any,
-        node: Node,
+        node: RequestNode,
         upstream: Upstream,
         carry_out: Callable[[tuple[NodeAction, ...]], None],
     ):
--- a/packages/daemon/src/wagtailpaddle_daemon/problems.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/problems.py
@@ -26,3 +26,17 @@
 def problem_body(kind: ErrorKind, detail: str) -> bytes:
     """Return the body that answers an error of ``kind``."""
     return json.dumps(problem_document(kind, detail)).encode()
+
+
+def last_word(outcome_header: bytes) -> bytes:
+    """Return the answer to a request that crosses the end of its connection."""
+    answer = ANSWERS[ErrorKind.DRAINING]
+    body = problem_body(ErrorKind.DRAINING, "the VM has shut down")
+    lines = (
+        b"HTTP/1.1 %d Service Unavailable" % answer.status,
+        b"Content-Type: " + CONTENT_TYPE,
+        b"Content-Length: %d" % len(body),
+        outcome_header + b": " + answer.outcome.value.encode(),
+        b"Connection: close",
+    )
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -6,17 +6,22 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.internet.endpoints import TCP4ServerEndpoint
-from twisted.internet.task import LoopingCall
 from wagtailpaddle_core import Offset, VmId, ZoneId
 from wagtailpaddle_fleet import Vm, new_incarnation, vm_id
-from wagtailpaddle_node import Node
+from wagtailpaddle_node import Append, CallPeer, Node
 from wagtailpaddle_peer import LogCodec
 
 from wagtailpaddle_daemon.admin import Admin, ChangeState, VmView, change_state
 from wagtailpaddle_daemon.feed import Feed, start_coroutine
 from wagtailpaddle_daemon.front import FrontFactory, Limits
 from wagtailpaddle_daemon.gateway import Gateway
+from wagtailpaddle_daemon.hosting import (
+    RegularCalls,
+    listen,
+    sleep,
+    split_address,
+    wait_until,
+)
 from wagtailpaddle_daemon.lifecycle import Lifecycle
 from wagtailpaddle_daemon.logclient import LOG_ADAPTERS
 from wagtailpaddle_daemon.logs import get_logger
@@ -30,7 +35,6 @@
 LOG_POLL_S = 0.5
 VM_LIST_POLL_S = 1.0
 HOUSEKEEPING_S = 1.0
-STOP_POLL_S = 0.02
 HAND_OVER_S = 5.0
 QUIET_S = 0.1
 LAST_WORDS_S = 1.0
@@ -63,9 +67,9 @@
             self.gateway.carry_out,
         )
         self._peers = PeerLink(
-            reactor, self.node, security_of(cfg), self.gateway.carry_out
+            reactor, self.vm, self.node, security_of(cfg), self.gateway.carry_out
         )
-        self.gateway.connect(self._peers.call, self._feed.append)
+        self.gateway.connect({CallPeer: self._peers.call, Append: self._feed.append})
         self._prober = Prober(
             reactor, self.node, self._upstream, self.gateway.carry_out
         )
@@ -75,7 +79,7 @@
         )
         self._caller_port: Any = None
         self._admin_port: Any = None
-        self._loops: list[LoopingCall] = []
+        self._calls = RegularCalls(reactor)
 
     async def start(self) -> None:
         """Listen and begin to follow the log."""
@@ -88,12 +92,18 @@
             acceptance=self._acceptance,
             fleet=self._fleet,
         )
-        self._admin_port = await self._listen(self.cfg.admin_address, admin.site())
-        self._caller_port = await self._listen(self.cfg.caller_address, self._front)
+        self._admin_port = await listen(
+            self._reactor, self.cfg.admin_address, admin.site()
+        )
+        self._caller_port = await listen(
+            self._reactor, self.cfg.caller_address, self._front
+        )
         self.gateway.start()
-        self._loop(LOG_POLL_S, self._poll_log)
-        self._loop(VM_LIST_POLL_S, lambda: start_coroutine(self._feed.read_vm_list()))
-        self._loop(HOUSEKEEPING_S, self._keep_house)
+        self._calls.add(LOG_POLL_S, self._poll_log)
+        self._calls.add(
+            VM_LIST_POLL_S, lambda: start_coroutine(self._feed.read_vm_list())
+        )
+        self._calls.add(HOUSEKEEPING_S, self._keep_house)
         self._prober.start()
         self.life.started()
         log.info("Started.", vm=self.vm, callers=self.cfg.caller_address)
@@ -111,10 +121,14 @@
         self.node.drain()
         if self._caller_port is not None:
             await self._caller_port.stopListening()
-        await self._wait(lambda: not self.gateway.n_in_flight, self.cfg.drain_s)
+        await wait_until(
+            self._reactor, lambda: not self.gateway.n_in_flight, self.cfg.drain_s
+        )
         self.gateway.carry_out(self.node.release(self._reactor.seconds()))
-        await self._wait(
-            lambda: self.node.has_released and self.node.has_left, HAND_OVER_S
+        await wait_until(
+            self._reactor,
+            lambda: self.node.has_released and self.node.has_left,
+            HAND_OVER_S,
         )
         await self._close_callers()
         await self._close()
@@ -132,39 +146,17 @@
             self._front.close_quiet(self._reactor.seconds() - QUIET_S)
             return not self._front.n_connections
 
-        await self._wait(is_closed, LAST_WORDS_S)
+        await wait_until(self._reactor, is_closed, LAST_WORDS_S)
         self._front.close_idle()
 
     async def _close(self) -> None:
         self._prober.stop()
         self.gateway.stop()
-        for loop in self._loops:
-            loop.stop()
+        self._calls.stop()
         if self._admin_port is not None:
             await self._admin_port.stopListening()
         await self._peers.stop()
 
-    async def _listen(self, address: str, factory: Any) -> Any:
-        host, port = split_address(address)
-        endpoint = TCP4ServerEndpoint(self._reactor, port, interface=host)
-        return await endpoint.listen(factory)
-
-    async def _wait(self, condition: Any, limit_s: float) -> bool:
-        give_up_at = self._reactor.seconds() + limit_s
-        while not condition():
-            if self._reactor.seconds() >= give_up_at:
-                return False
-            await sleep(self._reactor, STOP_POLL_S)
-        return True
-
-    def _loop(self, interval_s: float, function: Any) -> None:
-        loop = LoopingCall(function)
-        loop.clock = self._reactor
-        self._loops.append(loop)
-        loop.start(interval_s).addErrback(
-            lambda failure: log.error("Loop died.", failure=failure.getTraceback())
-        )
-
     def _poll_log(self) -> Deferred[Any]:
         reads = (self._feed.catch_up(), self._feed.read_shares())
         return gatherResults([start_coroutine(read) for read in reads])
@@ -225,16 +217,3 @@
         peer_address=cfg.peer_address,
         incarnation=incarnation,
     )
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-def sleep(reactor: Any, seconds: float) -> Deferred[None]:
-    """Return a Deferred that fires after ``seconds``."""
-    waiter: Deferred[None] = Deferred()
-    reactor.callLater(seconds, waiter.callback, None)
-    return waiter
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/storefeed.py
@@ -0,0 +1,77 @@
+"""Carries out the node's reads and writes of the platform's store."""
+
+from collections.abc import Callable
+from typing import Any
+
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_node import NodeAction, ReplicaNode
+from wagtailpaddle_replica import Batch, ReadStore, WriteMember
+
+from wagtailpaddle_daemon.feed import start_coroutine
+from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.store import Store, StoreError
+
+log = get_logger("store")
+
+
+class StoreFeed:
+    """Reads for the node; tells in the log when the store goes and comes back."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        node: ReplicaNode,
+        store: Store,
+        carry_out: Callable[[tuple[NodeAction, ...]], None],
+    ):
+        self._reactor = reactor
+        self._node = node
+        self._store = store
+        self._carry_out = carry_out
+        self._away_since: float | None = None
+
+    def read(self, action: ReadStore) -> None:
+        """Carry out a read and report what came of it."""
+        start_coroutine(self._read(action))
+
+    def write(self, action: WriteMember) -> None:
+        """Carry out a write and report what came of it."""
+        start_coroutine(self._write(action))
+
+    async def _read(self, action: ReadStore) -> None:
+        sent_at = self._reactor.seconds()
+        try:
+            batch: Batch = await self._store.read(
+                action.collection, action.start, whole=action.whole
+            )
+        except StoreError as exc:
+            self._note_failed(exc)
+            now = self._reactor.seconds()
+            self._carry_out(self._node.on_read_failed(now, action.collection))
+            return
+        now = self._reactor.seconds()
+        self._note_answered(now)
+        self._carry_out(self._node.on_read(now, sent_at, batch))
+
+    async def _write(self, action: WriteMember) -> None:
+        done = True
+        try:
+            await self._store.write_member(action.address, action.member)
+        except StoreError as exc:
+            done = False
+            self._note_failed(exc)
+        now = self._reactor.seconds()
+        self._node.on_written(now, action.address, done=done)
+
+    def _note_failed(self, exc: StoreError) -> None:
+        if self._away_since is not None:
+            log.debug("Call failed.", error=str(exc))
+            return
+        self._away_since = self._reactor.seconds()
+        kind = ErrorKind.LOG_UNAVAILABLE
+        log.warning("Lost the store.", kind=kind.value, error=str(exc))
+
+    def _note_answered(self, now: float) -> None:
+        if self._away_since is not None:
+            log.info("Regained the store.", away_s=round(now - self._away_since, 2))
+            self._away_since = None
--- a/packages/daemon/src/wagtailpaddle_daemon/ticker.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/ticker.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from wagtailpaddle_node import Node
+from wagtailpaddle_node import RequestNode
 
 
 class Ticker:
@@ -12,7 +12,7 @@
     ``tick`` gets the present time.
     """
 
-    def __init__(self, reactor: Any, node: Node, tick: Callable[[float], None]):
+    def __init__(self, reactor: Any, node: RequestNode, tick: Callable[[float], None]):
         self._reactor = reactor
         self._node = node
         self._tick = tick
--- a/packages/daemon/tests/test_ticks.py
+++ b/packages/daemon/tests/test_ticks.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.task import Clock, LoopingCall
 from wagtailpaddle_daemon.gateway import Gateway
-from wagtailpaddle_node import RawLogRecord, RequestHead
+from wagtailpaddle_node import Append, CallPeer, RawLogRecord, RequestHead
 from wagtailpaddle_node.pace import ACTIVE_S, ACTIVE_TICK_S, IDLE_TICK_S, Pace
 from wagtailpaddle_peer import encode_log_record
 
@@ -32,7 +32,12 @@
     monkeypatch.setattr(port.node, "on_tick", note)
     gateway = Gateway(clock, port.node, None, metrics)
     streams = {"config": [], "shares": []}
-    gateway.connect(lambda _: None, lambda item: streams[item.stream].append(item))
+    gateway.connect(
+        {
+            CallPeer: lambda _: None,
+            Append: lambda item: streams[item.stream].append(item),
+        }
+    )
     reading = LoopingCall(read_log, port.node, clock, gateway, streams)
     reading.clock = clock
     gateway.start()
--- a/packages/fleet/src/wagtailpaddle_fleet/membership.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/membership.py
@@ -275,6 +275,10 @@
             return False
         return self.freshness.is_fresh(now)
 
+    def may_serve_open(self, now: float) -> bool:
+        """Return whether routes open to all may be served at ``now``."""
+        return self.is_fresh(now)
+
     @property
     def held_seats(self) -> frozenset[SeatId]:
         """The seats for which this VM speaks."""
--- a/packages/node/src/wagtailpaddle_node/__init__.py
+++ b/packages/node/src/wagtailpaddle_node/__init__.py
@@ -1,15 +1,19 @@
 """The decisions of one daemon as a whole, without I/O."""
 
+from wagtailpaddle_node.base import RequestNode
 from wagtailpaddle_node.follow import RawLogRecord
 from wagtailpaddle_node.messages import (
     Append,
     CallPeer,
     NodeAction,
+    Note,
     Replay,
     RequestHead,
     RequestView,
 )
 from wagtailpaddle_node.node import Node
+from wagtailpaddle_node.replicacontrol import ReplicaSettings
+from wagtailpaddle_node.replicanode import ReplicaNode
 from wagtailpaddle_node.requests import OPEN_ACCOUNT
 
 __all__ = [
@@ -18,8 +22,12 @@
     "CallPeer",
     "Node",
     "NodeAction",
+    "Note",
     "RawLogRecord",
     "Replay",
+    "ReplicaNode",
+    "ReplicaSettings",
     "RequestHead",
+    "RequestNode",
     "RequestView",
 ]
--- a/packages/node/src/wagtailpaddle_node/calls.py
+++ b/packages/node/src/wagtailpaddle_node/calls.py
@@ -18,6 +18,7 @@
     HEALTH = auto()
     ONCE = auto()
     QUOTA = auto()
+    REPLICA = auto()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/wagtailpaddle_node/flow.py
+++ b/packages/node/src/wagtailpaddle_node/flow.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from wagtailpaddle_config import Route
 from wagtailpaddle_core import (
     ANSWERS,
     ErrorKind,
@@ -34,6 +35,7 @@
     authenticate,
     match_route,
 )
+from wagtailpaddle_node.splits import Splits
 
 
 class RequestFlow:
@@ -49,6 +51,7 @@
         self.dispatcher = dispatcher
         self.draining = False
         self._requests = Requests()
+        self._splits = Splits()
         self._swept_revision: Offset = -1
         self._swept_fresh = False
 
@@ -109,6 +112,11 @@
             actions += self._take_token(now, admitted)
         return actions
 
+    def retry_all_tokens(self, now: float) -> tuple[NodeAction, ...]:
+        """Ask again for every request that waits for a token."""
+        self._requests.hasten(now)
+        return self.retry_tokens(now)
+
     def settle(
         self,
         now: float,
@@ -151,7 +159,7 @@
         self._swept_fresh = fresh
         actions: tuple[NodeAction, ...] = ()
         for admitted in self._requests.open():
-            fault = self._fault_of(admitted, fresh)
+            fault = self._fault_of(now, admitted)
             if fault is not None:
                 actions += self._drop(now, admitted, fault)
         return actions
@@ -159,19 +167,42 @@
     def _admit(self, now: float, head: RequestHead) -> Admitted:
         if self.draining:
             raise WagtailError(ErrorKind.DRAINING, "the VM is shutting down")
-        if not self.control.membership.is_fresh(now):
+        cfg = self.control.configuration
+        membership = self.control.membership
+        route = None
+        if membership.is_fresh(now):
+            route = match_route(cfg, head)
+        elif membership.may_serve_open(now):
+            route = cfg.route_for(head.host, head.path, head.method)
+        if route is None or not self._may_use(now, route):
             raise WagtailError(ErrorKind.NOT_FRESH, "no confirmation in time")
-        route = match_route(self.control.configuration, head)
-        account = authenticate(self.control.configuration, head, route)
+        account = authenticate(cfg, head, route)
         timeout_s = min(head.timeout_s or route.timeout_s, route.timeout_s)
         name = OPEN_ACCOUNT if account is None else account.id
-        return Admitted(head, route, name, now, now + timeout_s)
+        return Admitted(
+            head,
+            route,
+            name,
+            now,
+            now + timeout_s,
+            service=self._splits.choose(route),
+            rank=(account.priority if account else 0, route.priority),
+        )
+
+    def _may_use(self, now: float, route: Route) -> bool:
+        """Return whether this VM's configuration is current enough for a route."""
+        membership = self.control.membership
+        if membership.is_fresh(now):
+            return True
+        return route.open and membership.may_serve_open(now)
 
     def _take_token(self, now: float, admitted: Admitted) -> tuple[NodeAction, ...]:
         if admitted.route.open:
             return self._claim(now, admitted)
         quota = self.control.quota
-        decision = quota.take(now, admitted.account, admitted.deadline_at)
+        patient_until = admitted.arrived_at + quota.patience_s
+        until = min(admitted.deadline_at, patient_until)
+        decision = quota.take(now, admitted.account, until)
         match decision:
             case Granted():
                 return self._claim(now, admitted)
@@ -209,10 +240,12 @@
         job = Job(
             id=admitted.head.id,
             account=admitted.account,
-            service=admitted.route.service,
+            service=admitted.service,
             idempotent=admitted.route.idempotent,
             arrived_at=admitted.arrived_at,
             deadline_at=admitted.deadline_at,
+            max_attempts=admitted.route.max_attempts,
+            rank=admitted.rank,
         )
         return self.settle(now, self.backends.arrive(now, job))
 
@@ -223,8 +256,7 @@
             kind = ErrorKind.IDEMPOTENCY_UNAVAILABLE
             gone = WagtailError(kind, "the caller went away")
             return self._give_back(now, request, gone)
-        is_fresh = self.control.membership.is_fresh(now)
-        fault = self._fault_of(admitted, is_fresh)
+        fault = self._fault_of(now, admitted)
         if fault is not None:
             return self._give_back(now, request, fault)
         return self._queue(now, self._requests.update(request, claimed=True))
@@ -254,8 +286,8 @@
         told = self.settle(now, self.control.outcomes(now, ended))
         return (action, *told)
 
-    def _fault_of(self, admitted: Admitted, fresh: bool) -> WagtailError | None:
-        if not fresh:
+    def _fault_of(self, now: float, admitted: Admitted) -> WagtailError | None:
+        if not self._may_use(now, admitted.route):
             return WagtailError(ErrorKind.NOT_FRESH, "no confirmation in time")
         try:
             authenticate(self.control.configuration, admitted.head, admitted.route)
--- a/packages/node/src/wagtailpaddle_node/messages.py
+++ b/packages/node/src/wagtailpaddle_node/messages.py
@@ -4,6 +4,7 @@
 
 from wagtailpaddle_core import AccountId, RequestId, RouteId
 from wagtailpaddle_once import StoredAnswer
+from wagtailpaddle_replica import News, ReadStore, WriteMember
 from wagtailpaddle_routing import CancelAttempt, Deliver, Dispatch, Refuse
 
 
@@ -60,6 +61,14 @@
     record: object
 
 
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Something that the node now believes, for the log of decisions."""
+
+    event: str
+    facts: tuple[tuple[str, object], ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Replay:
     """Give the caller the stored answer of the first request with its key."""
@@ -68,4 +77,15 @@
     answer: StoredAnswer
 
 
-NodeAction = Dispatch | Deliver | Refuse | CancelAttempt | CallPeer | Append | Replay
+NodeAction = (
+    Dispatch
+    | Deliver
+    | Refuse
+    | CancelAttempt
+    | CallPeer
+    | Append
+    | Replay
+    | ReadStore
+    | WriteMember
+    | News
+)
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -0,0 +1,359 @@
+"""The control side of a node that keeps a copy of the platform's store."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from wagtailpaddle_config import (
+    Configuration,
+    WholeDocument,
+    configure,
+    with_servers,
+)
+from wagtailpaddle_core import AccountId, Offset, VmId, ZoneId, rank
+from wagtailpaddle_fleet import CallerAddresses
+from wagtailpaddle_health import HealthDigest, watchers
+from wagtailpaddle_once import OnceAction, Run, StoredAnswer
+from wagtailpaddle_quota import (
+    AskTokens,
+    Limit,
+    StockedRates,
+    TakeTokens,
+    TokensTaken,
+)
+from wagtailpaddle_replica import (
+    Batch,
+    Changed,
+    Collection,
+    Follow,
+    FollowVm,
+    Member,
+    Newest,
+    Replica,
+    Step,
+    Update,
+    carriers,
+)
+
+from wagtailpaddle_node.backends import Backends
+from wagtailpaddle_node.calls import Call, Calls, Part
+from wagtailpaddle_node.healthpages import HealthPages
+from wagtailpaddle_node.messages import NodeAction, Note
+from wagtailpaddle_node.registered import Registered
+
+Decoders = Mapping[Collection, Any]
+
+FRESH_S = 4.5
+KEEP_S = 2.0
+TOKENS_TIMEOUT_S = 0.3
+DUTIES_EVERY_S = 0.25
+N_KEEPERS = 3
+MIN_ADDRESSES = 2
+MAX_NOTES = 256
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaSettings:
+    """What the platform's settings say to the control side.
+
+    ``fresh_s`` bounds the age of the configuration by which requests with a key
+    are served, ``keep_s`` how long callers keep the directory's answer.
+    """
+
+    fresh_s: float = FRESH_S
+    keep_s: float = KEEP_S
+    seeds: tuple[str, ...] = ()
+
+
+class ReplicaMembership:
+    """Freshness and the directory, as the request's way sees them."""
+
+    def __init__(self, replica: Replica, cfg: ReplicaSettings):
+        self._replica = replica
+        self._cfg = cfg
+        self.leaving = False
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the configuration is current enough to check keys."""
+        return self._replica.age_s(now, Collection.CONFIG) <= self._cfg.fresh_s
+
+    def may_serve_open(self, now: float) -> bool:
+        """Return whether there is any configuration to serve open routes by."""
+        return self._config.is_known and bool(self._config.values())
+
+    def addresses_for(self, now: float, zone: ZoneId | None) -> CallerAddresses:
+        """Return the addresses for a caller: its zone's, else everybody's."""
+        own = self._replica.own
+        serving = [
+            member
+            for member in self._replica.members.alive(now)
+            if member.caller_address
+        ]
+        if not self.is_fresh(now) or not self.may_serve_open(now):
+            others = self._replica.members.all()
+            serving = [
+                item for item in others if item.caller_address and item.id != own.id
+            ]
+        found = carriers(serving)
+        near = [member for member in found if member.zone == zone]
+        chosen = near if len(near) >= MIN_ADDRESSES else found
+        addresses = tuple(member.caller_address for member in chosen)
+        return CallerAddresses(addresses, self._cfg.keep_s)
+
+    @property
+    def _config(self) -> Newest:
+        return self._replica.copies[Collection.CONFIG]
+
+
+class NoClaims:
+    """Stands in for claims where no caller sends idempotency keys."""
+
+    def begin(self, now: float, request: Any, *_: object) -> tuple[OnceAction, ...]:
+        """Let the request run."""
+        return (Run(request),)
+
+    def finish(
+        self, now: float, request: Any, outcome: Any, answer: StoredAnswer | None = None
+    ) -> tuple[OnceAction, ...]:
+        """Keep nothing."""
+        return ()
+
+
+class ReplicaControl:
+    """Everything of a node on the platform that belongs to no single request."""
+
+    def __init__(
+        self,
+        own: Member,
+        backends: Backends,
+        decoders: Decoders,
+        *,
+        cfg: ReplicaSettings,
+        seed: int = 0,
+    ):
+        self.backends = backends
+        self.replica = Replica(own, decoders, seeds=cfg.seeds, seed=seed)
+        self.membership = ReplicaMembership(self.replica, cfg)
+        self.quota = StockedRates(own.id, self.limit_of)
+        self.claims = NoClaims()
+        self.calls = Calls()
+        self.pages = HealthPages(own.id, backends, seed=seed)
+        self.document: WholeDocument | None = None
+        self.configuration = Configuration()
+        self.n_bad_messages = 0
+        self.registered = Registered()
+        self._revision: Offset = 0
+        self._duties_at = float("-inf")
+        self._carriers: frozenset[VmId] = frozenset()
+        self._notes: list[Note] = []
+
+    def take_notes(self) -> tuple[Note, ...]:
+        """Return what changed in this VM's beliefs since the last call."""
+        notes = tuple(self._notes)
+        self._notes.clear()
+        return notes
+
+    # The store
+
+    def on_read(self, now: float, sent_at: float, batch: Batch) -> tuple[Any, ...]:
+        """The store answered a read that was sent at ``sent_at``."""
+        return self._step(now, self.replica.on_read(now, sent_at, batch))
+
+    def on_read_failed(self, now: float, collection: Collection) -> tuple[Any, ...]:
+        """The store did not answer a read."""
+        return self._step(now, self.replica.on_read_failed(now, collection))
+
+    # Peers
+
+    def on_message(self, now: float, sender: VmId, body: Any) -> Any:
+        """Return the reply to a peer's message, None if there is nothing to say."""
+        match body:
+            case HealthDigest():
+                if body.vm != sender:
+                    self.n_bad_messages += 1
+                    return None
+                self.backends.health.merge(now, body)
+            case TakeTokens():
+                return self.quota.on_message(now, body)
+        return None
+
+    def on_follow(self, now: float, body: Follow) -> tuple[Any, ...]:
+        """Another VM asks for news."""
+        return self._step(now, self.replica.on_follow(now, body))
+
+    def on_peer_reply(self, now: float, number: int, reply: Any) -> tuple[Any, ...]:
+        """A peer answered the call ``number``."""
+        call = self.calls.end(number)
+        if call is None:
+            return ()
+        match call.body, reply:
+            case Follow() as body, Update():
+                step = self.replica.on_update(now, call.address, reply, body)
+                return self._step(now, step)
+            case TakeTokens() as body, TokensTaken():
+                self.quota.on_reply(now, call.vm, body, reply)
+                return ()
+            case Follow() | TakeTokens(), _:
+                return self._failed(now, call)
+        return ()
+
+    def on_peer_failed(self, now: float, number: int) -> tuple[Any, ...]:
+        """The call ``number`` brought no reply; it may have arrived."""
+        call = self.calls.end(number)
+        return () if call is None else self._failed(now, call)
+
+    def _failed(self, now: float, call: Call) -> tuple[Any, ...]:
+        match call.body:
+            case Follow():
+                step = self.replica.on_follow_failed(now, call.address)
+                return self._step(now, step)
+            case TakeTokens() as body:
+                self.quota.on_failed(now, call.vm, body)
+        return ()
+
+    # Time
+
+    def on_stall(self, now: float, stalled_s: float) -> None:
+        """The loop stood still; nothing is granted by its own word meanwhile."""
+        self._note("The process stood still.", seconds=round(stalled_s, 2))
+
+    def tick(self, now: float) -> tuple[Any, ...]:
+        """Act on the passing of time; called some times a second."""
+        actions = self._step(now, self.replica.on_tick(now))
+        actions += self._tell_health(now)
+        if now - self._duties_at >= DUTIES_EVERY_S:
+            self._duties_at = now
+            actions += self._settle_duties(now)
+        if self.registered.expire(now):
+            actions += self._reconfigure(now)
+        return actions + self._asks(now, self.quota.tick(now))
+
+    def leave(self, now: float) -> tuple[Any, ...]:
+        """Begin a graceful stop."""
+        self.membership.leaving = True
+        return self._step(now, self.replica.leave(now))
+
+    # Requests
+
+    def limit_of(self, account: AccountId) -> Limit | None:
+        """Return the rate and burst of an account, None without a limit."""
+        known = self.configuration.accounts.get(account)
+        return None if known is None else Limit(known.rate, known.burst)
+
+    def borrow(self, now: float, account: AccountId) -> tuple[Any, ...]:
+        """Fetch tokens for a request that waits."""
+        return self._asks(now, self.quota.fetch(now, account))
+
+    def outcomes(self, now: float, actions: Iterable[OnceAction]) -> tuple[Any, ...]:
+        """Pass on what claims say."""
+        return tuple(actions)
+
+    def tell_leaving(self, now: float) -> tuple[Any, ...]:
+        """Tell nobody: servers say in the store that they leave."""
+        return ()
+
+    # Parts
+
+    def _step(self, now: float, step: Step) -> tuple[Any, ...]:
+        actions: tuple[Any, ...] = ()
+        for action in step.actions:
+            if isinstance(action, FollowVm):
+                actions += (
+                    self.calls.to_address(
+                        now, Part.REPLICA, action.address, action.body, action.timeout_s
+                    ),
+                )
+            else:
+                actions += (action,)
+        differs = [self._take(now, changed) for changed in step.changed]
+        if any(differs):
+            actions += self._reconfigure(now)
+        return actions
+
+    def _take(self, now: float, changed: Changed) -> bool:
+        """Take in what changed of a collection; return if it matters to requests."""
+        if changed.collection is Collection.CONFIG:
+            taken = [self._take_document(now, item.value) for item in changed.changes]
+            return any(taken)
+        if changed.collection is Collection.SERVERS:
+            in_grace = self.replica.in_grace(now)
+            for item in changed.changes:
+                self._note_server(now, item.key, item.value, in_grace)
+            return self.registered.apply(now, changed.changes, in_grace=in_grace)
+        return False
+
+    def _take_document(self, now: float, document: WholeDocument | None) -> bool:
+        known = self.document
+        if document is None or (
+            known is not None and document.version <= known.version
+        ):
+            return False
+        self.document = document
+        self._note(
+            "Configuration in force.",
+            version=document.version,
+            age_s=round(self.replica.age_s(now, Collection.CONFIG), 3),
+            routes=len(document.routes),
+            accounts=len(document.accounts),
+        )
+        return True
+
+    def _reconfigure(self, now: float) -> tuple[NodeAction, ...]:
+        if self.document is None:
+            return ()
+        self._revision += 1
+        stated = configure(self.document, self._revision)
+        servers: Any = self.registered.servers()
+        self.configuration = with_servers(stated, servers, self.configuration)
+        self.pages.configure(now, self.configuration)
+        return self.backends.configure(now, self.configuration)
+
+    def _settle_duties(self, now: float) -> tuple[NodeAction, ...]:
+        alive = self.replica.members.alive(now)
+        found = carriers(alive)
+        carrying = {member.id for member in found}
+        standing_by = [member.id for member in alive if member.id not in carrying]
+        keepers = rank("rates", standing_by or sorted(carrying))[:N_KEEPERS]
+        self.quota.set_keepers(keepers)
+        present = frozenset(carrying)
+        if present == self._carriers:
+            return ()
+        self._carriers = present
+        self._note("VMs that carry callers.", vms=sorted(present), alive=len(alive))
+        self.pages.set_vms(now, present)
+        return self.backends.set_vms(now, present)
+
+    def _tell_health(self, now: float) -> tuple[Any, ...]:
+        digests = self.backends.health.digests(now)
+        own = self.replica.own.id
+        return tuple(
+            self.calls.to_vm(now, Part.HEALTH, vm, replace(digest, to=()))
+            for digest in digests
+            for vm in digest.to or watchers(digest.service, self._carriers)
+            if vm != own
+        )
+
+    def _asks(self, now: float, asks: Iterable[AskTokens]) -> tuple[Any, ...]:
+        return tuple(
+            self.calls.to_vm(
+                now, Part.QUOTA, ask.vm, ask.body, timeout_s=TOKENS_TIMEOUT_S
+            )
+            for ask in asks
+        )
+
+    def _note_server(self, now: float, key: str, entry: Any, in_grace: bool) -> None:
+        age_s = round(self.replica.age_s(now, Collection.SERVERS), 3)
+        if entry is None:
+            self._note("Server is gone.", server=key, lapsed=in_grace, age_s=age_s)
+            return
+        self._note(
+            "Server registered.",
+            server=key,
+            service=entry.service,
+            leaving=entry.server.leaving,
+            age_s=age_s,
+        )
+
+    def _note(self, event: str, **facts: object) -> None:
+        if len(self._notes) < MAX_NOTES:
+            self._notes.append(Note(event, tuple(facts.items())))
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/replicanode.py
@@ -0,0 +1,113 @@
+"""The node of a fleet whose state lies in the platform's store."""
+
+from typing import Any
+
+from wagtailpaddle_core import ServerId, ServiceId, ZoneId
+from wagtailpaddle_fleet import CallerAddresses
+from wagtailpaddle_health import HealthBook
+from wagtailpaddle_replica import Batch, Collection, Follow, Member, Update
+from wagtailpaddle_routing import Dispatcher, Policy
+
+from wagtailpaddle_node.backends import Backends
+from wagtailpaddle_node.base import RequestNode
+from wagtailpaddle_node.messages import NodeAction, Note
+from wagtailpaddle_node.replicacontrol import (
+    Decoders,
+    ReplicaControl,
+    ReplicaSettings,
+)
+
+
+class ReplicaNode(RequestNode):
+    """All decisions of one daemon that copies the store or follows other VMs."""
+
+    control: ReplicaControl
+
+    def __init__(
+        self,
+        own: Member,
+        decoders: Decoders,
+        *,
+        cfg: ReplicaSettings,
+        routing: Policy,
+        policy: str = "scan",
+        seed: int = 0,
+    ):
+        health = HealthBook(own.id, zone=own.zone, policy=policy, seed=seed)
+        dispatcher = Dispatcher(policy=routing, seed=seed)
+        backends = Backends(health, dispatcher)
+        control = ReplicaControl(own, backends, decoders, cfg=cfg, seed=seed)
+        super().__init__(control, backends, dispatcher)
+
+    @property
+    def own(self) -> Member:
+        """This VM as the others know it."""
+        return self.control.replica.own
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether callers may be sent to this VM."""
+        membership = self.control.membership
+        if self.draining or membership.leaving:
+            return False
+        return membership.is_fresh(now) and membership.may_serve_open(now)
+
+    def addresses(self, now: float, zone: ZoneId | None) -> CallerAddresses:
+        """Return the addresses that a caller should use."""
+        return self.control.membership.addresses_for(now, zone)
+
+    def take_notes(self) -> tuple[Note, ...]:
+        """Return what changed in this VM's beliefs since the last call."""
+        return self.control.take_notes()
+
+    def on_read(
+        self, now: float, sent_at: float, batch: Batch
+    ) -> tuple[NodeAction, ...]:
+        """The store answered a read that was sent at ``sent_at``."""
+        swept = self._begin(now)
+        actions = self.control.on_read(now, sent_at, batch)
+        return swept + self._flow.settle(now, actions) + self._flow.sweep(now)
+
+    def on_read_failed(
+        self, now: float, collection: Collection
+    ) -> tuple[NodeAction, ...]:
+        """The store did not answer a read."""
+        return self._flow.settle(now, self.control.on_read_failed(now, collection))
+
+    def on_written(self, now: float, address: str, *, done: bool) -> None:
+        """The store answered a write of a VM's record, or did not."""
+        self.control.replica.on_written(now, address, done=done)
+
+    def on_follow(self, now: float, body: Follow) -> tuple[NodeAction, ...]:
+        """Another VM asks for news; answer it when ``has_news`` or in time."""
+        return self._flow.settle(now, self.control.on_follow(now, body))
+
+    def has_news(self, body: Follow) -> bool:
+        """Return whether there is something that the asking VM lacks."""
+        return self.control.replica.has_news(body)
+
+    def update(self, now: float, body: Follow, asked_at: float) -> Update:
+        """Return the answer to a question that came at ``asked_at``."""
+        return self.control.replica.update(now, body, asked_at)
+
+    def on_peer_reply(
+        self, now: float, call: int, reply: Any
+    ) -> tuple[NodeAction, ...]:
+        """A peer answered a ``CallPeer``."""
+        actions = super().on_peer_reply(now, call, reply)
+        return actions + self._flow.retry_all_tokens(now)
+
+    def on_peer_failed(self, now: float, call: int) -> tuple[NodeAction, ...]:
+        """A ``CallPeer`` brought no reply; it may have arrived."""
+        actions = super().on_peer_failed(now, call)
+        return actions + self._flow.retry_all_tokens(now)
+
+    def leave(self, now: float) -> tuple[NodeAction, ...]:
+        """Begin a graceful stop: leave the directory and the fleet."""
+        return self._flow.settle(now, self.control.leave(now))
+
+    def server_address(self, service: ServiceId, server: ServerId) -> tuple[str, int]:
+        """Return where a server listens. Raises ``LookupError``."""
+        entry = self.control.registered.entry(server)
+        if entry is None or entry.service != service:
+            raise LookupError(f"server {server!r} is not in service {service!r}")
+        return entry.server.address, entry.server.port
--- a/packages/node/src/wagtailpaddle_node/requests.py
+++ b/packages/node/src/wagtailpaddle_node/requests.py
@@ -6,7 +6,13 @@
 from enum import Enum, auto
 
 from wagtailpaddle_config import ClientAccount, Configuration, Route
-from wagtailpaddle_core import AccountId, ErrorKind, RequestId, WagtailError
+from wagtailpaddle_core import (
+    AccountId,
+    ErrorKind,
+    RequestId,
+    ServiceId,
+    WagtailError,
+)
 
 from wagtailpaddle_node.messages import RequestHead, RequestView
 
@@ -26,8 +32,8 @@
 class Admitted:
     """A request whose route and client account are known.
 
-    ``claimed`` says that its idempotency key is held for it, ``detached`` that
-    its caller went away.
+    ``service`` is the one that the route chose for it. ``claimed`` says that its
+    idempotency key is held for it, ``detached`` that its caller went away.
     """
 
     head: RequestHead
@@ -35,6 +41,8 @@
     account: AccountId
     arrived_at: float
     deadline_at: float
+    service: ServiceId = ServiceId("")
+    rank: tuple[int, int] = (0, 0)
     stage: Stage = Stage.TOKEN
     claimed: bool = False
     detached: bool = False
@@ -101,6 +109,11 @@
                 found.append(admitted)
         return found
 
+    def hasten(self, now: float) -> None:
+        """Let every request that waits for a token ask again now."""
+        self._waiting = [(min(at, now), request) for at, request in self._waiting]
+        heapq.heapify(self._waiting)
+
     def next_due(self) -> float | None:
         """Return when ``due`` has something next, or None."""
         return self._waiting[0][0] if self._waiting else None
--- /dev/null
+++ b/packages/node/src/wagtailpaddle_node/splits.py
@@ -0,0 +1,31 @@
+"""Choice of the service of a request whose route has a weighted split."""
+
+from wagtailpaddle_config import Route
+from wagtailpaddle_core import RouteId, ServiceId
+
+
+class Splits:
+    """Spreads the requests of each route over its services by weight.
+
+    Smooth weighted turns: each service earns its weight with each request, and
+    the one that has earned most gets it and pays the sum of the weights. So any
+    run of requests is close to the weights.
+    """
+
+    def __init__(self) -> None:
+        self._earned: dict[RouteId, dict[ServiceId, float]] = {}
+
+    def choose(self, route: Route) -> ServiceId:
+        """Return the service of the next request of ``route``."""
+        if not route.split:
+            return route.service
+        total = sum(part.weight for part in route.split)
+        known = self._earned.get(route.id, {})
+        earned = {
+            part.service: known.get(part.service, 0.0) + part.weight
+            for part in route.split
+        }
+        chosen = max(earned, key=lambda name: earned[name])
+        earned[chosen] -= total
+        self._earned[route.id] = earned
+        return chosen
--- a/packages/node/tests/conftest.py
+++ b/packages/node/tests/conftest.py
@@ -50,9 +50,13 @@
         self.configuration = configuration()
         self.fresh = True
         self.claims = Claims()
-        self.membership = SimpleNamespace(is_fresh=lambda now: self.fresh)
+        self.membership = SimpleNamespace(
+            is_fresh=lambda now: self.fresh, may_serve_open=lambda now: self.fresh
+        )
         self.quota = SimpleNamespace(
-            take=lambda *_: Granted(), may_spend=lambda now: True
+            take=lambda *_: Granted(),
+            may_spend=lambda now: True,
+            patience_s=float("inf"),
         )
 
     def withdraw_key(self):
--- a/packages/peer/src/wagtailpaddle_peer/messages.py
+++ b/packages/peer/src/wagtailpaddle_peer/messages.py
@@ -7,6 +7,7 @@
 from wagtailpaddle_health import messages as health
 from wagtailpaddle_once import messages as once
 from wagtailpaddle_quota import messages as quota
+from wagtailpaddle_replica import messages as replica
 from wagtailpaddle_routing import LeavingNotice
 
 
@@ -52,5 +53,9 @@
 MESSAGES.register("sync_page")(once.SyncPage)
 MESSAGES.register("hand_over_claims")(once.HandOverClaims)
 MESSAGES.register("hand_over_claims_taken")(once.HandOverTaken)
+MESSAGES.register("follow")(replica.Follow)
+MESSAGES.register("update")(replica.Update)
+MESSAGES.register("take_tokens")(quota.TakeTokens)
+MESSAGES.register("tokens_taken")(quota.TokensTaken)
 
 FIELD_OF: dict[type, str] = {MESSAGES[name]: name for name in MESSAGES.names()}
--- a/packages/peer/src/wagtailpaddle_peer/service.py
+++ b/packages/peer/src/wagtailpaddle_peer/service.py
@@ -1,8 +1,10 @@
 """The gRPC service between daemons and its client."""
 
+import asyncio
 import hmac
 from collections.abc import Callable
 from dataclasses import dataclass
+from inspect import isawaitable
 from ssl import SSLContext
 from typing import Any
 
@@ -26,7 +28,11 @@
 CHANNEL_IDLE_S = 60.0
 MAC_HEADER = "x-fleet-mac"
 
+CLOSE_AFTER_S = 2.0
+"""How long calls on a connection that is no longer used may still end."""
+
 Handler = Callable[[VmId, Any], Any]
+"""Returns the reply to a message, or an awaitable of it."""
 
 
 class PeerError(Exception):
@@ -56,6 +62,14 @@
             keyed.update(part)
         return keyed.hexdigest()
 
+    def metadata(self, *parts: bytes) -> dict[str, str]:
+        """Return the metadata that carry the digest; none without a secret.
+
+        gRPC allows no empty values.
+        """
+        mac = self.mac(*parts)
+        return {MAC_HEADER: mac} if mac else {}
+
     def is_valid(self, presented: object, *parts: bytes) -> bool:
         """Return whether ``presented`` is the keyed digest of ``parts``."""
         expected = self.mac(*parts)
@@ -95,9 +109,12 @@
             raise GRPCError(Status.UNAUTHENTICATED, "wrong fleet secret")
         if len(data) > MAX_MESSAGE_BYTES:
             raise GRPCError(Status.RESOURCE_EXHAUSTED, "the message is too large")
-        reply = encode_envelope(self._vm, self._answer(envelope))
-        mac = self._security.mac(data, reply.SerializeToString(deterministic=True))
-        await stream.send_initial_metadata(metadata={MAC_HEADER: mac})
+        answer = self._answer(envelope)
+        if isawaitable(answer):
+            answer = await answer
+        reply = encode_envelope(self._vm, Acknowledged() if answer is None else answer)
+        told = reply.SerializeToString(deterministic=True)
+        await stream.send_initial_metadata(metadata=self._security.metadata(data, told))
         await stream.send_message(reply)
 
     def _answer(self, envelope: pb.Envelope) -> Any:
@@ -107,8 +124,7 @@
             sender, body = decode_envelope(envelope)
         except MessageError as exc:
             return Failed(str(exc))
-        reply = self._handler(sender, body)
-        return Acknowledged() if reply is None else reply
+        return self._handler(sender, body)
 
 
 @dataclass(slots=True)
@@ -151,6 +167,8 @@
             TimeoutError,
             MessageError,
         ) as exc:
+            if isinstance(exc, TimeoutError | OSError):
+                self._abandon(address)
             raise PeerError(f"peer {address!r}: {exc!r}") from None
         if isinstance(reply, Failed):
             raise PeerError(f"peer {address!r}: {reply.reason}")
@@ -161,9 +179,9 @@
     ) -> pb.Envelope:
         data = envelope.SerializeToString(deterministic=True)
         stub = PeerStub(self._channel(address))
-        mac = {MAC_HEADER: self._security.mac(data)}
+        metadata = self._security.metadata(data)
         try:
-            async with stub.Call.open(timeout=timeout_s, metadata=mac) as stream:
+            async with stub.Call.open(timeout=timeout_s, metadata=metadata) as stream:
                 await stream.send_message(envelope, end=True)
                 answer = await stream.recv_message()
                 presented = (stream.initial_metadata or {}).get(MAC_HEADER, "")
@@ -177,6 +195,16 @@
             raise MessageError("the reply does not carry the fleet secret")
         return answer
 
+    def _abandon(self, address: str) -> None:
+        """Use a connection that brought no answer for no further call.
+
+        It may have gone silent for good, and nothing else would show that.
+        """
+        link = self._links.pop(address, None)
+        if link is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CLOSE_AFTER_S, link.channel.close)
+
     def close_idle(self) -> None:
         """Close connections that were not used for a while."""
         oldest = self._clock() - CHANNEL_IDLE_S
--- /dev/null
+++ b/packages/peer/tests/test_calls.py
@@ -0,0 +1,57 @@
+"""Calls between daemons over loopback, with and without a fleet secret."""
+
+import asyncio
+import socket
+
+import pytest
+from wagtailpaddle_core import VmId
+from wagtailpaddle_peer import PeerClient, PeerError, PeerServer, Security
+from wagtailpaddle_quota import TakeTokens, TokensTaken
+
+ASK = TakeTokens(())
+
+
+@pytest.fixture
+def port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def call(port, handler, *, secret=b"", timeout_s=2.0):
+    """Return the reply of one daemon to another."""
+
+    async def exchange():
+        security = Security(secret=secret)
+        server = PeerServer(VmId("b"), handler, security)
+        client = PeerClient(VmId("a"), security, lambda: 0.0)
+        await server.start("127.0.0.1", port)
+        try:
+            return await client.call(f"127.0.0.1:{port}", ASK, timeout_s=timeout_s)
+        finally:
+            client.close()
+            await server.stop()
+
+    return asyncio.run(exchange())
+
+
+@pytest.mark.parametrize("secret", [b"", b"shared"])
+def test_reply_comes_back_with_and_without_a_secret(port, secret):
+    reply = call(port, lambda sender, body: TokensTaken(()), secret=secret)
+    assert reply == TokensTaken(())
+
+
+def test_reply_may_be_given_later(port):
+    async def answer():
+        await asyncio.sleep(0.01)
+        return TokensTaken(())
+
+    assert call(port, lambda sender, body: answer()) == TokensTaken(())
+
+
+def test_call_without_an_answer_in_time_fails(port):
+    async def answer():
+        await asyncio.sleep(5.0)
+
+    with pytest.raises(PeerError, match="Timeout"):
+        call(port, lambda sender, body: answer(), timeout_s=0.1)
--- a/packages/quota/src/wagtailpaddle_quota/__init__.py
+++ b/packages/quota/src/wagtailpaddle_quota/__init__.py
@@ -28,8 +28,14 @@
     ShareRecord,
     ShareSnapshot,
     SharesState,
+    TakeTokens,
+    TokenGrant,
+    TokensTaken,
+    TokenWish,
     WaitUntil,
 )
+from wagtailpaddle_quota.pool import TokenPool
+from wagtailpaddle_quota.stock import AskTokens, StockedRates
 
 __all__ = [
     "NEVER",
@@ -58,6 +64,13 @@
     "ShareRecord",
     "ShareSnapshot",
     "SharesState",
+    "AskTokens",
+    "StockedRates",
+    "TakeTokens",
+    "TokenGrant",
+    "TokenPool",
+    "TokenWish",
+    "TokensTaken",
     "TokenBucket",
     "WaitUntil",
 ]
--- a/packages/quota/src/wagtailpaddle_quota/bucket.py
+++ b/packages/quota/src/wagtailpaddle_quota/bucket.py
@@ -37,6 +37,18 @@
         missing = amount - self._tokens
         return max(0.0, missing / self.rate)
 
+    def give(self, now: float, amount: float) -> None:
+        """Put back tokens that were taken and not used."""
+        self._refill(now)
+        self._tokens = min(self.burst, self._tokens + amount)
+
+    def set_limit(self, now: float, *, rate: float, burst: float) -> None:
+        """Change rate and burst from now on."""
+        self._refill(now)
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(burst, self._tokens)
+
     def _refill(self, now: float) -> None:
         elapsed = max(0.0, now - self._filled_at)
         self._tokens = min(self.burst, self._tokens + elapsed * self.rate)
--- a/packages/quota/src/wagtailpaddle_quota/keeper.py
+++ b/packages/quota/src/wagtailpaddle_quota/keeper.py
@@ -53,6 +53,9 @@
     Refused(retry_after_s=1.0, cut_off=True)
     """
 
+    patience_s = math.inf
+    """How long a request may wait for a token; ``take`` has a bound of its own."""
+
     def __init__(
         self,
         vm: VmId,
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -179,6 +179,38 @@
     hints: tuple[ShareHint, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TokenWish:
+    """What a VM wants of an account's tokens, and what it gives back unused."""
+
+    account: AccountId
+    wanted: float
+    returned: float
+
+
+@dataclass(frozen=True, slots=True)
+class TakeTokens:
+    """Asks the VM that keeps the buckets of some accounts for tokens."""
+
+    wishes: tuple[TokenWish, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TokenGrant:
+    """Tokens, already debited; the next ones are there after ``wait_s``."""
+
+    account: AccountId
+    granted: float
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TokensTaken:
+    """Answers ``TakeTokens``."""
+
+    grants: tuple[TokenGrant, ...]
+
+
 QuotaMessage = Borrow | HandOver | AskShares
 QuotaReply = Lent | HandOverTaken | SharesState
 
--- /dev/null
+++ b/packages/quota/src/wagtailpaddle_quota/pool.py
@@ -0,0 +1,56 @@
+"""The buckets of client accounts, kept on one VM for the whole fleet."""
+
+import math
+from collections.abc import Callable, Iterable
+
+from wagtailpaddle_core import AccountId
+
+from wagtailpaddle_quota.bucket import TokenBucket
+from wagtailpaddle_quota.messages import Limit, TokenGrant, TokenWish
+
+START_TOKENS = 5.0
+"""What a bucket holds at first, for the former keeper may just have given all."""
+
+MAX_WAIT_S = 60.0
+
+Limits = Callable[[AccountId], Limit | None]
+
+
+class TokenPool:
+    """Grants the tokens of the accounts that this VM keeps.
+
+    >>> pool = TokenPool(lambda account: Limit(rate=2.0, burst=4.0))
+    >>> pool.grant(0.0, [TokenWish(AccountId("kiosk"), 9.0, 0.0)])[0].granted
+    4.0
+    """
+
+    def __init__(self, limits: Limits):
+        self._limits = limits
+        self._buckets: dict[AccountId, TokenBucket] = {}
+
+    def grant(self, now: float, wishes: Iterable[TokenWish]) -> tuple[TokenGrant, ...]:
+        """Debit what can be given of each wish, and return it."""
+        return tuple(self._grant(now, wish) for wish in wishes)
+
+    def _grant(self, now: float, wish: TokenWish) -> TokenGrant:
+        limit = self._limits(wish.account)
+        amounts = (wish.wanted, wish.returned)
+        if limit is None or not all(0.0 <= item < math.inf for item in amounts):
+            return TokenGrant(wish.account, 0.0, MAX_WAIT_S)
+        bucket = self._bucket(now, wish.account, limit)
+        bucket.give(now, wish.returned)
+        granted = float(math.floor(min(wish.wanted, bucket.tokens(now))))
+        bucket.take(now, granted)
+        wait_s = bucket.wait(now) if limit.rate > 0.0 else MAX_WAIT_S
+        return TokenGrant(wish.account, granted, min(MAX_WAIT_S, wait_s))
+
+    def _bucket(self, now: float, account: AccountId, limit: Limit) -> TokenBucket:
+        burst = max(1.0, limit.burst)
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            bucket = TokenBucket(
+                rate=limit.rate, burst=burst, tokens=START_TOKENS, now=now
+            )
+            self._buckets[account] = bucket
+        bucket.set_limit(now, rate=limit.rate, burst=burst)
+        return bucket
--- /dev/null
+++ b/packages/replica/src/wagtailpaddle_replica/__init__.py
@@ -0,0 +1,45 @@
+"""A copy of the store's records that VMs keep by reading it or each other."""
+
+from wagtailpaddle_replica.duties import carriers, relays, upstreams
+from wagtailpaddle_replica.members import Members
+from wagtailpaddle_replica.messages import (
+    Batch,
+    Collection,
+    Follow,
+    FollowVm,
+    Member,
+    News,
+    ReadStore,
+    Record,
+    ReplicaAction,
+    Sighting,
+    Update,
+    WriteMember,
+)
+from wagtailpaddle_replica.newest import Change, Newest
+from wagtailpaddle_replica.replica import HOLD_S, Changed, Replica, Step
+
+__all__ = [
+    "HOLD_S",
+    "Batch",
+    "Change",
+    "Changed",
+    "Collection",
+    "Follow",
+    "FollowVm",
+    "Member",
+    "Members",
+    "News",
+    "Newest",
+    "ReadStore",
+    "Record",
+    "Replica",
+    "ReplicaAction",
+    "Sighting",
+    "Step",
+    "Update",
+    "WriteMember",
+    "carriers",
+    "relays",
+    "upstreams",
+]
--- /dev/null
+++ b/packages/replica/src/wagtailpaddle_replica/newest.py
@@ -0,0 +1,149 @@
+"""The newest record of every key of one collection."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from wagtailpaddle_core import Offset
+
+from wagtailpaddle_replica.messages import Batch, Collection, Record
+
+Decode = Callable[[str, bytes], Any]
+"""Turns a record into a value; None for one that cannot be read."""
+
+MAX_DROPPED = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A record beside its decoded value."""
+
+    record: Record
+    value: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A key whose value changed; ``value`` None means that it has none now."""
+
+    key: str
+    former: Any
+    value: Any
+
+
+class Newest:
+    """A copy of a collection that never goes back.
+
+    ``as_of`` is a time at which the copy surely held everything that the store
+    had acknowledged. A record whose value equals the one before is not news:
+    heartbeats that change nothing are not passed on.
+
+    >>> copy = Newest(Collection.CONFIG, lambda key, data: data)
+    >>> batch = Batch(Collection.CONFIG, 1, (Record("a", 0, b"x"),))
+    >>> [change.key for change in copy.apply(batch, as_of=5.0)]
+    ['a']
+    """
+
+    def __init__(self, collection: Collection, decode: Decode):
+        self.collection = collection
+        self.next_offset: Offset = 0
+        self.as_of = float("-inf")
+        self._decode = decode
+        self._entries: dict[str, Entry] = {}
+        self._dropped: dict[str, Offset] = {}
+        self._forgotten_before: Offset = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether anything was read at all."""
+        return self.as_of != float("-inf")
+
+    def values(self) -> dict[str, Any]:
+        """Return the readable values by key."""
+        return {
+            key: entry.value
+            for key, entry in self._entries.items()
+            if entry.value is not None
+        }
+
+    def get(self, key: str) -> Any:
+        """Return the value of a key, or None."""
+        entry = self._entries.get(key)
+        return None if entry is None else entry.value
+
+    def apply(self, batch: Batch, as_of: float) -> tuple[Change, ...]:
+        """Take in a batch that was complete at ``as_of``; return what changed."""
+        changes = [self._put(record) for record in batch.records]
+        if batch.whole:
+            changes += self._drop_missing(batch)
+        self.next_offset = max(self.next_offset, batch.next_offset)
+        self.as_of = max(self.as_of, as_of)
+        return tuple(change for change in changes if change is not None)
+
+    def since(self, start: Offset) -> Batch | None:
+        """Return what came after ``start``, None if nothing did."""
+        if not self.is_known or (
+            start >= self.next_offset and not self._is_first(start)
+        ):
+            return None
+        whole = start < self._forgotten_before or start == 0
+        newer = [
+            entry.record
+            for entry in self._entries.values()
+            if whole or entry.record.offset >= start
+        ]
+        if not whole:
+            newer += [
+                Record(key, offset, None)
+                for key, offset in self._dropped.items()
+                if offset >= start
+            ]
+        if not newer and not whole:
+            return None
+        newer.sort(key=lambda record: record.offset)
+        return Batch(self.collection, self.next_offset, tuple(newer), whole)
+
+    def _is_first(self, start: Offset) -> bool:
+        """Return whether ``start`` is that of a VM that has nothing yet."""
+        return start == 0 and bool(self._entries)
+
+    def _put(self, record: Record) -> Change | None:
+        known = self._entries.get(record.key)
+        former = None if known is None else known.value
+        offset = self._dropped.get(record.key, -1)
+        if known is not None:
+            offset = max(offset, known.record.offset)
+        if record.offset <= offset:
+            return None
+        if record.data is None:
+            return self._drop(record.key, record.offset)
+        value = self._decode(record.key, record.data)
+        if known is not None and former is not None and value == former:
+            return None
+        self._entries[record.key] = Entry(record, value)
+        self._dropped.pop(record.key, None)
+        if value is None and former is None:
+            return None
+        return Change(record.key, former, value)
+
+    def _drop(self, key: str, offset: Offset) -> Change | None:
+        self._dropped.pop(key, None)
+        self._dropped[key] = offset
+        while len(self._dropped) > MAX_DROPPED:
+            oldest = next(iter(self._dropped))
+            self._forgotten_before = max(
+                self._forgotten_before, self._dropped.pop(oldest) + 1
+            )
+        known = self._entries.pop(key, None)
+        if known is None or known.value is None:
+            return None
+        return Change(key, known.value, None)
+
+    def _drop_missing(self, batch: Batch) -> list[Change | None]:
+        present = {record.key for record in batch.records}
+        missing = [
+            key
+            for key, entry in self._entries.items()
+            if key not in present and entry.record.offset < batch.next_offset
+        ]
+        return [self._drop(key, batch.next_offset - 1) for key in missing]
--- /dev/null
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -0,0 +1,305 @@
+"""One VM's copy of what the store holds, and how it is kept current."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from random import Random
+
+from wagtailpaddle_replica.duties import upstreams
+from wagtailpaddle_replica.members import Members
+from wagtailpaddle_replica.messages import (
+    NEVER_S,
+    Batch,
+    Collection,
+    Follow,
+    FollowVm,
+    Member,
+    News,
+    ReadStore,
+    ReplicaAction,
+    Update,
+    WriteMember,
+)
+from wagtailpaddle_replica.newest import Change, Decode, Newest
+from wagtailpaddle_replica.reading import Reading
+
+HOLD_S = 0.3
+FOLLOW_TIMEOUT_S = 0.8
+AVOID_S = 2.0
+PATIENCE_S = 1.0
+STANDBY_PATIENCE_S = 1.4
+REGISTER_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """What an event changed in the copy."""
+
+    collection: Collection
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What follows from an event: actions for the host, and what changed."""
+
+    actions: tuple[ReplicaAction, ...] = ()
+    changed: tuple[Changed, ...] = ()
+
+
+class Replica:
+    """Keeps a copy of the store's collections by reading or by following.
+
+    One VM of the fleet reads the store, the relays of the other availability
+    zones follow it, and the VMs of a zone follow their relay. Whoever's copy
+    grows older than its patience reads the store itself, so no VM depends on
+    another one. An answer proves how current it is by this VM's own clock: it
+    names the time at which the question was sent.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        decoders: Mapping[Collection, Decode],
+        *,
+        seeds: tuple[str, ...] = (),
+        seed: int = 0,
+    ):
+        rng = Random(f"replica/{seed}/{own.id}")
+        self.members = Members(own)
+        self.reading = Reading(rng)
+        self.copies = {item: Newest(item, decoders[item]) for item in Collection}
+        self._seeds = tuple(item for item in seeds if item != own.peer_address)
+        self._rng = rng
+        self._started_at: float | None = None
+        self._following: str | None = None
+        self._avoid_until: dict[str, float] = {}
+        self._registered = False
+        self._register_at = 0.0
+        self._leaving = False
+
+    # State
+
+    @property
+    def own(self) -> Member:
+        """This VM."""
+        return self.members.own
+
+    def age_s(self, now: float, collection: Collection) -> float:
+        """Return how long ago the copy was surely current."""
+        return now - self.copies[collection].as_of
+
+    def in_grace(self, now: float) -> bool:
+        """Return whether servers may have lapsed while the store was away."""
+        return self.reading.in_grace(now)
+
+    # Events
+
+    def on_tick(self, now: float) -> Step:
+        """Read, follow or register as is due; called some times a second."""
+        if self._started_at is None:
+            self._started_at = now
+        actions: list[ReplicaAction] = [*self._register(now)]
+        actions += self._read(now)
+        actions += self._follow(now)
+        actions += self._clear_silent(now)
+        return Step(tuple(actions))
+
+    def on_read(self, now: float, sent_at: float, batch: Batch) -> Step:
+        """The store answered a read that was sent at ``sent_at``."""
+        self.reading.done(now, batch.collection)
+        step = self._take(now, ((batch, sent_at),))
+        return Step((*step.actions, *self._read(now)), step.changed)
+
+    def on_read_failed(self, now: float, collection: Collection) -> Step:
+        """The store did not answer a read, or refused it."""
+        self.reading.failed(now, collection)
+        return Step()
+
+    def on_written(self, now: float, address: str, *, done: bool) -> None:
+        """The store answered a ``WriteMember``, or did not."""
+        if address == self.own.peer_address:
+            self._registered = done
+
+    def on_update(
+        self, now: float, address: str, update: Update, follow: Follow
+    ) -> Step:
+        """The VM at ``address`` answered a question of this VM."""
+        self._following = None
+        self._avoid_until.pop(address, None)
+        if update.clock != follow.clock:
+            return Step()
+        told_at = update.clock + max(0.0, update.held_s)
+        self.members.see(now, update.sightings)
+        self.reading.note_outage(now, _or_never(update.outage_age_s))
+        ages = {
+            Collection.CONFIG: update.config_age_s,
+            Collection.SERVERS: update.servers_age_s,
+        }
+        batches = {batch.collection: batch for batch in update.batches}
+        taken = []
+        for collection in Collection:
+            age_s = ages.get(collection, 0.0)
+            starts_at = follow.start_of(collection)
+            batch = batches.get(
+                collection, Batch(collection, starts_at, (), whole=False)
+            )
+            is_proof = age_s >= 0.0
+            if collection is Collection.VMS:
+                is_proof = collection in batches or self.copies[collection].is_known
+            if is_proof or batch.records:
+                as_of = min(now, told_at) - age_s if is_proof else float("-inf")
+                taken.append((batch, as_of))
+        step = self._take(now, tuple(taken))
+        return Step((*step.actions, *self._follow(now)), step.changed)
+
+    def on_follow_failed(self, now: float, address: str) -> Step:
+        """The VM at ``address`` did not answer."""
+        self._following = None
+        self._avoid_until[address] = now + AVOID_S
+        return Step((*self._follow(now), *self._read(now)))
+
+    def on_follow(self, now: float, follow: Follow) -> Step:
+        """Another VM asks; it is alive, and so are those that follow it."""
+        is_new = self.members.learn(now, follow.member)
+        self.members.see(now, follow.sightings)
+        self.members.heard(now, follow.member.id)
+        return Step((News(),) if is_new else ())
+
+    def has_news(self, follow: Follow) -> bool:
+        """Return whether the copy has what the asking VM lacks."""
+        return any(
+            copy.since(follow.start_of(copy.collection)) is not None
+            for copy in self.copies.values()
+        )
+
+    def update(self, now: float, follow: Follow, asked_at: float) -> Update:
+        """Return the answer to a question that came at ``asked_at``."""
+        batches = tuple(
+            batch
+            for copy in self.copies.values()
+            if (batch := copy.since(follow.start_of(copy.collection))) is not None
+        )
+        back_at = self.reading.back_at
+        return Update(
+            clock=follow.clock,
+            held_s=now - asked_at,
+            config_age_s=self._told_age(now, Collection.CONFIG),
+            servers_age_s=self._told_age(now, Collection.SERVERS),
+            batches=batches,
+            sightings=self.members.sightings(now),
+            outage_age_s=NEVER_S if back_at is None else now - back_at,
+        )
+
+    def leave(self, now: float) -> Step:
+        """Begin a graceful stop: leave the directory, drop the own record."""
+        self._leaving = True
+        self.members.leave()
+        return Step((WriteMember(self.own.peer_address, None), News()))
+
+    # Steps
+
+    def _register(self, now: float) -> list[ReplicaAction]:
+        if self._registered or self._leaving or now < self._register_at:
+            return []
+        self._register_at = now + REGISTER_RETRY_S * (1.0 + self._rng.random())
+        return [WriteMember(self.own.peer_address, self.own)]
+
+    def _read(self, now: float) -> list[ReplicaAction]:
+        reads: list[ReplicaAction] = []
+        for collection, copy in self.copies.items():
+            if not self._wants(now, collection):
+                continue
+            if self.reading.take(now, collection):
+                whole = not copy.is_known
+                reads.append(ReadStore(collection, copy.next_offset, whole))
+        return reads
+
+    def _wants(self, now: float, collection: Collection) -> bool:
+        """Return whether this VM is to read a collection itself."""
+        if not self.copies[collection].is_known:
+            return True
+        if not upstreams(self.own, self.members.alive(now)):
+            return True
+        if collection is Collection.VMS:
+            return False
+        return self.age_s(now, collection) > self._patience_s(now)
+
+    def _patience_s(self, now: float) -> float:
+        alive = self.members.alive(now)
+        followed = upstreams(self.own, alive)
+        is_relay = all(member.zone != self.own.zone for member in followed)
+        if is_relay:
+            return PATIENCE_S
+        return STANDBY_PATIENCE_S + 0.3 * self._rng.random()
+
+    def _follow(self, now: float) -> list[ReplicaAction]:
+        if self._following is not None:
+            return []
+        address = self._upstream(now)
+        if address is None:
+            return []
+        self._following = address
+        starts = {item: copy.next_offset for item, copy in self.copies.items()}
+        question = Follow(
+            member=self.own,
+            clock=now,
+            config_from=starts[Collection.CONFIG],
+            servers_from=starts[Collection.SERVERS],
+            vms_from=starts[Collection.VMS],
+            sightings=self.members.sightings(now, within_s=1.0),
+        )
+        return [FollowVm(address, question, FOLLOW_TIMEOUT_S)]
+
+    def _upstream(self, now: float) -> str | None:
+        """Return the address of the VM to follow now, or None."""
+        alive = self.members.alive(now)
+        named = [member.peer_address for member in upstreams(self.own, alive)]
+        if not named and self.reading.is_failing:
+            named = [
+                member.peer_address for member in alive if member.id != self.own.id
+            ]
+            self._rng.shuffle(named)
+        if not named and len(alive) == 1:
+            named = list(self._seeds)
+        for address in named:
+            if self._avoid_until.get(address, float("-inf")) <= now:
+                return address
+        return None
+
+    def _clear_silent(self, now: float) -> list[ReplicaAction]:
+        """Drop the records of VMs that are gone, if this VM reads the store."""
+        if upstreams(self.own, self.members.alive(now)):
+            return []
+        records = self.copies[Collection.VMS].values()
+        dropped: list[ReplicaAction] = []
+        for member in self.members.silent(now):
+            self.members.forget(member.peer_address)
+            if member.peer_address in records:
+                dropped.append(WriteMember(member.peer_address, None))
+        return dropped
+
+    def _take(self, now: float, batches: tuple[tuple[Batch, float], ...]) -> Step:
+        changed = []
+        for batch, as_of in batches:
+            changes = self.copies[batch.collection].apply(batch, as_of)
+            if changes:
+                changed.append(Changed(batch.collection, changes))
+            if batch.collection is Collection.VMS:
+                self._note_members(now, changes)
+        actions = (News(),) if changed else ()
+        return Step(actions, tuple(changed))
+
+    def _note_members(self, now: float, changes: tuple[Change, ...]) -> None:
+        for change in changes:
+            if change.value is not None:
+                self.members.learn(now, change.value)
+            elif change.key != self.own.peer_address:
+                self.members.forget(change.key)
+
+    def _told_age(self, now: float, collection: Collection) -> float:
+        copy = self.copies[collection]
+        return now - copy.as_of if copy.is_known else NEVER_S
+
+
+def _or_never(age_s: float) -> float:
+    return age_s if age_s >= 0.0 else NEVER_S
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -1,6 +1,8 @@
 """Choice of backend server, fair queues, concurrency limits, retries."""
 
 from wagtailpaddle_routing.answers import (
+    LOAD_PARSERS,
+    OWN_SHED_ANSWERS,
     SHED_ANSWERS,
     interpret,
     is_leaving,
@@ -24,6 +26,7 @@
     ServerView,
     ServiceStatus,
 )
+from wagtailpaddle_routing.policy import Policy
 from wagtailpaddle_routing.probes import (
     Probe,
     ProbeOutcome,
@@ -40,6 +43,8 @@
 __all__ = [
     "CHOOSERS",
     "LIMITERS",
+    "LOAD_PARSERS",
+    "OWN_SHED_ANSWERS",
     "QUEUES",
     "SHED_ANSWERS",
     "SUBSETTERS",
@@ -54,6 +59,7 @@
     "Job",
     "LeavingMarks",
     "LeavingNotice",
+    "Policy",
     "Probe",
     "ProbeOutcome",
     "ProbePlan",
--- a/packages/routing/src/wagtailpaddle_routing/answers.py
+++ b/packages/routing/src/wagtailpaddle_routing/answers.py
@@ -4,7 +4,7 @@
 read counts as absent; none raises.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from wagtailpaddle_core import Registry
 
@@ -48,9 +48,24 @@
     return status == 421
 
 
-def interpret(status: int, headers: Mapping[str, str]) -> AttemptOutcome:
+OWN_SHED_ANSWERS = (
+    "declared-not-run",
+    "too-many-requests",
+    "too-early",
+    "misdirected",
+)
+"""The shed answers of servers that speak this project's own headers."""
+
+
+def interpret(
+    status: int,
+    headers: Mapping[str, str],
+    shed_answers: Sequence[str] = OWN_SHED_ANSWERS,
+) -> AttemptOutcome:
     """Return what a whole answer means; ``headers`` have lower-case names.
 
+    ``shed_answers`` names the entries of ``SHED_ANSWERS`` that count.
+
     >>> interpret(503, {"x-outcome": "not-run"})
     <AttemptOutcome.SHED: 'shed'>
     >>> interpret(503, {"retry-after": "1"})
@@ -58,12 +73,17 @@
     """
     if status < 400:
         return AttemptOutcome.ANSWERED
-    for name in SHED_ANSWERS.names():
+    for name in shed_answers:
         if SHED_ANSWERS[name](status, headers):
             return AttemptOutcome.SHED
     return AttemptOutcome.ANSWERED
 
 
+LoadParser = Callable[[Mapping[str, str]], float | None]
+LOAD_PARSERS: Registry[LoadParser] = Registry("load parser")
+
+
+@LOAD_PARSERS.register("fraction")
 def parse_load(headers: Mapping[str, str]) -> float | None:
     """Return the load in [0, 1] that an answer reports, or None.
 
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -1,13 +1,14 @@
 """The dispatcher: from admitted requests to attempts at backend servers."""
 
+from dataclasses import replace
 from random import Random
+from typing import Any
 
 from wagtailpaddle_core import (
     ErrorKind,
     RequestId,
     ServerId,
     ServiceId,
-    ZoneId,
     ensure,
 )
 
@@ -19,7 +20,7 @@
     ServerView,
     ServiceStatus,
 )
-from wagtailpaddle_routing.policy import RESERVED, Policy
+from wagtailpaddle_routing.policy import Policy
 from wagtailpaddle_routing.pool import ServicePool
 from wagtailpaddle_routing.retry import Pending, State
 
@@ -32,7 +33,8 @@
     Every method takes the present time ``now`` in seconds and returns actions
     for the front end to carry out, in order. Every request that arrives is
     answered by one ``Deliver`` or ``Refuse`` unless it is cancelled; between
-    a ``Dispatch`` and its end the front end owes a ``finish``.
+    a ``Dispatch`` and its end the front end owes a ``finish``. Keyword arguments
+    are fields of ``Policy``.
 
     >>> from wagtailpaddle_core import AccountId
     >>> dispatcher = Dispatcher(seed=1)
@@ -47,24 +49,11 @@
     def __init__(
         self,
         *,
-        zone: ZoneId = ZoneId(""),  # noqa: B008
-        chooser: str = "zone-aware",
-        limiter: str = "aimd",
-        service_limiter: str = "aimd",
-        queue: str = "virtual-time",
-        max_waiting: int = 1024,
-        reserved: float = RESERVED,
+        policy: Policy | None = None,
         seed: int = 0,
+        **variants: Any,
     ):
-        self._policy = Policy(
-            zone=zone,
-            chooser=chooser,
-            limiter=limiter,
-            service_limiter=service_limiter,
-            queue=queue,
-            max_waiting=max_waiting,
-            reserved=reserved,
-        )
+        self._policy = replace(policy or Policy(), **variants)
         self._random = Random(seed)
         self._views: dict[ServiceId, tuple[tuple[ServerView, ...], int]] = {}
         self._pools: dict[ServiceId, ServicePool] = {}
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -12,6 +12,9 @@
     ZoneId,
 )
 
+MAX_ATTEMPTS = 3
+"""To how many servers a request is sent unless its route says otherwise."""
+
 
 @dataclass(frozen=True, slots=True)
 class Job:
@@ -19,7 +22,8 @@
 
     Times are seconds of the caller's monotonic clock. ``weight`` above 0
     scales the client account's part of a contended service; every job of one
-    account should carry the same.
+    account should carry the same. ``max_attempts`` bounds the servers that it
+    is sent to. ``rank`` orders requests under overload, the lowest first.
     """
 
     id: RequestId
@@ -29,6 +33,8 @@
     arrived_at: float
     deadline_at: float
     weight: float = 1.0
+    max_attempts: int = MAX_ATTEMPTS
+    rank: tuple[int, int] = (0, 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/routing/src/wagtailpaddle_routing/policy.py
+++ b/packages/routing/src/wagtailpaddle_routing/policy.py
@@ -4,6 +4,12 @@
 
 from wagtailpaddle_core import ZoneId
 
+from wagtailpaddle_routing.budget import (
+    MAX_TOKENS,
+    RETRIES_PER_REQUEST,
+    RETRIES_PER_S,
+)
+
 RESERVED = 0.25
 
 
@@ -12,7 +18,10 @@
     """Names of variants, and bounds.
 
     ``reserved`` is the part of the capacity that is kept for client accounts
-    that use less than an equal part of it.
+    that use less than an equal part of it. Retries of a service on this VM
+    stay under ``retries_per_request`` of its requests, ``retries_per_s`` and
+    ``max_retries`` at once. With ``charge_shed`` an attempt that a server
+    turned away counts as a retry, too.
     """
 
     zone: ZoneId = ZoneId("")
@@ -22,3 +31,7 @@
     queue: str = "virtual-time"
     max_waiting: int = 1024
     reserved: float = RESERVED
+    retries_per_request: float = RETRIES_PER_REQUEST
+    retries_per_s: float = RETRIES_PER_S
+    max_retries: float = MAX_TOKENS
+    charge_shed: bool = False
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -79,7 +79,12 @@
         self._queue = QUEUES[policy.queue]()
         self._room = WaitingRoom(queue=self._queue, max_waiting=policy.max_waiting)
         self._ledger = Ledger(service, pending=pending, queue=self._queue)
-        self._budget = RetryBudget(now=now)
+        self._budget = RetryBudget(
+            now=now,
+            per_request=policy.retries_per_request,
+            per_s=policy.retries_per_s,
+            max_tokens=policy.max_retries,
+        )
         self._latency = LatencyMeter()
         self._open_at: float | None = None
         self._last_account: AccountId | None = None
@@ -333,11 +338,16 @@
             kind = truthful(pending, pending.dropped or ErrorKind.INTERNAL)
             detail = "the request may not be tried on another server"
             return [self._ledger.refuse(pending, kind, detail)]
-        may_go = step is Step.WAIT or self._budget.take(now)
+        is_free = step is Step.WAIT and not self._is_charged(result)
+        may_go = is_free or self._budget.take(now)
         if not may_go or not self.servers.can_serve(pending):
             return [self._ledger.refuse_after(now, pending, result)]
         return self._retry(now, pending)
 
+    def _is_charged(self, result: AttemptResult) -> bool:
+        """Return whether the retry after an attempt that did not run is counted."""
+        return self._policy.charge_shed and result.outcome is AttemptOutcome.SHED
+
     def _retry(self, now: float, pending: Pending) -> list[Action]:
         server = self._place(now, pending)
         if server is not None:
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -13,7 +13,6 @@
 )
 from wagtailpaddle_routing.server import Server
 
-MAX_ATTEMPTS = 3
 MAX_NOT_SENT = 10
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
@@ -81,11 +80,18 @@
         return Step.DROP
     if not pending.job.idempotent and pending.may_have_run:
         return Step.REFUSE
+    if result.outcome is not AttemptOutcome.NOT_SENT and is_exhausted(pending):
+        return Step.REFUSE
     if result.outcome is AttemptOutcome.SHED:
         return Step.WAIT
     if result.outcome is AttemptOutcome.NOT_SENT:
         return Step.WAIT if pending.n_not_sent < MAX_NOT_SENT else Step.REFUSE
-    return Step.RETRY if pending.n_failed < MAX_ATTEMPTS else Step.REFUSE
+    return Step.RETRY
+
+
+def is_exhausted(pending: Pending) -> bool:
+    """Return whether the request was run on as many servers as it may be."""
+    return pending.n_failed >= pending.job.max_attempts
 
 
 def may_improve(pending: Pending, result: AttemptResult, now: float) -> bool:
@@ -95,6 +101,7 @@
         and result.status in RETRYABLE_STATUSES
         and not result.committed
         and pending.n_failed == 1
+        and not is_exhausted(pending)
         and now < pending.job.deadline_at
     )
 
