--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -55,6 +55,7 @@
     linger_s: float = 3.0
     control: ReplicaSettings = field(default_factory=ReplicaSettings)
     routing: Policy = field(default_factory=Policy)
+    health_policy: str = "none"
     security: Security = field(default_factory=Security)
 
 
@@ -78,7 +79,11 @@
         self.cfg = cfg
         self.life = Lifecycle()
         self.node = ReplicaNode(
-            make_member(cfg), decoders, cfg=cfg.control, routing=cfg.routing
+            make_member(cfg),
+            decoders,
+            cfg=cfg.control,
+            routing=cfg.routing,
+            policy=cfg.health_policy,
         )
         self.metrics = Metrics()
         self._upstream = Upstream(reactor)
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -4,6 +4,7 @@
 from twisted.internet.defer import fail
 from twisted.internet.task import Clock
 from twisted.web.client import RequestNotSent
+from wagtailpaddle_config import Configuration
 from wagtailpaddle_core import ErrorKind
 from wagtailpaddle_daemon.caller import NobodyThere
 from wagtailpaddle_daemon.gateway import Gateway
@@ -15,6 +16,8 @@
 class TwoTries:
     """A node that dispatches a request twice and refuses it then."""
 
+    configuration = Configuration()
+
     def __init__(self):
         self.results = []
 
--- a/packages/node/src/wagtailpaddle_node/base.py
+++ b/packages/node/src/wagtailpaddle_node/base.py
@@ -125,7 +125,8 @@
         ``answer`` is the whole answer if it can be kept for repeats.
         """
         swept = self._begin(now)
-        return swept + self._flow.finish(now, request, result, answer)
+        actions = self._flow.finish(now, request, result, answer)
+        return swept + actions + self.control.tell_trust(now)
 
     def on_cancel(
         self, now: float, request: RequestId
--- a/packages/node/src/wagtailpaddle_node/control.py
+++ b/packages/node/src/wagtailpaddle_node/control.py
@@ -370,6 +370,11 @@
             if vm.id != self.vm.id
         )
 
+    def tell_trust(self, now: float) -> tuple[ControlAction, ...]:
+        """Tell nobody of single failures: the health book shares evidence."""
+        self.backends.dispatcher.take_trust_notices()
+        return ()
+
     def _tell_health(self, now: float) -> tuple[ControlAction, ...]:
         digests = self.backends.health.digests(now)
         if not digests:
--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -34,6 +34,7 @@
     Update,
     carriers,
 )
+from wagtailpaddle_routing import TrustNotice
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.calls import Call, Calls, Part
@@ -173,6 +174,8 @@
                     self.n_bad_messages += 1
                     return None
                 self.backends.health.merge(now, body)
+            case TrustNotice():
+                self.backends.dispatcher.hear_trust(now, body)
             case TakeTokens():
                 return self.quota.on_message(now, body)
         return None
@@ -314,7 +317,7 @@
         carrying = {member.id for member in found}
         standing_by = [member.id for member in alive if member.id not in carrying]
         keepers = rank("rates", standing_by or sorted(carrying))[:N_KEEPERS]
-        self.quota.set_keepers(keepers)
+        self.quota.set_keepers(now, keepers)
         present = frozenset(carrying)
         if present == self._carriers:
             return ()
@@ -323,6 +326,16 @@
         self.pages.set_vms(now, present)
         return self.backends.set_vms(now, present)
 
+    def tell_trust(self, now: float) -> tuple[Any, ...]:
+        """Tell the VMs that carry callers at once which servers fail or recover."""
+        own = self.replica.own.id
+        return tuple(
+            self.calls.to_vm(now, Part.HEALTH, vm, notice)
+            for notice in self.backends.dispatcher.take_trust_notices()
+            for vm in sorted(self._carriers)
+            if vm != own
+        )
+
     def _tell_health(self, now: float) -> tuple[Any, ...]:
         digests = self.backends.health.digests(now)
         own = self.replica.own.id
--- a/packages/peer/src/wagtailpaddle_peer/messages.py
+++ b/packages/peer/src/wagtailpaddle_peer/messages.py
@@ -8,7 +8,7 @@
 from wagtailpaddle_once import messages as once
 from wagtailpaddle_quota import messages as quota
 from wagtailpaddle_replica import messages as replica
-from wagtailpaddle_routing import LeavingNotice
+from wagtailpaddle_routing import LeavingNotice, TrustNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,5 +57,6 @@
 MESSAGES.register("update")(replica.Update)
 MESSAGES.register("take_tokens")(quota.TakeTokens)
 MESSAGES.register("tokens_taken")(quota.TokensTaken)
+MESSAGES.register("trust_notice")(TrustNotice)
 
 FIELD_OF: dict[type, str] = {MESSAGES[name]: name for name in MESSAGES.names()}
--- a/packages/quota/src/wagtailpaddle_quota/messages.py
+++ b/packages/quota/src/wagtailpaddle_quota/messages.py
@@ -181,11 +181,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenWish:
-    """What a VM wants of an account's tokens, and what it gives back unused."""
+    """What a VM wants of an account's tokens, and what it gives back unused.
+
+    ``waiting`` requests wait for a token now; ``ahead`` tokens are for those
+    that will come.
+    """
 
     account: AccountId
-    wanted: float
-    returned: float
+    waiting: float
+    ahead: float = 0.0
+    returned: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/quota/src/wagtailpaddle_quota/pool.py
+++ b/packages/quota/src/wagtailpaddle_quota/pool.py
@@ -9,7 +9,11 @@
 from wagtailpaddle_quota.messages import Limit, TokenGrant, TokenWish
 
 START_TOKENS = 5.0
-"""What a bucket holds at first, for the former keeper may just have given all."""
+"""What a bucket holds when its keeper takes over: the former one may just have
+given all."""
+
+AMPLE_PART = 0.5
+"""Tokens ahead of the demand are given while the bucket is at least this full."""
 
 MAX_WAIT_S = 60.0
 
@@ -20,37 +24,54 @@
     """Grants the tokens of the accounts that this VM keeps.
 
     >>> pool = TokenPool(lambda account: Limit(rate=2.0, burst=4.0))
-    >>> pool.grant(0.0, [TokenWish(AccountId("kiosk"), 9.0, 0.0)])[0].granted
+    >>> pool.grant(0.0, [TokenWish(AccountId("kiosk"), 9.0)])[0].granted
     4.0
     """
 
     def __init__(self, limits: Limits):
         self._limits = limits
+        self._since: float | None = None
         self._buckets: dict[AccountId, TokenBucket] = {}
 
+    def take_over(self, now: float) -> None:
+        """Begin to keep the buckets: they fill from now on."""
+        self._since = now
+        self._buckets.clear()
+
     def grant(self, now: float, wishes: Iterable[TokenWish]) -> tuple[TokenGrant, ...]:
         """Debit what can be given of each wish, and return it."""
         return tuple(self._grant(now, wish) for wish in wishes)
 
     def _grant(self, now: float, wish: TokenWish) -> TokenGrant:
         limit = self._limits(wish.account)
-        amounts = (wish.wanted, wish.returned)
+        amounts = (wish.waiting, wish.ahead, wish.returned)
         if limit is None or not all(0.0 <= item < math.inf for item in amounts):
             return TokenGrant(wish.account, 0.0, MAX_WAIT_S)
         bucket = self._bucket(now, wish.account, limit)
         bucket.give(now, wish.returned)
-        granted = float(math.floor(min(wish.wanted, bucket.tokens(now))))
+        granted = float(math.floor(min(wish.waiting, bucket.tokens(now))))
         bucket.take(now, granted)
+        granted += self._ahead(now, bucket, wish.ahead)
         wait_s = bucket.wait(now) if limit.rate > 0.0 else MAX_WAIT_S
         return TokenGrant(wish.account, granted, min(MAX_WAIT_S, wait_s))
 
+    def _ahead(self, now: float, bucket: TokenBucket, ahead: float) -> float:
+        """Give tokens for later only out of a bucket that is rather full.
+
+        Out of one that runs dry, a token goes to the request that comes first.
+        """
+        spare = bucket.tokens(now) - bucket.burst * AMPLE_PART
+        given = float(max(0, math.floor(min(ahead, spare))))
+        bucket.take(now, given)
+        return given
+
     def _bucket(self, now: float, account: AccountId, limit: Limit) -> TokenBucket:
         burst = max(1.0, limit.burst)
         bucket = self._buckets.get(account)
         if bucket is None:
-            bucket = TokenBucket(
-                rate=limit.rate, burst=burst, tokens=START_TOKENS, now=now
-            )
+            since = now if self._since is None else self._since
+            tokens = START_TOKENS + (now - since) * limit.rate
+            bucket = TokenBucket(rate=limit.rate, burst=burst, tokens=tokens, now=now)
             self._buckets[account] = bucket
         bucket.set_limit(now, rate=limit.rate, burst=burst)
         return bucket
--- a/packages/quota/src/wagtailpaddle_quota/stock.py
+++ b/packages/quota/src/wagtailpaddle_quota/stock.py
@@ -31,6 +31,10 @@
 IDLE_S = 3.0
 AVOID_S = 2.0
 MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 10.0
+MIN_RATE = 0.1
+"""Requests/s below which a rate does not lengthen Retry-After any more."""
+
 LOCAL_PARTS = 9.0
 """Into how many parts a rate is cut while no keeper of buckets is reached."""
 
@@ -81,11 +85,13 @@
         """Return what to ask the keeper for, or to give back; None for nothing."""
         if now - self.used_at > IDLE_S:
             returned, self.tokens = self.tokens, 0.0
-            return TokenWish(account, 0.0, returned) if returned else None
-        wanted = math.ceil(self.target(now) + self.n_waiting - self.tokens)
-        if wanted < 1 or (now < self.dry_until and not self.n_waiting):
+            return TokenWish(account, 0.0, returned=returned) if returned else None
+        ahead = float(max(0, math.ceil(self.target(now) - self.tokens)))
+        if now < self.dry_until:
+            ahead = 0.0
+        if not ahead and not self.n_waiting:
             return None
-        return TokenWish(account, float(wanted), 0.0)
+        return TokenWish(account, float(self.n_waiting), ahead)
 
 
 class StockedRates:
@@ -109,9 +115,12 @@
         self._avoid_until: dict[VmId, float] = {}
         self._asked_at = float("-inf")
 
-    def set_keepers(self, keepers: Sequence[VmId]) -> None:
+    def set_keepers(self, now: float, keepers: Sequence[VmId]) -> None:
         """State which VMs keep the buckets, the best first."""
+        was_first = self._keepers[:1] == (self.vm,)
         self._keepers = tuple(keepers)
+        if self._keepers[:1] == (self.vm,) and not was_first:
+            self._pool.take_over(now)
 
     def may_spend(self, now: float) -> bool:
         """Return whether requests can be admitted; some part always can."""
@@ -137,14 +146,11 @@
     def _wait(
         self, now: float, limit: Limit, stock: _Stock, deadline_at: float
     ) -> Decision:
-        spacing_s = 1.0 / limit.rate if limit.rate > 0.0 else math.inf
-        at = max(now + POLL_S, stock.dry_until)
-        if now < stock.dry_until:
-            at = max(at, now + stock.n_waiting * spacing_s)
-        if at > deadline_at:
-            return Refused(max(MIN_RETRY_AFTER_S, min(at - now, 10.0)))
+        if now < stock.dry_until or now + POLL_S > deadline_at:
+            wait_s = max(stock.dry_until - now, 1.0 / max(limit.rate, MIN_RATE))
+            return Refused(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)))
         stock.n_waiting += 1
-        return WaitUntil(at)
+        return WaitUntil(now + POLL_S)
 
     def tick(self, now: float) -> tuple[AskTokens, ...]:
         """Fetch ahead of the demand and give back what is not used."""
@@ -166,8 +172,9 @@
         """The keeper answered."""
         self._avoid_until.pop(vm, None)
         self._settle(message)
+        waiting = {wish.account: wish.waiting for wish in message.wishes}
         for grant in reply.grants:
-            self._receive(now, grant)
+            self._receive(now, grant, waiting.get(grant.account, 0.0))
 
     def on_failed(self, now: float, vm: VmId, message: TakeTokens) -> None:
         """The keeper did not answer; what it granted is lost."""
@@ -199,16 +206,16 @@
     def _serve_self(self, now: float, account: AccountId, stock: _Stock) -> None:
         """Take from the buckets here, or from this VM's part of the rate."""
         pool = self._pool if self._keeper(now) == self.vm else self._local
-        (grant,) = pool.grant(now, (TokenWish(account, 1.0, 0.0),))
-        self._receive(now, grant)
+        (grant,) = pool.grant(now, (TokenWish(account, 1.0),))
+        self._receive(now, grant, 1.0)
 
-    def _receive(self, now: float, grant: TokenGrant) -> None:
+    def _receive(self, now: float, grant: TokenGrant, waiting: float) -> None:
         stock = self._stocks.get(grant.account)
         if stock is None or not 0.0 <= grant.granted < math.inf:
             return
         stock.tokens += grant.granted
         stock.n_waiting = 0
-        is_dry = grant.granted < 1.0
+        is_dry = grant.granted < max(1.0, waiting)
         stock.dry_until = now + grant.wait_s if is_dry else float("-inf")
 
     def _settle(self, message: TakeTokens) -> None:
--- /dev/null
+++ b/packages/replica/tests/test_newest.py
@@ -0,0 +1,91 @@
+"""A copy of a collection: it never goes back, whatever order news come in."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wagtailpaddle_replica import Batch, Collection, Newest, Record
+
+
+def decode(key, data):
+    return None if data == b"unreadable" else data
+
+
+@pytest.fixture
+def copy():
+    return Newest(Collection.SERVERS, decode)
+
+
+def batch(next_offset, *records, whole=False):
+    made = tuple(Record(key, offset, data) for key, offset, data in records)
+    return Batch(Collection.SERVERS, next_offset, made, whole)
+
+
+def test_older_record_of_a_key_changes_nothing(copy):
+    copy.apply(batch(6, ("s1", 5, b"new")), 1.0)
+    assert copy.apply(batch(4, ("s1", 3, b"old")), 2.0) == ()
+    assert copy.get("s1") == b"new"
+    assert copy.next_offset == 6
+
+
+def test_heartbeat_that_changes_nothing_is_no_news(copy):
+    copy.apply(batch(1, ("s1", 0, b"x")), 1.0)
+    assert copy.apply(batch(2, ("s1", 1, b"x")), 2.0) == ()
+    assert copy.next_offset == 2
+    assert copy.since(1) is None
+
+
+def test_dropped_key_reaches_those_that_had_it(copy):
+    copy.apply(batch(1, ("s1", 0, b"x")), 1.0)
+    copy.apply(batch(2, ("s1", 1, None)), 2.0)
+    assert copy.since(1).records == (Record("s1", 1, None),)
+    assert copy.values() == {}
+
+
+def test_whole_batch_drops_what_it_lacks_but_not_what_is_newer(copy):
+    copy.apply(batch(9, ("s1", 3, b"x"), ("s2", 8, b"y")), 1.0)
+    copy.apply(batch(6, ("s3", 4, b"z"), whole=True), 2.0)
+    assert set(copy.values()) == {"s2", "s3"}
+
+
+def test_record_that_cannot_be_read_names_nothing_and_the_others_hold(copy):
+    copy.apply(batch(2, ("s1", 0, b"x"), ("s2", 1, b"y")), 1.0)
+    (change,) = copy.apply(batch(3, ("s1", 2, b"unreadable")), 2.0)
+    assert (change.key, change.value) == ("s1", None)
+    assert copy.values() == {"s2": b"y"}
+
+
+def test_unknown_and_empty_copies_have_nothing_to_tell(copy):
+    assert copy.since(0) is None
+    copy.apply(batch(0, whole=True), 1.0)
+    assert copy.is_known
+    assert copy.since(0) is None
+
+
+keys = st.sampled_from(["a", "b", "c"])
+values = st.sampled_from([b"x", b"y", b"z", None])
+
+
+@given(st.lists(st.tuples(keys, values), max_size=20), st.data())
+def test_followers_of_followers_end_with_what_the_store_has(writes, data):
+    log = [Record(key, at, value) for at, (key, value) in enumerate(writes)]
+    expected = {}
+    for record in log:
+        expected[record.key] = record.data
+    expected = {key: value for key, value in expected.items() if value is not None}
+    first = Newest(Collection.SERVERS, decode)
+    second = Newest(Collection.SERVERS, decode)
+    at = 0
+    while at < len(log):
+        n_read = data.draw(st.integers(1, 5))
+        read = tuple(log[at : at + n_read])
+        first.apply(Batch(Collection.SERVERS, at + len(read), read), float(at))
+        at += len(read)
+        if data.draw(st.booleans()):
+            told = first.since(second.next_offset)
+            if told is not None:
+                second.apply(told, float(at))
+    told = first.since(second.next_offset)
+    if told is not None:
+        second.apply(told, float(at))
+    assert first.values() == expected
+    assert second.values() == expected
--- /dev/null
+++ b/packages/replica/tests/test_replica.py
@@ -0,0 +1,207 @@
+"""Who reads the store, who follows whom, and how current a copy is."""
+
+from dataclasses import replace
+
+import pytest
+from wagtailpaddle_replica import (
+    Batch,
+    Collection,
+    FollowVm,
+    Member,
+    News,
+    ReadStore,
+    Record,
+    Replica,
+    Sighting,
+    WriteMember,
+    carriers,
+    relays,
+    upstreams,
+)
+from wagtailpaddle_replica.members import ALIVE_S, GONE_S
+from wagtailpaddle_replica.replica import PATIENCE_S
+
+
+def member(name, zone="a", *, incarnation="1"):
+    return Member(
+        id=f"{name}/{incarnation}",
+        zone=zone,
+        caller_address=f"{name}:80",
+        peer_address=name,
+        incarnation=incarnation,
+    )
+
+
+def decode(key, data):
+    return None if data == b"unreadable" else data
+
+
+def decode_member(key, data):
+    name, zone, incarnation = data.decode().split(",")
+    return member(name, zone, incarnation=incarnation)
+
+
+DECODERS = {
+    Collection.CONFIG: decode,
+    Collection.SERVERS: decode,
+    Collection.VMS: decode_member,
+}
+
+
+@pytest.fixture
+def make_replica():
+    def make(name="vm1", zone="a", seeds=()):
+        return Replica(member(name, zone), DECODERS, seeds=seeds)
+
+    return make
+
+
+ZONES = ("a", "b", "c")
+FLEET = tuple(member(f"{zone}{n}", zone) for zone in ZONES for n in range(4))
+
+
+def fill(replica, now, *, config=b"v1", offset=0):
+    """Let a replica read everything that a store with all of FLEET has."""
+    vms = tuple(
+        Record(vm.peer_address, at, f"{vm.peer_address},{vm.zone},1".encode())
+        for at, vm in enumerate(FLEET)
+    )
+    records = (Record("config", offset, config),)
+    replica.on_read(now, now, Batch(Collection.CONFIG, offset + 1, records, True))
+    replica.on_read(now, now, Batch(Collection.SERVERS, 1, (), True))
+    replica.on_read(now, now, Batch(Collection.VMS, len(vms), vms, True))
+
+
+def of_kind(step, kind):
+    return [action for action in step.actions if isinstance(action, kind)]
+
+
+def named(address):
+    return next(vm for vm in FLEET if vm.peer_address == address)
+
+
+def test_nobody_follows_in_a_ring():
+    place = {relay.id: at for at, relay in enumerate(relays(FLEET))}
+    for vm in FLEET:
+        for followed in upstreams(vm, FLEET):
+            assert followed.id != vm.id
+            assert vm.id not in {other.id for other in upstreams(followed, FLEET)}
+    assert sum(not upstreams(vm, FLEET) for vm in FLEET) == 1
+    assert len(place) == len(ZONES)
+
+
+def test_relays_carry_no_callers_while_others_can():
+    carrying = {vm.id for vm in carriers(FLEET)}
+    assert not carrying & {relay.id for relay in relays(FLEET)}
+    assert {vm.zone for vm in carriers(FLEET)} == set(ZONES)
+
+
+def test_loss_of_a_vm_moves_no_other_carrier():
+    before = carriers(FLEET)
+    lost = before[0]
+    after = carriers([vm for vm in FLEET if vm.id != lost.id])
+    assert {vm.id for vm in before} - {lost.id} <= {vm.id for vm in after}
+    assert len(after) == len(before)
+
+
+def test_starting_vm_reads_everything_and_registers(make_replica):
+    step = make_replica().on_tick(0.0)
+    read = {action.collection for action in of_kind(step, ReadStore)}
+    assert read == set(Collection)
+    assert all(action.whole for action in of_kind(step, ReadStore))
+    assert of_kind(step, WriteMember)
+
+
+def test_follower_reads_nothing_while_its_upstream_answers(make_replica):
+    ordinary = carriers(FLEET)[0]
+    replica = make_replica(ordinary.peer_address, ordinary.zone)
+    fill(replica, 0.0)
+    step = replica.on_tick(0.5)
+    (follow,) = of_kind(step, FollowVm)
+    assert follow.address in {vm.peer_address for vm in upstreams(ordinary, FLEET)}
+    assert not of_kind(step, ReadStore)
+
+
+def test_answer_proves_only_what_its_question_allows(make_replica):
+    ordinary = carriers(FLEET)[0]
+    replica = make_replica(ordinary.peer_address, ordinary.zone)
+    fill(replica, 0.0)
+    (follow,) = of_kind(replica.on_tick(1.0), FollowVm)
+    upstream = make_replica(follow.address, named(follow.address).zone)
+    fill(upstream, 100.0)
+    answer = upstream.update(100.5, follow.body, asked_at=100.2)
+    replica.on_update(9.0, follow.address, answer, follow.body)
+    # It waited 0.3 s at a VM whose copy was 0.5 s old; the way here took 7.7 s.
+    assert abs(replica.age_s(9.0, Collection.CONFIG) - 8.2) < 1e-6
+
+
+def test_impatient_follower_reads_the_store_itself(make_replica):
+    ordinary = carriers(FLEET)[0]
+    replica = make_replica(ordinary.peer_address, ordinary.zone)
+    fill(replica, 0.0)
+    for upstream in upstreams(ordinary, FLEET):
+        replica.on_follow_failed(0.5, upstream.peer_address)
+    step = replica.on_tick(PATIENCE_S * 2)
+    read = {action.collection for action in of_kind(step, ReadStore)}
+    assert {Collection.CONFIG, Collection.SERVERS} <= read
+
+
+def test_reader_that_the_store_turns_away_follows_others(make_replica):
+    first = relays(FLEET)[0]
+    replica = make_replica(first.peer_address, first.zone)
+    fill(replica, 0.0)
+    step = replica.on_tick(0.5)
+    assert not of_kind(step, FollowVm)
+    replica.on_read_failed(0.6, Collection.CONFIG)
+    assert of_kind(replica.on_tick(0.7), FollowVm)
+
+
+def test_silent_relay_is_replaced(make_replica):
+    ordinary = carriers(FLEET)[0]
+    replica = make_replica(ordinary.peer_address, ordinary.zone)
+    fill(replica, 0.0)
+    relay = upstreams(ordinary, FLEET)[0]
+    others = tuple(Sighting(vm.id, 0.0) for vm in FLEET if vm.id != relay.id)
+    replica.members.see(ALIVE_S + 0.5, others)
+    alive = replica.members.alive(ALIVE_S + 0.5)
+    assert relay.id not in {vm.id for vm in alive}
+    assert upstreams(ordinary, alive)[0].id != relay.id
+
+
+def test_reader_drops_the_record_of_a_vm_that_is_gone(make_replica):
+    first = relays(FLEET)[0]
+    replica = make_replica(first.peer_address, first.zone)
+    fill(replica, 0.0)
+    lost = carriers(FLEET)[0]
+    others = tuple(Sighting(vm.id, 0.0) for vm in FLEET if vm.id != lost.id)
+    replica.members.see(GONE_S + 1.0, others)
+    step = replica.on_tick(GONE_S + 1.0)
+    assert WriteMember(lost.peer_address, None) in of_kind(step, WriteMember)
+
+
+def test_vm_that_starts_again_keeps_its_place_with_a_new_incarnation(make_replica):
+    replica = make_replica("a0")
+    fill(replica, 0.0)
+    again = replace(named("b1"), id="b1/2", incarnation="2")
+    assert replica.members.learn(1.0, again)
+    assert not replica.members.learn(1.1, named("b1"))
+    found = {vm.peer_address: vm.id for vm in replica.members.all()}
+    assert found["b1"] == "b1/2"
+
+
+def test_news_wake_those_that_wait(make_replica):
+    replica = make_replica("a0")
+    fill(replica, 0.0)
+    records = (Record("config", 1, b"v2"),)
+    batch = Batch(Collection.CONFIG, 2, records)
+    assert of_kind(replica.on_read(1.0, 0.9, batch), News)
+
+
+def test_store_that_was_away_gives_lapsed_entries_time_to_return(make_replica):
+    replica = make_replica("a0")
+    fill(replica, 0.0)
+    for at in (1.0, 2.0, 3.0):
+        replica.on_read_failed(at, Collection.SERVERS)
+    replica.on_read(4.0, 3.9, Batch(Collection.SERVERS, 2, ()))
+    assert replica.in_grace(4.5)
+    assert not replica.in_grace(7.0)
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -38,6 +38,7 @@
 from wagtailpaddle_routing.queues import QUEUES
 from wagtailpaddle_routing.serverset import connection_cap
 from wagtailpaddle_routing.subset import SUBSETTERS, subset, subset_size
+from wagtailpaddle_routing.trust import TrustNotice
 from wagtailpaddle_routing.users import Users, part_size
 
 __all__ = [
@@ -69,6 +70,7 @@
     "ServerStatus",
     "ServerView",
     "ServiceStatus",
+    "TrustNotice",
     "Users",
     "interpret",
     "connection_cap",
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -23,6 +23,7 @@
 from wagtailpaddle_routing.policy import Policy
 from wagtailpaddle_routing.pool import ServicePool
 from wagtailpaddle_routing.retry import Pending, State
+from wagtailpaddle_routing.trust import TrustBook, TrustNotice
 
 IDLE_S = 300.0
 
@@ -58,6 +59,7 @@
         self._views: dict[ServiceId, tuple[tuple[ServerView, ...], int]] = {}
         self._pools: dict[ServiceId, ServicePool] = {}
         self._pending: dict[RequestId, Pending] = {}
+        self._trust: dict[ServiceId, TrustBook] = {}
 
     @property
     def n_pending(self) -> int:
@@ -86,6 +88,7 @@
     def remove_service(self, now: float, service: ServiceId) -> tuple[Action, ...]:
         """Forget a service; what waits is refused, what runs finishes."""
         self._views.pop(service, None)
+        self._trust.pop(service, None)
         pool = self._pools.get(service)
         if pool is None:
             return ()
@@ -102,6 +105,17 @@
         if pool is not None:
             pool.servers.report_load(now, server, load)
 
+    def hear_trust(self, now: float, notice: TrustNotice) -> None:
+        """Take in what another VM found out about a server."""
+        if notice.service in self._views:
+            self._trust_in(notice.service).hear(now, notice)
+
+    def take_trust_notices(self) -> tuple[TrustNotice, ...]:
+        """Return what other VMs should know of servers at once."""
+        return tuple(
+            notice for book in self._trust.values() for notice in book.take_notices()
+        )
+
     def arrive(self, now: float, job: Job) -> tuple[Action, ...]:
         """Take in an admitted request; its id must not be pending."""
         ensure(job.id not in self._pending, "request-id-unique", request=job.id)
@@ -177,9 +191,13 @@
             now,
             service,
             policy=self._policy,
+            trust=self._trust_in(service),
             pending=self._pending,
             random=self._random,
         )
         pool.set_servers(now, *known)
         self._pools[service] = pool
         return pool
+
+    def _trust_in(self, service: ServiceId) -> TrustBook:
+        return self._trust.setdefault(service, TrustBook(service))
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/picks.py
@@ -0,0 +1,189 @@
+"""Which server gets the next attempt of a request."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from wagtailpaddle_core import Registry, ZoneId
+
+from wagtailpaddle_routing.choose import Chooser, Sides
+from wagtailpaddle_routing.retry import Pending
+from wagtailpaddle_routing.server import Server
+from wagtailpaddle_routing.trust import TrustBook
+
+ROOMY_LOAD = 0.7
+FULL_LOAD = 1.0
+PROVEN_S = 2.0
+"""An answer proves a server fit for work that is not repeated for this long."""
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """The servers that a request may go to, at one moment.
+
+    A server that has work and answered none of it for ``silence_s`` may hang.
+    ``may_probe`` says whether a request that fails can surely be tried again.
+    """
+
+    now: float
+    usable: tuple[Server, ...]
+    to_verify: tuple[Server, ...]
+    sides: Sides
+    zone: ZoneId
+    silence_s: float
+    may_probe: bool = True
+
+    def fits(self, server: Server, pending: Pending) -> bool:
+        """Return whether a server has room for the request now."""
+        return (
+            server.in_flight < server.cap
+            and server.closed_until <= self.now
+            and may_take(server, pending)
+        )
+
+    def answers(self, server: Server, pending: Pending) -> bool:
+        """Return whether a server has room and does not seem to hang."""
+        is_silent = server.is_silent(self.now, self.silence_s)
+        return not is_silent and self.fits(server, pending)
+
+    def may_hang(self, pending: Pending) -> bool:
+        """Return whether the request may go to a server that is silent."""
+        return pending.job.idempotent or not any(
+            may_take(server, pending) and not server.is_silent(self.now, self.silence_s)
+            for server in self.usable
+        )
+
+
+class Picker(Protocol):
+    """Picks a server for a request, or None if it is to wait."""
+
+    def __init__(self, *, chooser: Chooser, trust: TrustBook, random: Random): ...
+
+    def pick(self, field: Field, pending: Pending) -> Server | None:
+        """Return the server that gets the next attempt."""
+
+
+PICKERS: Registry[type[Picker]] = Registry("picker")
+
+
+@PICKERS.register("balanced")
+class BalancedPicker:
+    """Spreads work evenly; prefers proven servers for work that runs once."""
+
+    def __init__(self, *, chooser: Chooser, trust: TrustBook, random: Random):
+        self._chooser = chooser
+        self._random = random
+
+    def pick(self, field: Field, pending: Pending) -> Server | None:
+        """Return the server that gets the next attempt."""
+        for server in field.to_verify:
+            is_first = pending.job.idempotent and not pending.failed_on
+            if is_first and not server.in_flight and field.fits(server, pending):
+                return server
+
+        def answers(server: Server) -> bool:
+            return field.answers(server, pending)
+
+        def proven(server: Server) -> bool:
+            is_proven = server.is_proven(field.now, field.silence_s)
+            return is_proven and answers(server)
+
+        def fits(server: Server) -> bool:
+            return field.fits(server, pending)
+
+        choose, random, sides = self._chooser.choose, self._random, field.sides
+        chosen = None
+        if not pending.job.idempotent:
+            chosen = choose(field.now, sides, proven, random)
+        if chosen is None:
+            chosen = choose(field.now, sides, answers, random)
+        if chosen is not None or not field.may_hang(pending):
+            return chosen
+        return choose(field.now, sides, fits, random)
+
+
+@PICKERS.register("freshest")
+class FreshestPicker:
+    """Work that runs once goes where answers were good a moment ago.
+
+    Each spell of failures costs the request that finds out. So work that runs
+    once keeps to few servers, those whose last good answer is the freshest,
+    as long as they have room. Work that can be repeated does the finding out:
+    it goes to the servers of which least is known, and tests those in doubt.
+    """
+
+    def __init__(self, *, chooser: Chooser, trust: TrustBook, random: Random):
+        self._trust = trust
+        self._random = random
+
+    def pick(self, field: Field, pending: Pending) -> Server | None:
+        """Return the server that gets the next attempt."""
+        fitting = [item for item in field.usable if field.answers(item, pending)]
+        if not fitting and field.may_hang(pending):
+            fitting = [item for item in field.usable if field.fits(item, pending)]
+        if not fitting:
+            return None
+        is_first = pending.job.idempotent and not pending.failed_on
+        if is_first and field.may_probe:
+            probe = next(self._to_probe(field, fitting), None)
+            if probe is not None:
+                self._trust[probe.id].probed_at = field.now
+                return probe
+        trusted = [
+            item for item in fitting if not self._trust[item.id].is_doubted(field.now)
+        ]
+        if not trusted:
+            return self._least_bad(fitting)
+        if is_first and field.may_probe:
+            return self._explore(field, trusted)
+        return self._freshest(field, trusted)
+
+    def _to_probe(self, field: Field, servers: Sequence[Server]) -> Iterator[Server]:
+        for server in servers:
+            near = server.view.zone == field.zone
+            trust = self._trust[server.id]
+            if not server.in_flight and trust.wants_probe(field.now, near=near):
+                yield server
+
+    def _least_bad(self, servers: Sequence[Server]) -> Server:
+        """Return the server whose last failure is the longest ago."""
+        return min(servers, key=lambda item: (self._trust[item.id].bad_at, item.id))
+
+    def _explore(self, field: Field, servers: Sequence[Server]) -> Server:
+        """Return a server with room of which least is known, a near one first."""
+
+        def order(server: Server) -> tuple[int, bool, float, float]:
+            known_at = max(server.started_last_at, self._trust[server.id].good_from)
+            is_far = server.view.zone != field.zone
+            return (self._crowd(field, server), is_far, known_at, self._random.random())
+
+        return min(servers, key=order)
+
+    def _freshest(self, field: Field, servers: Sequence[Server]) -> Server:
+        """Return a server with room that was good a moment ago."""
+
+        def order(server: Server) -> tuple[int, bool, bool, float, float]:
+            good_from = self._trust[server.id].good_from
+            is_unproven = field.now - good_from > PROVEN_S
+            is_far = server.view.zone != field.zone
+            crowd = self._crowd(field, server)
+            return (crowd, is_unproven, is_far, -good_from, self._random.random())
+
+        return min(servers, key=order)
+
+    def _crowd(self, field: Field, server: Server) -> int:
+        """Return how full a server is, in steps: room, little room, none, queue."""
+        load = server.load_now(field.now)
+        if load < ROOMY_LOAD:
+            return 0
+        if load < FULL_LOAD:
+            return 1
+        return 1 + int(load)
+
+
+def may_take(server: Server, pending: Pending) -> bool:
+    """Return whether the server suits the request, busy or not."""
+    if server.id in pending.failed_on:
+        return False
+    return pending.job.idempotent or not server.view.probation
--- a/packages/routing/src/wagtailpaddle_routing/policy.py
+++ b/packages/routing/src/wagtailpaddle_routing/policy.py
@@ -21,10 +21,12 @@
     that use less than an equal part of it. Retries of a service on this VM
     stay under ``retries_per_request`` of its requests, ``retries_per_s`` and
     ``max_retries`` at once. With ``charge_shed`` an attempt that a server
-    turned away counts as a retry, too.
+    turned away counts as a retry, too. An error of a server is set aside for
+    another server's answer up to ``error_retries`` times.
     """
 
     zone: ZoneId = ZoneId("")
+    picker: str = "balanced"
     chooser: str = "zone-aware"
     limiter: str = "aimd"
     service_limiter: str = "aimd"
@@ -35,3 +37,4 @@
     retries_per_s: float = RETRIES_PER_S
     max_retries: float = MAX_TOKENS
     charge_shed: bool = False
+    error_retries: int = 1
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -28,6 +28,7 @@
     ServerView,
     ServiceStatus,
 )
+from wagtailpaddle_routing.picks import PICKERS
 from wagtailpaddle_routing.policy import Policy
 from wagtailpaddle_routing.queues import QUEUES
 from wagtailpaddle_routing.retry import (
@@ -40,6 +41,7 @@
 )
 from wagtailpaddle_routing.server import Server
 from wagtailpaddle_routing.serverset import ServerSet
+from wagtailpaddle_routing.trust import TrustBook
 from wagtailpaddle_routing.waiting import WaitingRoom
 
 SHARED_S = 5.0
@@ -62,13 +64,17 @@
         service: ServiceId,
         *,
         policy: Policy,
+        trust: TrustBook,
         pending: dict[RequestId, Pending],
         random: Random,
     ):
         self.service = service
         self.servers = ServerSet(
             zone=policy.zone,
-            chooser=CHOOSERS[policy.chooser](),
+            picker=PICKERS[policy.picker](
+                chooser=CHOOSERS[policy.chooser](), trust=trust, random=random
+            ),
+            trust=trust,
             limiter=LIMITERS[policy.limiter],
             service_limiter=SERVICE_LIMITERS[policy.service_limiter](),
             random=random,
@@ -237,7 +243,12 @@
         n_free = self.servers.capacity - self.servers.n_running
         if n_free <= 0 or not self._may_take_slot(now, pending.job.account, n_free):
             return None
-        return self.servers.choose(now, pending, self._latency.silence_s)
+        return self.servers.choose(
+            now,
+            pending,
+            self._latency.silence_s,
+            may_probe=self._budget.is_ample(now),
+        )
 
     def _may_take_slot(self, now: float, account: AccountId, n_free: int) -> bool:
         """Keep the last slots for accounts with less than an equal part.
@@ -327,7 +338,7 @@
         self, now: float, pending: Pending, result: AttemptResult
     ) -> list[Action]:
         """Return what follows the end of an attempt."""
-        step = next_step(pending, result, now)
+        step = next_step(pending, result, now, error_retries=self._policy.error_retries)
         if step is Step.RETRY_OR_DELIVER:
             return [self._retry_or_deliver(now, pending)]
         if step is Step.DELIVER:
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -68,10 +68,16 @@
     DROP = "drop"
 
 
-def next_step(pending: Pending, result: AttemptResult, now: float) -> Step:
-    """Return what follows, leaving the retry budget aside."""
+def next_step(
+    pending: Pending, result: AttemptResult, now: float, *, error_retries: int = 1
+) -> Step:
+    """Return what follows, leaving the retry budget aside.
+
+    ``error_retries`` is how often an answer that is an error is set aside for
+    that of another server.
+    """
     if result.outcome is AttemptOutcome.ANSWERED:
-        if pending.dropped is None and may_improve(pending, result, now):
+        if pending.dropped is None and may_improve(pending, result, now, error_retries):
             return Step.RETRY_OR_DELIVER
         return Step.DELIVER
     if result.committed or now >= pending.job.deadline_at:
@@ -94,13 +100,15 @@
     return pending.n_failed >= pending.job.max_attempts
 
 
-def may_improve(pending: Pending, result: AttemptResult, now: float) -> bool:
+def may_improve(
+    pending: Pending, result: AttemptResult, now: float, error_retries: int
+) -> bool:
     """Return whether another server may do better than this server error."""
     return (
         pending.job.idempotent
         and result.status in RETRYABLE_STATUSES
         and not result.committed
-        and pending.n_failed == 1
+        and pending.n_failed <= error_retries
         and not is_exhausted(pending)
         and now < pending.job.deadline_at
     )
--- a/packages/routing/src/wagtailpaddle_routing/server.py
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -44,6 +44,7 @@
         "in_flight",
         "limiter",
         "share",
+        "started_last_at",
         "usable",
         "view",
     )
@@ -64,6 +65,7 @@
         self._shed_at = 0.0
         self._answered_at = float("-inf")
         self._started_at: dict[RequestId, float] = {}
+        self.started_last_at = float("-inf")
         self.see(view)
 
     @property
@@ -92,6 +94,18 @@
             load += (self._load - NO_REPORT_LOAD) * trust
         return max(load, self._shed_level(now))
 
+    def load_now(self, now: float) -> float:
+        """Return the work at the server, as a part of its slots.
+
+        It is what the server last said, while that is fresh, and at least what
+        this VM has in flight there.
+        """
+        own = self.in_flight / max(1, self.view.slots)
+        age_s = now - self._load_at
+        if age_s >= LOAD_VALID_S:
+            return own
+        return max(own, self._load * (1.0 - max(0.0, age_s) / LOAD_VALID_S))
+
     def is_silent(self, now: float, limit_s: float) -> bool:
         """Return whether the server has work and answered none for ``limit_s``."""
         if not self._started_at:
@@ -108,6 +122,7 @@
         ensure(self.in_flight < self.cap, "server-limit-kept", server=self.id)
         self.in_flight += 1
         self._started_at[request] = now
+        self.started_last_at = now
 
     def release(self, request: RequestId) -> None:
         """Count an attempt that is over."""
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -5,7 +5,7 @@
 
 from wagtailpaddle_core import RequestId, ServerId, ZoneId, ensure
 
-from wagtailpaddle_routing.choose import Chooser, Sides
+from wagtailpaddle_routing.choose import Sides
 from wagtailpaddle_routing.limits import Limiter, ServiceLimiter
 from wagtailpaddle_routing.messages import (
     SURELY_NOT_RUN,
@@ -13,8 +13,10 @@
     ServerStatus,
     ServerView,
 )
+from wagtailpaddle_routing.picks import Field, Picker, may_take
 from wagtailpaddle_routing.retry import Pending
 from wagtailpaddle_routing.server import Server
+from wagtailpaddle_routing.trust import TrustBook
 
 
 def connection_cap(connections: int, n_users: int) -> int:
@@ -33,7 +35,8 @@
         self,
         *,
         zone: ZoneId,
-        chooser: Chooser,
+        picker: Picker,
+        trust: TrustBook,
         limiter: type[Limiter],
         service_limiter: ServiceLimiter,
         random: Random,
@@ -41,7 +44,8 @@
         self.n_running = 0
         self.capacity = 1
         self._zone = zone
-        self._chooser = chooser
+        self._picker = picker
+        self.trust = trust
         self._limiter = limiter
         self._service_limiter = service_limiter
         self._random = random
@@ -70,6 +74,7 @@
         for view in views:
             kept[view.id] = self._known(view)
         self._servers = kept
+        self.trust.keep_only(frozenset(kept))
         self._settle()
         return True
 
@@ -87,50 +92,31 @@
 
     def can_serve(self, pending: Pending) -> bool:
         """Return whether some server may take the request, now or later."""
-        return any(_may_take(server, pending) for server in self._usable)
+        return any(may_take(server, pending) for server in self._usable)
 
-    def choose(self, now: float, pending: Pending, silence_s: float) -> Server | None:
+    def choose(
+        self,
+        now: float,
+        pending: Pending,
+        silence_s: float,
+        *,
+        may_probe: bool = True,
+    ) -> Server | None:
         """Return a server with room for the request, or None.
 
         A server that has work and answered none of it for ``silence_s`` may
-        hang. It is the last choice, and none at all for a request that cannot
-        be repeated while another server may take it. Such a request goes to a
-        server that answered within that time, if there is one.
+        hang; it is the last choice.
         """
-
-        def fits(server: Server) -> bool:
-            return (
-                server.in_flight < server.cap
-                and server.closed_until <= now
-                and _may_take(server, pending)
-            )
-
-        for server in self._to_verify:
-            is_first = pending.job.idempotent and not pending.failed_on
-            if is_first and not server.in_flight and fits(server):
-                return server
-
-        def answers(server: Server) -> bool:
-            return fits(server) and not server.is_silent(now, silence_s)
-
-        def proven(server: Server) -> bool:
-            return server.is_proven(now, silence_s) and answers(server)
-
-        chosen = None
-        if not pending.job.idempotent:
-            chosen = self._chooser.choose(now, self._sides, proven, self._random)
-        if chosen is None:
-            chosen = self._chooser.choose(now, self._sides, answers, self._random)
-        if chosen is not None or not self._may_hang(now, pending, silence_s):
-            return chosen
-        return self._chooser.choose(now, self._sides, fits, self._random)
-
-    def _may_hang(self, now: float, pending: Pending, silence_s: float) -> bool:
-        """Return whether the request may go to a server that is silent."""
-        return pending.job.idempotent or not any(
-            _may_take(server, pending) and not server.is_silent(now, silence_s)
-            for server in self._usable
+        field = Field(
+            now,
+            self._usable,
+            self._to_verify,
+            self._sides,
+            self._zone,
+            silence_s,
+            may_probe,
         )
+        return self._picker.pick(field, pending)
 
     def start(self, now: float, request: RequestId, server: Server) -> None:
         """Count an attempt that begins."""
@@ -154,6 +140,7 @@
         """Take in how an attempt ended, before it is released."""
         before = server.limit
         server.learn(now, result)
+        self.trust.learn(now, server.id, result)
         if server.usable:
             self._limit += server.limit - before
         self._service_limiter.update(now, result.outcome, self.n_running)
@@ -207,13 +194,6 @@
         self.capacity = max(1, int(limit + 1e-6))
 
 
-def _may_take(server: Server, pending: Pending) -> bool:
-    """Return whether the server suits the request, busy or not."""
-    if server.id in pending.failed_on:
-        return False
-    return pending.job.idempotent or not server.view.probation
-
-
 def split(servers: Sequence[Server], zone: ZoneId) -> Sides:
     """Return ``servers`` split by zone, with their shares set.
 
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/trust.py
@@ -0,0 +1,153 @@
+"""How far a server can be trusted with work that may not be repeated.
+
+Servers fail in spells: for some seconds most of their answers are errors, while
+their health endpoint says that all is well. One failure makes a spell far more
+likely than chance, so it counts at once; answers to requests that can be
+repeated show when the spell is over.
+"""
+
+from dataclasses import dataclass
+
+from wagtailpaddle_core import ServerId, ServiceId
+
+from wagtailpaddle_routing.messages import AttemptOutcome, AttemptResult
+
+N_GOOD = 2
+"""Good answers in a row after which a failure counts no more."""
+
+FORGET_S = 8.0
+PROBE_EVERY_S = 0.7
+FAR_PROBE_EVERY_S = 3.5
+PROBE_AGAIN_S = 0.05
+MAX_NOTICES = 64
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+
+FAILURES = frozenset(
+    {AttemptOutcome.FAILED, AttemptOutcome.TIMED_OUT, AttemptOutcome.CUT_SHORT}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TrustNotice:
+    """Tells other VMs that a server failed, or that its failure is over."""
+
+    service: ServiceId
+    server: ServerId
+    failed: bool
+
+
+def is_failure(result: AttemptResult) -> bool:
+    """Return whether an attempt speaks against its server.
+
+    A gateway timeout says that the time was too short, not that the server
+    fails.
+    """
+    if result.outcome is AttemptOutcome.ANSWERED:
+        return result.status >= SERVER_ERROR and result.status != GATEWAY_TIMEOUT
+    return result.outcome in FAILURES
+
+
+class Trust:
+    """What is known of one server's present spell.
+
+    >>> trust = Trust()
+    >>> trust.fail(10.0), trust.is_doubted(10.1)
+    (True, True)
+    >>> trust.succeed(10.2), trust.succeed(10.3), trust.is_doubted(10.4)
+    (False, True, False)
+    """
+
+    __slots__ = ("bad_at", "good_from", "n_good", "probed_at")
+
+    def __init__(self) -> None:
+        self.bad_at = float("-inf")
+        self.good_from = float("-inf")
+        self.probed_at = float("-inf")
+        self.n_good = N_GOOD
+
+    def is_doubted(self, now: float) -> bool:
+        """Return whether the server failed and has not yet made up for it."""
+        return self.n_good < N_GOOD and now - self.bad_at < FORGET_S
+
+    def fail(self, now: float) -> bool:
+        """Note a failure; return whether the server was not doubted before."""
+        is_new = not self.is_doubted(now)
+        self.bad_at = now
+        self.n_good = 0
+        return is_new
+
+    def succeed(self, started_at: float) -> bool:
+        """Note a good answer to a request that was sent at ``started_at``.
+
+        One sent before the last failure proves nothing. Returns whether the
+        server is doubted no more by it.
+        """
+        if started_at <= self.bad_at:
+            return False
+        self.good_from = max(self.good_from, started_at)
+        if self.n_good >= N_GOOD:
+            return False
+        self.n_good += 1
+        return self.n_good >= N_GOOD
+
+    def clear(self) -> None:
+        """Another VM found that the failure is over."""
+        self.n_good = N_GOOD
+
+    def wants_probe(self, now: float, *, near: bool) -> bool:
+        """Return whether a request that can be repeated should test the server."""
+        if not self.is_doubted(now):
+            return False
+        every_s = PROBE_EVERY_S if near else FAR_PROBE_EVERY_S
+        if self.n_good:
+            every_s = PROBE_AGAIN_S
+        return now - max(self.bad_at, self.probed_at) >= every_s
+
+
+class TrustBook:
+    """The trust in the servers of one service, and what to tell other VMs."""
+
+    def __init__(self, service: ServiceId):
+        self._service = service
+        self._known: dict[ServerId, Trust] = {}
+        self._notices: list[TrustNotice] = []
+
+    def __getitem__(self, server: ServerId) -> Trust:
+        trust = self._known.get(server)
+        if trust is None:
+            trust = self._known[server] = Trust()
+        return trust
+
+    def keep_only(self, servers: frozenset[ServerId]) -> None:
+        """Forget servers that are gone."""
+        for server in [name for name in self._known if name not in servers]:
+            del self._known[server]
+
+    def learn(self, now: float, server: ServerId, result: AttemptResult) -> None:
+        """Take in how an attempt of this VM ended."""
+        trust = self[server]
+        if is_failure(result):
+            if trust.fail(now):
+                self._tell(server, failed=True)
+            return
+        is_answer = result.outcome is AttemptOutcome.ANSWERED
+        if is_answer and trust.succeed(now - result.latency_s):
+            self._tell(server, failed=False)
+
+    def hear(self, now: float, notice: TrustNotice) -> None:
+        """Take in what another VM found."""
+        if notice.failed:
+            self[notice.server].fail(now)
+        else:
+            self[notice.server].clear()
+
+    def take_notices(self) -> tuple[TrustNotice, ...]:
+        """Return what to tell other VMs now."""
+        notices = tuple(self._notices)
+        self._notices.clear()
+        return notices
+
+    def _tell(self, server: ServerId, *, failed: bool) -> None:
+        if len(self._notices) < MAX_NOTICES:
+            self._notices.append(TrustNotice(self._service, server, failed))
--- /dev/null
+++ b/packages/standins/tests/test_platform_documents.py
@@ -0,0 +1,136 @@
+"""The platform's documents, decoded into the product's types."""
+
+import json
+from math import inf
+
+import msgspec
+import pytest
+from wagtailpaddle_platform.documents import (
+    decode_document,
+    decode_member,
+    decode_server,
+    encode_member,
+)
+from wagtailpaddle_replica import Member
+
+
+def resource(section, name, /, **spec):
+    return {"resourceKind": section, "metadata": {"name": name}, "spec": spec}
+
+
+ROUTE = {
+    "host": "Shop.example",
+    "pathPrefix": "/book/",
+    "service": "booking",
+    "kind": "non_idempotent",
+    "timeoutS": 2.5,
+    "targetLatencyS": 0.8,
+    "maxAttempts": 2,
+    "priority": 1,
+}
+ENTRY = {
+    "address": "10.1.64.3:8080",
+    "info": {"service": "booking", "version": "v1", "zone": "a", "slots": 4},
+    "status": {"state": "ready", "sequence": 7, "warmupLeftS": 0},
+    "born": 1780000000000,
+}
+
+
+@pytest.fixture
+def document():
+    def make(*resources, version=7):
+        whole = {"version": version, "resources": list(resources)}
+        return decode_document(0.7, json.dumps(whole).encode())
+
+    return make
+
+
+def test_whole_document_becomes_routes_accounts_keys_and_limits(document):
+    found = document(
+        resource("routes", "r1", **ROUTE),
+        resource("services", "booking", healthPath="/health", maxConns=330),
+        resource("tenants", "t1", apiKeys=["k1", "k2"], ratePerS=5, burst=9),
+        resource("tenants", "t2", apiKeys=["k3"]),
+        resource(
+            "limits",
+            "limits",
+            maxHeaderBytes=8192,
+            maxBodyBytes=4096,
+            headerTimeoutS=5,
+            idleTimeoutS=30,
+        ),
+    )
+    (route,) = found.routes
+    assert (route.host, route.path, route.idempotent) == (
+        "shop.example",
+        "/book/",
+        False,
+    )
+    assert (route.timeout_s, route.max_attempts, route.open) == (2.5, 2, False)
+    assert [account.rate for account in found.accounts] == [5, inf]
+    assert [key.account for key in found.keys] == ["t1", "t1", "t2"]
+    assert found.limits.idle_s == 30
+    assert found.services[0].floor == 0.7
+
+
+def test_routes_are_open_where_nobody_has_keys(document):
+    assert document(resource("routes", "r1", **ROUTE)).routes[0].open
+
+
+def test_split_goes_before_the_service(document):
+    split = [{"service": "a", "weight": 1}, {"service": "b", "weight": 3}]
+    found = document(resource("routes", "r1", **{**ROUTE, "trafficSplit": split}))
+    assert found.routes[0].services() == ("a", "b")
+
+
+@pytest.mark.parametrize("name", ["host", "pathPrefix", "kind", "timeoutS"])
+def test_route_that_lacks_a_field_is_refused_by_its_name(document, name):
+    broken = {key: value for key, value in ROUTE.items() if key != name}
+    with pytest.raises(ValueError, match=name):
+        document(resource("routes", "r1", **broken))
+
+
+def test_server_says_where_it_is_and_whether_it_leaves():
+    entry = decode_server("i-1", json.dumps(ENTRY).encode())
+    assert (entry.service, entry.server.address, entry.server.port) == (
+        "booking",
+        "10.1.64.3",
+        8080,
+    )
+    leaving = {**ENTRY, "status": {**ENTRY["status"], "state": "draining"}}
+    assert decode_server("i-1", json.dumps(leaving).encode()).server.leaving
+
+
+def test_two_heartbeats_that_differ_in_their_sequence_are_equal():
+    later = {**ENTRY, "status": {**ENTRY["status"], "sequence": 8}}
+    first = decode_server("i-1", json.dumps(ENTRY).encode())
+    assert first == decode_server("i-1", json.dumps(later).encode())
+
+
+BROKEN = [
+    b"",
+    b"\xff\xfe",
+    b"[]",
+    b"{}",
+    json.dumps({**ENTRY, "address": 5}).encode(),
+    json.dumps({**ENTRY, "address": "nowhere"}).encode(),
+    json.dumps({**ENTRY, "address": "10.0.0.1:0"}).encode(),
+    json.dumps({**ENTRY, "info": None}).encode(),
+    json.dumps({**ENTRY, "born": "now"}).encode(),
+    json.dumps({**ENTRY, "status": {"state": "resting", "sequence": 1}}).encode(),
+    json.dumps({**ENTRY, "status": {"state": "ready"}}).encode(),
+    json.dumps({**ENTRY, "info": {**ENTRY["info"], "slots": "4"}}).encode(),
+]
+
+
+@pytest.mark.parametrize("data", BROKEN)
+def test_entry_of_another_writer_names_no_server(data):
+    with pytest.raises((ValueError, msgspec.MsgspecError)):
+        decode_server("i-1", data)
+
+
+def test_vm_record_comes_back_as_it_was():
+    member = Member("vm/1", "a", "10.0.0.1:80", "10.0.0.1:81", "1")
+    assert decode_member("10.0.0.1:81", encode_member(member)) == member
+    with pytest.raises(ValueError, match="tells of"):
+        decode_member("10.0.0.9:81", encode_member(member))
--- /dev/null
+++ b/packages/standins/tests/test_platform_settings.py
@@ -0,0 +1,71 @@
+"""The platform's settings file."""
+
+import pytest
+from wagtailpaddle_platform.settings import (
+    PlatformSettingsError,
+    decode_settings,
+    read_settings_file,
+)
+
+LINES = {
+    "zone": "namur-a",
+    "listen.front": "10.1.0.5:8405",
+    "listen.ready": "10.1.0.5:8406",
+    "listen.control": "10.1.0.5:8407",
+    "listen.directory": "10.1.0.5:8404",
+    "portRange": "7660,7675",
+    "seeds": "10.1.0.5:8407,10.2.0.3:8407",
+    "heartbeatS": "1.5",
+    "bounds.graceS": "6",
+    "bounds.revokeS": "5",
+    "bounds.ttl_max_s": "5",
+    "bounds.floorShare": "0.7",
+    "bounds.retryRatio": "0.2",
+    "bounds.retrySlack": "56",
+    "platform.address": "10.200.1.7:8408",
+    "something.new": "passed over",
+}
+
+
+@pytest.fixture
+def text():
+    def make(**changes):
+        fields = {**LINES, **{key.replace("__", "."): v for key, v in changes.items()}}
+        return "\n".join(f"{key}={value}" for key, value in fields.items() if value)
+
+    return make
+
+
+def test_fields_become_settings(text):
+    cfg = decode_settings(text())
+    assert cfg.peer_address == "10.1.0.5:8407"
+    assert cfg.seeds == ("10.1.0.5:8407", "10.2.0.3:8407")
+    assert (cfg.first_free_port, cfg.grace_s, cfg.floor) == (7660, 6.0, 0.7)
+
+
+@pytest.mark.parametrize(
+    ("changes", "told"),
+    [
+        ({"zone": ""}, "zone is missing"),
+        ({"listen__front": "8405"}, "listen.front is '8405', not host:port"),
+        ({"bounds__graceS": "soon"}, "bounds.graceS is 'soon', not a number"),
+        ({"portRange": ""}, "portRange is missing"),
+        ({"portRange": "x,y"}, "portRange is 'x,y'"),
+    ],
+)
+def test_wrong_field_is_named_with_its_value(text, changes, told):
+    with pytest.raises(PlatformSettingsError, match=told):
+        decode_settings(text(**changes))
+
+
+def test_line_that_is_no_field_is_shown():
+    with pytest.raises(PlatformSettingsError, match="line 1 is 'nonsense'"):
+        decode_settings("nonsense")
+
+
+def test_file_that_is_not_there_is_named(tmp_path):
+    with pytest.raises(PlatformSettingsError, match="is not set"):
+        read_settings_file({})
+    missing = str(tmp_path / "boot.conf")
+    with pytest.raises(PlatformSettingsError, match="cannot be read"):
+        read_settings_file({"WAGTAILPADDLE_SETTINGS": missing})
