Test the daemons in front of stand-ins of the platform

Change: stand-ins of the store (log, keyed topics, outages, lost answers, forgotten history) and of servers with an identity; a small system of processes; tests of the client, the documents, the settings, the copies, the tokens, spells of failures and the whole path, drains, withdrawn keys, lapsed freshness and a graceful stop included.

--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/platformserver.py
@@ -0,0 +1,55 @@
+"""Stand-in backend servers that speak the headers of the users' platform."""
+
+import argparse
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.web.server import Site
+
+from wagtailpaddle_standins.backend import Backend
+from wagtailpaddle_standins.faults import FAULTS, answer
+
+MISDIRECTED = 421
+BUSY = 503
+SLOTS = 4
+
+
+@FAULTS.register("platform-shed")
+def platform_shed(request: Any, body: bytes, _: float) -> None:
+    """Turn the work away before it ran, in the platform's way."""
+    request.setHeader(b"x-not-executed", b"1")
+    answer(request, b"busy", BUSY)
+
+
+class PlatformServer(Backend):
+    """A server with an identity: work meant for another one is not run."""
+
+    def render(self, request: Any) -> Any:
+        """Run a request that is meant for this server."""
+        expected = request.getHeader("x-expect-instance")
+        request.setHeader(b"x-instance-id", self._name.encode())
+        if expected is not None and expected != self._name:
+            request.setResponseCode(MISDIRECTED)
+            return b"another server has this address"
+        echoed = request.getHeader("x-request-id")
+        if echoed is not None:
+            request.setHeader(b"x-request-id", echoed.encode())
+        request.setHeader(b"x-response-stamp", self._name.encode())
+        request.setHeader(b"x-server-load", b"0,0,%d" % SLOTS)
+        return super().render(request)
+
+
+def main() -> None:
+    """Serve until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--server", action="append", metavar="NAME=PORT")
+    args = parser.parse_args()
+    loop: Any = reactor
+    for entry in args.server:
+        name, _, port = entry.partition("=")
+        loop.listenTCP(int(port), Site(PlatformServer(name)), interface="127.0.0.1")
+    loop.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/standins/src/wagtailpaddle_standins/processes.py
+++ b/packages/standins/src/wagtailpaddle_standins/processes.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -62,12 +62,19 @@
         default_factory=lambda: Path(tempfile.mkdtemp(prefix="wagtailpaddle-"))
     )
 
-    def start(self, name: str, module: str, args: Sequence[str]) -> None:
+    def start(
+        self,
+        name: str,
+        module: str,
+        args: Sequence[str],
+        *,
+        env: Mapping[str, str] = os.environ,
+    ) -> None:
         """Start ``python -m module args``; it logs to a file of its name."""
         command = [sys.executable, "-m", module, *args]
         with open(self.log_path(name), "ab") as log:
             self.running[name] = subprocess.Popen(
-                command, env=dict(os.environ), stderr=log
+                command, env=dict(env), stdout=log, stderr=log
             )
 
     def log_path(self, name: str) -> Path:
--- /dev/null
+++ b/packages/standins/tests/test_platform.py
@@ -0,0 +1,230 @@
+"""The daemons as processes in front of the stand-ins of the platform."""
+
+import json
+import signal
+import threading
+
+import pytest
+from wagtailpaddle_standins.platformsystem import (
+    DOCUMENT,
+    HOST,
+    PlatformSystem,
+    account,
+    call,
+    eventually,
+    route,
+)
+
+
+@pytest.fixture(scope="module")
+def platform():
+    with PlatformSystem() as running:
+        yield running
+
+
+@pytest.fixture
+def stated(platform):
+    """Put the configuration, the servers and the store back as they were."""
+    yield platform
+    platform.set_store()
+    for server in platform.servers:
+        platform.set_fault(server, "")
+        platform.register(server)
+    platform.publish(DOCUMENT)
+    platform.wait_ready()
+    for index in range(len(platform.daemons)):
+        assert eventually(
+            lambda index=index: platform.request(index, "GET", "/read/a").status == 200,
+            within_s=10.0,
+        )
+
+
+def test_request_reaches_a_server_with_its_headers_and_without_its_key(platform):
+    answer = platform.request(0, "GET", "/read/a?b=c", request_id="whole-1")
+    assert answer.status == 200
+    assert answer.headers["x-response-stamp"] in platform.servers
+    seen = json.loads(answer.body)
+    named = {name.lower(): value for name, value in seen["headers"]}
+    assert seen["uri"] == "/read/a?b=c"
+    assert named["host"] == HOST
+    assert named["x-request-id"] == "whole-1"
+    assert named["x-tenant"] == "large"
+    assert named["x-expect-instance"] == answer.headers["x-response-stamp"]
+    assert 0 < int(named["x-deadline-ms"]) <= 3000
+    assert "key-of-large" not in json.dumps(seen)
+
+
+def test_caller_cannot_name_another_account(platform):
+    answer = platform.request(
+        0, "GET", "/read/a", X_Tenant="small", X_Expect_Instance="s9"
+    )
+    named = {name.lower(): value for name, value in json.loads(answer.body)["headers"]}
+    assert (answer.status, named["x-tenant"]) == (200, "large")
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/read/a", "nobody", 401),
+        ("/read/a", "", 401),
+        ("/open/a", "", 200),
+        ("/read", "key-of-large", 404),
+        ("/none/a", "key-of-large", 404),
+    ],
+)
+def test_keys_and_routes_decide(platform, path, key, status):
+    assert platform.request(1, "GET", path, key=key).status == status
+
+
+def test_directory_names_addresses_of_daemons(platform):
+    port = platform.daemons[0].directory
+    answer = call(port, "GET", f"/resolve?name={HOST}&region=r&zone=a")
+    told = json.loads(answer.body)
+    known = {f"127.0.0.1:{at.caller}" for at in platform.daemons}
+    assert set(told["addresses"]) <= known
+    assert told["addresses"]
+    assert 0 < told["ttlS"] <= 5
+
+
+def test_new_configuration_is_in_force_on_every_daemon(stated):
+    stated.publish([*DOCUMENT, route("new", "/new/")])
+    for index in range(len(stated.daemons)):
+        assert eventually(
+            lambda index=index: stated.request(index, "GET", "/new/a").status == 200,
+            within_s=2.0,
+        )
+
+
+def test_withdrawn_key_stops_working_on_every_daemon(stated):
+    kept = [item for item in DOCUMENT if item["metadata"]["name"] != "large"]
+    stated.publish([*kept, account("large", "another-key")])
+    for index in range(len(stated.daemons)):
+        assert eventually(
+            lambda index=index: stated.request(index, "GET", "/read/a").status == 401,
+            within_s=2.0,
+        )
+
+
+def test_draining_server_gets_no_new_work(stated):
+    stated.register("s0", state="draining")
+
+    def is_out():
+        answers = [stated.request(index, "GET", "/read/a") for index in range(3)]
+        return "s0" not in {answer.headers["x-response-stamp"] for answer in answers}
+
+    assert eventually(is_out, within_s=2.0)
+    n_before = len(stated.seen("s0"))
+    for index in (0, 1, 2) * 5:
+        assert stated.request(index, "GET", "/read/a").status == 200
+    assert len(stated.seen("s0")) == n_before
+
+
+def test_entry_that_cannot_be_read_names_no_server_and_the_others_hold(stated):
+    stated.put("keyed.servers", "s0", b"{not json")
+    stated.put("keyed.servers", "stranger", b"[]")
+
+    def is_out():
+        stamps = {
+            stated.request(index, "GET", "/read/a").headers.get("x-response-stamp")
+            for index in (0, 1, 2) * 2
+        }
+        return stamps <= {"s1", "s2"}
+
+    assert eventually(is_out, within_s=2.0)
+
+
+def test_address_that_another_server_took_over_runs_nothing(stated):
+    stated.register("s0", address=f"127.0.0.1:{stated.servers['s1']}")
+    n_before = len(stated.seen("s1"))
+    for n in range(6):
+        answer = stated.request(0, "POST", "/book/a", request_id=f"reuse-{n}")
+        assert answer.status == 200
+    for seen in stated.seen("s1")[n_before:]:
+        named = {name.lower(): value for name, value in seen["headers"]}
+        assert named["x-expect-instance"] == "s1"
+
+
+def test_error_of_a_server_is_hidden_from_work_that_can_be_repeated(stated):
+    stated.set_fault("s0", "error")
+    stated.set_fault("s1", "error")
+    for n in range(6):
+        assert stated.request(0, "GET", "/read/a", request_id=f"e{n}").status == 200
+
+
+def test_work_that_runs_once_is_sent_once(stated):
+    for server in stated.servers:
+        stated.set_fault(server, "close")
+    answer = stated.request(0, "POST", "/book/a", request_id="once-1")
+    assert answer.status == 502
+    ran = [
+        seen
+        for server in stated.servers
+        for seen in stated.seen(server)
+        if ["X-Request-Id", "once-1"] in seen["headers"]
+    ]
+    assert len(ran) == 1
+
+
+def test_work_that_a_server_turned_away_goes_to_another(stated):
+    stated.set_fault("s0", "platform-shed")
+    stated.set_fault("s1", "platform-shed")
+    for n in range(4):
+        answer = stated.request(0, "POST", "/book/a", request_id=f"shed-{n}")
+        assert answer.status == 200
+
+
+def test_refusal_of_a_rate_says_when_to_come_back(stated):
+    answers = [
+        stated.request(0, "GET", "/read/a", key="key-of-small") for _ in range(40)
+    ]
+    refused = [answer for answer in answers if answer.status == 429]
+    assert refused
+    assert 0.0 < float(refused[-1].headers["retry-after"]) <= 1.0
+
+
+def test_requests_with_a_key_end_when_the_configuration_is_not_confirmed(stated):
+    stated.set_store(status=503)
+    assert eventually(
+        lambda: stated.request(0, "GET", "/read/a").status == 503, within_s=8.0
+    )
+    assert stated.request(0, "GET", "/open/a", key="").status == 200
+    assert stated.request(0, "GET", "/none/a").status == 503
+    assert not stated.is_ready(0)
+
+
+def test_refused_request_can_be_found_in_the_log_by_its_id(platform):
+    platform.request(1, "GET", "/read/a", key="nobody", request_id="find-me")
+    log = platform.processes.log_path("daemon-1")
+
+    def is_found():
+        lines = [line for line in log.read_text().splitlines() if "find-me" in line]
+        return any(json.loads(line)["kind"] == "key-unknown" for line in lines)
+
+    assert eventually(is_found)
+
+
+def test_leaving_daemon_finishes_its_work_and_ends_in_time(stated):
+    answers = []
+
+    def send():
+        answers.append(stated.request(2, "POST", "/book/fault/slow/1.5"))
+
+    caller = threading.Thread(target=send)
+    caller.start()
+    assert eventually(lambda: any(stated.seen(server) for server in stated.servers))
+    stated.processes.signal("daemon-2", signal.SIGTERM)
+    caller.join()
+    assert answers[0].status == 200
+    assert answers[0].headers.get("connection", "").lower() == "close"
+    assert stated.processes.wait("daemon-2", timeout_s=6.0) == 0
+    stated.start_daemon(2)
+    stated.wait_ready()
+
+
+def test_few_calls_go_to_the_store(platform):
+    platform.wait_ready()
+    before = int(call(platform.store_port, "GET", "/_calls").body)
+    assert not eventually(lambda: False, within_s=4.0)
+    after = int(call(platform.store_port, "GET", "/_calls").body)
+    # One VM of the fleet reads: 12 calls a second are the target at 32 VMs.
+    assert (after - before) / 4.0 <= 12.0
--- /dev/null
+++ b/packages/standins/tests/test_platform_client.py
@@ -0,0 +1,119 @@
+"""The client of the platform's store against its stand-in, over loopback."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+from wagtailpaddle_daemon.store import StoreError
+from wagtailpaddle_platform.client import decode_log, encode_keyed, keyed_records
+
+TRIAL = """
+import json, sys
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.web.server import Site
+from wagtailpaddle_daemon.store import StoreError
+from wagtailpaddle_platform.client import PlatformStore
+from wagtailpaddle_replica import Collection, Member
+from wagtailpaddle_standins.platformstore import Mode, PlatformStoreService
+
+MEMBER = Member("vm/1", "a", "10.0.0.1:80", "10.0.0.1:81", "1")
+
+async def trial(service, store):
+    found = {}
+    async def attempt(name, awaitable):
+        try:
+            found[name] = repr(await awaitable)
+        except StoreError as exc:
+            found[name] = f"{exc} maybe_done={exc.maybe_done}"
+    await attempt("empty", store.read(Collection.VMS, 0, whole=True))
+    await attempt("write", store.write_member(MEMBER.peer_address, MEMBER))
+    await attempt("newest", store.read(Collection.VMS, 0, whole=True))
+    await attempt("tail", store.read(Collection.VMS, 1, whole=False))
+    service._topic("keyed.wagtailpaddle-vms").forget()
+    await attempt("forgotten", store.read(Collection.VMS, 0, whole=False))
+    for status in (429, 503):
+        service._mode = Mode(status=status)
+        await attempt(f"status-{status}", store.read(Collection.VMS, 1, whole=False))
+    service._mode = Mode(lost=1.0)
+    await attempt("lost", store.write_member(MEMBER.peer_address, None))
+    service._mode = Mode(silent=True)
+    await attempt("silent", store.read(Collection.VMS, 1, whole=False))
+    service._mode = Mode()
+    await attempt("after", store.read(Collection.VMS, 1, whole=False))
+    print(json.dumps(found))
+    reactor.stop()
+
+def begin():
+    service = PlatformStoreService()
+    port = reactor.listenTCP(0, Site(service.app.resource()), interface="127.0.0.1")
+    store = PlatformStore(reactor, f"127.0.0.1:{port.getHost().port}")
+    Deferred.fromCoroutine(trial(service, store)).addErrback(
+        lambda failure: (failure.printTraceback(), reactor.stop())
+    )
+
+reactor.callWhenRunning(begin)
+reactor.run()
+"""
+
+
+@pytest.fixture(scope="module")
+def found():
+    """Run the client through every way in which the store answers."""
+    done = subprocess.run(
+        [sys.executable, "-c", TRIAL], capture_output=True, text=True, timeout=60
+    )
+    assert done.returncode == 0, done.stderr
+    return json.loads(done.stdout)
+
+
+def test_topic_that_nobody_wrote_to_is_whole_and_empty(found):
+    assert "records=()" in found["empty"]
+    assert "whole=True" in found["empty"]
+
+
+def test_record_that_was_written_is_read_back(found):
+    assert found["write"] == "None"
+    assert "10.0.0.1:81" in found["newest"]
+    assert "next_offset=1" in found["newest"]
+
+
+def test_read_from_the_end_brings_nothing(found):
+    assert "records=(), whole=False" in found["tail"]
+
+
+def test_history_that_is_gone_is_replaced_by_the_newest_records(found):
+    assert "whole=True" in found["forgotten"]
+    assert "10.0.0.1:81" in found["forgotten"]
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_refused_call_surely_did_nothing(found, status):
+    told = found[f"status-{status}"]
+    assert str(status) in told
+    assert "maybe_done=False" in told
+
+
+@pytest.mark.parametrize("name", ["lost", "silent"])
+def test_call_without_an_answer_may_have_been_done(found, name):
+    assert "maybe_done=True" in found[name]
+
+
+def test_client_goes_on_after_a_call_that_hung(found):
+    assert "next_offset=2" in found["after"]
+
+
+def test_cut_answer_is_no_read():
+    body = (1).to_bytes(8, "big") + (0).to_bytes(8, "big") + encode_keyed("k", b"v")
+    assert [record.key for record in keyed_records(decode_log(body, 0))] == ["k"]
+    with pytest.raises(StoreError, match="cut short"):
+        decode_log(body[:-1], 0)
+    with pytest.raises(StoreError, match="bytes only"):
+        decode_log(b"short", 0)
+
+
+def test_record_without_a_key_is_passed_over():
+    body = bytes(16) + (0).to_bytes(4, "big") + encode_keyed("k", b"v")
+    (record,) = keyed_records(decode_log(body, 5))
+    assert (record.key, record.offset) == ("k", 6)
