--- a/packages/daemon/src/wagtailpaddle_daemon/hosting.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/hosting.py
@@ -36,6 +36,16 @@
     return await endpoint.listen(factory)
 
 
+async def stop_listening(port: Any) -> None:
+    """Close a port, but accept first what the kernel already took for it.
+
+    A connection in the kernel's queue may carry a request, whose caller would
+    find it reset and could not know whether it ran.
+    """
+    port.doRead()
+    await port.stopListening()
+
+
 async def wait_until(
     reactor: Any, condition: Callable[[], bool], limit_s: float
 ) -> bool:
--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -23,6 +23,7 @@
     listen,
     sleep,
     split_address,
+    stop_listening,
     wait_until,
 )
 from wagtailpaddle_daemon.lifecycle import Lifecycle
@@ -159,7 +160,7 @@
         await sleep(self._reactor, self.cfg.linger_s)
         self.life.drain()
         if self._caller_port is not None:
-            await self._caller_port.stopListening()
+            await stop_listening(self._caller_port)
         left_s = end_at - self._reactor.seconds()
         await wait_until(self._reactor, self._is_quiet, left_s)
         self._front.close_idle()
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -20,6 +20,7 @@
     listen,
     sleep,
     split_address,
+    stop_listening,
     wait_until,
 )
 from wagtailpaddle_daemon.lifecycle import Lifecycle
@@ -120,7 +121,7 @@
         self.life.drain()
         self.node.drain()
         if self._caller_port is not None:
-            await self._caller_port.stopListening()
+            await stop_listening(self._caller_port)
         await wait_until(
             self._reactor, lambda: not self.gateway.n_in_flight, self.cfg.drain_s
         )
