Serve metrics and status on the platform; take in changed settings; never block on logs

Cause: on the platform there was no page of metrics or beliefs, a changed settings file was read and dropped, and a reader of standard output that stopped reading would have stopped the daemon.

A VM whose record an earlier life dropped late registers again.

Tests: slow and dead readers of logs, settings that change, status, metrics.

--- a/packages/daemon/src/wagtailpaddle_daemon/logs.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/logs.py
@@ -2,10 +2,13 @@
 
 import logging
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import structlog
 
+from wagtailpaddle_daemon.logsink import BoundedStream
+
 NOISY_LOGGERS = ("asyncio", "grpclib")
 """Their lines tell of peers that went away, which the peer link reports itself."""
 
@@ -19,8 +22,19 @@
 
 def setup_logs(
     *, format: str = "console", level: str = "info", stream: Any = None
-) -> None:
-    """Send log lines to ``stream`` (standard error) as text or JSON."""
+) -> Callable[[], None]:
+    """Send log lines to ``stream`` (standard error) as text or JSON.
+
+    Returns what to call now and then, so that lines go out which the stream did
+    not take at once. A stream without a descriptor is written to as it is.
+    """
+    target: Any = stream or sys.stderr
+    pump: Callable[[], None] = _nothing
+    try:
+        target = BoundedStream(target.fileno())
+        pump = target.pump
+    except OSError:
+        pass
     for name in NOISY_LOGGERS:
         logging.getLogger(name).setLevel(logging.CRITICAL)
     renderer: Any
@@ -36,9 +50,14 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(target),
         cache_logger_on_first_use=False,
     )
+    return pump
+
+
+def _nothing() -> None:
+    """Stand in for a pump that has nothing to do."""
 
 
 def get_logger(part: str) -> Any:
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/logsink.py
@@ -0,0 +1,78 @@
+"""A stream for log lines that never blocks the daemon."""
+
+import json
+import os
+from collections import deque
+
+MAX_HELD_BYTES = 1 << 20
+
+
+class BoundedStream:
+    """Writes lines to a descriptor as far as it takes them.
+
+    What it does not take at once is held, ``max_held`` bytes at most, and
+    written with the next line or at ``pump``. Lines beyond that are dropped and
+    counted; a line tells how many once there is room again.
+
+    >>> import os
+    >>> reader, writer = os.pipe()
+    >>> stream = BoundedStream(writer)
+    >>> _ = stream.write("started\\n")
+    >>> os.read(reader, 100)
+    b'started\\n'
+    """
+
+    def __init__(self, descriptor: int, *, max_held: int = MAX_HELD_BYTES):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._max_held = max_held
+        self._held: deque[bytes] = deque()
+        self._n_held = 0
+        self.n_dropped = 0
+        self._n_untold = 0
+
+    def write(self, text: str) -> int:
+        """Write ``text``, a whole line or the end of one."""
+        data = text.encode("utf-8", "replace")
+        if self._n_held + len(data) > self._max_held:
+            self.n_dropped += 1
+            self._n_untold += 1
+            return len(text)
+        self._hold(data)
+        self.pump()
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: ``write`` sends what the descriptor takes."""
+
+    def pump(self) -> None:
+        """Send what is held, as far as the descriptor takes it."""
+        while self._held:
+            data = self._held[0]
+            try:
+                n_sent = os.write(self._descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._drop_all()
+                return
+            self._n_held -= n_sent
+            if n_sent < len(data):
+                self._held[0] = data[n_sent:]
+                return
+            self._held.popleft()
+        if self._n_untold:
+            line = {"event": "logs: Lines dropped.", "n_dropped": self._n_untold}
+            self._n_untold = 0
+            self._hold(json.dumps(line).encode() + b"\n")
+            self.pump()
+
+    def _hold(self, data: bytes) -> None:
+        self._held.append(data)
+        self._n_held += len(data)
+
+    def _drop_all(self) -> None:
+        """Nobody reads any more; count what they would have read."""
+        self.n_dropped += len(self._held)
+        self._held.clear()
+        self._n_held = 0
--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -29,6 +29,7 @@
 from wagtailpaddle_daemon.lifecycle import Lifecycle
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
+from wagtailpaddle_daemon.metrics_page import render_pieces
 from wagtailpaddle_daemon.peerlink import PeerLink
 from wagtailpaddle_daemon.store import Store
 from wagtailpaddle_daemon.storefeed import StoreFeed
@@ -64,7 +65,8 @@
     """One proxy daemon on the platform.
 
     ``make_pages`` returns the pages to serve beside the callers' port, by their
-    address: the directory, readiness, metrics.
+    address: the directory, readiness, metrics. The functions of ``regularly`` are
+    called once a second.
     """
 
     def __init__(
@@ -75,7 +77,10 @@
         decoders: Decoders,
         dialect: Dialect,
         make_pages: "Callable[[ReplicaDaemon], dict[str, Any]]",
+        *,
+        regularly: tuple[Callable[[], None], ...] = (),
     ):
+        self._regularly = regularly
         self._reactor = reactor
         self.cfg = cfg
         self.life = Lifecycle()
@@ -139,6 +144,8 @@
         self.gateway.start()
         self._calls.add(NOTES_EVERY_S, self._keep_notes)
         self._calls.add(HOUSEKEEPING_S, self._keep_house)
+        for function in self._regularly:
+            self._calls.add(HOUSEKEEPING_S, function)
         self.life.started()
         log.info(
             "Started.",
@@ -168,6 +175,31 @@
         self.life.stopped()
         log.info("Stopped.", in_flight=self.gateway.n_in_flight)
 
+    def metrics_text(self) -> bytes:
+        """Return the counters and histograms in the Prometheus text format."""
+        pieces = render_pieces(
+            self.metrics,
+            revision=self.node.configuration.revision,
+            n_in_flight=self.gateway.n_in_flight,
+        )
+        return b"".join(pieces)
+
+    def status(self) -> dict[str, Any]:
+        """Return what this VM believes, and how old that is, in seconds."""
+        believed = self.node.control.describe(self._reactor.seconds())
+        return {
+            "state": self.life.state,
+            "ready": self.is_ready,
+            "in_flight": self.gateway.n_in_flight,
+            **believed,
+        }
+
+    def reconfigure(self, cfg: ReplicaDaemonSettings) -> None:
+        """Take in settings that changed; addresses stay as they are bound."""
+        self.cfg = cfg
+        self.node.control.reconfigure(cfg.control)
+        log.info("Settings changed.", grace_s=cfg.grace_s, linger_s=cfg.linger_s)
+
     def _is_quiet(self) -> bool:
         self._front.close_quiet(self._reactor.seconds() - QUIET_S)
         return not self._front.n_connections and not self.gateway.n_in_flight
--- /dev/null
+++ b/packages/daemon/tests/test_logsink.py
@@ -0,0 +1,73 @@
+"""Log lines whose reader is slow or gone."""
+
+import json
+import os
+
+import pytest
+from wagtailpaddle_daemon.logsink import BoundedStream
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    for end in (reader, writer):
+        try:
+            os.close(end)
+        except OSError:
+            continue
+
+
+def drain(reader):
+    pieces = []
+    while True:
+        try:
+            piece = os.read(reader, 1 << 16)
+        except BlockingIOError:
+            break
+        if not piece:
+            break
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+def test_reader_that_does_not_read_blocks_nobody_and_misses_counted_lines(pipe):
+    reader, writer = pipe
+    stream = BoundedStream(writer, max_held=10_000)
+    n_lines = 20_000
+    for n in range(n_lines):
+        stream.write(json.dumps({"n": n}) + "\n")
+    assert stream.n_dropped > 0
+    told = b""
+    for _ in range(10):
+        told += drain(reader)
+        stream.pump()
+    lines = [json.loads(line) for line in told.splitlines()]
+    numbers = [line["n"] for line in lines if "n" in line]
+    assert numbers == list(range(len(numbers)))
+    (dropped,) = [line for line in lines if "n_dropped" in line]
+    assert dropped["n_dropped"] + len(numbers) == n_lines
+
+
+def test_lines_go_on_after_the_reader_caught_up(pipe):
+    reader, writer = pipe
+    stream = BoundedStream(writer, max_held=1000)
+    for _ in range(20_000):
+        stream.write("x" * 9 + "\n")
+    assert stream.n_dropped
+    for _ in range(10):
+        drain(reader)
+        stream.pump()
+    n_dropped = stream.n_dropped
+    stream.write("last\n")
+    assert drain(reader) == b"last\n"
+    assert stream.n_dropped == n_dropped
+
+
+def test_reader_that_is_gone_raises_nothing(pipe):
+    reader, writer = pipe
+    os.close(reader)
+    stream = BoundedStream(writer)
+    stream.write("nobody reads this\n")
+    assert stream.n_dropped == 1
--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -33,6 +33,7 @@
     Step,
     Update,
     carriers,
+    upstreams,
 )
 from wagtailpaddle_routing import TrustNotice
 
@@ -71,12 +72,12 @@
 
     def __init__(self, replica: Replica, cfg: ReplicaSettings):
         self._replica = replica
-        self._cfg = cfg
+        self.cfg = cfg
         self.leaving = False
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the configuration is current enough to check keys."""
-        return self._replica.age_s(now, Collection.CONFIG) <= self._cfg.fresh_s
+        return self._replica.age_s(now, Collection.CONFIG) <= self.cfg.fresh_s
 
     def may_serve_open(self, now: float) -> bool:
         """Return whether there is any configuration to serve open routes by."""
@@ -99,7 +100,7 @@
         near = [member for member in found if member.zone == zone]
         chosen = near if len(near) >= MIN_ADDRESSES else found
         addresses = tuple(member.caller_address for member in chosen)
-        return CallerAddresses(addresses, self._cfg.keep_s)
+        return CallerAddresses(addresses, self.cfg.keep_s)
 
     @property
     def _config(self) -> Newest:
@@ -231,6 +232,37 @@
             actions += self._reconfigure(now)
         return actions + self._asks(now, self.quota.tick(now))
 
+    def describe(self, now: float) -> dict[str, Any]:
+        """Return what this VM believes and how old that is, for operators."""
+        replica = self.replica
+        ages = {
+            item.value: round(replica.age_s(now, item), 3)
+            for item in Collection
+            if replica.copies[item].is_known
+        }
+        alive = replica.members.alive(now)
+        return {
+            "vm": replica.own.id,
+            "configuration": self.document.version if self.document else None,
+            "fresh": self.membership.is_fresh(now),
+            "age_s": ages,
+            "servers": {
+                name: [
+                    {"id": server.id, "leaving": server.leaving}
+                    for server in service.servers
+                ]
+                for name, service in sorted(self.configuration.services.items())
+            },
+            "alive": [member.id for member in alive],
+            "carriers": sorted(self._carriers),
+            "follows": [item.id for item in upstreams(replica.own, alive)],
+            "keepers": list(self.quota.keepers),
+        }
+
+    def reconfigure(self, cfg: ReplicaSettings) -> None:
+        """Take in settings that changed while the process runs."""
+        self.membership.cfg = cfg
+
     def leave(self, now: float) -> tuple[Any, ...]:
         """Begin a graceful stop."""
         self.membership.leaving = True
--- a/packages/quota/src/wagtailpaddle_quota/stock.py
+++ b/packages/quota/src/wagtailpaddle_quota/stock.py
@@ -122,6 +122,11 @@
         if self._keepers[:1] == (self.vm,) and not was_first:
             self._pool.take_over(now)
 
+    @property
+    def keepers(self) -> tuple[VmId, ...]:
+        """The VMs that keep the buckets, the best first."""
+        return self._keepers
+
     def may_spend(self, now: float) -> bool:
         """Return whether requests can be admitted; some part always can."""
         return True
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -291,9 +291,11 @@
 
     def _note_members(self, now: float, changes: tuple[Change, ...]) -> None:
         for change in changes:
-            if change.value is not None:
+            if change.key == self.own.peer_address:
+                self._registered = change.value == self.own
+            elif change.value is not None:
                 self.members.learn(now, change.value)
-            elif change.key != self.own.peer_address:
+            else:
                 self.members.forget(change.key)
 
     def _told_age(self, now: float, collection: Collection) -> float:
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -189,6 +189,16 @@
     assert found["b1"] == "b1/2"
 
 
+def test_vm_whose_record_an_earlier_life_dropped_late_registers_again(make_replica):
+    replica = make_replica("a0")
+    fill(replica, 0.0)
+    replica.on_written(0.0, "a0", done=True)
+    assert not of_kind(replica.on_tick(5.0), WriteMember)
+    late = Batch(Collection.VMS, len(FLEET) + 1, (Record("a0", len(FLEET), None),))
+    replica.on_read(6.0, 5.9, late)
+    assert WriteMember("a0", replica.own) in replica.on_tick(6.1).actions
+
+
 def test_news_wake_those_that_wait(make_replica):
     replica = make_replica("a0")
     fill(replica, 0.0)
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -221,6 +221,38 @@
     stated.wait_ready()
 
 
+def test_status_says_what_a_vm_believes_and_how_old_that_is(platform):
+    platform.wait_ready()
+    port = platform.daemons[1].monitoring
+
+    def told():
+        return json.loads(call(port, "GET", "/status").body)
+
+    assert told()["ready"] and told()["fresh"]
+    assert told()["age_s"]["config"] < 4.5
+    known = {item["id"] for item in told()["servers"]["booking"]}
+    assert known == set(platform.servers)
+    # The VM that started last is known within two reads of the list of VMs.
+    assert eventually(lambda: len(told()["alive"]) == len(platform.daemons))
+
+
+def test_metrics_count_requests_by_account(platform):
+    platform.request(0, "GET", "/read/a")
+    text = call(platform.daemons[0].monitoring, "GET", "/metrics").body.decode()
+    assert 'account="large"' in text
+
+
+def test_changed_settings_file_is_taken_in_without_a_cut(platform):
+    path = platform.processes.folder / "boot-0.conf"
+    text = path.read_text()
+    path.write_text(text.replace("bounds.graceS=6", "bounds.graceS=8"))
+    platform.processes.signal("daemon-0", signal.SIGHUP)
+    log = platform.processes.log_path("daemon-0")
+    assert eventually(lambda: "Settings changed." in log.read_text())
+    assert platform.request(0, "GET", "/read/a").status == 200
+    path.write_text(text)
+
+
 def test_few_calls_go_to_the_store(platform):
     platform.wait_ready()
     before = int(call(platform.store_port, "GET", "/_calls").body)
