--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -60,11 +60,15 @@
 
     ``fresh_s`` bounds the age of the configuration by which requests with a key
     are served, ``keep_s`` how long callers keep the directory's answer.
+    ``bucket`` names what rate and burst mean, ``window_s`` is the window in which
+    they are counted if it is one.
     """
 
     fresh_s: float = FRESH_S
     keep_s: float = KEEP_S
     seeds: tuple[str, ...] = ()
+    bucket: str = "refill"
+    window_s: float = 5.0
 
 
 class ReplicaMembership:
@@ -136,7 +140,9 @@
         self.backends = backends
         self.replica = Replica(own, decoders, seeds=cfg.seeds, seed=seed)
         self.membership = ReplicaMembership(self.replica, cfg)
-        self.quota = StockedRates(own.id, self.limit_of)
+        self.quota = StockedRates(
+            own.id, self.limit_of, bucket=cfg.bucket, window_s=cfg.window_s
+        )
         self.claims = NoClaims()
         self.calls = Calls()
         self.pages = HealthPages(own.id, backends, seed=seed)
--- a/packages/quota/src/wagtailpaddle_quota/pool.py
+++ b/packages/quota/src/wagtailpaddle_quota/pool.py
@@ -2,11 +2,13 @@
 
 import math
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
-from wagtailpaddle_core import AccountId
+from wagtailpaddle_core import AccountId, Registry
 
 from wagtailpaddle_quota.bucket import TokenBucket
 from wagtailpaddle_quota.messages import Limit, TokenGrant, TokenWish
+from wagtailpaddle_quota.window import WindowBucket
 
 START_TOKENS = 5.0
 """What a bucket holds when its keeper takes over: the former one may just have
@@ -16,10 +18,62 @@
 """Tokens ahead of the demand are given while the bucket is at least this full."""
 
 MAX_WAIT_S = 60.0
+WINDOW_S = 5.0
 
 Limits = Callable[[AccountId], Limit | None]
 
 
+class Bucket(Protocol):
+    """What an account may still send, by one meaning of rate and burst."""
+
+    rate: float
+    burst: float
+
+    @property
+    def capacity(self) -> float:
+        """The most that can be taken at once."""
+
+    def tokens(self, now: float) -> float:
+        """Return what can be taken at ``now``."""
+
+    def take(self, now: float, amount: float = 1.0) -> bool:
+        """Take ``amount``, or nothing and return False."""
+
+    def give(self, now: float, amount: float) -> None:
+        """Put back what was taken and not used."""
+
+    def wait(self, now: float, amount: float = 1.0) -> float:
+        """Return the seconds until ``amount`` can be taken."""
+
+    def set_limit(self, now: float, *, rate: float, burst: float) -> None:
+        """Change rate and burst from now on."""
+
+
+MakeBucket = Callable[[float, Limit, float, float], Bucket]
+"""Makes a bucket: (now, limit, tokens at first, window in seconds)."""
+
+BUCKETS: Registry[MakeBucket] = Registry("bucket")
+
+
+@BUCKETS.register("refill")
+def make_refilling(
+    now: float, limit: Limit, tokens: float, window_s: float
+) -> TokenBucket:
+    """Return a bucket that refills at the rate, up to the burst."""
+    burst = max(1.0, limit.burst)
+    return TokenBucket(rate=limit.rate, burst=burst, tokens=tokens, now=now)
+
+
+@BUCKETS.register("window")
+def make_window(
+    now: float, limit: Limit, tokens: float, window_s: float
+) -> WindowBucket:
+    """Return a bucket that allows rate * window + burst in any window."""
+    return WindowBucket(
+        rate=limit.rate, burst=limit.burst, tokens=tokens, now=now, window_s=window_s
+    )
+
+
 class TokenPool:
     """Grants the tokens of the accounts that this VM keeps.
 
@@ -28,10 +82,14 @@
     4.0
     """
 
-    def __init__(self, limits: Limits):
+    def __init__(
+        self, limits: Limits, *, bucket: str = "refill", window_s: float = WINDOW_S
+    ):
         self._limits = limits
+        self._make = BUCKETS[bucket]
+        self._window_s = window_s
         self._since: float | None = None
-        self._buckets: dict[AccountId, TokenBucket] = {}
+        self._buckets: dict[AccountId, Bucket] = {}
 
     def take_over(self, now: float) -> None:
         """Begin to keep the buckets: they fill from now on."""
@@ -55,23 +113,23 @@
         wait_s = bucket.wait(now) if limit.rate > 0.0 else MAX_WAIT_S
         return TokenGrant(wish.account, granted, min(MAX_WAIT_S, wait_s))
 
-    def _ahead(self, now: float, bucket: TokenBucket, ahead: float) -> float:
+    def _ahead(self, now: float, bucket: Bucket, ahead: float) -> float:
         """Give tokens for later only out of a bucket that is rather full.
 
         Out of one that runs dry, a token goes to the request that comes first.
         """
-        spare = bucket.tokens(now) - bucket.burst * AMPLE_PART
+        spare = bucket.tokens(now) - bucket.capacity * AMPLE_PART
         given = float(max(0, math.floor(min(ahead, spare))))
         bucket.take(now, given)
         return given
 
-    def _bucket(self, now: float, account: AccountId, limit: Limit) -> TokenBucket:
+    def _bucket(self, now: float, account: AccountId, limit: Limit) -> Bucket:
         burst = max(1.0, limit.burst)
         bucket = self._buckets.get(account)
         if bucket is None:
             since = now if self._since is None else self._since
             tokens = START_TOKENS + (now - since) * limit.rate
-            bucket = TokenBucket(rate=limit.rate, burst=burst, tokens=tokens, now=now)
+            bucket = self._make(now, limit, tokens, self._window_s)
             self._buckets[account] = bucket
         bucket.set_limit(now, rate=limit.rate, burst=burst)
         return bucket
--- a/packages/quota/src/wagtailpaddle_quota/stock.py
+++ b/packages/quota/src/wagtailpaddle_quota/stock.py
@@ -17,7 +17,7 @@
     TokenWish,
     WaitUntil,
 )
-from wagtailpaddle_quota.pool import TokenPool
+from wagtailpaddle_quota.pool import WINDOW_S, TokenPool
 
 ASK_EVERY_S = 0.25
 LEAD_S = 0.5
@@ -105,11 +105,18 @@
 
     patience_s = PATIENCE_S
 
-    def __init__(self, vm: VmId, limits: Callable[[AccountId], Limit | None]):
+    def __init__(
+        self,
+        vm: VmId,
+        limits: Callable[[AccountId], Limit | None],
+        *,
+        bucket: str = "refill",
+        window_s: float = WINDOW_S,
+    ):
         self.vm = vm
         self._limits = limits
-        self._pool = TokenPool(limits)
-        self._local = TokenPool(self._local_limit)
+        self._pool = TokenPool(limits, bucket=bucket, window_s=window_s)
+        self._local = TokenPool(self._local_limit, bucket=bucket, window_s=window_s)
         self._stocks: dict[AccountId, _Stock] = {}
         self._keepers: tuple[VmId, ...] = ()
         self._avoid_until: dict[VmId, float] = {}
--- a/packages/quota/tests/test_stocked_rates.py
+++ b/packages/quota/tests/test_stocked_rates.py
@@ -11,6 +11,7 @@
 from wagtailpaddle_quota import Granted, Limit, Refused, StockedRates, WaitUntil
 from wagtailpaddle_quota.pool import START_TOKENS
 from wagtailpaddle_quota.stock import AVOID_S, LOCAL_PARTS
+from wagtailpaddle_quota.window import WindowBucket
 
 LIMIT = Limit(rate=10.0, burst=20.0)
 VMS = tuple(f"vm{n}" for n in range(7))
@@ -53,16 +54,16 @@
         for vm, rates in self.rates.items():
             self.carry(now, vm, rates.tick(now))
 
-    def run(self, begin, until, per_s, *, seed=1):
+    def run(self, begin, until, per_s, *, seed=1, vms=VMS):
         """Send requests at random VMs; return how many were sent."""
-        random = Random(seed)
+        random, choices = Random(seed), Random(seed)
         now, n_sent, ticked = begin, 0, begin
         while now < until:
             now += random.expovariate(per_s)
             if now - ticked > 0.1:
                 ticked = now
                 self.tick(now)
-            self.request(now, random.choice(VMS))
+            self.request(now, choices.choice(vms))
             n_sent += 1
         return n_sent
 
@@ -131,3 +132,57 @@
 def test_account_without_a_limit_is_not_counted(fleet):
     fleet.limit = None
     assert fleet.request(0.0, VMS[3])
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_window_allows_rate_and_burst_in_every_window_and_no_more(seed):
+    random = Random(seed)
+    bucket = WindowBucket(
+        rate=4.0, burst=10.0, tokens=START_TOKENS, now=0.0, window_s=5.0
+    )
+    taken, now = [], 0.0
+    while now < 40.0:
+        now += random.expovariate(30.0)
+        if bucket.take(now):
+            taken.append(now)
+    for begin in taken:
+        in_window = sum(begin <= at < begin + 5.0 for at in taken)
+        assert in_window <= 4.0 * 5.0 + 10.0
+    # A window's steps count until they are over, one more step in 50.
+    assert len(taken) >= 0.95 * (4.0 + 10.0 / 5.0) * 40.0 - 30.0
+
+
+def test_window_says_when_there_is_room_again():
+    bucket = WindowBucket(rate=2.0, burst=0.0, tokens=10.0, now=0.0, window_s=5.0)
+    assert bucket.take(1.0, 10.0)
+    wait_s = bucket.wait(2.0)
+    assert 4.0 <= wait_s <= 4.2
+    assert not bucket.take(2.0 + wait_s - 0.11)
+    assert bucket.take(2.0 + wait_s)
+
+
+def test_window_takes_back_what_was_not_used():
+    bucket = WindowBucket(rate=2.0, burst=0.0, tokens=10.0, now=0.0, window_s=5.0)
+    bucket.take(0.0, 10.0)
+    bucket.give(0.5, 4.0)
+    assert bucket.tokens(0.5) == 4.0
+
+
+def in_windows(per_s, seed, vms):
+    """Return how many requests a fleet that counts by windows admits at ``vms``."""
+    fleet = Fleet()
+    fleet.rates = {
+        vm: StockedRates(vm, lambda account: LIMIT, bucket="window") for vm in VMS
+    }
+    for rates in fleet.rates.values():
+        rates.set_keepers(0.0, VMS[:2])
+    fleet.run(10.0, 40.0, per_s=per_s, seed=seed, vms=vms)
+    return fleet.n_granted
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_account_spread_over_the_fleet_gets_what_it_would_get_at_one_vm(seed):
+    at_one = in_windows(LIMIT.rate * 1.2, seed, (KEEPER,))
+    spread = in_windows(LIMIT.rate * 1.2, seed, VMS)
+    # A token or two may lie at each VM at the end.
+    assert spread >= at_one - 2 * len(VMS)
--- a/packages/standins/src/wagtailpaddle_standins/platformsystem.py
+++ b/packages/standins/src/wagtailpaddle_standins/platformsystem.py
@@ -220,6 +220,7 @@
             "bounds.floorShare=0.7",
             "bounds.retryRatio=0.2",
             "bounds.retrySlack=56",
+            "bounds.quotaWindowS=5",
             f"platform.address=127.0.0.1:{self.store_port}",
         ]
 
--- a/packages/standins/tests/test_platform_settings.py
+++ b/packages/standins/tests/test_platform_settings.py
@@ -23,6 +23,7 @@
     "bounds.floorShare": "0.7",
     "bounds.retryRatio": "0.2",
     "bounds.retrySlack": "56",
+    "bounds.quotaWindowS": "5",
     "platform.address": "10.200.1.7:8408",
     "something.new": "passed over",
 }
