Serve urgent requests first, and refuse in time what cannot be served

Cause: priorities of accounts and routes were known but not used; a request that no server could serve in time waited until its deadline and got 504, which does not say that it has not run, and no time to return.

Change: a ranked queue in the registry; the estimate of the wait counts work that is as urgent or more; a request leaves the queue while half of the mean service time is left, with 503 and Retry-After. deadline-exceeded is 503: it has not run.

Tests: test_ranks.py names the pattern (a burst on full servers, unequal urgency).

--- a/packages/core/src/wagtailpaddle_core/errors.py
+++ b/packages/core/src/wagtailpaddle_core/errors.py
@@ -61,7 +61,7 @@
     ErrorKind.DEADLINE_AFTER_DISPATCH: Answer(
         504, "The deadline passed after dispatch", Outcome.UNKNOWN
     ),
-    ErrorKind.DEADLINE_EXCEEDED: Answer(504, "The deadline passed before dispatch"),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(503, "The deadline passed before dispatch"),
     ErrorKind.DRAINING: Answer(503, "This VM is leaving", retry_elsewhere=True),
     ErrorKind.FORBIDDEN: Answer(403, "The client account may not use this route"),
     ErrorKind.IDEMPOTENCY_BUSY: Answer(
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -36,6 +36,7 @@
     read_probe,
 )
 from wagtailpaddle_routing.queues import QUEUES
+from wagtailpaddle_routing.ranked import RankedQueue
 from wagtailpaddle_routing.serverset import connection_cap
 from wagtailpaddle_routing.subset import SUBSETTERS, subset, subset_size
 from wagtailpaddle_routing.trust import TrustNotice
@@ -65,6 +66,7 @@
     "ProbeOutcome",
     "ProbePlan",
     "ProbeResult",
+    "RankedQueue",
     "Reading",
     "Refuse",
     "ServerStatus",
--- a/packages/routing/src/wagtailpaddle_routing/ledger.py
+++ b/packages/routing/src/wagtailpaddle_routing/ledger.py
@@ -104,10 +104,15 @@
         detail = f"service {self._service!r} has no server to try"
         return self.refuse(pending, failure_kind(pending), detail)
 
-    def refuse_late(self, pending: Pending) -> Refuse:
-        """Close a request whose deadline passed while it waited."""
-        detail = "no server was free before the deadline"
-        return self.refuse(pending, deadline_kind(pending), detail)
+    def refuse_late(self, pending: Pending, wait_s: float) -> Refuse:
+        """Close a request that no server can serve in time any more.
+
+        One that has not run may come back in ``wait_s``, when there is room.
+        """
+        detail = "no server was free in time"
+        kind = deadline_kind(pending)
+        retry_after_s = None if pending.may_have_run else wait_s
+        return self.refuse(pending, kind, detail, retry_after_s)
 
     def refuse_after(
         self, now: float, pending: Pending, result: AttemptResult
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -12,6 +12,9 @@
     ZoneId,
 )
 
+Rank = tuple[int, int]
+"""Priority of the client account, then of the route; 0 is the highest."""
+
 MAX_ATTEMPTS = 3
 """To how many servers a request is sent unless its route says otherwise."""
 
@@ -34,7 +37,7 @@
     deadline_at: float
     weight: float = 1.0
     max_attempts: int = MAX_ATTEMPTS
-    rank: tuple[int, int] = (0, 0)
+    rank: Rank = (0, 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -45,6 +45,11 @@
 from wagtailpaddle_routing.waiting import WaitingRoom
 
 SHARED_S = 5.0
+RANKED = "ranked"
+LEAST_SERVICE_PART = 0.5
+"""Part of the mean service time without which no request is served."""
+
+LEAST_WAIT_S = 0.05
 
 
 @dataclass(slots=True)
@@ -83,7 +88,11 @@
         self._policy = policy
         self._random = random
         self._queue = QUEUES[policy.queue]()
-        self._room = WaitingRoom(queue=self._queue, max_waiting=policy.max_waiting)
+        self._room = WaitingRoom(
+            queue=self._queue,
+            max_waiting=policy.max_waiting,
+            by_rank=policy.queue == RANKED,
+        )
         self._ledger = Ledger(service, pending=pending, queue=self._queue)
         self._budget = RetryBudget(
             now=now,
@@ -172,7 +181,8 @@
     def tick(self, now: float) -> list[Action]:
         """Act on deadlines and on pauses that are over."""
         actions: list[Action] = [
-            self._ledger.refuse_late(pending) for pending in self._room.expired(now)
+            self._ledger.refuse_late(pending, self._wait_s())
+            for pending in self._room.expired(now + self._least_service_s())
         ]
         if self._room.n_queued:
             actions += self._pump(now)
@@ -182,7 +192,10 @@
         """Return when ``tick`` has something to do."""
         if not self._room.n_queued:
             return None
-        times = (self._room.next_deadline(), self._open_at)
+        deadline_at = self._room.next_deadline()
+        if deadline_at is not None:
+            deadline_at -= self._least_service_s()
+        times = (deadline_at, self._open_at)
         return min((at for at in times if at is not None), default=None)
 
     def status(self, now: float) -> ServiceStatus:
@@ -202,8 +215,10 @@
         """Queue a new request if it can be served in time."""
         account = pending.job.account
         mean_s = self._ledger.account(account).mean_s
-        wait_s = self._room.work_ahead_s(account, mean_s) / self.servers.capacity
-        if wait_s > pending.job.deadline_at - now:
+        ahead_s = self._room.work_ahead_s(account, mean_s, pending.job.rank)
+        wait_s = ahead_s / self.servers.capacity
+        left_s = pending.job.deadline_at - now
+        if wait_s > 0.0 and wait_s + self._least_service_s() > left_s:
             detail = f"the wait is about {wait_s:.1f} s, longer than the deadline"
             return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
         is_full = self._room.n_queued >= self._room.max_waiting
@@ -212,6 +227,14 @@
             return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
         return self._enqueue(pending) + self._pump(now)
 
+    def _wait_s(self) -> float:
+        """Return the time in which what waits now is served, in seconds."""
+        return max(LEAST_WAIT_S, self._room.work_s / self.servers.capacity)
+
+    def _least_service_s(self) -> float:
+        """Return the time that a server surely takes for a request, in seconds."""
+        return self._latency.mean_s * LEAST_SERVICE_PART
+
     def _enqueue(self, pending: Pending, *, first: bool = False) -> list[Action]:
         """Queue a request, giving up another if there are too many."""
         account = self._ledger.account(pending.job.account)
@@ -226,7 +249,7 @@
         if victim is None:
             return []
         detail = f"client account {victim.job.account!r} has the longest queue"
-        wait_s = self._room.work_s / self.servers.capacity
+        wait_s = self._wait_s()
         kind = truthful(victim, ErrorKind.OVERLOADED)
         return [self._ledger.refuse(victim, kind, detail, wait_s)]
 
@@ -272,7 +295,8 @@
             turn = _Turn()
 
             def fits(pending: Pending, turn: _Turn = turn) -> bool:
-                turn.is_late = now >= pending.job.deadline_at
+                least_s = self._least_service_s()
+                turn.is_late = now + least_s >= pending.job.deadline_at
                 if not turn.is_late:
                     turn.server = self._place(now, pending)
                 return turn.is_late or turn.server is not None
@@ -281,7 +305,7 @@
             if pending is None:
                 break
             if turn.server is None:
-                actions.append(self._ledger.refuse_late(pending))
+                actions.append(self._ledger.refuse_late(pending, self._wait_s()))
             else:
                 actions.append(self._start(now, pending, turn.server))
         self._open_at = self.servers.next_open(now) if self._room.n_queued else None
--- a/packages/routing/src/wagtailpaddle_routing/queues.py
+++ b/packages/routing/src/wagtailpaddle_routing/queues.py
@@ -126,6 +126,11 @@
         """Return the waiting request of an account that came last."""
         return self._lines[account].newest()
 
+    def has_waiting(self, account: AccountId) -> bool:
+        """Return whether a request of an account waits."""
+        line = self._lines.get(account)
+        return line is not None and bool(line.waiting)
+
     def pass_by(self, account: AccountId) -> None:
         """Note that a request is served at once, while nothing waits."""
         line = self._lines.get(account)
--- a/packages/routing/src/wagtailpaddle_routing/waiting.py
+++ b/packages/routing/src/wagtailpaddle_routing/waiting.py
@@ -1,8 +1,11 @@
 """The requests of one service that wait: bounded, in fair order, in time."""
 
+from collections import defaultdict
+
 from wagtailpaddle_core import AccountId, RequestId, ensure
 
 from wagtailpaddle_routing.lengths import Lengths
+from wagtailpaddle_routing.messages import Rank
 from wagtailpaddle_routing.queues import Fits, Queue
 from wagtailpaddle_routing.retry import Pending, State
 from wagtailpaddle_routing.timers import Timers
@@ -14,10 +17,12 @@
     ``work_s`` is the service time that they are expected to take.
     """
 
-    def __init__(self, *, queue: Queue, max_waiting: int):
+    def __init__(self, *, queue: Queue, max_waiting: int, by_rank: bool = False):
+        self._by_rank = by_rank
         self.max_waiting = max_waiting
         self._queue = queue
         self.work_s = 0.0
+        self._work_by_rank: defaultdict[Rank, float] = defaultdict(float)
         self._queued: dict[RequestId, Pending] = {}
         self._lengths = Lengths()
         self._deadlines = Timers()
@@ -27,16 +32,25 @@
         """How many requests wait for a server."""
         return len(self._queued)
 
-    def work_ahead_s(self, account: AccountId, mean_s: float) -> float:
+    def work_ahead_s(
+        self, account: AccountId, mean_s: float, rank: Rank = (0, 0)
+    ) -> float:
         """Return the service time before a new request of ``account``.
 
+        Less urgent work does not count, where the queue lets it wait.
+
         Accounts take turns by service time, so an account that has used
         little of its own waits for little of the others'. ``mean_s`` is what
         a request of this account takes.
         """
         n_own = self._lengths.of(account)
         n_turns = len(self._lengths) + (n_own == 0)
-        return min(self.work_s, (n_own + 1) * n_turns * mean_s)
+        before_s = self.work_s
+        if self._by_rank:
+            before_s = sum(
+                work_s for item, work_s in self._work_by_rank.items() if item <= rank
+            )
+        return min(before_s, (n_own + 1) * n_turns * mean_s)
 
     def is_longest(self, account: AccountId) -> bool:
         """Return whether no queue is longer than that of ``account``."""
@@ -63,6 +77,7 @@
         pending.state = State.QUEUED
         self._queued[request] = pending
         self.work_s += pending.expected_s
+        self._work_by_rank[pending.job.rank] += pending.expected_s
         self._lengths.grow(pending.job.account)
         self._queue.push(pending, first=first)
         self._deadlines.set(request, pending.job.deadline_at)
@@ -98,6 +113,9 @@
 
     def _unlist(self, pending: Pending) -> None:
         del self._queued[pending.job.id]
+        self._work_by_rank[pending.job.rank] -= pending.expected_s
+        if not self._queued:
+            self._work_by_rank.clear()
         self.work_s = self.work_s - pending.expected_s if self._queued else 0.0
         self._lengths.shrink(pending.job.account)
         self._deadlines.clear(pending.job.id)
--- /dev/null
+++ b/packages/routing/tests/test_ranks.py
@@ -0,0 +1,114 @@
+"""More work than the servers can do, of unequal urgency.
+
+The pattern: a burst fills every server. Urgent requests are served before less
+urgent ones, whoever came first; within a rank no account crowds out another.
+"""
+
+import pytest
+from wagtailpaddle_routing import (
+    AttemptOutcome,
+    AttemptResult,
+    Dispatch,
+    Dispatcher,
+    Job,
+    Refuse,
+    ServerView,
+)
+
+SERVICE = "booking"
+WORK_S = 0.2
+N_SLOTS = 8
+GOOD = AttemptResult(AttemptOutcome.ANSWERED, WORK_S, 200)
+
+
+class Overload:
+    """Arrivals at a fixed pace in front of servers that are always good."""
+
+    def __init__(self, queue):
+        self.dispatcher = Dispatcher(queue=queue, limiter="fixed", reserved=0.0, seed=1)
+        views = tuple(
+            ServerView(f"s{n}", "a", slots=4, connections=300)
+            for n in range(N_SLOTS // 4)
+        )
+        self.dispatcher.set_servers(0.0, SERVICE, views)
+        self.running = []
+        self.started = []
+        self.refused = []
+        self.n_sent = 0
+        self.sent_at = {}
+
+    def send(self, now, *, account="x", rank=(0, 0), timeout_s=1.0):
+        self.n_sent += 1
+        name = f"{account}/{rank}/{self.n_sent}"
+        self.sent_at[name] = now
+        job = Job(name, account, SERVICE, True, now, now + timeout_s, rank=rank)
+        self.note(now, self.dispatcher.arrive(now, job))
+
+    def note(self, now, actions):
+        for action in actions:
+            if isinstance(action, Dispatch):
+                self.started.append(action.request)
+                self.running.append((now + WORK_S, action.request))
+            elif isinstance(action, Refuse):
+                self.refused.append((action, now))
+
+    def advance(self, now):
+        for at, request in sorted(self.running):
+            if at <= now:
+                self.running.remove((at, request))
+                self.note(at, self.dispatcher.finish(at, request, GOOD))
+        self.note(now, self.dispatcher.tick(now))
+
+    def run(self, sends, until):
+        """``sends`` is a list of (interval, arguments of send)."""
+        next_at = [0.0] * len(sends)
+        now = 0.0
+        while now < until:
+            now += 0.01
+            self.advance(now)
+            for index, (interval_s, arguments) in enumerate(sends):
+                if now >= next_at[index]:
+                    next_at[index] += interval_s
+                    self.send(now, **arguments)
+
+    def served(self, part):
+        return sum(part in request for request in self.started)
+
+
+@pytest.fixture
+def overload():
+    return Overload("ranked")
+
+
+def test_urgent_requests_are_served_before_others_in_a_burst(overload):
+    # The servers do 40 requests a second; 30 urgent and 30 other ones come.
+    urgent, other = (1 / 30, {"rank": (0, 1)}), (1 / 30, {"rank": (0, 2)})
+    overload.run([urgent, other], until=10.0)
+    n_urgent = overload.served("(0, 1)")
+    n_other = overload.served("(0, 2)")
+    assert n_urgent >= 0.98 * 300
+    assert n_other >= 0.8 * (400 - n_urgent)
+
+
+def test_priority_of_the_account_goes_before_that_of_the_route(overload):
+    first = (1 / 30, {"account": "x", "rank": (0, 9)})
+    second = (1 / 30, {"account": "y", "rank": (1, 0)})
+    overload.run([first, second], until=10.0)
+    assert overload.served("x/") >= 0.98 * 300
+
+
+def test_small_account_is_not_crowded_out_within_a_rank(overload):
+    large, small = (1 / 80, {"account": "large"}), (1 / 8, {"account": "small"})
+    overload.run([large, small], until=10.0)
+    assert overload.served("small/") >= 0.95 * 80
+
+
+def test_what_cannot_be_served_in_time_is_refused_soon_with_a_time_to_return(overload):
+    overload.run([(1 / 120, {"timeout_s": 0.5})], until=5.0)
+    assert overload.refused
+    assert all(action.retry_after_s > 0 for action, _ in overload.refused)
+    # Nobody is held until the deadline: half of the service time is left.
+    held = [now - overload.sent_at[action.request] for action, now in overload.refused]
+    assert max(held) <= 0.5 - WORK_S / 2 + 0.05
+    at_once = sum(held_s <= 0.02 for held_s in held)
+    assert at_once >= 0.8 * len(held)
