Check the promises on the platform like the others

The page's test counted one table; it now counts both (11 and 10 rows), and each row of either names its mechanism, its assertion or that it is judged from outside, and tests that exist.

--- a/packages/standins/tests/test_promises_page.py
+++ b/packages/standins/tests/test_promises_page.py
@@ -7,8 +7,18 @@
 
 TOP = Path(__file__).parents[3]
 PAGE = (TOP / "docs" / "promises.md").read_text()
-ROWS = [line for line in PAGE.splitlines() if line.startswith("| ")][2:]
-FAILURES = "standins/tests/test_failures.py"
+OWN, _, ON_PLATFORM = PAGE.partition("## On the users' platform")
+FILES = {
+    "failures": "standins/tests/test_failures.py",
+    "platform": "standins/tests/test_platform.py",
+}
+
+
+def rows_of(part):
+    return [line for line in part.splitlines() if line.startswith("| ")][2:]
+
+
+ROWS = [*rows_of(OWN), *rows_of(ON_PLATFORM)]
 
 
 @pytest.fixture(scope="module")
@@ -21,8 +31,7 @@
     named = re.findall(r"`([\w/.]+)::(\w+)`", PAGE)
     assert len(named) > 2 * len(ROWS)
     for path, name in named:
-        file = FAILURES if path == "failures" else path
-        source = (TOP / "packages" / file).read_text()
+        source = (TOP / "packages" / FILES.get(path, path)).read_text()
         assert re.search(rf"^(def|class) {name}\b", source, re.MULTILINE), name
 
 
@@ -33,5 +42,5 @@
 
 
 def test_page_has_a_row_for_each_promise():
-    assert len(ROWS) == 11
+    assert (len(rows_of(OWN)), len(rows_of(ON_PLATFORM))) == (11, 10)
     assert all(all(cell.strip() for cell in row.split("|")[1:5]) for row in ROWS)
