Hold state in plain classes, data in frozen ones; one module per job

Change: what changes is a plain class with slots now, whose constructor takes only what callers give; exchanges of the gateway, the membership of a copy and the patience of attempts have modules of their own. Nobody keeps buckets before the fleet had 2 s to meet.

--- a/packages/config/src/wagtailpaddle_config/state.py
+++ b/packages/config/src/wagtailpaddle_config/state.py
@@ -37,18 +37,39 @@
     results: tuple[Result, ...]
 
 
-@dataclass(slots=True)
 class _Draft:
     """Collects the items of a snapshot while it is decoded."""
 
-    base: dict[str, dict[str, Document]]
-    overlays: dict[str, Document]
-    operator: dict[str, dict[str, Entry]]
-    kept: dict[str, dict[str, Document]]
-    revived: dict[str, dict[str, Document]]
-    marks: dict[str, Mark]
-    keys: dict[KeyId, Key]
-    results: list[Result]
+    __slots__ = (
+        "base",
+        "kept",
+        "keys",
+        "marks",
+        "operator",
+        "overlays",
+        "results",
+        "revived",
+    )
+
+    def __init__(
+        self,
+        base: dict[str, dict[str, Document]],
+        overlays: dict[str, Document],
+        operator: dict[str, dict[str, Entry]],
+        kept: dict[str, dict[str, Document]],
+        revived: dict[str, dict[str, Document]],
+        marks: dict[str, Mark],
+        keys: dict[KeyId, Key],
+        results: list[Result],
+    ) -> None:
+        self.base = base
+        self.overlays = overlays
+        self.operator = operator
+        self.kept = kept
+        self.revived = revived
+        self.marks = marks
+        self.keys = keys
+        self.results = results
 
 
 def encode_state(state: State) -> tuple[SnapshotItem, ...]:
--- /dev/null
+++ b/packages/daemon/src/wagtailpaddle_daemon/exchange.py
@@ -0,0 +1,80 @@
+"""A caller's request in flight, and what its server answered so far."""
+
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from wagtailpaddle_core import ServerId, ServiceId
+from wagtailpaddle_once import StoredAnswer
+
+from wagtailpaddle_daemon.caller import Caller
+from wagtailpaddle_daemon.dialect import OWN_DIALECT, Dialect
+from wagtailpaddle_daemon.upstream import AnswerHead, BodyReader, Outgoing
+
+
+class Exchange:
+    """A request in flight, with the running attempt if there is one."""
+
+    __slots__ = (
+        "arrived_at",
+        "attempt",
+        "buffer",
+        "caller",
+        "committed",
+        "head",
+        "load",
+        "n_attempts",
+        "n_buffered",
+        "out",
+        "pending",
+        "queued_s",
+        "reader",
+        "server",
+        "shown_id",
+        "started_at",
+        "timer",
+    )
+
+    def __init__(
+        self,
+        caller: Caller,
+        out: Outgoing,
+        shown_id: bytes = b"",
+        arrived_at: float = 0.0,
+    ) -> None:
+        self.caller = caller
+        self.out = out
+        self.shown_id = shown_id
+        self.arrived_at = arrived_at
+        self.queued_s: float = 0.0
+        self.n_attempts: int = 0
+        self.server: tuple[ServiceId, ServerId] = (ServiceId(""), ServerId(""))
+        self.load: float | None = None
+        self.attempt: int = 0
+        self.started_at: float = 0.0
+        self.pending: Deferred[Any] | None = None
+        self.reader: BodyReader | None = None
+        self.head: AnswerHead | None = None
+        self.buffer: list[bytes] = []
+        self.n_buffered: int = 0
+        self.committed: bool = False
+        self.timer: Any = None
+
+
+def stored_answer(exchange: Exchange) -> StoredAnswer | None:
+    """Return a whole answer for repeats, None if a part of it is gone."""
+    if exchange.committed or exchange.head is None:
+        return None
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in exchange.head.headers
+    )
+    return StoredAnswer(exchange.head.status, headers, b"".join(exchange.buffer))
+
+
+def is_crossed(out: Outgoing, headers: Any, dialect: Dialect = OWN_DIALECT) -> bool:
+    """Return whether an answer belongs to another request than the one sent."""
+    echoed = headers.getRawHeaders(dialect.request_id)
+    if not echoed:
+        return dialect.must_echo
+    sent = [value for name, value in out.headers if name == dialect.request_id]
+    return bool(sent) and echoed[0] != sent[0]
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -1,20 +1,18 @@
 """The gateway: carries out the node's actions on callers and servers."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
-from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 from twisted.web.http import NO_BODY_CODES
-from wagtailpaddle_core import ErrorKind, RequestId, ServerId, ServiceId
+from wagtailpaddle_core import ErrorKind, RequestId
 from wagtailpaddle_node import (
     NodeAction,
     Replay,
     RequestHead,
     RequestNode,
 )
-from wagtailpaddle_once import StoredAnswer
 from wagtailpaddle_routing import (
     LOAD_PARSERS,
     AttemptOutcome,
@@ -30,6 +28,7 @@
 from wagtailpaddle_daemon.caller import Caller, NobodyThere
 from wagtailpaddle_daemon.decisions import DecisionLog
 from wagtailpaddle_daemon.dialect import OWN_DIALECT, Dialect
+from wagtailpaddle_daemon.exchange import Exchange, is_crossed, stored_answer
 from wagtailpaddle_daemon.headers import Header, end_to_end
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
@@ -50,29 +49,6 @@
 log = get_logger("gateway")
 
 
-@dataclass(slots=True)
-class _Exchange:
-    """A request in flight, with the running attempt if there is one."""
-
-    caller: Caller
-    out: Outgoing
-    shown_id: bytes = b""
-    arrived_at: float = 0.0
-    queued_s: float = 0.0
-    n_attempts: int = 0
-    server: tuple[ServiceId, ServerId] = (ServiceId(""), ServerId(""))
-    load: float | None = None
-    attempt: int = 0
-    started_at: float = 0.0
-    pending: Deferred[Any] | None = None
-    reader: BodyReader | None = None
-    head: AnswerHead | None = None
-    buffer: list[bytes] = field(default_factory=list)
-    n_buffered: int = 0
-    committed: bool = False
-    timer: Any = None
-
-
 class Gateway:
     """Joins callers, the node's decisions and backend servers."""
 
@@ -91,7 +67,7 @@
         self._node = node
         self._upstream = upstream
         self._metrics = metrics
-        self._exchanges: dict[RequestId, _Exchange] = {}
+        self._exchanges: dict[RequestId, Exchange] = {}
         self._carriers: dict[type, Callable[[Any], None]] = {}
         self._ticker = Ticker(reactor, node, self._tick)
 
@@ -107,7 +83,7 @@
     def take(self, head: RequestHead, out: Outgoing, caller: Caller) -> None:
         """Take in a whole request from a caller."""
         now = self._reactor.seconds()
-        self._exchanges[head.id] = _Exchange(
+        self._exchanges[head.id] = Exchange(
             caller, out, shown_id=self._shown_id(out), arrived_at=now
         )
         self.carry_out(self._node.on_request(now, head))
@@ -230,7 +206,7 @@
         if exchange.n_buffered > ANSWER_BUFFER_BYTES:
             self._commit(exchange)
 
-    def _commit(self, exchange: _Exchange) -> None:
+    def _commit(self, exchange: Exchange) -> None:
         assert exchange.head is not None
         exchange.committed = True
         exchange.caller.begin(exchange.head)
@@ -256,7 +232,7 @@
         outcome = interpret(status, headers, self._dialect.shed_answers)
         self._finish(request, exchange, outcome, status)
 
-    def _note_leaving(self, exchange: _Exchange, headers: dict[str, str]) -> None:
+    def _note_leaving(self, exchange: Exchange, headers: dict[str, str]) -> None:
         if is_leaving(headers):
             service, server = exchange.server
             now = self._reactor.seconds()
@@ -283,7 +259,7 @@
     def _finish(
         self,
         request: RequestId,
-        exchange: _Exchange,
+        exchange: Exchange,
         outcome: AttemptOutcome,
         status: int = 0,
     ) -> None:
@@ -353,7 +329,7 @@
         if exchange is not None:
             self._stop_attempt(exchange)
 
-    def _stop_attempt(self, exchange: _Exchange) -> None:
+    def _stop_attempt(self, exchange: Exchange) -> None:
         exchange.attempt = 0
         if exchange.timer is not None and exchange.timer.active():
             exchange.timer.cancel()
@@ -367,14 +343,14 @@
         named = (v for name, v in out.headers if name == self._dialect.request_id)
         return next(named, b"")
 
-    def _current(self, request: RequestId, attempt: int) -> _Exchange | None:
+    def _current(self, request: RequestId, attempt: int) -> Exchange | None:
         exchange = self._exchanges.get(request)
         if exchange is None or exchange.attempt != attempt:
             return None
         return exchange
 
     def _measure(
-        self, request: RequestId, exchange: _Exchange, kind: ErrorKind | None
+        self, request: RequestId, exchange: Exchange, kind: ErrorKind | None
     ) -> None:
         now = self._reactor.seconds()
         view = self._node.request_view(request)
@@ -396,23 +372,3 @@
         name.decode("latin-1").lower(): value.decode("latin-1")
         for name, value in headers
     }
-
-
-def stored_answer(exchange: _Exchange) -> StoredAnswer | None:
-    """Return a whole answer for repeats, None if a part of it is gone."""
-    if exchange.committed or exchange.head is None:
-        return None
-    headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in exchange.head.headers
-    )
-    return StoredAnswer(exchange.head.status, headers, b"".join(exchange.buffer))
-
-
-def is_crossed(out: Outgoing, headers: Any, dialect: Dialect = OWN_DIALECT) -> bool:
-    """Return whether an answer belongs to another request than the one sent."""
-    echoed = headers.getRawHeaders(dialect.request_id)
-    if not echoed:
-        return dialect.must_echo
-    sent = [value for name, value in out.headers if name == dialect.request_id]
-    return bool(sent) and echoed[0] != sent[0]
--- a/packages/health/src/wagtailpaddle_health/admission.py
+++ b/packages/health/src/wagtailpaddle_health/admission.py
@@ -1,7 +1,6 @@
 """The life cycle of one backend server between trusted and ejected."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 from automat import TypeMachineBuilder
@@ -53,7 +52,6 @@
         """Let a server work, distrusted, because it is needed."""
 
 
-@dataclass(slots=True)
 class Track:
     """All that a VM keeps on one server with evidence or a past.
 
@@ -69,29 +67,51 @@
     began.
     """
 
-    server: ServerId
-    state: ServerState = ServerState.HEALTHY
-    evidence: Evidence = field(default_factory=Evidence)
-    since: float = 0.0
-    until: float = 0.0
-    severity: int = 0
-    n_ejections: int = 0
-    last_ejected_at: float = 0.0
-    judged_at: float = float("-inf")
-    reason: str = ""
-    kept: bool = False
-    spread_s: float = 0.0
-    verifying: bool = False
-    hinted_at: float = float("-inf")
-    cold: bool = False
-    local: Judgement = NOTHING
-    fleet: Judgement = NOTHING
-    pooled: Judgement = NOTHING
-    inquiry: Inquiry = field(default_factory=Inquiry)
-    marks: dict[ServerId, Mark] | None = None
-    admission: Admission = field(init=False)
-
-    def __post_init__(self) -> None:
+    __slots__ = (
+        "admission",
+        "cold",
+        "evidence",
+        "fleet",
+        "hinted_at",
+        "inquiry",
+        "judged_at",
+        "kept",
+        "last_ejected_at",
+        "local",
+        "marks",
+        "n_ejections",
+        "pooled",
+        "reason",
+        "server",
+        "severity",
+        "since",
+        "spread_s",
+        "state",
+        "until",
+        "verifying",
+    )
+
+    def __init__(self, server: ServerId) -> None:
+        self.server = server
+        self.state: ServerState = ServerState.HEALTHY
+        self.evidence: Evidence = Evidence()
+        self.since: float = 0.0
+        self.until: float = 0.0
+        self.severity: int = 0
+        self.n_ejections: int = 0
+        self.last_ejected_at: float = 0.0
+        self.judged_at: float = float("-inf")
+        self.reason: str = ""
+        self.kept: bool = False
+        self.spread_s: float = 0.0
+        self.verifying: bool = False
+        self.hinted_at: float = float("-inf")
+        self.cold: bool = False
+        self.local: Judgement = NOTHING
+        self.fleet: Judgement = NOTHING
+        self.pooled: Judgement = NOTHING
+        self.inquiry: Inquiry = Inquiry()
+        self.marks: dict[ServerId, Mark] | None = None
         self.admission = _AdmissionMachine(self)
 
     @property
--- a/packages/node/src/wagtailpaddle_node/__init__.py
+++ b/packages/node/src/wagtailpaddle_node/__init__.py
@@ -12,7 +12,7 @@
     RequestView,
 )
 from wagtailpaddle_node.node import Node
-from wagtailpaddle_node.replicacontrol import ReplicaSettings
+from wagtailpaddle_node.replicamembership import ReplicaSettings
 from wagtailpaddle_node.replicanode import ReplicaNode
 from wagtailpaddle_node.requests import OPEN_ACCOUNT
 
--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -1,7 +1,7 @@
 """The control side of a node that keeps a copy of the platform's store."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from wagtailpaddle_config import (
@@ -10,10 +10,9 @@
     configure,
     with_servers,
 )
-from wagtailpaddle_core import AccountId, Offset, VmId, ZoneId, rank
-from wagtailpaddle_fleet import CallerAddresses
+from wagtailpaddle_core import AccountId, Offset, VmId, rank
 from wagtailpaddle_health import HealthDigest, watchers
-from wagtailpaddle_once import OnceAction, Run, StoredAnswer
+from wagtailpaddle_once import OnceAction
 from wagtailpaddle_quota import (
     AskTokens,
     Limit,
@@ -28,7 +27,6 @@
     Follow,
     FollowVm,
     Member,
-    Newest,
     Replica,
     Step,
     Update,
@@ -42,89 +40,21 @@
 from wagtailpaddle_node.healthpages import HealthPages
 from wagtailpaddle_node.messages import NodeAction, Note
 from wagtailpaddle_node.registered import Registered
+from wagtailpaddle_node.replicamembership import (
+    NoClaims,
+    ReplicaMembership,
+    ReplicaSettings,
+)
 
 Decoders = Mapping[Collection, Any]
 
-FRESH_S = 4.5
-KEEP_S = 2.0
 TOKENS_TIMEOUT_S = 0.3
 DUTIES_EVERY_S = 0.25
 N_KEEPERS = 3
-MIN_ADDRESSES = 2
+FLEET_SETTLES_S = 2.0
 MAX_NOTES = 256
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReplicaSettings:
-    """What the platform's settings say to the control side.
-
-    ``fresh_s`` bounds the age of the configuration by which requests with a key
-    are served, ``keep_s`` how long callers keep the directory's answer.
-    ``refill`` names what rate and burst mean, ``window_s`` is the window in which
-    they are counted if it is one.
-    """
-
-    fresh_s: float = FRESH_S
-    keep_s: float = KEEP_S
-    seeds: tuple[str, ...] = ()
-    refill: str = "plain"
-    window_s: float = 5.0
-
-
-class ReplicaMembership:
-    """Freshness and the directory, as the request's way sees them."""
-
-    def __init__(self, replica: Replica, cfg: ReplicaSettings):
-        self._replica = replica
-        self.cfg = cfg
-        self.leaving = False
-
-    def is_fresh(self, now: float) -> bool:
-        """Return whether the configuration is current enough to check keys."""
-        return self._replica.age_s(now, Collection.CONFIG) <= self.cfg.fresh_s
-
-    def may_serve_open(self, now: float) -> bool:
-        """Return whether there is any configuration to serve open routes by."""
-        return self._config.is_known and bool(self._config.values())
-
-    def addresses_for(self, now: float, zone: ZoneId | None) -> CallerAddresses:
-        """Return the addresses for a caller: its zone's, else everybody's."""
-        own = self._replica.own
-        serving = [
-            member
-            for member in self._replica.members.alive(now)
-            if member.caller_address
-        ]
-        if not self.is_fresh(now) or not self.may_serve_open(now):
-            others = self._replica.members.all()
-            serving = [
-                item for item in others if item.caller_address and item.id != own.id
-            ]
-        found = carriers(serving)
-        near = [member for member in found if member.zone == zone]
-        chosen = near if len(near) >= MIN_ADDRESSES else found
-        addresses = tuple(member.caller_address for member in chosen)
-        return CallerAddresses(addresses, self.cfg.keep_s)
-
-    @property
-    def _config(self) -> Newest:
-        return self._replica.copies[Collection.CONFIG]
-
-
-class NoClaims:
-    """Stands in for claims where no caller sends idempotency keys."""
-
-    def begin(self, now: float, request: Any, *_: object) -> tuple[OnceAction, ...]:
-        """Let the request run."""
-        return (Run(request),)
-
-    def finish(
-        self, now: float, request: Any, outcome: Any, answer: StoredAnswer | None = None
-    ) -> tuple[OnceAction, ...]:
-        """Keep nothing."""
-        return ()
-
-
 class ReplicaControl:
     """Everything of a node on the platform that belongs to no single request."""
 
@@ -153,6 +83,7 @@
         self._revision: Offset = 0
         self._duties_at = float("-inf")
         self._carriers: frozenset[VmId] = frozenset()
+        self._fleet_known_at: float | None = None
         self._notes: list[Note] = []
 
     def take_notes(self) -> tuple[Note, ...]:
@@ -355,7 +286,7 @@
         carrying = {member.id for member in found}
         standing_by = [member.id for member in alive if member.id not in carrying]
         keepers = rank("rates", standing_by or sorted(carrying))[:N_KEEPERS]
-        if not self.replica.copies[Collection.VMS].is_known:
+        if not self._knows_fleet(now):
             # Every VM of a fleet that just started would take itself for the keeper.
             keepers = []
         self.quota.set_keepers(now, keepers)
@@ -377,6 +308,16 @@
             if vm != own
         )
 
+    def _knows_fleet(self, now: float) -> bool:
+        """Return whether the VMs of the fleet had the time to find each other."""
+        if (
+            self._fleet_known_at is None
+            and self.replica.copies[Collection.VMS].is_known
+        ):
+            self._fleet_known_at = now
+        known_at = self._fleet_known_at
+        return known_at is not None and now - known_at >= FLEET_SETTLES_S
+
     def _tell_health(self, now: float) -> tuple[Any, ...]:
         digests = self.backends.health.digests(now)
         own = self.replica.own.id
--- a/packages/node/src/wagtailpaddle_node/replicanode.py
+++ b/packages/node/src/wagtailpaddle_node/replicanode.py
@@ -11,11 +11,8 @@
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.base import RequestNode
 from wagtailpaddle_node.messages import NodeAction, Note
-from wagtailpaddle_node.replicacontrol import (
-    Decoders,
-    ReplicaControl,
-    ReplicaSettings,
-)
+from wagtailpaddle_node.replicacontrol import Decoders, ReplicaControl
+from wagtailpaddle_node.replicamembership import ReplicaSettings
 
 
 class ReplicaNode(RequestNode):
--- /dev/null
+++ b/packages/node/tests/test_replica_control.py
@@ -0,0 +1,150 @@
+"""The control side of a node that keeps a copy of the platform's store."""
+
+import pytest
+from wagtailpaddle_config import (
+    ClientAccount,
+    Key,
+    RegisteredServer,
+    Route,
+    Server,
+    Service,
+    SplitPart,
+    WholeDocument,
+)
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_node import ReplicaNode, ReplicaSettings, RequestHead
+from wagtailpaddle_node.registered import LAPSE_GRACE_S, Registered
+from wagtailpaddle_node.replicacontrol import FLEET_SETTLES_S
+from wagtailpaddle_node.splits import Splits
+from wagtailpaddle_replica import Batch, Change, Collection, Member, Record
+from wagtailpaddle_routing import Dispatch, Policy, Refuse
+
+OWN = Member("vm1/1", "a", "vm1:80", "vm1", "1")
+SERVER = Server(id="s1", address="10.0.0.1", port=80, zone="a")
+ENTRY = RegisteredServer(service="booking", server=SERVER)
+
+
+def document(version, *, key="hash"):
+    return WholeDocument(
+        version=version,
+        accounts=(ClientAccount(id="kiosk", rate=100.0, burst=100.0),),
+        routes=(
+            Route(id="book", service="booking", path="/book/"),
+            Route(id="open", service="booking", path="/open/", open=True),
+        ),
+        services=(Service(id="booking"),),
+        keys=(Key(id="k1", account="kiosk", secret_hash=key),),
+    )
+
+
+DOCUMENTS = {b"v5": document(5), b"v9": document(9, key="other"), b"v3": document(3)}
+DECODERS = {
+    Collection.CONFIG: lambda key, data: DOCUMENTS.get(data),
+    Collection.SERVERS: lambda key, data: ENTRY,
+    Collection.VMS: lambda key, data: OWN,
+}
+
+
+def batch(collection, offset, key, data):
+    return Batch(collection, offset + 1, (Record(key, offset, data),), True)
+
+
+@pytest.fixture
+def node():
+    node = ReplicaNode(
+        OWN, DECODERS, cfg=ReplicaSettings(fresh_s=4.5), routing=Policy()
+    )
+    node.on_read(0.0, 0.0, batch(Collection.CONFIG, 0, "config", b"v5"))
+    node.on_read(0.0, 0.0, batch(Collection.SERVERS, 0, "s1", b"x"))
+    node.on_read(0.0, 0.0, batch(Collection.VMS, 0, "vm1", b"x"))
+    return node
+
+
+def request(node, now, path, *, key="hash", name="r1"):
+    head = RequestHead(name, "", path, "GET", key, timeout_s=1.0)
+    found = [
+        action
+        for action in node.on_request(now, head)
+        if isinstance(action, Dispatch | Refuse)
+    ]
+    return found[0]
+
+
+def test_vm_without_a_configuration_refuses_and_is_not_ready():
+    empty = ReplicaNode(OWN, DECODERS, cfg=ReplicaSettings(), routing=Policy())
+    assert request(empty, 0.0, "/none/a").kind is ErrorKind.NOT_FRESH
+    assert not empty.is_ready(0.0)
+
+
+def test_request_goes_to_a_registered_server(node):
+    assert request(node, 0.1, "/book/a").server == "s1"
+    assert node.server_address("booking", "s1") == ("10.0.0.1", 80)
+
+
+def test_only_open_routes_go_on_when_the_configuration_grows_old(node):
+    assert request(node, 5.0, "/book/a").kind is ErrorKind.NOT_FRESH
+    assert request(node, 5.0, "/none/a").kind is ErrorKind.NOT_FRESH
+    assert isinstance(request(node, 5.0, "/open/a", key=None, name="r2"), Dispatch)
+
+
+def test_key_that_a_newer_version_took_away_runs_nothing(node):
+    node.on_read(1.0, 0.9, batch(Collection.CONFIG, 1, "config", b"v9"))
+    assert request(node, 1.1, "/book/a").kind is ErrorKind.KEY_UNKNOWN
+
+
+def test_older_version_or_unreadable_record_changes_nothing(node):
+    node.on_read(1.0, 0.9, batch(Collection.CONFIG, 1, "config", b"v3"))
+    node.on_read(1.2, 1.1, batch(Collection.CONFIG, 2, "config", b"nonsense"))
+    assert node.control.document.version == 5
+    assert isinstance(request(node, 1.3, "/book/a"), Dispatch)
+
+
+def test_nobody_keeps_buckets_before_the_fleet_had_time_to_meet(node):
+    node.on_tick(0.1)
+    assert node.control.quota.keepers == ()
+    node.on_tick(0.2 + FLEET_SETTLES_S)
+    assert node.control.quota.keepers == (OWN.id,)
+
+
+@pytest.fixture
+def registered():
+    found = Registered()
+    found.apply(0.0, (Change("s1", None, ENTRY),), in_grace=False)
+    return found
+
+
+def test_entry_that_vanishes_while_the_store_answers_is_gone_at_once(registered):
+    assert registered.apply(1.0, (Change("s1", ENTRY, None),), in_grace=False)
+    assert len(registered) == 0
+
+
+def test_entry_that_lapsed_in_an_outage_holds_until_it_is_back_or_time_is_over(
+    registered,
+):
+    assert not registered.apply(1.0, (Change("s1", ENTRY, None),), in_grace=True)
+    assert len(registered) == 1
+    assert not registered.expire(1.0 + LAPSE_GRACE_S / 2)
+    registered.apply(2.0, (Change("s1", None, ENTRY),), in_grace=True)
+    assert not registered.expire(1.1 + LAPSE_GRACE_S)
+    registered.apply(3.0, (Change("s1", ENTRY, None),), in_grace=True)
+    assert registered.expire(3.1 + LAPSE_GRACE_S)
+    assert len(registered) == 0
+
+
+def test_entry_of_a_server_that_said_it_leaves_is_gone_even_in_an_outage():
+    found = Registered()
+    leaving = RegisteredServer(
+        service="booking",
+        server=Server(id="s1", address="h", port=1, zone="a", leaving=True),
+    )
+    found.apply(0.0, (Change("s1", None, leaving),), in_grace=False)
+    assert found.apply(1.0, (Change("s1", leaving, None),), in_grace=True)
+
+
+def test_split_is_close_to_its_weights_in_any_run_of_requests():
+    parts = (SplitPart(service="x", weight=1.0), SplitPart(service="y", weight=3.0))
+    route = Route(id="r", service="", path="/", split=parts)
+    splits = Splits()
+    chosen = [splits.choose(route) for _ in range(400)]
+    for begin in range(0, 400, 20):
+        assert chosen[begin : begin + 20].count("x") == 5
--- a/packages/once/src/wagtailpaddle_once/coordinator.py
+++ b/packages/once/src/wagtailpaddle_once/coordinator.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from enum import StrEnum
 
 from wagtailpaddle_core import ErrorKind, RequestId, VmId, ensure
@@ -47,23 +46,50 @@
     FINISHED = "finished"
 
 
-@dataclass(slots=True)
 class _Attempt:
-    id: AttemptId
-    request: RequestId
-    key: ClaimKey
-    fingerprint: str
-    give_up_at: float
-    revision: int
-    replicas: Replicas
-    phase: _Phase = _Phase.PLACING
-    votes: dict[VmId, Placed] = field(default_factory=dict)
-    failed: set[VmId] = field(default_factory=set)
-    next_at: float = 0.0
-    asked: set[VmId] = field(default_factory=set)
-    unsettled: set[VmId] = field(default_factory=set)
-    settle_until: float = 0.0
-    outcome: Store | None = None
+    __slots__ = (
+        "asked",
+        "failed",
+        "fingerprint",
+        "give_up_at",
+        "id",
+        "key",
+        "next_at",
+        "outcome",
+        "phase",
+        "replicas",
+        "request",
+        "revision",
+        "settle_until",
+        "unsettled",
+        "votes",
+    )
+
+    def __init__(
+        self,
+        id: AttemptId,
+        request: RequestId,
+        key: ClaimKey,
+        fingerprint: str,
+        give_up_at: float,
+        revision: int,
+        replicas: Replicas,
+    ) -> None:
+        self.id = id
+        self.request = request
+        self.key = key
+        self.fingerprint = fingerprint
+        self.give_up_at = give_up_at
+        self.revision = revision
+        self.replicas = replicas
+        self.phase: _Phase = _Phase.PLACING
+        self.votes: dict[VmId, Placed] = {}
+        self.failed: set[VmId] = set()
+        self.next_at: float = 0.0
+        self.asked: set[VmId] = set()
+        self.unsettled: set[VmId] = set()
+        self.settle_until: float = 0.0
+        self.outcome: Store | None = None
 
     def settlement(self) -> Withdraw | Store:
         """Return what the replicas have to learn at the end."""
--- a/packages/once/src/wagtailpaddle_once/replica.py
+++ b/packages/once/src/wagtailpaddle_once/replica.py
@@ -1,7 +1,6 @@
 """The replica side: votes on claims, and keeping up with the roster."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 
 from wagtailpaddle_core import VmId, ensure
 
@@ -41,7 +40,6 @@
 """Coordinators asked in one tick."""
 
 
-@dataclass(slots=True)
 class _Syncing:
     """A partition that this VM joined and may not vote on yet.
 
@@ -49,14 +47,26 @@
     one. A VM that left goes on, since others may wait for its claims.
     """
 
-    former: int
-    sources: Replicas
-    since: float
-    answered: set[VmId] = field(default_factory=set)
-    last: int | None = None
-    next_at: float = 0.0
-    pause_s: float = SYNC_INTERVAL_S
-    after: dict[VmId, ClaimKey | None] = field(default_factory=dict)
+    __slots__ = (
+        "after",
+        "answered",
+        "former",
+        "last",
+        "next_at",
+        "pause_s",
+        "since",
+        "sources",
+    )
+
+    def __init__(self, former: int, sources: Replicas, since: float) -> None:
+        self.former = former
+        self.sources = sources
+        self.since = since
+        self.answered: set[VmId] = set()
+        self.last: int | None = None
+        self.next_at: float = 0.0
+        self.pause_s: float = SYNC_INTERVAL_S
+        self.after: dict[VmId, ClaimKey | None] = {}
 
 
 class Replica:
--- a/packages/once/src/wagtailpaddle_once/store.py
+++ b/packages/once/src/wagtailpaddle_once/store.py
@@ -1,7 +1,6 @@
 """The claims that one VM keeps, in bounded memory."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from wagtailpaddle_core import VmId, ensure
 
@@ -28,7 +27,6 @@
     return len(answer.body) + headers
 
 
-@dataclass(slots=True)
 class Entry:
     """A claim; ``attempts`` are several if copies from replicas differ.
 
@@ -36,14 +34,35 @@
     to the coordinators.
     """
 
-    key: ClaimKey
-    partition: int
-    fingerprint: str
-    attempts: tuple[AttemptId, ...]
-    state: ClaimState
-    finished_at: float
-    asked_at: float
-    answer: StoredAnswer | None = None
+    __slots__ = (
+        "answer",
+        "asked_at",
+        "attempts",
+        "fingerprint",
+        "finished_at",
+        "key",
+        "partition",
+        "state",
+    )
+
+    def __init__(
+        self,
+        key: ClaimKey,
+        partition: int,
+        fingerprint: str,
+        attempts: tuple[AttemptId, ...],
+        state: ClaimState,
+        finished_at: float,
+        asked_at: float,
+    ) -> None:
+        self.key = key
+        self.partition = partition
+        self.fingerprint = fingerprint
+        self.attempts = attempts
+        self.state = state
+        self.finished_at = finished_at
+        self.asked_at = asked_at
+        self.answer: StoredAnswer | None = None
 
 
 class ClaimStore:
--- a/packages/peer/src/wagtailpaddle_peer/service.py
+++ b/packages/peer/src/wagtailpaddle_peer/service.py
@@ -127,10 +127,12 @@
         return self._handler(sender, body)
 
 
-@dataclass(slots=True)
 class _Link:
-    channel: Channel
-    used_at: float
+    __slots__ = ("channel", "used_at")
+
+    def __init__(self, channel: Channel, used_at: float) -> None:
+        self.channel = channel
+        self.used_at = used_at
 
 
 class PeerClient:
--- a/packages/quota/src/wagtailpaddle_quota/allowance.py
+++ b/packages/quota/src/wagtailpaddle_quota/allowance.py
@@ -1,7 +1,5 @@
 """The tokens of one client account in one share, and what is lent of them."""
 
-from dataclasses import dataclass
-
 from wagtailpaddle_core import VmId, ensure
 
 LOAN_TERM_S = 1.0
@@ -13,11 +11,13 @@
 SLACK_TOKENS = 1e-6
 
 
-@dataclass(slots=True)
 class _Loan:
-    amount: float
-    until: float
-    sequence: int
+    __slots__ = ("amount", "sequence", "until")
+
+    def __init__(self, amount: float, until: float, sequence: int) -> None:
+        self.amount = amount
+        self.until = until
+        self.sequence = sequence
 
 
 class Allowance:
--- a/packages/quota/src/wagtailpaddle_quota/borrowing.py
+++ b/packages/quota/src/wagtailpaddle_quota/borrowing.py
@@ -3,7 +3,6 @@
 import math
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from wagtailpaddle_core import AccountId, VmId
 
@@ -25,20 +24,33 @@
 IDLE_AFTER_S = 5.0
 
 
-@dataclass(slots=True)
 class _Lender:
     """``tokens`` are at hand, and ``room`` is what the lender keeps for them."""
 
-    tokens: float = 0.0
-    until: float = 0.0
-    sequence: int = 0
-    sent_at: float = 0.0
-    asked: float = 0.0
-    room: float = 0.0
-    failed: bool = False
-    waiting: bool = False
-    not_before: float = 0.0
-    pause_s: float = RETRY_MIN_S
+    __slots__ = (
+        "asked",
+        "failed",
+        "not_before",
+        "pause_s",
+        "room",
+        "sent_at",
+        "sequence",
+        "tokens",
+        "until",
+        "waiting",
+    )
+
+    def __init__(self) -> None:
+        self.tokens: float = 0.0
+        self.until: float = 0.0
+        self.sequence: int = 0
+        self.sent_at: float = 0.0
+        self.asked: float = 0.0
+        self.room: float = 0.0
+        self.failed: bool = False
+        self.waiting: bool = False
+        self.not_before: float = 0.0
+        self.pause_s: float = RETRY_MIN_S
 
 
 class Borrower:
--- a/packages/routing/src/wagtailpaddle_routing/accounts.py
+++ b/packages/routing/src/wagtailpaddle_routing/accounts.py
@@ -1,7 +1,5 @@
 """Client accounts that have requests in this VM, for one service."""
 
-from dataclasses import dataclass
-
 from wagtailpaddle_core import AccountId, ensure
 
 MEAN_SMOOTHING = 0.3
@@ -14,13 +12,15 @@
 SILENCE_DEVIATIONS = 4.0
 
 
-@dataclass(slots=True)
 class Account:
     """What an account has in this VM. ``mean_s`` is the time a request takes."""
 
-    mean_s: float
-    n_pending: int = 0
-    n_running: int = 0
+    __slots__ = ("mean_s", "n_pending", "n_running")
+
+    def __init__(self, mean_s: float) -> None:
+        self.mean_s = mean_s
+        self.n_pending: int = 0
+        self.n_running: int = 0
 
 
 class Accounts:
--- a/packages/routing/src/wagtailpaddle_routing/leaving.py
+++ b/packages/routing/src/wagtailpaddle_routing/leaving.py
@@ -22,15 +22,17 @@
     back: tuple[ServerId, ...] = ()
 
 
-@dataclass(slots=True)
 class _Mark:
     """What is known of one server; ``own`` if it told this VM itself."""
 
-    leaving: bool
-    until: float
-    own: bool
-    told_at: float = float("-inf")
-    n_told: int = 0
+    __slots__ = ("leaving", "n_told", "own", "told_at", "until")
+
+    def __init__(self, leaving: bool, until: float, own: bool) -> None:
+        self.leaving = leaving
+        self.until = until
+        self.own = own
+        self.told_at: float = float("-inf")
+        self.n_told: int = 0
 
 
 class LeavingMarks:
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/patience.py
@@ -0,0 +1,23 @@
+"""How long an attempt may take."""
+
+from wagtailpaddle_routing.accounts import LatencyMeter
+from wagtailpaddle_routing.retry import Pending
+
+
+def give_up_at(
+    now: float, pending: Pending, latency: LatencyMeter, *, may_retry: bool
+) -> float:
+    """Return when to give up on an attempt that begins now.
+
+    The first attempt of an idempotent request gets less than the whole
+    deadline, so that a server that hangs does not use all of it up. The next
+    attempt has the rest, so a slow request still gets its answer.
+    """
+    deadline_at = pending.job.deadline_at
+    if not pending.job.idempotent or pending.n_failed or not may_retry:
+        return deadline_at
+    half_s = (deadline_at - now) / 2
+    patience_s = latency.patience_s
+    if not latency.is_known:
+        patience_s = min(patience_s, half_s)
+    return deadline_at if patience_s > half_s else now + patience_s
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -1,6 +1,5 @@
 """One service: from admitted requests to attempts and answers."""
 
-from dataclasses import dataclass
 from random import Random
 
 from wagtailpaddle_core import (
@@ -28,6 +27,7 @@
     ServerView,
     ServiceStatus,
 )
+from wagtailpaddle_routing.patience import give_up_at
 from wagtailpaddle_routing.picks import PICKERS
 from wagtailpaddle_routing.policy import Policy
 from wagtailpaddle_routing.queues import QUEUES
@@ -52,12 +52,14 @@
 LEAST_WAIT_S = 0.05
 
 
-@dataclass(slots=True)
 class _Turn:
     """The request and the server that a look through the queue found."""
 
-    server: Server | None = None
-    is_late: bool = False
+    __slots__ = ("is_late", "server")
+
+    def __init__(self) -> None:
+        self.server: Server | None = None
+        self.is_late: bool = False
 
 
 class ServicePool:
@@ -324,7 +326,12 @@
         pending.server = server
         pending.n_attempts += 1
         queued_s = now - pending.waiting_since
-        timeout_at = self._timeout_at(now, pending)
+        timeout_at = give_up_at(
+            now,
+            pending,
+            self._latency,
+            may_retry=self.servers.n_usable > 1 and self._budget.is_ample(now),
+        )
         return Dispatch(
             job.id,
             job.service,
@@ -335,24 +342,6 @@
             int(server.limiter.cap),
         )
 
-    def _timeout_at(self, now: float, pending: Pending) -> float:
-        """Return when to give up on the attempt.
-
-        The first attempt of an idempotent request gets less than the whole
-        deadline, so that a server that hangs does not use all of it up. The
-        next attempt has the rest, so a slow request still gets its answer.
-        """
-        deadline_at = pending.job.deadline_at
-        if not pending.job.idempotent or pending.n_failed:
-            return deadline_at
-        half_s = (deadline_at - now) / 2
-        patience_s = self._latency.patience_s
-        if not self._latency.is_known:
-            patience_s = min(patience_s, half_s)
-        if patience_s > half_s or self.servers.n_usable < 2:
-            return deadline_at
-        return now + patience_s if self._budget.is_ample(now) else deadline_at
-
     def _stop(self, now: float, pending: Pending) -> None:
         """Count the running attempt as over."""
         self.servers.release(pending.job.id, pending.running_on)
--- a/packages/routing/src/wagtailpaddle_routing/queues.py
+++ b/packages/routing/src/wagtailpaddle_routing/queues.py
@@ -2,7 +2,6 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from typing import Protocol
 
@@ -46,13 +45,15 @@
 QUEUES: Registry[type[Queue]] = Registry("queue")
 
 
-@dataclass(slots=True)
 class _Line:
     """The waiting requests of one client account."""
 
-    tag: float
-    entry: int = 0
-    waiting: OrderedDict[RequestId, Pending] = field(default_factory=OrderedDict)
+    __slots__ = ("entry", "tag", "waiting")
+
+    def __init__(self, tag: float) -> None:
+        self.tag = tag
+        self.entry: int = 0
+        self.waiting: OrderedDict[RequestId, Pending] = OrderedDict()
 
     def push(self, pending: Pending, *, first: bool) -> None:
         self.waiting[pending.job.id] = pending
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -1,6 +1,5 @@
 """What follows the end of an attempt, and what a refusal may claim."""
 
-from dataclasses import dataclass
 from enum import StrEnum
 
 from wagtailpaddle_core import ANSWERS, ErrorKind, InvariantError, Outcome, ServerId
@@ -25,7 +24,6 @@
     OVER = "over"
 
 
-@dataclass(slots=True)
 class Pending:
     """A request that is not yet answered.
 
@@ -34,20 +32,38 @@
     not be tried again after the running attempt.
     """
 
-    job: Job
-    waiting_since: float
-    state: State = State.QUEUED
-    server: Server | None = None
-    n_attempts: int = 0
-    n_shed: int = 0
-    n_failed: int = 0
-    n_not_sent: int = 0
-    failed_on: frozenset[ServerId] = frozenset()
-    may_have_run: bool = False
-    dropped: ErrorKind | None = None
-    started_at: float = 0.0
-    charged_s: float = 0.0
-    expected_s: float = 0.0
+    __slots__ = (
+        "charged_s",
+        "dropped",
+        "expected_s",
+        "failed_on",
+        "job",
+        "may_have_run",
+        "n_attempts",
+        "n_failed",
+        "n_not_sent",
+        "n_shed",
+        "server",
+        "started_at",
+        "state",
+        "waiting_since",
+    )
+
+    def __init__(self, job: Job, waiting_since: float) -> None:
+        self.job = job
+        self.waiting_since = waiting_since
+        self.state: State = State.QUEUED
+        self.server: Server | None = None
+        self.n_attempts: int = 0
+        self.n_shed: int = 0
+        self.n_failed: int = 0
+        self.n_not_sent: int = 0
+        self.failed_on: frozenset[ServerId] = frozenset()
+        self.may_have_run: bool = False
+        self.dropped: ErrorKind | None = None
+        self.started_at: float = 0.0
+        self.charged_s: float = 0.0
+        self.expected_s: float = 0.0
 
     @property
     def running_on(self) -> Server:
--- a/packages/standins/src/wagtailpaddle_standins/fakes/fabric.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/fabric.py
@@ -22,22 +22,24 @@
     duplicate: float = 0.0
 
 
-@dataclass(slots=True)
 class Process:
     """One incarnation of a process on a VM; its clock starts anywhere."""
 
-    name: str
-    place: str
-    clock_offset_s: float
-    alive: bool = True
-    paused_until: float = 0.0
+    __slots__ = ("alive", "clock_offset_s", "name", "paused_until", "place")
+
+    def __init__(self, name: str, place: str, clock_offset_s: float) -> None:
+        self.name = name
+        self.place = place
+        self.clock_offset_s = clock_offset_s
+        self.alive: bool = True
+        self.paused_until: float = 0.0
 
     def pause_until(self, when: float) -> None:
         """Let the process stand still; a pause under way is not cut short."""
         self.paused_until = max(self.paused_until, when)
 
 
-@dataclass(order=True, slots=True)
+@dataclass(frozen=True, order=True, slots=True)
 class _Event:
     at: float
     number: int
--- a/packages/standins/src/wagtailpaddle_standins/fakes/limiters.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/limiters.py
@@ -1,7 +1,6 @@
 """Ways to hold a rate over a fleet, beside which shares are measured."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 from wagtailpaddle_core import AccountId, Registry, rank
@@ -50,10 +49,12 @@
     )
 
 
-@dataclass(slots=True)
 class _Vm:
-    process: Process
-    buckets: dict[AccountId, TokenBucket] = field(default_factory=dict)
+    __slots__ = ("buckets", "process")
+
+    def __init__(self, process: Process) -> None:
+        self.process = process
+        self.buckets: dict[AccountId, TokenBucket] = {}
 
 
 class _Baseline:
--- a/packages/standins/src/wagtailpaddle_standins/fakes/once_fleet.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/once_fleet.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from wagtailpaddle_core import AccountId, ErrorKind, RequestId, VmId, ZoneId
 from wagtailpaddle_once import (
@@ -25,34 +24,46 @@
 ACCOUNT = AccountId("kiosk")
 
 
-@dataclass(slots=True)
 class Instance:
     """One incarnation of a daemon, reduced to its claim keeper."""
 
-    process: Process
-    keeper: ClaimKeeper
-    revision: int
-    gone: set[VmId] = field(default_factory=set)
+    __slots__ = ("gone", "keeper", "process", "revision")
+
+    def __init__(
+        self,
+        process: Process,
+        keeper: ClaimKeeper,
+        revision: int,
+        gone: set[VmId] | None = None,
+    ) -> None:
+        self.process = process
+        self.keeper = keeper
+        self.revision = revision
+        self.gone: set[VmId] = set() if gone is None else gone
 
 
-@dataclass(slots=True)
 class Request:
     """One request and how it ended."""
 
-    id: RequestId
-    key: str
-    fingerprint: str
-    outcome: Run | Replay | Reject | None = None
+    __slots__ = ("fingerprint", "id", "key", "outcome")
+
+    def __init__(self, id: RequestId, key: str, fingerprint: str) -> None:
+        self.id = id
+        self.key = key
+        self.fingerprint = fingerprint
+        self.outcome: Run | Replay | Reject | None = None
 
 
-@dataclass(slots=True)
 class OnceAudit:
     """What all VMs did together."""
 
-    runs: Counter[str] = field(default_factory=Counter)
-    answers: dict[str, StoredAnswer] = field(default_factory=dict)
-    faults: list[str] = field(default_factory=list)
-    ends: Counter[str] = field(default_factory=Counter)
+    __slots__ = ("answers", "ends", "faults", "runs")
+
+    def __init__(self) -> None:
+        self.runs: Counter[str] = Counter()
+        self.answers: dict[str, StoredAnswer] = {}
+        self.faults: list[str] = []
+        self.ends: Counter[str] = Counter()
 
 
 class OnceFleet:
--- a/packages/standins/src/wagtailpaddle_standins/fakes/world.py
+++ b/packages/standins/src/wagtailpaddle_standins/fakes/world.py
@@ -1,7 +1,6 @@
 """In-memory fakes of the clock, the log, the list of VMs and the network."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
 
@@ -88,12 +87,18 @@
         self._history.append((self._clock.now, tuple(self._entries.values())))
 
 
-@dataclass(slots=True)
 class Traffic:
     """Messages and bytes that were sent, by kind."""
 
-    n_messages: dict[str, int] = field(default_factory=dict)
-    n_bytes: dict[str, int] = field(default_factory=dict)
+    __slots__ = ("n_bytes", "n_messages")
+
+    def __init__(
+        self,
+        n_messages: dict[str, int] | None = None,
+        n_bytes: dict[str, int] | None = None,
+    ) -> None:
+        self.n_messages: dict[str, int] = {} if n_messages is None else n_messages
+        self.n_bytes: dict[str, int] = {} if n_bytes is None else n_bytes
 
     def count(self, kind: str, size: int) -> None:
         """Count one message."""
--- a/packages/standins/src/wagtailpaddle_standins/measure/pools.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/pools.py
@@ -3,7 +3,7 @@
 import heapq
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from random import Random
 
 from wagtailpaddle_core import ServerId, ServiceId, VmId, ZoneId
@@ -35,23 +35,39 @@
 OUT = (ServerState.EJECTED, ServerState.AVOIDED)
 
 
-@dataclass(slots=True)
 class FakePool:
     """One service: its servers, its rate and the faults put into it."""
 
-    service: ServiceId
-    n_servers: int
-    rate: float
-    faults: dict[ServerId, tuple[float, Fault]] = field(default_factory=dict)
-    cut_vms: frozenset[VmId] = frozenset()
-    stopped: bool = False
-    n_requests: int = 0
-    n_failed_attempts: int = 0
-    n_failed_requests: int = 0
-    n_refused: int = 0
-    n_tests: int = 0
-    n_sent_by: Counter[int] = field(default_factory=Counter)
-    n_lost_by: Counter[int] = field(default_factory=Counter)
+    __slots__ = (
+        "cut_vms",
+        "faults",
+        "n_failed_attempts",
+        "n_failed_requests",
+        "n_lost_by",
+        "n_refused",
+        "n_requests",
+        "n_sent_by",
+        "n_servers",
+        "n_tests",
+        "rate",
+        "service",
+        "stopped",
+    )
+
+    def __init__(self, service: ServiceId, n_servers: int, rate: float) -> None:
+        self.service = service
+        self.n_servers = n_servers
+        self.rate = rate
+        self.faults: dict[ServerId, tuple[float, Fault]] = {}
+        self.cut_vms: frozenset[VmId] = frozenset()
+        self.stopped: bool = False
+        self.n_requests: int = 0
+        self.n_failed_attempts: int = 0
+        self.n_failed_requests: int = 0
+        self.n_refused: int = 0
+        self.n_tests: int = 0
+        self.n_sent_by: Counter[int] = Counter()
+        self.n_lost_by: Counter[int] = Counter()
 
     @property
     def servers(self) -> tuple[ServerId, ...]:
--- a/packages/standins/src/wagtailpaddle_standins/measure_state/quota.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure_state/quota.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 
 from wagtailpaddle_core import AccountId, Registry
@@ -112,15 +111,24 @@
     function(place)
 
 
-@dataclass(slots=True)
 class Outcome:
     """Counts over one run, after the warm-up."""
 
-    n_sent: int
-    n_refused: int
-    n_granted: int
-    n_excess: int
-    n_wrongful: int
+    __slots__ = ("n_excess", "n_granted", "n_refused", "n_sent", "n_wrongful")
+
+    def __init__(
+        self,
+        n_sent: int,
+        n_refused: int,
+        n_granted: int,
+        n_excess: int,
+        n_wrongful: int,
+    ) -> None:
+        self.n_sent = n_sent
+        self.n_refused = n_refused
+        self.n_granted = n_granted
+        self.n_excess = n_excess
+        self.n_wrongful = n_wrongful
 
 
 class Reference:
--- a/packages/standins/src/wagtailpaddle_standins/processes.py
+++ b/packages/standins/src/wagtailpaddle_standins/processes.py
@@ -9,7 +9,7 @@
 import tempfile
 import time
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 OPERATOR_TOKEN = "operator-token-of-the-demo"
@@ -53,14 +53,14 @@
     admin: str
 
 
-@dataclass(slots=True)
 class Processes:
     """Processes that this program started, by name."""
 
-    running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
-    folder: Path = field(
-        default_factory=lambda: Path(tempfile.mkdtemp(prefix="wagtailpaddle-"))
-    )
+    __slots__ = ("folder", "running")
+
+    def __init__(self) -> None:
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.folder: Path = Path(tempfile.mkdtemp(prefix="wagtailpaddle-"))
 
     def start(
         self,
--- a/packages/standins/src/wagtailpaddle_standins/soak/audit.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/audit.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 from wagtailpaddle_core import ANSWERS, AccountId, ErrorKind, Outcome, RequestId
 
@@ -13,24 +12,38 @@
 LEAVING_BOUND_S = 5.0
 
 
-@dataclass(slots=True)
 class Audit:
     """Collects evidence while the run goes on; ``broken`` lists violations.
 
     ``base_record`` is the last base published, which alone says who leaves.
     """
 
-    servers: Servers
-    rates: Mapping[AccountId, RateAudit]
-    broken: list[str] = field(default_factory=list)
-    served: Counter[AccountId] = field(default_factory=Counter)
-    refused: Counter[ErrorKind] = field(default_factory=Counter)
-    not_run: dict[RequestId, ErrorKind] = field(default_factory=dict)
-    answered: Counter[RequestId] = field(default_factory=Counter)
-    withdrawn_at: dict[str, float] = field(default_factory=dict)
-    leaving_at: dict[str, float] = field(default_factory=dict)
-    base_record: str = ""
-    once_only: set[RequestId] = field(default_factory=set)
+    __slots__ = (
+        "answered",
+        "base_record",
+        "broken",
+        "leaving_at",
+        "not_run",
+        "once_only",
+        "rates",
+        "refused",
+        "served",
+        "servers",
+        "withdrawn_at",
+    )
+
+    def __init__(self, servers: Servers, rates: Mapping[AccountId, RateAudit]) -> None:
+        self.servers = servers
+        self.rates = rates
+        self.broken: list[str] = []
+        self.served: Counter[AccountId] = Counter()
+        self.refused: Counter[ErrorKind] = Counter()
+        self.not_run: dict[RequestId, ErrorKind] = {}
+        self.answered: Counter[RequestId] = Counter()
+        self.withdrawn_at: dict[str, float] = {}
+        self.leaving_at: dict[str, float] = {}
+        self.base_record: str = ""
+        self.once_only: set[RequestId] = set()
 
     def on_dispatch(self, now: float, key_hash: str | None, server: str) -> None:
         """A node began an attempt."""
