Soak the daemons with faults from outside

Cause: the random runs drive nodes within one process; signals, relays and a store that misbehaves were tried one by one only.

Change: make faults SEED=... runs store, servers, relays and daemons as processes, injects seeded faults in series and overlapping (kills, graceful stops, pauses, reloads, one-way and silent cuts, store failures, forgotten history, failing and leaving servers, withdrawn keys, new routes) and judges what callers and servers saw: runs at most once, true refusals, own answers, keys, accounts, exits, recovery.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SPACE := $(EMPTY) $(EMPTY)
 export PYTHONPATH := $(subst $(SPACE),:,$(strip $(abspath $(SOURCES))))
 
-.PHONY: environment check format test demo bench measure measure-state report soak codec
+.PHONY: environment check format test demo bench measure measure-state report soak faults codec
 
 $(BIN)/.stamp: requirements.txt $(PROJECTS)
 	$(PYTHON) -m venv $(VENV)
@@ -52,3 +52,7 @@
 STEPS ?= 120
 soak: environment
 	$(BIN)/python -m wagtailpaddle_standins.soak --seed $(SEED) --steps $(STEPS)
+
+SEEDS ?= 1
+faults: environment
+	$(BIN)/python -m wagtailpaddle_standins.faultsoak --seed $(SEED) --seeds $(SEEDS)
--- /dev/null
+++ b/packages/standins/src/wagtailpaddle_standins/faultsoak.py
@@ -0,0 +1,366 @@
+"""Random faults on the real daemons in front of the stand-ins of the platform.
+
+``make faults SEED=7`` runs separate processes on loopback, injects seeded faults
+from outside, in series and overlapping, and judges the promises by what callers
+and servers saw.
+"""
+
+import argparse
+import json
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from http.client import HTTPConnection, HTTPException
+from random import Random
+from typing import Any
+
+from wagtailpaddle_core import Registry
+
+from wagtailpaddle_standins.client import wait_for
+from wagtailpaddle_standins.platformsystem import (
+    DOCUMENT,
+    HOST,
+    PlatformSystem,
+    account,
+    call,
+    route,
+)
+
+REVOKE_S = 5.0
+HEAL_S = 20.0
+CALLER_PAUSE_S = 0.06
+CALLER_TIMEOUT_S = 3.5
+N_CALLERS = 6
+NOT_RUN = frozenset({429, 503})
+COMPLAINTS = ("Traceback", "invariant", "Task failed", "Loop died")
+BASE = [item for item in DOCUMENT if item["metadata"]["name"] != "large"]
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One request of a caller and what came back; status 0 without an answer."""
+
+    id: str
+    path: str
+    key: str
+    sent_at: float
+    status: int
+    body: bytes
+    named: str
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """A key that a configuration took away, and when the store had it."""
+
+    key: str
+    at: float
+
+
+class Soak:
+    """One run: the system, its callers, and what they saw."""
+
+    def __init__(self, system: PlatformSystem, seed: int):
+        self.system = system
+        self.random = Random(seed)
+        self.key = "key-0"
+        self.withdrawn: list[Withdrawn] = []
+        self.sent: list[Sent] = []
+        self.cuts: dict[str, list[str]] = {}
+        self.down: set[int] = set()
+        self.exits: list[tuple[int, int]] = []
+        self._n_keys = 0
+        self._over = threading.Event()
+        self._callers: list[threading.Thread] = []
+
+    def publish(self) -> None:
+        """Write the configuration with the key in force."""
+        self.system.publish([*BASE, account("large", self.key)])
+
+    def begin(self) -> None:
+        """Start the callers."""
+        for number in range(N_CALLERS):
+            caller = threading.Thread(target=self._call_on, args=(number,))
+            self._callers.append(caller)
+            caller.start()
+
+    def end(self) -> None:
+        """Stop the callers and wait for their last answers."""
+        self._over.set()
+        for caller in self._callers:
+            caller.join()
+
+    def change_key(self) -> None:
+        """Withdraw the key in force and issue another one."""
+        self._n_keys += 1
+        former, self.key = self.key, f"key-{self._n_keys}"
+        self.publish()
+        self.withdrawn.append(Withdrawn(former, time.monotonic()))
+
+    def _call_on(self, number: int) -> None:
+        random = Random(f"{number}/{self.random.random()}")
+        n_sent = 0
+        while not self._over.is_set():
+            n_sent += 1
+            index = random.randrange(len(self.system.daemons))
+            keys = [self.key, *(item.key for item in self.withdrawn[-1:])]
+            self._send(index, f"c{number}-{n_sent}", random.choice(keys), random)
+            time.sleep(CALLER_PAUSE_S)
+
+    def _send(self, index: int, request_id: str, key: str, random: Random) -> None:
+        method = random.choice(("GET", "POST"))
+        path = ("/read/" if method == "GET" else "/book/") + request_id
+        headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": key}
+        headers["X-Deadline-Ms"] = "3000"
+        sent_at = time.monotonic()
+        port = self.system.daemons[index].caller
+        conn = HTTPConnection("127.0.0.1", port, timeout=CALLER_TIMEOUT_S)
+        status, body, named = 0, b"", ""
+        try:
+            conn.request(method, path, b"", headers)
+            answer = conn.getresponse()
+            body = answer.read()
+            status, named = answer.status, answer.getheader("X-Request-Id", "")
+        except (OSError, HTTPException):
+            status = 0
+        finally:
+            conn.close()
+        self.sent.append(Sent(request_id, path, key, sent_at, status, body, named))
+
+
+Fault = Callable[[Soak], None]
+FAULTS: Registry[Fault] = Registry("soak fault")
+
+
+def _up(soak: Soak) -> int | None:
+    """Return a daemon that runs, or None if only one is left."""
+    running = [n for n in range(len(soak.system.daemons)) if n not in soak.down]
+    return soak.random.choice(running) if len(running) > 1 else None
+
+
+@FAULTS.register("kill")
+def kill(soak: Soak) -> None:
+    """Kill a daemon and start it again."""
+    index = _up(soak)
+    if index is not None:
+        soak.system.processes.kill(f"daemon-{index}")
+        soak.system.start_daemon(index)
+
+
+@FAULTS.register("stop")
+def stop(soak: Soak) -> None:
+    """Stop a daemon gracefully while callers use it; start it again."""
+    index = _up(soak)
+    if index is not None:
+        soak.system.processes.signal(f"daemon-{index}", signal.SIGTERM)
+        status = soak.system.processes.wait(f"daemon-{index}", timeout_s=10.0)
+        soak.exits.append((index, status))
+        soak.system.start_daemon(index)
+
+
+@FAULTS.register("pause")
+def pause(soak: Soak) -> None:
+    """Let a daemon stand still for up to 6 s."""
+    index = _up(soak)
+    if index is None:
+        return
+    soak.down.add(index)
+    soak.system.processes.signal(f"daemon-{index}", signal.SIGSTOP)
+
+    def go_on() -> None:
+        soak.system.processes.signal(f"daemon-{index}", signal.SIGCONT)
+        soak.down.discard(index)
+
+    threading.Timer(soak.random.uniform(0.3, 6.0), go_on).start()
+
+
+@FAULTS.register("reload")
+def reload(soak: Soak) -> None:
+    """Send a daemon SIGHUP."""
+    index = _up(soak)
+    if index is not None:
+        soak.system.processes.signal(f"daemon-{index}", signal.SIGHUP)
+
+
+@FAULTS.register("store")
+def fail_store(soak: Soak) -> None:
+    """Let the store fail in some way, or mend it."""
+    modes: list[dict[str, Any]] = [
+        {},
+        {"status": 503},
+        {"status": 429},
+        {"silent": True},
+        {"slow_s": 0.4},
+        {"lost": 0.5},
+    ]
+    soak.system.set_store(**soak.random.choice(modes))
+
+
+@FAULTS.register("forget")
+def forget(soak: Soak) -> None:
+    """Let the store drop its history."""
+    call(soak.system.store_port, "POST", "/_forget")
+
+
+@FAULTS.register("cut")
+def cut(soak: Soak) -> None:
+    """Cut the way to a server or to the store, one way or both; or heal it."""
+    name = soak.random.choice(soak.system.relays)
+    ways: list[list[str]] = [[], [], ["forward"], ["backward"], ["forward", "backward"]]
+    soak.cuts[name] = soak.random.choice(ways)
+    soak.system.cut({name: ways for name, ways in soak.cuts.items() if ways})
+
+
+@FAULTS.register("server")
+def fail_server(soak: Soak) -> None:
+    """Let a server fail some of its work, or mend it."""
+    server = soak.random.choice(sorted(soak.system.servers))
+    faults = ("", "error", "close", "cut", "crossed", "double", "platform-shed")
+    fault = soak.random.choice((*faults, "hang", "garbage"))
+    soak.system.set_fault(server, fault, fraction=soak.random.choice((0.2, 0.6, 1.0)))
+
+
+@FAULTS.register("drain")
+def drain(soak: Soak) -> None:
+    """Let a server say that it leaves, vanish, or come back."""
+    server = soak.random.choice(sorted(soak.system.servers)[1:])
+    if soak.random.random() < 0.3:
+        soak.system.put("keyed.servers", server, b"")
+    else:
+        state = soak.random.choice(("ready", "draining"))
+        soak.system.register(server, state=state)
+
+
+@FAULTS.register("key")
+def change_key(soak: Soak) -> None:
+    """Withdraw a key and issue another one."""
+    soak.change_key()
+
+
+@FAULTS.register("route")
+def add_route(soak: Soak) -> None:
+    """Write a configuration with one more route."""
+    extra = route("extra", f"/extra-{soak.random.random()}/")
+    soak.system.publish([*BASE, account("large", soak.key), extra])
+
+
+def heal(soak: Soak) -> None:
+    """Mend everything and wait until every daemon serves."""
+    system = soak.system
+    system.set_store()
+    system.cut({})
+    for server in system.servers:
+        system.set_fault(server, "")
+        system.register(server)
+    soak.publish()
+    wait_for(lambda: not soak.down, timeout_s=HEAL_S)
+
+
+def serves(soak: Soak, index: int) -> bool:
+    """Return whether a daemon serves a request with the key in force."""
+    answer = soak.system.request(index, "GET", "/read/heal", key=soak.key)
+    return answer.status == 200
+
+
+def broken(soak: Soak) -> list[str]:
+    """Return the promises that were broken, with the request that shows it."""
+    ran: dict[str, list[dict[str, str]]] = {}
+    for server in soak.system.servers:
+        for seen in soak.system.seen(server):
+            named = {name.lower(): value for name, value in seen["headers"]}
+            named["_path"] = seen["uri"]
+            ran.setdefault(named["x-request-id"], []).append(named)
+    found = []
+    for sent in soak.sent:
+        found += _broken_by(soak, sent, ran.get(sent.id, []))
+    keys = {sent.key for sent in soak.sent}
+    for request_id, runs in ran.items():
+        if any(key in str(run) for run in runs for key in keys):
+            found.append(f"a server saw the key of {request_id}")
+    found += [
+        f"daemon {index} ended with {status} when it was stopped"
+        for index, status in soak.exits
+        if status
+    ]
+    return found
+
+
+def _broken_by(soak: Soak, sent: Sent, runs: list[dict[str, str]]) -> list[str]:
+    found = []
+    once = sent.path.startswith("/book/")
+    if once and len(runs) > 1:
+        found.append(f"{sent.id} ran {len(runs)} times")
+    if once and sent.status in NOT_RUN and runs:
+        found.append(f"{sent.id} ran and was answered {sent.status}")
+    if sent.status == 200:
+        is_own = sent.named == sent.id and sent.path.encode() in sent.body
+        if not is_own:
+            found.append(f"{sent.id} got the answer {sent.body[:60]!r}")
+    if any(run.get("x-tenant") != "large" for run in runs):
+        found.append(f"{sent.id} ran for another client account")
+    for item in soak.withdrawn:
+        is_late = sent.key == item.key and sent.sent_at > item.at + REVOKE_S
+        if is_late and runs:
+            late_s = sent.sent_at - item.at
+            found.append(f"{sent.id} ran {late_s:.1f} s after its key was withdrawn")
+    return found
+
+
+def complaints(soak: Soak) -> list[str]:
+    """Return the lines in which daemons tell of a fault of their own."""
+    found = []
+    for index in range(len(soak.system.daemons)):
+        text = soak.system.processes.log_path(f"daemon-{index}").read_text()
+        lines = [x for x in text.splitlines() if any(word in x for word in COMPLAINTS)]
+        found += [f"daemon {index}: {line[:200]}" for line in lines[:3]]
+    return found
+
+
+def run(seed: int, *, n_steps: int, n_daemons: int = 4) -> list[str]:
+    """Run one seed and return what was broken."""
+    with PlatformSystem(n_daemons=n_daemons, n_servers=5, relayed=True) as system:
+        soak = Soak(system, seed)
+        soak.publish()
+        wait_for(partial(serves, soak, 0), timeout_s=HEAL_S)
+        soak.begin()
+        try:
+            for _ in range(n_steps):
+                name = soak.random.choice(FAULTS.names())
+                FAULTS[name](soak)
+                time.sleep(soak.random.choice((0.0, 0.1, 0.5, 1.5)))
+        finally:
+            heal(soak)
+        unhealed = [
+            f"daemon {index} does not serve after everything was mended"
+            for index in range(n_daemons)
+            if not wait_for(partial(serves, soak, index), timeout_s=HEAL_S)
+        ]
+        soak.end()
+        n_good = sum(item.status == 200 for item in soak.sent)
+        print(json.dumps({"seed": seed, "sent": len(soak.sent), "served": n_good}))
+        return unhealed + broken(soak) + complaints(soak)
+
+
+def main() -> int:
+    """Run the seeds that were asked for; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--steps", type=int, default=25, help="faults in a run")
+    parser.add_argument("--daemons", type=int, default=4, help="daemons in a run")
+    args = parser.parse_args()
+    n_broken = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        found = run(seed, n_steps=args.steps, n_daemons=args.daemons)
+        for line in found[:10]:
+            print(f"seed {seed}: {line}", flush=True)
+        n_broken += bool(found)
+    print(f"{n_broken} of {args.seeds} seeds broke a promise")
+    return 1 if n_broken else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/packages/standins/src/wagtailpaddle_standins/platformsystem.py
+++ b/packages/standins/src/wagtailpaddle_standins/platformsystem.py
@@ -13,6 +13,7 @@
 from wagtailpaddle_standins.client import wait_for
 from wagtailpaddle_standins.deployments import ZONES
 from wagtailpaddle_standins.processes import Processes, ReservedPorts
+from wagtailpaddle_standins.relays import CONTROL_PATH as RELAY_CONTROL_PATH
 
 HOST = "shop.example"
 CALL_TIMEOUT_S = 10.0
@@ -91,11 +92,19 @@
 
 
 class PlatformSystem:
-    """Store, servers and daemons as processes; use it in a ``with``."""
+    """Store, servers and daemons as processes; use it in a ``with``.
 
-    def __init__(self, *, n_daemons: int = 3, n_servers: int = 3):
+    With ``relayed`` daemons reach the store, and everybody the servers, through
+    relays, so that ``cut`` can drop what goes one way.
+    """
+
+    def __init__(
+        self, *, n_daemons: int = 3, n_servers: int = 3, relayed: bool = False
+    ):
         self.processes = Processes()
-        self._ports = ReservedPorts(1 + n_servers + PORTS_PER_DAEMON * n_daemons)
+        n_relays = n_servers + n_daemons + 1 if relayed else 0
+        n_ports = 1 + n_servers + PORTS_PER_DAEMON * n_daemons + n_relays
+        self._ports = ReservedPorts(n_ports)
         self.store_port = self._ports.take()
         self.servers = {f"s{n}": self._ports.take() for n in range(n_servers)}
         self.daemons = [
@@ -107,6 +116,22 @@
         ]
         self._version = 0
         self._sequence = 0
+        self._relays: dict[str, int] = {}
+        self._control_port = self._ports.take() if relayed else 0
+        if relayed:
+            ends = [*self.servers, *(f"store-{n}" for n in range(n_daemons))]
+            self._relays = {name: self._ports.take() for name in ends}
+
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """The names of the relays: servers, and the store for each daemon."""
+        return tuple(self._relays)
+
+    def cut(self, dropped: dict[str, list[str]]) -> None:
+        """Let relays drop ``forward`` or ``backward`` bytes; others pass on."""
+        table = {str(self._relays[name]): ways for name, ways in dropped.items()}
+        body = json.dumps(table).encode()
+        call(self._control_port, "PUT", RELAY_CONTROL_PATH, body=body)
 
     def __enter__(self) -> "PlatformSystem":
         try:
@@ -131,7 +156,7 @@
         """Write the entry of a server."""
         self._sequence += 1
         entry = {
-            "address": f"127.0.0.1:{self.servers[server]}",
+            "address": f"127.0.0.1:{self._relays.get(server, self.servers[server])}",
             "info": {"service": SERVICE, "version": "v1", "zone": "a", "slots": 4},
             "status": {"state": state, "sequence": self._sequence},
             "born": 1,
@@ -195,7 +220,8 @@
     def start_daemon(self, index: int) -> None:
         """Start one daemon with a settings file as the platform writes it."""
         path = self.processes.folder / f"boot-{index}.conf"
-        path.write_text("\n".join(self._settings(self.daemons[index])))
+        store_port = self._relays.get(f"store-{index}", self.store_port)
+        path.write_text("\n".join(self._settings(self.daemons[index], store_port)))
         self.processes.start(
             f"daemon-{index}",
             "wagtailpaddle_platform",
@@ -203,7 +229,7 @@
             env={**os.environ, SETTINGS_VARIABLE: str(path)},
         )
 
-    def _settings(self, at: DaemonPorts) -> list[str]:
+    def _settings(self, at: DaemonPorts, store_port: int) -> list[str]:
         seeds = ",".join(f"127.0.0.1:{other.peer}" for other in self.daemons[:2])
         return [
             f"zone={at.zone}",
@@ -221,7 +247,7 @@
             "bounds.retryRatio=0.2",
             "bounds.retrySlack=56",
             "bounds.quotaWindowS=5",
-            f"platform.address=127.0.0.1:{self.store_port}",
+            f"platform.address=127.0.0.1:{store_port}",
         ]
 
     def _start(self) -> None:
@@ -231,6 +257,13 @@
         self.processes.start(
             "servers", "wagtailpaddle_standins.platformserver", servers
         )
+        if self._relays:
+            targets = dict.fromkeys(self.relays, self.store_port) | self.servers
+            arguments = [f"--control={self._control_port}"]
+            arguments += [
+                f"--relay={port}={targets[name]}" for name, port in self._relays.items()
+            ]
+            self.processes.start("relays", "wagtailpaddle_standins.relays", arguments)
         if not wait_for(self._is_up):
             raise RuntimeError("the stand-ins did not start in time")
         self.publish(DOCUMENT)
