Tell a gap in what is known from entries that lapsed

Change: an outage is a gap of 3 s in what is known of servers, from any source; less cannot let an entry lapse, which takes three heartbeats.

--- a/packages/quota/src/wagtailpaddle_quota/stock.py
+++ b/packages/quota/src/wagtailpaddle_quota/stock.py
@@ -36,8 +36,11 @@
 """Requests/s below which a rate does not lengthen Retry-After any more."""
 
 LOCAL_START_TOKENS = 1.0
-LOCAL_PARTS = 9.0
-"""Into how many parts a rate is cut while no keeper of buckets is reached."""
+START_PARTS = 6.0
+"""Into how many parts a rate is cut while the fleet starts and has no keeper."""
+
+CUT_PARTS = 12.0
+"""Into how many parts a rate is cut at a VM that reaches none of its keepers."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,4 +255,5 @@
         limit = self._limits(account)
         if limit is None:
             return None
-        return Limit(limit.rate / LOCAL_PARTS, max(1.0, limit.burst / LOCAL_PARTS))
+        parts = CUT_PARTS if self._keepers else START_PARTS
+        return Limit(limit.rate / parts, max(1.0, limit.burst / parts))
--- a/packages/quota/tests/test_stocked_rates.py
+++ b/packages/quota/tests/test_stocked_rates.py
@@ -11,7 +11,7 @@
 from wagtailpaddle_quota import Granted, Limit, Refused, StockedRates, WaitUntil
 from wagtailpaddle_quota.bucket import TokenBucket
 from wagtailpaddle_quota.pool import START_TOKENS, refill_for_windows
-from wagtailpaddle_quota.stock import AVOID_S, LOCAL_PARTS
+from wagtailpaddle_quota.stock import AVOID_S, CUT_PARTS
 
 LIMIT = Limit(rate=10.0, burst=20.0)
 VMS = tuple(f"vm{n}" for n in range(7))
@@ -124,7 +124,7 @@
     vm = VMS[3]
     fleet.cut = {vm}
     granted = sum(fleet.request(10.0 + n * 0.01, vm) for n in range(1000))
-    part = LIMIT.rate / LOCAL_PARTS
+    part = LIMIT.rate / CUT_PARTS
     assert part * 10.0 - 2 <= granted <= part * 10.0 + START_TOKENS + 2
 
 
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -22,11 +22,18 @@
 from wagtailpaddle_replica.newest import Change, Decode, Newest
 from wagtailpaddle_replica.reading import Reading
 
-HOLD_S = 0.3
-FOLLOW_TIMEOUT_S = 0.8
+HOLD_S = 0.2
+FOLLOW_TIMEOUT_S = 0.6
 AVOID_S = 2.0
-PATIENCE_S = 1.0
-STANDBY_PATIENCE_S = 1.4
+PATIENCE_S = 0.8
+STANDBY_PATIENCE_S = 1.0
+LAPSE_AFTER_S = 3.0
+"""Entries of servers lapse after three heartbeats of silence, of which up to one may
+have passed before the store went away."""
+
+LAPSE_GRACE_S = 2.2
+"""Within this time of the store's return the entries of live servers are back."""
+
 REGISTER_RETRY_S = 1.0
 
 
@@ -76,6 +83,7 @@
         self._registered = False
         self._register_at = 0.0
         self._leaving = False
+        self._back_at: float | None = None
 
     # State
 
@@ -90,7 +98,8 @@
 
     def in_grace(self, now: float) -> bool:
         """Return whether servers may have lapsed while the store was away."""
-        return self.reading.in_grace(now)
+        back_at = self._back_at
+        return back_at is not None and now - back_at < LAPSE_GRACE_S
 
     # Events
 
@@ -130,7 +139,7 @@
             return Step()
         told_at = update.clock + max(0.0, update.held_s)
         self.members.see(now, update.sightings)
-        self.reading.note_outage(now, _or_never(update.outage_age_s))
+        self._note_outage(now, update.outage_age_s)
         ages = {
             Collection.CONFIG: update.config_age_s,
             Collection.SERVERS: update.servers_age_s,
@@ -179,7 +188,7 @@
             for copy in self.copies.values()
             if (batch := copy.since(follow.start_of(copy.collection))) is not None
         )
-        back_at = self.reading.back_at
+        back_at = self._back_at
         return Update(
             clock=follow.clock,
             held_s=now - asked_at,
@@ -230,7 +239,7 @@
         is_relay = all(member.zone != self.own.zone for member in followed)
         if is_relay:
             return PATIENCE_S
-        return STANDBY_PATIENCE_S + 0.3 * self._rng.random()
+        return STANDBY_PATIENCE_S + 0.2 * self._rng.random()
 
     def _follow(self, now: float) -> list[ReplicaAction]:
         if self._following is not None:
@@ -281,7 +290,7 @@
     def _take(self, now: float, batches: tuple[tuple[Batch, float], ...]) -> Step:
         changed = []
         for batch, as_of in batches:
-            changes = self.copies[batch.collection].apply(batch, as_of)
+            changes = self._apply(now, batch, as_of)
             if changes:
                 changed.append(Changed(batch.collection, changes))
             if batch.collection is Collection.VMS:
@@ -289,6 +298,22 @@
         actions = (News(),) if changed else ()
         return Step(actions, tuple(changed))
 
+    def _apply(self, now: float, batch: Batch, as_of: float) -> tuple[Change, ...]:
+        """Apply a batch, and notice that nothing was heard of servers for long."""
+        copy = self.copies[batch.collection]
+        before = copy.as_of
+        changes = copy.apply(batch, as_of)
+        is_gap = before != float("-inf") and copy.as_of - before >= LAPSE_AFTER_S
+        if batch.collection is Collection.SERVERS and is_gap:
+            self._back_at = now
+        return changes
+
+    def _note_outage(self, now: float, age_s: float) -> None:
+        """Another VM told how long ago the store came back."""
+        if age_s >= 0.0:
+            at = now - age_s
+            self._back_at = at if self._back_at is None else max(at, self._back_at)
+
     def _note_members(self, now: float, changes: tuple[Change, ...]) -> None:
         for change in changes:
             if change.key == self.own.peer_address:
@@ -301,7 +326,3 @@
     def _told_age(self, now: float, collection: Collection) -> float:
         copy = self.copies[collection]
         return now - copy.as_of if copy.is_known else NEVER_S
-
-
-def _or_never(age_s: float) -> float:
-    return age_s if age_s >= 0.0 else NEVER_S
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -19,7 +19,7 @@
     upstreams,
 )
 from wagtailpaddle_replica.members import ALIVE_S, GONE_S
-from wagtailpaddle_replica.replica import PATIENCE_S
+from wagtailpaddle_replica.replica import LAPSE_GRACE_S, PATIENCE_S
 
 
 def member(name, zone="a", *, incarnation="1"):
@@ -210,8 +210,33 @@
 def test_store_that_was_away_gives_lapsed_entries_time_to_return(make_replica):
     replica = make_replica("a0")
     fill(replica, 0.0)
-    for at in (1.0, 2.0, 3.0):
-        replica.on_read_failed(at, Collection.SERVERS)
     replica.on_read(4.0, 3.9, Batch(Collection.SERVERS, 2, ()))
     assert replica.in_grace(4.5)
-    assert not replica.in_grace(7.0)
+    assert not replica.in_grace(4.0 + LAPSE_GRACE_S)
+
+
+def test_entries_cannot_lapse_in_an_outage_shorter_than_their_heartbeats(make_replica):
+    """A server that left meanwhile is gone, not lapsed (rcml-gateway fresh-b21d)."""
+    replica = make_replica("a0")
+    fill(replica, 0.0)
+    for at in (0.5, 1.0, 1.5):
+        replica.on_read_failed(at, Collection.SERVERS)
+    replica.on_read(2.0, 1.9, Batch(Collection.SERVERS, 2, ()))
+    assert not replica.in_grace(2.0)
+
+
+def test_vm_that_the_store_turned_away_but_that_followed_others_knows_no_outage(
+    make_replica,
+):
+    replica = make_replica("a0")
+    fill(replica, 0.0)
+    replica.on_read_failed(0.5, Collection.SERVERS)
+    (follow,) = of_kind(replica.on_tick(0.6), FollowVm)
+    for second in range(1, 10):
+        replica.on_read_failed(second, Collection.SERVERS)
+        told = replica.update(second, follow.body, second)
+        fresh = replace(told, config_age_s=0.1, servers_age_s=0.1)
+        step = replica.on_update(second + 0.1, follow.address, fresh, follow.body)
+        (follow,) = of_kind(step, FollowVm)
+    replica.on_read(10.0, 9.9, Batch(Collection.SERVERS, 2, ()))
+    assert not replica.in_grace(10.0)
--- a/packages/standins/src/wagtailpaddle_standins/backend.py
+++ b/packages/standins/src/wagtailpaddle_standins/backend.py
@@ -24,6 +24,7 @@
 HEALTH_PATH = "/_health"
 HEALTH_CONTROL_PATH = "/_health_control"
 FAULT_MARK = "fault"
+NOT_RUN_FAULTS = frozenset({"shed", "platform-shed"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +91,7 @@
         body = json.dumps(asdict(seen)).encode()
         request.setHeader(b"content-type", b"application/json")
         mode = self._mode_of(path)
-        if mode.fault != "shed" and self._keep:
+        if mode.fault not in NOT_RUN_FAULTS and self._keep:
             self._seen.append(seen)
         if mode.fault:
             FAULTS[mode.fault](request, body, mode.parameter)
--- a/packages/standins/src/wagtailpaddle_standins/faultsoak.py
+++ b/packages/standins/src/wagtailpaddle_standins/faultsoak.py
@@ -30,6 +30,7 @@
 )
 
 REVOKE_S = 5.0
+OK = 200
 HEAL_S = 20.0
 CALLER_PAUSE_S = 0.06
 CALLER_TIMEOUT_S = 3.5
@@ -136,9 +137,19 @@
 
 
 def _up(soak: Soak) -> int | None:
-    """Return a daemon that runs, or None if only one is left."""
+    """Return a daemon that listens, or None if only one is left."""
     running = [n for n in range(len(soak.system.daemons)) if n not in soak.down]
-    return soak.random.choice(running) if len(running) > 1 else None
+    if len(running) < 2:
+        return None
+    index = soak.random.choice(running)
+    wait_for(partial(listens, soak, index), timeout_s=HEAL_S)
+    return index
+
+
+def listens(soak: Soak, index: int) -> bool:
+    """Return whether a daemon answers for itself, ready or not."""
+    port = soak.system.daemons[index].monitoring
+    return call(port, "GET", "/status").status == OK
 
 
 @FAULTS.register("kill")
--- a/packages/standins/tests/test_fault_soak.py
+++ b/packages/standins/tests/test_fault_soak.py
@@ -1,6 +1,5 @@
 """A short seeded run of the fault soak, and the seeds that ever broke a promise."""
 
-import pytest
 from wagtailpaddle_standins.faultsoak import run
 
 SHORT_SEED = 1
