--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -230,12 +230,13 @@
 ):
     replica = make_replica("a0")
     fill(replica, 0.0)
+    everybody = tuple(Sighting(vm.id, 0.0) for vm in FLEET)
     replica.on_read_failed(0.5, Collection.SERVERS)
     (follow,) = of_kind(replica.on_tick(0.6), FollowVm)
     for second in range(1, 10):
         replica.on_read_failed(second, Collection.SERVERS)
         told = replica.update(second, follow.body, second)
-        fresh = replace(told, config_age_s=0.1, servers_age_s=0.1)
+        fresh = replace(told, config_age_s=0.1, servers_age_s=0.1, sightings=everybody)
         step = replica.on_update(second + 0.1, follow.address, fresh, follow.body)
         (follow,) = of_kind(step, FollowVm)
     replica.on_read(10.0, 9.9, Batch(Collection.SERVERS, 2, ()))
