--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -18,6 +18,7 @@
 from wagtailpaddle_daemon.followers import Followers
 from wagtailpaddle_daemon.front import FrontFactory, Limits
 from wagtailpaddle_daemon.gateway import Gateway
+from wagtailpaddle_daemon.healthlog import log_health_events
 from wagtailpaddle_daemon.hosting import (
     RegularCalls,
     listen,
@@ -230,14 +231,7 @@
         self._front.close_slow(now)
         self._upstream.close_idle(now)
         self._peers.close_idle()
-        for event in self.node.health.events():
-            log.info(
-                f"Server {event.kind.value}.",
-                service=event.service,
-                server=event.server,
-                reason=event.reason,
-                score=round(event.score, 2),
-            )
+        log_health_events(self.node)
 
 
 def make_member(cfg: ReplicaDaemonSettings) -> Member:
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -15,6 +15,7 @@
 from wagtailpaddle_daemon.feed import Feed, start_coroutine
 from wagtailpaddle_daemon.front import FrontFactory, Limits
 from wagtailpaddle_daemon.gateway import Gateway
+from wagtailpaddle_daemon.healthlog import log_health_events
 from wagtailpaddle_daemon.hosting import (
     RegularCalls,
     listen,
@@ -168,14 +169,7 @@
         self._upstream.close_idle(now)
         self._peers.close_idle()
         self._feed.write_snapshots()
-        for event in self.node.health.events():
-            log.info(
-                f"Server {event.kind.value}.",
-                service=event.service,
-                server=event.server,
-                reason=event.reason,
-                score=round(event.score, 2),
-            )
+        log_health_events(self.node)
 
     def _directory(self, key_hash: str | None, zone: str | None) -> bytes:
         now = self._reactor.seconds()
