Show on the command line what VMs on the platform believe

wagtailpaddle vm show asks the monitoring page of each VM and prints configuration, ages, servers, who carries callers, whom it follows and who keeps the buckets; one that does not answer says why.

--- a/packages/cli/src/wagtailpaddle_cli/parser.py
+++ b/packages/cli/src/wagtailpaddle_cli/parser.py
@@ -14,6 +14,7 @@
     routes,
     status,
     tokens,
+    vms,
 )
 from wagtailpaddle_cli.commands import COMMANDS, Command
 from wagtailpaddle_cli.exits import MEANINGS, CommandError, Exit
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -1,3 +1,7 @@
+import json
+import threading
+from http.server import BaseHTTPRequestHandler, HTTPServer
+
 import pytest
 from wagtailpaddle_cli.exits import CommandError, Exit, of_problem
 from wagtailpaddle_cli.main import main
@@ -159,3 +163,56 @@
     table = {"type": "a:conflict", "detail": detail, "changed_by": "anna", "current": 4}
     assert str(of_problem(table)).count("anna") == 1
     assert "'anna' made revision 4" in str(of_problem({**table, "detail": "stale"}))
+
+
+BELIEFS = {
+    "vm": "10.0.0.1:81/1",
+    "state": "serving",
+    "ready": True,
+    "configuration": 17,
+    "age_s": {"config": 0.3, "servers": 0.2},
+    "servers": {"booking": [{"id": "s1", "leaving": True}]},
+    "alive": ["10.0.0.1:81/1"],
+    "carriers": ["10.0.0.1:81/1"],
+    "follows": [],
+    "keepers": [],
+}
+
+
+@pytest.fixture
+def vm_page():
+    """Serve one VM's page of beliefs; yield its address."""
+
+    class Page(BaseHTTPRequestHandler):
+        def do_GET(self):  # noqa: N802
+            body = json.dumps(BELIEFS).encode()
+            self.send_response(200)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *_):
+            """Keep the test's output clean."""
+
+    server = HTTPServer(("127.0.0.1", 0), Page)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.shutdown()
+    server.server_close()
+
+
+def test_vm_show_prints_what_a_vm_believes_and_who_does_not_answer(run, vm_page):
+    ran = run("vm", "show", vm_page, "127.0.0.1:1")
+    assert ran.status == 0
+    assert "1 (1 leave)" in ran.text
+    assert "the store" in ran.text
+    assert "refused" in ran.text
+
+
+def test_vm_show_without_an_answer_has_its_own_status(run):
+    assert run("vm", "show", "127.0.0.1:1").status == 3
+
+
+def test_vm_show_names_an_address_that_is_none(run):
+    with pytest.raises(CommandError, match="'nowhere' is not HOST:PORT"):
+        run("vm", "show", "nowhere")
