Let a fleet that starts anew admit two requests in a row

Change: two tokens at first and room for three at each VM without a keeper; six VMs that carry callers stay within the stated slack of 20 together.

--- a/packages/quota/src/wagtailpaddle_quota/pool.py
+++ b/packages/quota/src/wagtailpaddle_quota/pool.py
@@ -16,6 +16,9 @@
 AT_ONCE_PART = 0.3
 """Part of the burst that may come at once, where limits hold in windows."""
 
+LEAST_SIZE = 3.0
+"""Tokens that a bucket holds at least, as far as the burst allows."""
+
 AMPLE_PART = 0.5
 """Tokens ahead of the demand are given while the bucket is at least this full."""
 
@@ -56,7 +59,7 @@
     >>> refill_for_windows(Limit(rate=10.0, burst=20.0), 5.0)
     Refill(rate=12.8, burst=6.0)
     """
-    size = max(1.0, limit.burst * AT_ONCE_PART)
+    size = max(min(LEAST_SIZE, limit.burst), limit.burst * AT_ONCE_PART, 1.0)
     spread = max(0.0, limit.burst - size)
     return Refill(limit.rate + spread / window_s, size)
 
--- a/packages/quota/src/wagtailpaddle_quota/stock.py
+++ b/packages/quota/src/wagtailpaddle_quota/stock.py
@@ -35,7 +35,11 @@
 MIN_RATE = 0.1
 """Requests/s below which a rate does not lengthen Retry-After any more."""
 
-LOCAL_START_TOKENS = 1.0
+LOCAL_START_TOKENS = 2.0
+LOCAL_LEAST_BURST = 3.0
+"""Requests that may come at once at a VM without a keeper, so that an account with a
+small part there is not refused for two requests in a row."""
+
 START_PARTS = 6.0
 """Into how many parts a rate is cut while the fleet starts and has no keeper."""
 
@@ -256,4 +260,5 @@
         if limit is None:
             return None
         parts = CUT_PARTS if self._keepers else START_PARTS
-        return Limit(limit.rate / parts, max(1.0, limit.burst / parts))
+        burst = max(LOCAL_LEAST_BURST, limit.burst / parts)
+        return Limit(limit.rate / parts, burst)
--- a/packages/quota/tests/test_stocked_rates.py
+++ b/packages/quota/tests/test_stocked_rates.py
@@ -181,6 +181,16 @@
     assert n_late + later.n_granted <= allowed
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_fleet_that_starts_anew_refuses_little_within_the_rate(seed):
+    """Six VMs carry the callers of an account at its usual part of its rate."""
+    fleet = windowed_fleet()
+    for rates in fleet.rates.values():
+        rates.set_keepers(0.0, ())
+    n_sent = fleet.run(0.0, 2.0, per_s=LIMIT.rate * 0.6, seed=seed, vms=VMS[:6])
+    assert fleet.n_granted >= n_sent - 2
+
+
 def windowed_fleet():
     fleet = Fleet()
     fleet.rates = {
