Keep the stand-ins of the platform beside its adapter

Cause: the stand-ins, which speak the platform's names, stood outside platform/.

Change: store, server, system and the fault soak are wagtailpaddle_platform_standins in platform/, not shipped.

--- a/packages/standins/tests/test_platform_client.py
+++ b/packages/standins/tests/test_platform_client.py
@@ -16,7 +16,7 @@
 from wagtailpaddle_daemon.store import StoreError
 from wagtailpaddle_platform.client import PlatformStore
 from wagtailpaddle_replica import Collection, Member
-from wagtailpaddle_standins.platformstore import Mode, PlatformStoreService
+from wagtailpaddle_platform_standins.store import Mode, PlatformStoreService
 
 MEMBER = Member("vm/1", "a", "10.0.0.1:80", "10.0.0.1:81", "1")
 
