Let a hangup not end a daemon

Change: SIGHUP reloads where there is something to reload, and has no effect elsewhere. Test: test_hangup_does_not_end_a_daemon failed first (exit status -1), passes now.

--- a/packages/daemon/src/wagtailpaddle_daemon/main.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/main.py
@@ -39,7 +39,7 @@
     """Run a daemon until SIGTERM or SIGINT; a second signal ends at once.
 
     ``make`` gets the reactor and returns an object with ``start`` and ``stop``.
-    SIGHUP calls ``on_reload``.
+    SIGHUP calls ``on_reload``; without it the signal has no effect.
     """
     reactor: Any = install()
     log = get_logger("daemon")
@@ -69,8 +69,12 @@
         Deferred.fromCoroutine(daemon.start()).addErrback(fail)
 
     reactor.callWhenRunning(begin)
-    if on_reload is not None:
-        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(on_reload))
+
+    def on_hangup(*_: Any) -> None:
+        if on_reload is not None:
+            reactor.callFromThread(on_reload)
+
+    signal.signal(signal.SIGHUP, on_hangup)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     reactor.run(installSignalHandlers=False)
--- a/packages/standins/tests/test_whole_path.py
+++ b/packages/standins/tests/test_whole_path.py
@@ -1,3 +1,6 @@
+import signal
+import time
+
 from wagtailpaddle_standins.client import wait_for
 
 
@@ -41,3 +44,11 @@
 def test_body_over_the_limit_is_refused(system, issue):
     caller = system.caller(0, issue()["secret"])
     assert caller.request("POST", "/deliveries", b"x" * 2_000_000).status == 413
+
+
+def test_hangup_does_not_end_a_daemon(system):
+    """A terminal or a shell that goes away sends SIGHUP to what it started."""
+    system.processes.signal("daemon-1", signal.SIGHUP)
+    time.sleep(0.3)
+    assert system.processes.running["daemon-1"].poll() is None
+    assert system.operator(1).request("GET", "/v1/status").status == 200
