Keep one copy of the lapse grace and drop a time that nobody read

From reading the diff as a newcomer: the constant stood twice, a start time was kept and not used, servers by service had no type of their own.

--- a/packages/config/src/wagtailpaddle_config/__init__.py
+++ b/packages/config/src/wagtailpaddle_config/__init__.py
@@ -58,6 +58,7 @@
 from wagtailpaddle_config.whole import (
     CallerLimits,
     RegisteredServer,
+    Servers,
     WholeDocument,
     by_service,
     configure,
@@ -67,6 +68,7 @@
 __all__ = [
     "CallerLimits",
     "RegisteredServer",
+    "Servers",
     "SplitPart",
     "WholeDocument",
     "by_service",
--- a/packages/node/src/wagtailpaddle_node/registered.py
+++ b/packages/node/src/wagtailpaddle_node/registered.py
@@ -1,13 +1,8 @@
 """Servers that registered themselves, with those that may only have lapsed."""
 
-from collections.abc import Mapping
-
-from wagtailpaddle_config import RegisteredServer, by_service
-from wagtailpaddle_core import ServerId, ServiceId
-from wagtailpaddle_replica import Change
-
-LAPSE_GRACE_S = 2.2
-"""For how long an entry that lapsed during an outage of the store still holds."""
+from wagtailpaddle_config import RegisteredServer, Servers, by_service
+from wagtailpaddle_core import ServerId
+from wagtailpaddle_replica import LAPSE_GRACE_S, Change
 
 
 class Registered:
@@ -41,7 +36,7 @@
         over = [key for key, until in self._lapsed.items() if until <= now]
         return bool([key for key in over if self._drop(key)])
 
-    def servers(self) -> Mapping[ServiceId, object]:
+    def servers(self) -> Servers:
         """Return the servers by service."""
         return by_service(self._entries.values())
 
--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -275,7 +275,7 @@
             return ()
         self._revision += 1
         stated = configure(self.document, self._revision)
-        servers: Any = self.registered.servers()
+        servers = self.registered.servers()
         self.configuration = with_servers(stated, servers, self.configuration)
         self.pages.configure(now, self.configuration)
         return self.backends.configure(now, self.configuration)
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -13,10 +13,17 @@
 )
 from wagtailpaddle_core import ErrorKind
 from wagtailpaddle_node import ReplicaNode, ReplicaSettings, RequestHead
-from wagtailpaddle_node.registered import LAPSE_GRACE_S, Registered
+from wagtailpaddle_node.registered import Registered
 from wagtailpaddle_node.replicacontrol import FLEET_SETTLES_S
 from wagtailpaddle_node.splits import Splits
-from wagtailpaddle_replica import Batch, Change, Collection, Member, Record
+from wagtailpaddle_replica import (
+    LAPSE_GRACE_S,
+    Batch,
+    Change,
+    Collection,
+    Member,
+    Record,
+)
 from wagtailpaddle_routing import Dispatch, Policy, Refuse
 
 OWN = Member("vm1/1", "a", "vm1:80", "vm1", "1")
--- a/packages/replica/src/wagtailpaddle_replica/__init__.py
+++ b/packages/replica/src/wagtailpaddle_replica/__init__.py
@@ -17,10 +17,17 @@
     WriteMember,
 )
 from wagtailpaddle_replica.newest import Change, Newest
-from wagtailpaddle_replica.replica import HOLD_S, Changed, Replica, Step
+from wagtailpaddle_replica.replica import (
+    HOLD_S,
+    LAPSE_GRACE_S,
+    Changed,
+    Replica,
+    Step,
+)
 
 __all__ = [
     "HOLD_S",
+    "LAPSE_GRACE_S",
     "Batch",
     "Change",
     "Changed",
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -77,7 +77,6 @@
         self.copies = {item: Newest(item, decoders[item]) for item in Collection}
         self._seeds = tuple(item for item in seeds if item != own.peer_address)
         self._rng = rng
-        self._started_at: float | None = None
         self._following: str | None = None
         self._avoid_until: dict[str, float] = {}
         self._registered = False
@@ -105,8 +104,6 @@
 
     def on_tick(self, now: float) -> Step:
         """Read, follow or register as is due; called some times a second."""
-        if self._started_at is None:
-            self._started_at = now
         actions: list[ReplicaAction] = [*self._register(now)]
         actions += self._read(now)
         actions += self._follow(now)
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -4,6 +4,7 @@
 
 import pytest
 from wagtailpaddle_replica import (
+    LAPSE_GRACE_S,
     Batch,
     Collection,
     FollowVm,
@@ -19,7 +20,7 @@
     upstreams,
 )
 from wagtailpaddle_replica.members import ALIVE_S, GONE_S
-from wagtailpaddle_replica.replica import LAPSE_GRACE_S, PATIENCE_S
+from wagtailpaddle_replica.replica import PATIENCE_S
 
 
 def member(name, zone="a", *, incarnation="1"):
