Let a large fleet follow in a tree, and the largest VMs carry callers

Every VM asked its zone's relay five times a second, and each answer named the last sight of all VMs by their ids (4.5 KB, 0.26 ms to encode, 0.22 ms to decode here); relays on VMs of 0.43 cores fell behind, so the others lost patience and read the store themselves.

Ruled out: the store's own start (about 500 of the calls) and its answers, which came in time.

Change: VMs that stand by ask twice a second, those that carry callers or are followed five times; sightings go out twice a second, as packed numbers; 24 VMs at most follow one, in a tree below the relay. A VM's record says how many cores it has: the largest carry callers, as many as the servers' slots keep busy, and smaller ones are named less often. The fleet's retries are cut into as many parts as VMs carry callers. Work that runs once no longer goes out on a connection that was idle for over 0.15 s, because servers of the grown sites forget idle connections after 0.2 to 0.3 s. Messages without a fleet secret are no longer serialized twice more for a digest that is not taken.

--- a/packages/daemon/src/wagtailpaddle_daemon/followers.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/followers.py
@@ -4,7 +4,9 @@
 from typing import Any
 
 from wagtailpaddle_node import ReplicaNode
-from wagtailpaddle_replica import HOLD_S, Follow, News, Update
+from wagtailpaddle_replica import Follow, News, Update
+
+MAX_HOLD_S = 2.0
 
 
 class Followers:
@@ -25,7 +27,7 @@
         """Return the answer to a question."""
         asked_at = self._reactor.seconds()
         self._carry_out(self._node.on_follow(asked_at, body))
-        until = asked_at + HOLD_S
+        until = asked_at + min(body.hold_s, MAX_HOLD_S)
         while not self._node.has_news(body):
             left_s = until - self._reactor.seconds()
             if left_s <= 0.0:
--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -48,12 +48,13 @@
     """Where the daemon listens, and the bounds that the platform states.
 
     ``linger_s`` is how long a leaving daemon takes new connections, ``grace_s``
-    when it must have ended.
+    when it must have ended, ``cores`` the VM's processor.
     """
 
     zone: ZoneId
     caller_address: str
     peer_address: str
+    cores: float = 1.0
     grace_s: float = 6.0
     linger_s: float = 3.0
     control: ReplicaSettings = field(default_factory=ReplicaSettings)
@@ -243,4 +244,5 @@
         caller_address=cfg.caller_address,
         peer_address=cfg.peer_address,
         incarnation=incarnation,
+        cores=cfg.cores,
     )
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -24,7 +24,7 @@
 from wagtailpaddle_daemon.secrets import has_key_form
 
 SAFE_IDLE_S = 30.0
-UNSAFE_IDLE_S = 1.0
+UNSAFE_IDLE_S = 0.15
 MAX_ANSWER_HEADERS = 100
 VALID_TARGET = re.compile(rb"[\x21-\x7e]+")
 VALID_METHOD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
--- a/packages/node/src/wagtailpaddle_node/base.py
+++ b/packages/node/src/wagtailpaddle_node/base.py
@@ -65,6 +65,10 @@
         request_at = self._flow.next_wake(now)
         return max(now, at if request_at is None else min(at, request_at))
 
+    def stirs(self, reply: Any) -> bool:
+        """Return whether something may follow soon from what a peer replied."""
+        return True
+
     # Events of peers and of time
 
     def on_message(self, now: float, sender: VmId, body: Any) -> Any:
@@ -78,7 +82,8 @@
     ) -> tuple[NodeAction, ...]:
         """A peer answered a ``CallPeer``."""
         swept = self._begin(now)
-        self._pace.stir(now)
+        if self.stirs(reply):
+            self._pace.stir(now)
         actions = self.control.on_peer_reply(now, call, reply)
         actions = self._flow.settle(now, actions) + self._flow.retry_tokens(now)
         return swept + actions + self._flow.sweep(now)
--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -52,6 +52,10 @@
 DUTIES_EVERY_S = 0.25
 N_KEEPERS = 3
 FLEET_SETTLES_S = 2.0
+FEWEST_CARRIERS = 6
+"""Into how many parts the fleet's retries are cut at least: a VM that does not know
+the others yet must not take itself for all of them."""
+
 MAX_NOTES = 256
 
 
@@ -69,7 +73,7 @@
     ):
         self.backends = backends
         self.replica = Replica(own, decoders, seeds=cfg.seeds, seed=seed)
-        self.membership = ReplicaMembership(self.replica, cfg)
+        self.membership = ReplicaMembership(self.replica, cfg, seed=seed)
         self.quota = StockedRates(
             own.id, self.limit_of, refill=cfg.refill, window_s=cfg.window_s
         )
@@ -277,12 +281,17 @@
         stated = configure(self.document, self._revision)
         servers = self.registered.servers()
         self.configuration = with_servers(stated, servers, self.configuration)
+        self.membership.n_slots = sum(
+            server.slots
+            for service in self.configuration.services.values()
+            for server in service.servers
+        )
         self.pages.configure(now, self.configuration)
         return self.backends.configure(now, self.configuration)
 
     def _settle_duties(self, now: float) -> tuple[NodeAction, ...]:
         alive = self.replica.members.alive(now)
-        found = carriers(alive)
+        found = carriers(alive, n_slots=self.membership.n_slots)
         carrying = {member.id for member in found}
         standing_by = [member.id for member in alive if member.id not in carrying]
         keepers = rank("rates", standing_by or sorted(carrying))[:N_KEEPERS]
@@ -290,10 +299,12 @@
             # Every VM of a fleet that just started would take itself for the keeper.
             keepers = []
         self.quota.set_keepers(now, keepers)
+        self.replica.is_carrier = self.replica.own.id in carrying
         present = frozenset(carrying)
         if present == self._carriers:
             return ()
         self._carriers = present
+        self.backends.dispatcher.share_retries(now, max(FEWEST_CARRIERS, len(present)))
         self._note("VMs that carry callers.", vms=sorted(present), alive=len(alive))
         self.pages.set_vms(now, present)
         return self.backends.set_vms(now, present)
--- a/packages/node/src/wagtailpaddle_node/replicamembership.py
+++ b/packages/node/src/wagtailpaddle_node/replicamembership.py
@@ -1,12 +1,20 @@
 """How current a copy of the store must be to serve, and whom callers are sent to."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 from wagtailpaddle_core import ZoneId
 from wagtailpaddle_fleet import CallerAddresses
 from wagtailpaddle_once import OnceAction, Run, StoredAnswer
-from wagtailpaddle_replica import Collection, Newest, Replica, carriers
+from wagtailpaddle_replica import (
+    Collection,
+    Member,
+    Newest,
+    Replica,
+    carriers,
+)
 
 FRESH_S = 4.5
 KEEP_S = 2.0
@@ -33,10 +41,12 @@
 class ReplicaMembership:
     """Freshness and the directory, as the request's way sees them."""
 
-    def __init__(self, replica: Replica, cfg: ReplicaSettings):
+    def __init__(self, replica: Replica, cfg: ReplicaSettings, *, seed: int = 0):
         self._replica = replica
+        self._random = Random(f"addresses/{seed}/{replica.own.id}")
         self.cfg = cfg
         self.leaving = False
+        self.n_slots = 0
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the configuration is current enough to check keys."""
@@ -47,7 +57,10 @@
         return self._config.is_known and bool(self._config.values())
 
     def addresses_for(self, now: float, zone: ZoneId | None) -> CallerAddresses:
-        """Return the addresses for a caller: its zone's, else everybody's."""
+        """Return the addresses for a caller: its zone's, else everybody's.
+
+        Callers choose evenly among them, so smaller VMs are named less often.
+        """
         own = self._replica.own
         serving = [
             member
@@ -59,12 +72,22 @@
             serving = [
                 item for item in others if item.caller_address and item.id != own.id
             ]
-        found = carriers(serving)
+        found = carriers(serving, n_slots=self.n_slots)
         near = [member for member in found if member.zone == zone]
-        chosen = near if len(near) >= MIN_ADDRESSES else found
+        chosen = self._by_size(near if len(near) >= MIN_ADDRESSES else found)
         addresses = tuple(member.caller_address for member in chosen)
         return CallerAddresses(addresses, self.cfg.keep_s)
 
+    def _by_size(self, members: Sequence[Member]) -> Sequence[Member]:
+        """Return the largest VMs and, now and then, each of the smaller ones."""
+        largest = max((member.cores for member in members), default=0.0)
+        kept = [
+            member
+            for member in members
+            if self._random.random() * largest <= member.cores
+        ]
+        return kept if len(kept) >= MIN_ADDRESSES else members
+
     @property
     def _config(self) -> Newest:
         return self._replica.copies[Collection.CONFIG]
--- a/packages/node/src/wagtailpaddle_node/replicanode.py
+++ b/packages/node/src/wagtailpaddle_node/replicanode.py
@@ -56,11 +56,19 @@
         """Return what changed in this VM's beliefs since the last call."""
         return self.control.take_notes()
 
+    def stirs(self, reply: Any) -> bool:
+        """Return whether something may follow soon from what a peer replied.
+
+        The next question to another VM is asked at once, without a tick.
+        """
+        return not isinstance(reply, Update)
+
     def on_read(
         self, now: float, sent_at: float, batch: Batch
     ) -> tuple[NodeAction, ...]:
         """The store answered a read that was sent at ``sent_at``."""
         swept = self._begin(now)
+        self._pace.stir(now)
         actions = self.control.on_read(now, sent_at, batch)
         return swept + self._flow.settle(now, actions) + self._flow.sweep(now)
 
--- a/packages/peer/src/wagtailpaddle_peer/service.py
+++ b/packages/peer/src/wagtailpaddle_peer/service.py
@@ -62,6 +62,10 @@
             keyed.update(part)
         return keyed.hexdigest()
 
+    def signed(self, message: Any) -> bytes:
+        """Return the bytes of a message that the digest covers, if there is one."""
+        return message.SerializeToString(deterministic=True) if self.secret else b""
+
     def metadata(self, *parts: bytes) -> dict[str, str]:
         """Return the metadata that carry the digest; none without a secret.
 
@@ -103,17 +107,17 @@
         envelope = await stream.recv_message()
         if envelope is None:
             raise GRPCError(Status.INVALID_ARGUMENT, "no message")
-        data = envelope.SerializeToString(deterministic=True)
+        data = self._security.signed(envelope)
         presented = (stream.metadata or {}).get(MAC_HEADER, "")
         if not self._security.is_valid(presented, data):
             raise GRPCError(Status.UNAUTHENTICATED, "wrong fleet secret")
-        if len(data) > MAX_MESSAGE_BYTES:
+        if envelope.ByteSize() > MAX_MESSAGE_BYTES:
             raise GRPCError(Status.RESOURCE_EXHAUSTED, "the message is too large")
         answer = self._answer(envelope)
         if isawaitable(answer):
             answer = await answer
         reply = encode_envelope(self._vm, Acknowledged() if answer is None else answer)
-        told = reply.SerializeToString(deterministic=True)
+        told = self._security.signed(reply)
         await stream.send_initial_metadata(metadata=self._security.metadata(data, told))
         await stream.send_message(reply)
 
@@ -179,7 +183,7 @@
     async def _exchange(
         self, address: str, envelope: pb.Envelope, timeout_s: float
     ) -> pb.Envelope:
-        data = envelope.SerializeToString(deterministic=True)
+        data = self._security.signed(envelope)
         stub = PeerStub(self._channel(address))
         metadata = self._security.metadata(data)
         try:
@@ -192,7 +196,7 @@
             raise ConnectionError(f"the connection was lost: {exc}") from None
         if answer is None:
             raise MessageError("no reply")
-        told = answer.SerializeToString(deterministic=True)
+        told = self._security.signed(answer)
         if not self._security.is_valid(presented, data, told):
             raise MessageError("the reply does not carry the fleet secret")
         return answer
--- a/packages/peer/src/wagtailpaddle_peer/wire.py
+++ b/packages/peer/src/wagtailpaddle_peer/wire.py
@@ -57,13 +57,14 @@
 
 
 def _extend(held: Any, values: tuple[Any, ...]) -> None:
+    if not values or isinstance(values[0], int | float | str | bytes):
+        held.extend(values)
+        return
     for value in values:
         if is_dataclass(value):
             fill(held.add(), value)
-        elif isinstance(value, tuple):
-            held.add(first=value[0], second=value[1])
         else:
-            held.append(value)
+            held.add(first=value[0], second=value[1])
 
 
 def _read_field(wire: Any, name: str, reader: Reader, is_optional: bool) -> Any:
@@ -110,6 +111,8 @@
 def _tuple_reader(item: Any) -> Reader:
     if get_origin(item) is tuple:
         return lambda wire: tuple((pair.first, pair.second) for pair in wire)
+    if item is int:
+        return tuple
     reader = _reader(item)
     return lambda wire: tuple(reader(value) for value in wire)
 
--- a/packages/replica/src/wagtailpaddle_replica/__init__.py
+++ b/packages/replica/src/wagtailpaddle_replica/__init__.py
@@ -12,7 +12,7 @@
     ReadStore,
     Record,
     ReplicaAction,
-    Sighting,
+    Sightings,
     Update,
     WriteMember,
 )
@@ -42,7 +42,7 @@
     "Record",
     "Replica",
     "ReplicaAction",
-    "Sighting",
+    "Sightings",
     "Step",
     "Update",
     "WriteMember",
--- a/packages/replica/src/wagtailpaddle_replica/members.py
+++ b/packages/replica/src/wagtailpaddle_replica/members.py
@@ -2,13 +2,28 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from functools import lru_cache
 
-from wagtailpaddle_core import VmId
+from wagtailpaddle_core import VmId, score
 
-from wagtailpaddle_replica.messages import Member, Sighting
+from wagtailpaddle_replica.messages import Member, Sightings
 
 ALIVE_S = 2.0
 GONE_S = 20.0
+FOLLOWED_S = 1.0
+"""A VM that somebody asked for news within this time has followers."""
+
+CENTISECONDS_PER_S = 100.0
+TAG_CACHE_SIZE = 16384
+
+
+@lru_cache(maxsize=TAG_CACHE_SIZE)
+def tag_of(vm: VmId) -> int:
+    """Return the number that names one incarnation of a VM in ``Sightings``.
+
+    It has 63 bits, so no two of some thousand VMs share one.
+    """
+    return score("tag", vm) >> 1
 
 
 class Members:
@@ -21,7 +36,9 @@
     def __init__(self, own: Member):
         self.own = own
         self._members: dict[str, Member] = {own.peer_address: own}
-        self._seen_at: dict[VmId, float] = {}
+        self._sorted: tuple[Member, ...] | None = None
+        self._seen_at: dict[int, float] = {}
+        self._followed_at: dict[int, float] = {}
 
     def learn(self, now: float, member: Member) -> bool:
         """Take in a VM; return whether it was not known."""
@@ -30,8 +47,11 @@
             return False
         if known is not None and known.incarnation >= member.incarnation:
             return False
+        if known is not None:
+            self._forget_tag(known)
         self._members[member.peer_address] = member
-        self._seen_at.setdefault(member.id, now)
+        self._sorted = None
+        self._seen_at.setdefault(tag_of(member.id), now)
         return True
 
     def forget(self, address: str) -> bool:
@@ -41,59 +61,81 @@
         member = self._members.pop(address, None)
         if member is None:
             return False
-        self._seen_at.pop(member.id, None)
+        self._sorted = None
+        self._forget_tag(member)
         return True
 
-    def see(self, now: float, sightings: Iterable[Sighting]) -> None:
+    def see(self, now: float, sightings: Sightings) -> None:
         """Take in who heard from whom."""
-        known = {member.id for member in self._members.values()}
-        for sighting in sightings:
-            if sighting.vm in known and sighting.age_s >= 0.0:
-                at = now - sighting.age_s
-                self._seen_at[sighting.vm] = max(
-                    at, self._seen_at.get(sighting.vm, float("-inf"))
-                )
-
-    def heard(self, now: float, vm: VmId) -> None:
-        """Note that this VM itself heard from another one."""
-        self._seen_at[vm] = now
-
-    def sightings(
-        self, now: float, *, within_s: float = GONE_S
-    ) -> tuple[Sighting, ...]:
+        for tag, at in self._times(now, sightings):
+            if at > self._seen_at[tag]:
+                self._seen_at[tag] = at
+
+    def followed(self, now: float, vm: VmId, below: Sightings) -> None:
+        """A VM asked this one for news; ``below`` are those that follow it."""
+        if tag_of(vm) in self._seen_at:
+            self._seen_at[tag_of(vm)] = self._followed_at[tag_of(vm)] = now
+        for tag, at in self._times(now, below):
+            self._seen_at[tag] = max(at, self._seen_at[tag])
+            self._followed_at[tag] = max(at, self._followed_at.get(tag, at))
+
+    def has_followers(self, now: float) -> bool:
+        """Return whether some VM asked this one for news lately."""
+        return any(now - at <= FOLLOWED_S for at in self._followed_at.values())
+
+    def followers(self, now: float) -> Sightings:
+        """Return the VMs that follow this one, if through others."""
+        return _sightings(now, self._followed_at, ALIVE_S)
+
+    def sightings(self, now: float) -> Sightings:
         """Return when VMs were last heard from; this one was just now."""
-        found = [Sighting(self.own.id, 0.0)]
-        for vm, at in self._seen_at.items():
-            age_s = now - at
-            if age_s <= within_s:
-                found.append(Sighting(vm, round(age_s, 2)))
-        return tuple(found)
+        return _sightings(now, {**self._seen_at, tag_of(self.own.id): now}, GONE_S)
 
     def all(self) -> tuple[Member, ...]:
         """Return every known VM, by address."""
-        return tuple(self._members[name] for name in sorted(self._members))
+        if self._sorted is None:
+            self._sorted = tuple(self._members[name] for name in sorted(self._members))
+        return self._sorted
 
     def alive(self, now: float) -> tuple[Member, ...]:
         """Return the VMs that were heard from lately, this one included."""
+        oldest = now - ALIVE_S
         return tuple(
             member
             for member in self.all()
-            if member.id == self.own.id or self._is_alive(now, member.id)
+            if member is self.own or self._seen_at[tag_of(member.id)] >= oldest
         )
 
     def silent(self, now: float) -> tuple[Member, ...]:
         """Return the VMs that nobody heard from for ``GONE_S``."""
+        oldest = now - GONE_S
         return tuple(
             member
             for member in self.all()
-            if member.id != self.own.id
-            and now - self._seen_at.get(member.id, now) > GONE_S
+            if member is not self.own and self._seen_at[tag_of(member.id)] < oldest
         )
 
     def leave(self) -> None:
         """Mark this VM as leaving: callers are sent to others."""
         self.own = replace(self.own, caller_address="")
         self._members[self.own.peer_address] = self.own
-
-    def _is_alive(self, now: float, vm: VmId) -> bool:
-        return now - self._seen_at.get(vm, float("-inf")) <= ALIVE_S
+        self._sorted = None
+
+    def _times(self, now: float, sightings: Sightings) -> Iterable[tuple[int, float]]:
+        """Yield when known VMs were heard from, by their tags."""
+        for tag, age_cs in zip(sightings.tags, sightings.ages_cs, strict=False):
+            if tag in self._seen_at and age_cs >= 0:
+                yield tag, now - age_cs / CENTISECONDS_PER_S
+
+    def _forget_tag(self, member: Member) -> None:
+        self._seen_at.pop(tag_of(member.id), None)
+        self._followed_at.pop(tag_of(member.id), None)
+
+
+def _sightings(now: float, seen_at: dict[int, float], within_s: float) -> Sightings:
+    oldest = now - within_s
+    recent = [(tag, at) for tag, at in seen_at.items() if at >= oldest]
+    return Sightings(
+        tuple(tag for tag, _ in recent),
+        tuple(max(0, int((now - at) * CENTISECONDS_PER_S)) for _, at in recent),
+    )
--- a/packages/replica/src/wagtailpaddle_replica/messages.py
+++ b/packages/replica/src/wagtailpaddle_replica/messages.py
@@ -43,7 +43,8 @@
 class Member:
     """One incarnation of a VM and where it listens.
 
-    ``incarnation`` rises with each start of the VM's process.
+    ``incarnation`` rises with each start of the VM's process. ``cores`` is the
+    processor time that the VM has, in cores of the usual speed.
     """
 
     id: VmId
@@ -51,22 +52,27 @@
     caller_address: str
     peer_address: str
     incarnation: str = ""
+    cores: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
-class Sighting:
-    """How long ago somebody heard from a VM, in seconds."""
+class Sightings:
+    """How long ago somebody heard from VMs, in hundredths of a second.
 
-    vm: VmId
-    age_s: float
+    A VM is named by its tag, because there are as many as VMs in the fleet.
+    """
+
+    tags: tuple[int, ...] = ()
+    ages_cs: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Follow:
     """Asks for what came after the offsets, and says who is alive.
 
-    ``clock`` is the asking VM's time and comes back in the answer.
-    ``sightings`` are the VMs that follow the asking one.
+    ``clock`` is the asking VM's time and comes back in the answer, after
+    ``hold_s`` seconds if there is no news before. ``sightings`` are the VMs that
+    follow the asking one; it wants those of the others only now and then.
     """
 
     member: Member
@@ -74,7 +80,9 @@
     config_from: Offset
     servers_from: Offset
     vms_from: Offset
-    sightings: tuple[Sighting, ...] = ()
+    hold_s: float
+    wants_sightings: bool
+    sightings: Sightings = Sightings()
 
     def start_of(self, collection: Collection) -> Offset:
         """Return the first offset of a collection that the VM lacks."""
@@ -100,7 +108,7 @@
     config_age_s: float
     servers_age_s: float
     batches: tuple[Batch, ...] = ()
-    sightings: tuple[Sighting, ...] = ()
+    sightings: Sightings = Sightings()
     outage_age_s: float = NEVER_S
 
 
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -16,6 +16,7 @@
     News,
     ReadStore,
     ReplicaAction,
+    Sightings,
     Update,
     WriteMember,
 )
@@ -23,10 +24,16 @@
 from wagtailpaddle_replica.reading import Reading
 
 HOLD_S = 0.2
-FOLLOW_TIMEOUT_S = 0.6
+"""How long VMs that carry callers or are followed let others wait for news."""
+
+STANDBY_HOLD_S = 0.5
+ANSWER_S = 0.4
+"""Within this time after the hold an answer is there."""
+
 AVOID_S = 2.0
 PATIENCE_S = 0.8
-STANDBY_PATIENCE_S = 1.0
+STANDBY_PATIENCE_S = 1.5
+SIGHTINGS_EVERY_S = 0.5
 LAPSE_AFTER_S = 3.0
 """Entries of servers lapse after three heartbeats of silence, of which up to one may
 have passed before the store went away."""
@@ -77,7 +84,9 @@
         self.copies = {item: Newest(item, decoders[item]) for item in Collection}
         self._seeds = tuple(item for item in seeds if item != own.peer_address)
         self._rng = rng
+        self.is_carrier = False
         self._following: str | None = None
+        self._sightings_at = float("-inf")
         self._avoid_until: dict[str, float] = {}
         self._registered = False
         self._register_at = 0.0
@@ -105,16 +114,19 @@
     def on_tick(self, now: float) -> Step:
         """Read, follow or register as is due; called some times a second."""
         actions: list[ReplicaAction] = [*self._register(now)]
-        actions += self._read(now)
-        actions += self._follow(now)
-        actions += self._clear_silent(now)
+        followed = self._upstreams(now)
+        actions += self._read(now, followed)
+        actions += self._follow(now, followed)
+        if not followed:
+            actions += self._clear_silent(now)
         return Step(tuple(actions))
 
     def on_read(self, now: float, sent_at: float, batch: Batch) -> Step:
         """The store answered a read that was sent at ``sent_at``."""
         self.reading.done(now, batch.collection)
         step = self._take(now, ((batch, sent_at),))
-        return Step((*step.actions, *self._read(now)), step.changed)
+        reads = self._read(now, self._upstreams(now))
+        return Step((*step.actions, *reads), step.changed)
 
     def on_read_failed(self, now: float, collection: Collection) -> Step:
         """The store did not answer a read, or refused it."""
@@ -135,7 +147,9 @@
         if update.clock != follow.clock:
             return Step()
         told_at = update.clock + max(0.0, update.held_s)
-        self.members.see(now, update.sightings)
+        if update.sightings.tags:
+            self._sightings_at = now
+            self.members.see(now, update.sightings)
         self._note_outage(now, update.outage_age_s)
         ages = {
             Collection.CONFIG: update.config_age_s,
@@ -156,19 +170,20 @@
                 as_of = min(now, told_at) - age_s if is_proof else float("-inf")
                 taken.append((batch, as_of))
         step = self._take(now, tuple(taken))
-        return Step((*step.actions, *self._follow(now)), step.changed)
+        asked = self._follow(now, self._upstreams(now))
+        return Step((*step.actions, *asked), step.changed)
 
     def on_follow_failed(self, now: float, address: str) -> Step:
         """The VM at ``address`` did not answer."""
         self._following = None
         self._avoid_until[address] = now + AVOID_S
-        return Step((*self._follow(now), *self._read(now)))
+        followed = self._upstreams(now)
+        return Step((*self._follow(now, followed), *self._read(now, followed)))
 
     def on_follow(self, now: float, follow: Follow) -> Step:
         """Another VM asks; it is alive, and so are those that follow it."""
         is_new = self.members.learn(now, follow.member)
-        self.members.see(now, follow.sightings)
-        self.members.heard(now, follow.member.id)
+        self.members.followed(now, follow.member.id, follow.sightings)
         return Step((News(),) if is_new else ())
 
     def has_news(self, follow: Follow) -> bool:
@@ -186,13 +201,14 @@
             if (batch := copy.since(follow.start_of(copy.collection))) is not None
         )
         back_at = self._back_at
+        wanted = follow.wants_sightings
         return Update(
             clock=follow.clock,
             held_s=now - asked_at,
             config_age_s=self._told_age(now, Collection.CONFIG),
             servers_age_s=self._told_age(now, Collection.SERVERS),
             batches=batches,
-            sightings=self.members.sightings(now),
+            sightings=self.members.sightings(now) if wanted else Sightings(),
             outage_age_s=NEVER_S if back_at is None else now - back_at,
         )
 
@@ -210,56 +226,62 @@
         self._register_at = now + REGISTER_RETRY_S * (1.0 + self._rng.random())
         return [WriteMember(self.own.peer_address, self.own)]
 
-    def _read(self, now: float) -> list[ReplicaAction]:
+    def _upstreams(self, now: float) -> tuple[Member, ...]:
+        """Return whom this VM follows, the best first; nobody if it reads."""
+        return upstreams(self.own, self.members.alive(now))
+
+    def _read(self, now: float, followed: tuple[Member, ...]) -> list[ReplicaAction]:
         reads: list[ReplicaAction] = []
         for collection, copy in self.copies.items():
-            if not self._wants(now, collection):
+            if not self._wants(now, collection, followed):
                 continue
             if self.reading.take(now, collection):
                 whole = not copy.is_known
                 reads.append(ReadStore(collection, copy.next_offset, whole))
         return reads
 
-    def _wants(self, now: float, collection: Collection) -> bool:
+    def _wants(
+        self, now: float, collection: Collection, followed: tuple[Member, ...]
+    ) -> bool:
         """Return whether this VM is to read a collection itself."""
-        if not self.copies[collection].is_known:
-            return True
-        if not upstreams(self.own, self.members.alive(now)):
+        if not followed or not self.copies[collection].is_known:
             return True
         if collection is Collection.VMS:
             return False
-        return self.age_s(now, collection) > self._patience_s(now)
+        return self.age_s(now, collection) > self._patience_s(followed)
 
-    def _patience_s(self, now: float) -> float:
-        alive = self.members.alive(now)
-        followed = upstreams(self.own, alive)
+    def _patience_s(self, followed: tuple[Member, ...]) -> float:
         is_relay = all(member.zone != self.own.zone for member in followed)
         if is_relay:
             return PATIENCE_S
         return STANDBY_PATIENCE_S + 0.2 * self._rng.random()
 
-    def _follow(self, now: float) -> list[ReplicaAction]:
+    def _follow(self, now: float, followed: tuple[Member, ...]) -> list[ReplicaAction]:
         if self._following is not None:
             return []
-        address = self._upstream(now)
+        address = self._upstream(now, followed)
         if address is None:
             return []
         self._following = address
         starts = {item: copy.next_offset for item, copy in self.copies.items()}
+        is_watched = self.is_carrier or self.members.has_followers(now)
+        hold_s = HOLD_S if is_watched else STANDBY_HOLD_S
         question = Follow(
             member=self.own,
             clock=now,
             config_from=starts[Collection.CONFIG],
             servers_from=starts[Collection.SERVERS],
             vms_from=starts[Collection.VMS],
-            sightings=self.members.sightings(now, within_s=1.0),
+            hold_s=hold_s,
+            wants_sightings=now - self._sightings_at >= SIGHTINGS_EVERY_S,
+            sightings=self.members.followers(now),
         )
-        return [FollowVm(address, question, FOLLOW_TIMEOUT_S)]
+        return [FollowVm(address, question, hold_s + ANSWER_S)]
 
-    def _upstream(self, now: float) -> str | None:
+    def _upstream(self, now: float, followed: tuple[Member, ...]) -> str | None:
         """Return the address of the VM to follow now, or None."""
         alive = self.members.alive(now)
-        named = [member.peer_address for member in upstreams(self.own, alive)]
+        named = [member.peer_address for member in followed]
         if not named and self.reading.is_failing:
             named = [
                 member.peer_address for member in alive if member.id != self.own.id
@@ -273,9 +295,7 @@
         return None
 
     def _clear_silent(self, now: float) -> list[ReplicaAction]:
-        """Drop the records of VMs that are gone, if this VM reads the store."""
-        if upstreams(self.own, self.members.alive(now)):
-            return []
+        """Drop the records of VMs that are gone."""
         records = self.copies[Collection.VMS].values()
         dropped: list[ReplicaAction] = []
         for member in self.members.silent(now):
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -13,26 +13,37 @@
     ReadStore,
     Record,
     Replica,
-    Sighting,
+    Sightings,
     WriteMember,
     carriers,
     relays,
     upstreams,
 )
-from wagtailpaddle_replica.members import ALIVE_S, GONE_S
-from wagtailpaddle_replica.replica import PATIENCE_S
+from wagtailpaddle_replica.duties import CARRIERS_PER_ZONE, CORES_PER_SLOT, FAN_OUT
+from wagtailpaddle_replica.members import ALIVE_S, GONE_S, tag_of
+from wagtailpaddle_replica.replica import (
+    HOLD_S,
+    SIGHTINGS_EVERY_S,
+    STANDBY_HOLD_S,
+    STANDBY_PATIENCE_S,
+)
 
 
-def member(name, zone="a", *, incarnation="1"):
+def member(name, zone="a", *, incarnation="1", cores=1.0):
     return Member(
         id=f"{name}/{incarnation}",
         zone=zone,
         caller_address=f"{name}:80",
         peer_address=name,
         incarnation=incarnation,
+        cores=cores,
     )
 
 
+def seen(vms):
+    return Sightings(tuple(tag_of(vm.id) for vm in vms), (0,) * len(vms))
+
+
 def decode(key, data):
     return None if data == b"unreadable" else data
 
@@ -97,6 +108,68 @@
     assert {vm.zone for vm in carriers(FLEET)} == set(ZONES)
 
 
+def test_fleet_of_unequal_vms_lets_the_largest_carry_callers():
+    large = [member(f"large{n}", cores=2.0) for n in range(2)]
+    small = [member(f"small{n}", cores=0.4) for n in range(30)]
+    assert set(carriers([*small, *large])) == set(large)
+    assert relays([*small, *large])[0] in small
+
+
+def test_more_vms_carry_callers_where_the_servers_can_do_more_work():
+    vms = [member(f"vm{n}", cores=0.5) for n in range(30)]
+    assert len(carriers(vms, n_slots=10)) == CARRIERS_PER_ZONE
+    n_slots = int(4.0 / CORES_PER_SLOT)
+    assert len(carriers(vms, n_slots=n_slots)) == 8
+    assert len(carriers(vms, n_slots=100 * n_slots)) == len(vms)
+
+
+def test_no_vm_of_a_large_fleet_answers_more_than_a_bounded_number_of_others():
+    """Pattern: 300 small VMs, each of which asks for news twice a second."""
+    vms = [member(f"{zone}{n}", zone) for zone in ZONES for n in range(100)]
+    followed = [upstreams(vm, vms)[0].id for vm in vms if upstreams(vm, vms)]
+    n_followers = [followed.count(vm.id) for vm in vms]
+    assert max(n_followers) <= FAN_OUT + len(ZONES) - 1
+    assert sum(n_followers) == len(vms) - 1
+
+
+def test_vm_that_stands_by_asks_seldom_and_for_sightings_now_and_then(make_replica):
+    ordinary = carriers(FLEET)[0]
+    replica = make_replica(ordinary.peer_address, ordinary.zone)
+    fill(replica, 0.0)
+    (follow,) = of_kind(replica.on_tick(0.5), FollowVm)
+    assert (follow.body.hold_s, follow.body.wants_sightings) == (STANDBY_HOLD_S, True)
+    upstream = make_replica(follow.address, named(follow.address).zone)
+    fill(upstream, 0.0)
+    told = upstream.update(0.6, follow.body, asked_at=0.5)
+    replica.is_carrier = True
+    step = replica.on_update(0.6, follow.address, told, follow.body)
+    (again,) = of_kind(step, FollowVm)
+    assert (again.body.hold_s, again.body.wants_sightings) == (HOLD_S, False)
+    assert upstream.update(0.7, again.body, asked_at=0.6).sightings == Sightings()
+    silent = upstream.update(1.2, again.body, asked_at=0.6)
+    step = replica.on_update(
+        0.6 + SIGHTINGS_EVERY_S, follow.address, silent, again.body
+    )
+    (later,) = of_kind(step, FollowVm)
+    assert later.body.wants_sightings
+
+
+def test_relay_tells_the_reader_who_follows_it(make_replica):
+    reader, relay = relays(FLEET)[:2]
+    below = [vm for vm in FLEET if vm.zone == relay.zone and vm.id != relay.id]
+    replica = make_replica(relay.peer_address, relay.zone)
+    fill(replica, 0.0)
+    for vm in below:
+        asking = make_replica(vm.peer_address, vm.zone)
+        fill(asking, 0.0)
+        (follow,) = of_kind(asking.on_tick(1.0), FollowVm)
+        replica.on_follow(1.0, follow.body)
+    (follow,) = of_kind(replica.on_tick(1.1), FollowVm)
+    assert follow.address == reader.peer_address
+    assert set(follow.body.sightings.tags) == {tag_of(vm.id) for vm in below}
+    assert follow.body.hold_s == HOLD_S
+
+
 def test_loss_of_a_vm_moves_no_other_carrier():
     before = carriers(FLEET)
     lost = before[0]
@@ -142,7 +215,7 @@
     fill(replica, 0.0)
     for upstream in upstreams(ordinary, FLEET):
         replica.on_follow_failed(0.5, upstream.peer_address)
-    step = replica.on_tick(PATIENCE_S * 2)
+    step = replica.on_tick(STANDBY_PATIENCE_S + 0.3)
     read = {action.collection for action in of_kind(step, ReadStore)}
     assert {Collection.CONFIG, Collection.SERVERS} <= read
 
@@ -162,7 +235,7 @@
     replica = make_replica(ordinary.peer_address, ordinary.zone)
     fill(replica, 0.0)
     relay = upstreams(ordinary, FLEET)[0]
-    others = tuple(Sighting(vm.id, 0.0) for vm in FLEET if vm.id != relay.id)
+    others = seen([vm for vm in FLEET if vm.id != relay.id])
     replica.members.see(ALIVE_S + 0.5, others)
     alive = replica.members.alive(ALIVE_S + 0.5)
     assert relay.id not in {vm.id for vm in alive}
@@ -174,7 +247,7 @@
     replica = make_replica(first.peer_address, first.zone)
     fill(replica, 0.0)
     lost = carriers(FLEET)[0]
-    others = tuple(Sighting(vm.id, 0.0) for vm in FLEET if vm.id != lost.id)
+    others = seen([vm for vm in FLEET if vm.id != lost.id])
     replica.members.see(GONE_S + 1.0, others)
     step = replica.on_tick(GONE_S + 1.0)
     assert WriteMember(lost.peer_address, None) in of_kind(step, WriteMember)
@@ -231,7 +304,7 @@
 ):
     replica = make_replica("a0")
     fill(replica, 0.0)
-    everybody = tuple(Sighting(vm.id, 0.0) for vm in FLEET)
+    everybody = seen(FLEET)
     replica.on_read_failed(0.5, Collection.SERVERS)
     (follow,) = of_kind(replica.on_tick(0.6), FollowVm)
     for second in range(1, 10):
--- a/packages/routing/src/wagtailpaddle_routing/budget.py
+++ b/packages/routing/src/wagtailpaddle_routing/budget.py
@@ -9,7 +9,8 @@
     """Tokens for retries, earned by first attempts and slowly by time.
 
     Over a long time the retries of one service on one VM stay under
-    ``per_request`` of its requests plus ``per_s`` a second.
+    ``per_request`` of its requests plus ``per_s`` a second. ``per_s`` and
+    ``max_tokens`` are cut into as many parts as VMs share them.
 
     >>> budget = RetryBudget(now=0.0)
     >>> budget.take(0.0)
@@ -23,13 +24,23 @@
         per_request: float = RETRIES_PER_REQUEST,
         per_s: float = RETRIES_PER_S,
         max_tokens: float = MAX_TOKENS,
+        n_vms: int = 1,
     ):
         self._per_request = per_request
-        self._per_s = per_s
-        self._max_tokens = max_tokens
-        self._tokens = max_tokens
+        self._whole_per_s = per_s
+        self._whole_max = max_tokens
+        self._per_s = per_s / n_vms
+        self._max_tokens = max_tokens / n_vms
+        self._tokens = self._max_tokens
         self._filled_at = now
 
+    def share(self, now: float, n_vms: int) -> None:
+        """State how many VMs share what does not follow from requests."""
+        tokens = self.tokens(now)
+        self._per_s = self._whole_per_s / n_vms
+        self._max_tokens = self._whole_max / n_vms
+        self._tokens = min(tokens, self._max_tokens)
+
     def tokens(self, now: float) -> float:
         """Return how many retries are allowed at once."""
         if now > self._filled_at:
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -60,6 +60,7 @@
         self._pools: dict[ServiceId, ServicePool] = {}
         self._pending: dict[RequestId, Pending] = {}
         self._trust: dict[ServiceId, TrustBook] = {}
+        self._n_vms = 1
 
     @property
     def n_pending(self) -> int:
@@ -105,6 +106,12 @@
         if pool is not None:
             pool.servers.report_load(now, server, load)
 
+    def share_retries(self, now: float, n_vms: int) -> None:
+        """State how many VMs share the retries that the policy allows in all."""
+        self._n_vms = n_vms
+        for pool in self._pools.values():
+            pool.share_retries(now, n_vms)
+
     def hear_trust(self, now: float, notice: TrustNotice) -> None:
         """Take in what another VM found out about a server."""
         if notice.service in self._views:
@@ -194,6 +201,7 @@
             trust=self._trust_in(service),
             pending=self._pending,
             random=self._random,
+            n_vms=self._n_vms,
         )
         pool.set_servers(now, *known)
         self._pools[service] = pool
--- a/packages/routing/src/wagtailpaddle_routing/policy.py
+++ b/packages/routing/src/wagtailpaddle_routing/policy.py
@@ -19,10 +19,10 @@
 
     ``reserved`` is the part of the capacity that is kept for client accounts
     that use less than an equal part of it. Retries of a service on this VM
-    stay under ``retries_per_request`` of its requests, ``retries_per_s`` and
-    ``max_retries`` at once. With ``charge_shed`` an attempt that a server
-    turned away counts as a retry, too. An error of a server is set aside for
-    another server's answer up to ``error_retries`` times.
+    stay under ``retries_per_request`` of its requests and this VM's part of
+    ``retries_per_s`` and of ``max_retries`` at once. With ``charge_shed`` an
+    attempt that a server turned away counts as a retry, too. An error of a server
+    is set aside for another server's answer up to ``error_retries`` times.
     """
 
     zone: ZoneId = ZoneId("")
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -74,6 +74,7 @@
         trust: TrustBook,
         pending: dict[RequestId, Pending],
         random: Random,
+        n_vms: int = 1,
     ):
         self.service = service
         self.servers = ServerSet(
@@ -101,6 +102,7 @@
             per_request=policy.retries_per_request,
             per_s=policy.retries_per_s,
             max_tokens=policy.max_retries,
+            n_vms=n_vms,
         )
         self._latency = LatencyMeter()
         self._open_at: float | None = None
@@ -112,6 +114,10 @@
         """Whether the service has no request here."""
         return not self._ledger.n_accounts
 
+    def share_retries(self, now: float, n_vms: int) -> None:
+        """State how many VMs share the fleet's retries."""
+        self._budget.share(now, n_vms)
+
     def set_servers(
         self, now: float, views: tuple[ServerView, ...], n_users: int
     ) -> list[Action]:
--- a/packages/standins/tests/test_platform_settings.py
+++ b/packages/standins/tests/test_platform_settings.py
@@ -44,6 +44,8 @@
     assert cfg.seeds == ("10.1.0.5:8407", "10.2.0.3:8407")
     assert (cfg.grace_s, cfg.floor) == (6.0, 0.7)
     assert cfg.monitoring_address == "10.1.0.5:7660"
+    assert cfg.cores == 1.0
+    assert decode_settings(text(limits__cpuShare="0.5", limits__cores="3")).cores == 1.5
     other = decode_settings(text(), monitoring_port="9464")
     assert other.monitoring_address == "10.1.0.5:9464"
 
@@ -54,6 +56,7 @@
         ({"zone": ""}, "zone is missing"),
         ({"listen__front": "8405"}, "listen.front is '8405', not host:port"),
         ({"bounds__graceS": "soon"}, "bounds.graceS is 'soon', not a number"),
+        ({"limits__cores": "many"}, "limits.cores is 'many', not a number"),
         ({"portRange": ""}, "portRange is missing"),
         ({"portRange": "x,y"}, "portRange is 'x,y'"),
     ],
