Take shed answers of servers with room for no overload; refuse starved ranks at the door

Refusals after a shed answer had no Retry-After. Less urgent requests waited behind urgent ones until their deadline, because the work ahead of them does not count urgent work that is still to come.

Change: a shed answer whose server reports room lowers no limit and starts no pause; a server that sheds much is tried after others. Kinds that have not run carry a time to return in the table of errors, for callers that read fractions. A rank of which nothing was served for 0.5 s while a request waited in vain is refused at once; one that waits finds out when that is over.

Each of the tests fails on the code before.

--- a/packages/core/src/wagtailpaddle_core/errors.py
+++ b/packages/core/src/wagtailpaddle_core/errors.py
@@ -45,13 +45,15 @@
     """How a kind of error is answered over HTTP.
 
     ``retry_elsewhere`` tells the caller that another address of the system may
-    serve the same request at once.
+    serve the same request at once. ``retry_after_s`` is when a request that has not
+    run is worth another try, unless the refusal knows better.
     """
 
     status: int
     title: str
     outcome: Outcome = Outcome.NOT_RUN
     retry_elsewhere: bool = False
+    retry_after_s: float | None = None
 
 
 ANSWERS: dict[ErrorKind, Answer] = {
@@ -62,7 +64,9 @@
         504, "The deadline passed after dispatch", Outcome.UNKNOWN
     ),
     ErrorKind.DEADLINE_EXCEEDED: Answer(503, "The deadline passed before dispatch"),
-    ErrorKind.DRAINING: Answer(503, "This VM is leaving", retry_elsewhere=True),
+    ErrorKind.DRAINING: Answer(
+        503, "This VM is leaving", retry_elsewhere=True, retry_after_s=0.05
+    ),
     ErrorKind.FORBIDDEN: Answer(403, "The client account may not use this route"),
     ErrorKind.IDEMPOTENCY_BUSY: Answer(
         503, "Too many idempotency keys are held", retry_elsewhere=True
@@ -80,14 +84,21 @@
     ErrorKind.KEY_MISSING: Answer(401, "A key is required"),
     ErrorKind.KEY_UNKNOWN: Answer(401, "The key is not valid"),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, "The log service does not answer"),
-    ErrorKind.NO_HEALTHY_SERVER: Answer(503, "No healthy backend server"),
+    ErrorKind.NO_HEALTHY_SERVER: Answer(
+        503, "No healthy backend server", retry_after_s=0.2
+    ),
     ErrorKind.NO_ROUTE: Answer(404, "No route matches the request"),
     ErrorKind.NOT_FOUND: Answer(404, "The object does not exist"),
     ErrorKind.NOT_FRESH: Answer(
-        503, "This VM cannot confirm its configuration", retry_elsewhere=True
+        503,
+        "This VM cannot confirm its configuration",
+        retry_elsewhere=True,
+        retry_after_s=0.2,
     ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, "The request may have run", Outcome.UNKNOWN),
-    ErrorKind.OVERLOADED: Answer(503, "The queue is full", retry_elsewhere=True),
+    ErrorKind.OVERLOADED: Answer(
+        503, "The queue is full", retry_elsewhere=True, retry_after_s=0.2
+    ),
     ErrorKind.RATE_EXCEEDED: Answer(429, "The rate of the client account is exceeded"),
     ErrorKind.SERVER_FAILED: Answer(
         502, "The backend servers did not answer", Outcome.UNKNOWN
--- a/packages/daemon/src/wagtailpaddle_daemon/dialect.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/dialect.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from wagtailpaddle_core import AccountId, ServerId
+from wagtailpaddle_core import AccountId, Answer, ServerId
 from wagtailpaddle_node import OPEN_ACCOUNT
 from wagtailpaddle_routing import OWN_SHED_ANSWERS
 
@@ -63,11 +63,16 @@
         if self.account is not None and account not in (None, OPEN_ACCOUNT):
             yield self.account, str(account).encode()
 
-    def retry_after(self, seconds: float) -> bytes:
-        """Return the value of Retry-After."""
+    def retry_after(self, answer: Answer, seconds: float | None) -> bytes:
+        """Return the value of Retry-After, empty for none.
+
+        In whole seconds there is no way to say "in a moment": then only the
+        problem document says that another address may serve.
+        """
         if self.whole_seconds:
-            return b"%d" % max(1, round(seconds))
-        return b"%.2f" % max(0.01, seconds)
+            return b"" if seconds is None else b"%d" % max(1, round(seconds))
+        found = answer.retry_after_s if seconds is None else seconds
+        return b"" if found is None else b"%.2f" % max(0.01, found)
 
 
 OWN_DIALECT = Dialect()
--- a/packages/daemon/src/wagtailpaddle_daemon/front.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/front.py
@@ -209,10 +209,9 @@
         self.setHeader(b"content-length", b"%d" % len(body))
         self.setHeader(self.front.dialect.outcome, answer.outcome.value.encode())
         self.setHeader(self.front.dialect.request_id, self._shown_id)
-        if retry_after_s is not None:
-            self.setHeader(
-                b"retry-after", self.front.dialect.retry_after(retry_after_s)
-            )
+        retry_after = self.front.dialect.retry_after(answer, retry_after_s)
+        if retry_after:
+            self.setHeader(b"retry-after", retry_after)
         if self.front.draining:
             self._close_after()
         self.write(body)
--- a/packages/routing/src/wagtailpaddle_routing/ledger.py
+++ b/packages/routing/src/wagtailpaddle_routing/ledger.py
@@ -115,13 +115,17 @@
         return self.refuse(pending, kind, detail, retry_after_s)
 
     def refuse_after(
-        self, now: float, pending: Pending, result: AttemptResult
+        self, now: float, pending: Pending, result: AttemptResult, wait_s: float
     ) -> Refuse:
-        """Close a request whose last attempt ended without an answer."""
+        """Close a request whose last attempt ended without an answer.
+
+        One that has not run may come back in ``wait_s``.
+        """
         detail = f"attempt {pending.n_attempts} ended: {result.outcome.value}"
         is_late = now >= pending.job.deadline_at
         kind = deadline_kind(pending) if is_late else failure_kind(pending)
-        return self.refuse(pending, kind, detail)
+        retry_after_s = None if pending.may_have_run else wait_s
+        return self.refuse(pending, kind, detail, retry_after_s)
 
     def _charge(self, pending: Pending, used_s: float) -> None:
         self._queue.charge(pending.job.account, used_s, pending.job.weight)
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -77,6 +77,10 @@
 """Outcomes after which even a non-idempotent request may be tried again."""
 
 
+FULL_LOAD = 1.0
+"""Load at which every slot of a server is taken."""
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
     """The end of one attempt.
@@ -93,6 +97,12 @@
     load: float | None = None
     committed: bool = False
 
+    @property
+    def is_shed_with_room(self) -> bool:
+        """Whether a server that says that it has room turned the request away."""
+        is_shed = self.outcome is AttemptOutcome.SHED
+        return is_shed and self.load is not None and self.load < FULL_LOAD
+
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
--- a/packages/routing/src/wagtailpaddle_routing/picks.py
+++ b/packages/routing/src/wagtailpaddle_routing/picks.py
@@ -8,12 +8,15 @@
 from wagtailpaddle_core import Registry, ZoneId
 
 from wagtailpaddle_routing.choose import Chooser, Sides
+from wagtailpaddle_routing.messages import FULL_LOAD
 from wagtailpaddle_routing.retry import Pending
 from wagtailpaddle_routing.server import Server
 from wagtailpaddle_routing.trust import TrustBook
 
 ROOMY_LOAD = 0.7
-FULL_LOAD = 1.0
+SHEDDING = 0.3
+"""Level of late shed answers above which another server is tried first."""
+
 PROVEN_S = 2.0
 """An answer proves a server fit for work that is not repeated for this long."""
 
@@ -153,22 +156,26 @@
     def _explore(self, field: Field, servers: Sequence[Server]) -> Server:
         """Return a server with room of which least is known, a near one first."""
 
-        def order(server: Server) -> tuple[int, bool, float, float]:
+        def order(server: Server) -> tuple[int, bool, bool, float, float]:
             known_at = max(server.started_last_at, self._trust[server.id].good_from)
             is_far = server.view.zone != field.zone
-            return (self._crowd(field, server), is_far, known_at, self._random.random())
+            crowd = self._crowd(field, server)
+            is_shedding = server.shed_level(field.now) > SHEDDING
+            return (crowd, is_shedding, is_far, known_at, self._random.random())
 
         return min(servers, key=order)
 
     def _freshest(self, field: Field, servers: Sequence[Server]) -> Server:
         """Return a server with room that was good a moment ago."""
 
-        def order(server: Server) -> tuple[int, bool, bool, float, float]:
+        def order(server: Server) -> tuple[int, bool, bool, bool, float, float]:
             good_from = self._trust[server.id].good_from
             is_unproven = field.now - good_from > PROVEN_S
             is_far = server.view.zone != field.zone
             crowd = self._crowd(field, server)
-            return (crowd, is_unproven, is_far, -good_from, self._random.random())
+            is_shedding = server.shed_level(field.now) > SHEDDING
+            chance = self._random.random()
+            return (crowd, is_shedding, is_unproven, is_far, -good_from, chance)
 
         return min(servers, key=order)
 
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -190,7 +190,7 @@
         """Act on deadlines and on pauses that are over."""
         actions: list[Action] = [
             self._ledger.refuse_late(pending, self._wait_s())
-            for pending in self._room.expired(now + self._least_service_s())
+            for pending in self._room.expired(now, least_s=self._least_service_s())
         ]
         if self._room.n_queued:
             actions += self._pump(now)
@@ -226,6 +226,10 @@
         ahead_s = self._room.work_ahead_s(account, mean_s, pending.job.rank)
         wait_s = ahead_s / self.servers.capacity
         left_s = pending.job.deadline_at - now
+        if self._room.waits_in_vain(now, pending.job.rank):
+            detail = "requests that are as urgent waited in vain"
+            wait_s = self._wait_s()
+            return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
         if wait_s > 0.0 and wait_s + self._least_service_s() > left_s:
             detail = f"the wait is about {wait_s:.1f} s, longer than the deadline"
             return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
@@ -313,8 +317,10 @@
             if pending is None:
                 break
             if turn.server is None:
+                self._room.note_expired(now, pending.job.rank)
                 actions.append(self._ledger.refuse_late(pending, self._wait_s()))
             else:
+                self._room.note_served(now, pending.job.rank)
                 actions.append(self._start(now, pending, turn.server))
         self._open_at = self.servers.next_open(now) if self._room.n_queued else None
         return actions
@@ -363,7 +369,7 @@
         if step is Step.DELIVER:
             return [self._ledger.deliver(pending)]
         if step is Step.REFUSE:
-            return [self._ledger.refuse_after(now, pending, result)]
+            return [self._refuse_after(now, pending, result)]
         if step is Step.DROP:
             kind = truthful(pending, pending.dropped or ErrorKind.INTERNAL)
             detail = "the request may not be tried on another server"
@@ -371,9 +377,17 @@
         is_free = step is Step.WAIT and not self._is_charged(result)
         may_go = is_free or self._budget.take(now)
         if not may_go or not self.servers.can_serve(pending):
-            return [self._ledger.refuse_after(now, pending, result)]
+            return [self._refuse_after(now, pending, result)]
         return self._retry(now, pending)
 
+    def _refuse_after(
+        self, now: float, pending: Pending, result: AttemptResult
+    ) -> Refuse:
+        """Refuse a request; callers come back spread over the time of the wait."""
+        wait_s = LEAST_WAIT_S if result.is_shed_with_room else self._wait_s()
+        spread_s = wait_s * (1.0 + self._random.random())
+        return self._ledger.refuse_after(now, pending, result, spread_s)
+
     def _is_charged(self, result: AttemptResult) -> bool:
         """Return whether the retry after an attempt that did not run is counted."""
         return self._policy.charge_shed and result.outcome is AttemptOutcome.SHED
--- a/packages/routing/src/wagtailpaddle_routing/server.py
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -92,7 +92,7 @@
         if age_s < LOAD_VALID_S:
             trust = 1.0 - max(0.0, age_s) / LOAD_VALID_S
             load += (self._load - NO_REPORT_LOAD) * trust
-        return max(load, self._shed_level(now))
+        return max(load, self.shed_level(now))
 
     def load_now(self, now: float) -> float:
         """Return the work at the server, as a part of its slots.
@@ -132,15 +132,16 @@
 
     def learn(self, now: float, result: AttemptResult) -> None:
         """Take in how an attempt ended, before it is released."""
-        self.limiter.update(now, result.outcome, result.latency_s, self.in_flight)
-        self.see(self.view)
+        if not result.is_shed_with_room:
+            self.limiter.update(now, result.outcome, result.latency_s, self.in_flight)
+            self.see(self.view)
         if result.load is not None:
             self.report_load(now, result.load)
         if result.outcome is AttemptOutcome.ANSWERED:
             self._n_in_vain = 0
             self._answered_at = now
         elif result.outcome in SURELY_NOT_RUN:
-            self._shed = (1.0 + self._shed_level(now)) / 2
+            self._shed = (1.0 + self.shed_level(now)) / 2
             self._shed_at = now
 
     def report_load(self, now: float, load: float) -> None:
@@ -164,7 +165,8 @@
         self._n_in_vain = min(MAX_DOUBLINGS, self._n_in_vain + 1)
         self.closed_until = now + longest_s * (0.5 + 0.5 * jitter)
 
-    def _shed_level(self, now: float) -> float:
+    def shed_level(self, now: float) -> float:
+        """Return in [0, 1] how much the server turned away lately."""
         if self._shed < 0.01:
             return 0.0
         return self._shed * 0.5 ** ((now - self._shed_at) / SHED_HALF_LIFE_S)
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -143,6 +143,8 @@
         self.trust.learn(now, server.id, result)
         if server.usable:
             self._limit += server.limit - before
+        if result.is_shed_with_room:
+            return
         self._service_limiter.update(now, result.outcome, self.n_running)
         self._bound()
         if result.outcome in SURELY_NOT_RUN:
--- a/packages/routing/src/wagtailpaddle_routing/waiting.py
+++ b/packages/routing/src/wagtailpaddle_routing/waiting.py
@@ -1,6 +1,6 @@
 """The requests of one service that wait: bounded, in fair order, in time."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from wagtailpaddle_core import AccountId, RequestId, ensure
 
@@ -10,6 +10,12 @@
 from wagtailpaddle_routing.retry import Pending, State
 from wagtailpaddle_routing.timers import Timers
 
+EXPIRED_S = 2.0
+"""How long it counts that a request waited in vain."""
+
+STARVED_S = 0.5
+"""A rank of which nothing was served for so long does not get its turn."""
+
 
 class WaitingRoom:
     """The queued requests, with their deadlines and a bound on their number.
@@ -24,6 +30,9 @@
         self.work_s = 0.0
         self._work_by_rank: defaultdict[Rank, float] = defaultdict(float)
         self._queued: dict[RequestId, Pending] = {}
+        self._n_by_rank: Counter[Rank] = Counter()
+        self._expired_at: dict[Rank, float] = {}
+        self._served_at: dict[Rank, float] = {}
         self._lengths = Lengths()
         self._deadlines = Timers()
 
@@ -52,6 +61,17 @@
             )
         return min(before_s, (n_own + 1) * n_turns * mean_s)
 
+    def waits_in_vain(self, now: float, rank: Rank) -> bool:
+        """Return whether a request would wait behind more urgent work for ever.
+
+        Those of its rank did lately, and none was served since. One that waits
+        already finds out when that is over.
+        """
+        never = float("-inf")
+        is_starved = now - self._served_at.get(rank, never) > STARVED_S
+        has_expired = now - self._expired_at.get(rank, never) <= EXPIRED_S
+        return is_starved and has_expired and self._n_by_rank[rank] > 0
+
     def is_longest(self, account: AccountId) -> bool:
         """Return whether no queue is longer than that of ``account``."""
         if not self._queued:
@@ -76,6 +96,7 @@
         ensure(request not in self._queued, "waits-once", request=request)
         pending.state = State.QUEUED
         self._queued[request] = pending
+        self._n_by_rank[pending.job.rank] += 1
         self.work_s += pending.expected_s
         self._work_by_rank[pending.job.rank] += pending.expected_s
         self._lengths.grow(pending.job.account)
@@ -89,17 +110,26 @@
             self._unlist(pending)
         return pending
 
+    def note_served(self, now: float, rank: Rank) -> None:
+        """A request that waited goes to a server."""
+        self._served_at[rank] = now
+
+    def note_expired(self, now: float, rank: Rank) -> None:
+        """A request waited in vain."""
+        self._expired_at[rank] = now
+
     def remove(self, pending: Pending) -> None:
         """Remove a waiting request."""
         self._queue.remove(pending)
         self._unlist(pending)
 
-    def expired(self, now: float) -> list[Pending]:
-        """Remove and return the requests whose deadline has passed."""
+    def expired(self, now: float, *, least_s: float = 0.0) -> list[Pending]:
+        """Remove and return the requests with less than ``least_s`` left."""
         found = []
-        for request in self._deadlines.due(now):
+        for request in self._deadlines.due(now + least_s):
             pending = self._queued[request]
             self.remove(pending)
+            self.note_expired(now, pending.job.rank)
             found.append(pending)
         return found
 
@@ -113,6 +143,7 @@
 
     def _unlist(self, pending: Pending) -> None:
         del self._queued[pending.job.id]
+        self._n_by_rank[pending.job.rank] -= 1
         self._work_by_rank[pending.job.rank] -= pending.expected_s
         if not self._queued:
             self._work_by_rank.clear()
--- a/packages/routing/tests/test_ranks.py
+++ b/packages/routing/tests/test_ranks.py
@@ -112,3 +112,19 @@
     assert max(held) <= 0.5 - WORK_S / 2 + 0.05
     at_once = sum(held_s <= 0.02 for held_s in held)
     assert at_once >= 0.8 * len(held)
+
+
+def test_less_urgent_requests_are_refused_at_the_door_while_urgent_work_keeps_coming(
+    overload,
+):
+    # The urgent requests alone are more than the servers do.
+    urgent, other = (1 / 50, {"rank": (0, 1)}), (1 / 30, {"rank": (0, 2)})
+    overload.run([urgent, other], until=6.0)
+    held = [
+        now - overload.sent_at[action.request]
+        for action, now in overload.refused
+        if "(0, 2)" in action.request and overload.sent_at[action.request] > 1.0
+    ]
+    assert len(held) > 100
+    at_once = sum(held_s <= 0.02 for held_s in held)
+    assert at_once >= 0.8 * len(held)
--- /dev/null
+++ b/packages/routing/tests/test_shedding.py
@@ -0,0 +1,112 @@
+"""Servers that turn requests away although they have room.
+
+The pattern: for seconds, half of all attempts end at once with the server's word
+that the request did not run, while the load that it reports is low. That is no sign
+of overload: the fleet must not send less, and whoever is refused is told to return
+soon, because the next try is as good as any.
+"""
+
+from random import Random
+
+import pytest
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_routing import (
+    AttemptOutcome,
+    AttemptResult,
+    Dispatch,
+    Dispatcher,
+    Job,
+    Refuse,
+    ServerView,
+)
+
+SERVICE = "booking"
+N_SERVERS = 12
+WORK_S = 0.25
+GOOD = AttemptResult(AttemptOutcome.ANSWERED, WORK_S, 200, load=0.5)
+SHED_WITH_ROOM = AttemptResult(AttemptOutcome.SHED, 0.001, 503, load=0.5)
+SHED_WHEN_FULL = AttemptResult(AttemptOutcome.SHED, 0.001, 503, load=1.0)
+
+
+class Callers:
+    """Arrivals at a steady pace before servers that turn some away at random."""
+
+    def __init__(self, shed, *, share, seed):
+        self.dispatcher = Dispatcher(
+            picker="freshest", queue="ranked", reserved=0.0, charge_shed=True, seed=seed
+        )
+        self.random = Random(seed)
+        self.shed, self.share = shed, share
+        self.running, self.refused, self.n_sent = [], [], 0
+        views = tuple(
+            ServerView(f"s{n}", "a", slots=4, connections=300) for n in range(N_SERVERS)
+        )
+        self.dispatcher.set_servers(0.0, SERVICE, views)
+
+    def run(self, until, *, per_s):
+        now = 0.0
+        while now < until:
+            now += 1.0 / per_s
+            self.end(now)
+            self.n_sent += 1
+            job = Job(f"r{self.n_sent}", "x", SERVICE, False, now, now + 2.0)
+            self.note(now, self.dispatcher.arrive(now, job))
+            self.note(now, self.dispatcher.tick(now))
+
+    def end(self, now):
+        for over_at, action in sorted(self.running, key=lambda item: item[0]):
+            if over_at <= now:
+                self.running.remove((over_at, action))
+                self.note(now, self.dispatcher.finish(now, action.request, GOOD))
+
+    def note(self, now, actions):
+        for action in actions:
+            if isinstance(action, Refuse):
+                self.refused.append(action)
+            elif isinstance(action, Dispatch) and self.random.random() < self.share:
+                follow = self.dispatcher.finish(now, action.request, self.shed)
+                self.note(now, follow)
+            elif isinstance(action, Dispatch):
+                self.running.append((now + WORK_S, action))
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_half_of_the_attempts_turned_away_lowers_no_limit(seed):
+    callers = Callers(SHED_WITH_ROOM, share=0.55, seed=seed)
+    callers.run(20.0, per_s=100)
+    waited = [item for item in callers.refused if item.detail.startswith("no server")]
+    assert waited == []
+    (status,) = callers.dispatcher.status(20.0)
+    assert status.capacity >= N_SERVERS * 4
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_whoever_is_refused_is_told_to_return_soon_and_at_different_times(seed):
+    callers = Callers(SHED_WITH_ROOM, share=0.55, seed=seed)
+    callers.run(5.0, per_s=100)
+    times = [item.retry_after_s for item in callers.refused]
+    assert {item.kind for item in callers.refused} == {ErrorKind.OVERLOADED}
+    assert times and all(0.0 < item <= 0.1 for item in times)
+    assert len(set(times)) > len(times) / 2
+
+
+def test_server_that_is_full_gets_less():
+    callers = Callers(SHED_WHEN_FULL, share=0.55, seed=1)
+    callers.run(5.0, per_s=100)
+    (status,) = callers.dispatcher.status(5.0)
+    assert status.capacity < N_SERVERS * 4
+
+
+def test_server_that_turns_much_away_is_tried_after_the_others():
+    dispatcher = Dispatcher(picker="freshest", seed=1, charge_shed=True)
+    views = tuple(ServerView(f"s{n}", "a", slots=4, connections=300) for n in range(3))
+    dispatcher.set_servers(0.0, SERVICE, views)
+    job = Job("r0", "x", SERVICE, False, 0.0, 2.0)
+    (first,) = dispatcher.arrive(0.0, job)
+    dispatcher.finish(0.001, "r0", SHED_WITH_ROOM)
+    chosen = set()
+    for n in range(1, 5):
+        job = Job(f"r{n}", "x", SERVICE, False, 0.01, 2.0)
+        (action,) = dispatcher.arrive(0.01, job)
+        chosen.add(action.server)
+    assert first.server not in chosen
