Let tokens that lie unused on other VMs refuse no small account

The part that VMs without a keeper admit by themselves stays as it was.

A hot small account stays in rate * window + burst + spare and what lay on VMs.

--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -75,7 +75,11 @@
         self.replica = Replica(own, decoders, seeds=cfg.seeds, seed=seed)
         self.membership = ReplicaMembership(self.replica, cfg, seed=seed)
         self.quota = StockedRates(
-            own.id, self.limit_of, refill=cfg.refill, window_s=cfg.window_s
+            own.id,
+            self.limit_of,
+            refill=cfg.refill,
+            window_s=cfg.window_s,
+            spare=cfg.spare,
         )
         self.claims = NoClaims()
         self.calls = Calls()
--- a/packages/quota/src/wagtailpaddle_quota/pool.py
+++ b/packages/quota/src/wagtailpaddle_quota/pool.py
@@ -67,6 +67,9 @@
 class TokenPool:
     """Grants the tokens of the accounts that this VM keeps.
 
+    ``spare`` tokens more are out at a time: those that lie unused on some VM are
+    missing where a request comes.
+
     >>> pool = TokenPool(lambda account: Limit(rate=2.0, burst=4.0))
     >>> pool.grant(0.0, [TokenWish(AccountId("kiosk"), 9.0)])[0].granted
     4.0
@@ -79,8 +82,10 @@
         refill: str = "plain",
         window_s: float = WINDOW_S,
         start_tokens: float = START_TOKENS,
+        spare: float = 0.0,
     ):
         self._limits = limits
+        self._spare = spare
         self._refill = REFILLS[refill]
         self._window_s = window_s
         self._start_tokens = start_tokens
@@ -121,13 +126,12 @@
 
     def _bucket(self, now: float, account: AccountId, limit: Limit) -> TokenBucket:
         refill = self._refill(limit, self._window_s)
+        size = refill.burst + self._spare
         bucket = self._buckets.get(account)
         if bucket is None:
             since = now if self._since is None else self._since
             tokens = self._start_tokens + (now - since) * refill.rate
-            bucket = TokenBucket(
-                rate=refill.rate, burst=refill.burst, tokens=tokens, now=now
-            )
+            bucket = TokenBucket(rate=refill.rate, burst=size, tokens=tokens, now=now)
             self._buckets[account] = bucket
-        bucket.set_limit(now, rate=refill.rate, burst=refill.burst)
+        bucket.set_limit(now, rate=refill.rate, burst=size)
         return bucket
--- a/packages/quota/src/wagtailpaddle_quota/stock.py
+++ b/packages/quota/src/wagtailpaddle_quota/stock.py
@@ -108,7 +108,8 @@
     The buckets of an account are kept by one VM; the others fetch tokens ahead
     of their demand, so most requests wait for nobody. ``keepers`` are the VMs
     to ask, the best first. While none of them answers, this VM admits a part of
-    the rate by itself.
+    the rate by itself. ``spare`` is how far the fleet may exceed a limit for tokens
+    that lie unused on some VM.
     """
 
     patience_s = PATIENCE_S
@@ -120,10 +121,11 @@
         *,
         refill: str = "plain",
         window_s: float = WINDOW_S,
+        spare: float = 0.0,
     ):
         self.vm = vm
         self._limits = limits
-        self._pool = TokenPool(limits, refill=refill, window_s=window_s)
+        self._pool = TokenPool(limits, refill=refill, window_s=window_s, spare=spare)
         self._local = TokenPool(
             self._local_limit,
             refill=refill,
