Keep every living VM in sight of a large fleet; learn how soon idle connections vanish

Worked out and then shown by a fleet of 112 replicas whose messages take up to 0.1 s (test_large_fleet.py): what a VM at the end of the tree knows of one at the end of another is up to 2 s old, so living VMs counted as dead by turns, the keeper of an account changed, and copies grew older than their patience. A carrier that was missed after 2 s counted as alive again as soon as it no longer carried.

Ruled out: sightings twice a second only (asked at the end of an answer, they came with every second one, 1.4 s apart).

Change: every answer carries the packed sightings. Carriers are missed after 2 s, VMs that stand by after 3.5 s; whoever carried stays judged as a carrier for 4 s. Patience is 1.1 s for relays, 1.4 s for carriers and followed VMs, 2.4 s for the others.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -5,17 +5,22 @@
 """
 
 from collections import Counter, deque
+from collections.abc import Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
+from wagtailpaddle_routing import IdleBound
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS = 16
 MAX_ANSWER_HEAD_BYTES = 65536
+FORGOTTEN_WITHIN_S = 0.1
+"""A connection that ends so soon after a request was gone before it."""
 
 Address = tuple[str, int]
 
@@ -56,6 +61,7 @@
 
     _n_head_bytes = 0
     idle_since = 0.0
+    reused_at: float | None = None
     is_forgotten = False
 
     def __init__(self, pool: "Connections", address: Address):
@@ -65,6 +71,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take in a piece of the answer; bytes without a request end it all."""
+        self.reused_at = None
         if self._parser is None:
             self.close()
             return
@@ -78,6 +85,8 @@
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Forget the connection and fail the request that waits on it."""
+        if not reason.check(ConnectionAborted):
+            self._pool.note_end(self)
         self._pool.forget(self)
         super().connectionLost(reason)
 
@@ -127,9 +136,12 @@
     too old for a request, it makes room for a new one.
     """
 
-    def __init__(self, reactor: Any, *, max_idle_s: float):
+    def __init__(
+        self, reactor: Any, *, max_idle_s: float, bounds: Iterable[IdleBound] = ()
+    ):
         self._reactor = reactor
         self._max_idle_s = max_idle_s
+        self._bounds = tuple(bounds)
         self._idle: dict[Address, deque[ClientConnection]] = {}
         self._n_open: Counter[Address] = Counter()
 
@@ -153,7 +165,9 @@
         kept = self._idle.get(address)
         oldest = self._reactor.seconds() - max_idle_s
         if kept and kept[-1].idle_since >= oldest:
-            return kept.pop().request(req)
+            conn = kept.pop()
+            conn.reused_at = self._reactor.seconds()
+            return conn.request(req)
         if kept and self._n_open[address] >= max_open:
             kept[0].close()
         self._n_open[address] += 1
@@ -164,6 +178,14 @@
         )
         return opened
 
+    def note_end(self, conn: ClientConnection) -> None:
+        """The other side ended a connection; learn from it if it was gone before."""
+        now = self._reactor.seconds()
+        if conn.reused_at is None or now - conn.reused_at > FORGOTTEN_WITHIN_S:
+            return
+        for bound in self._bounds:
+            bound.lost(now, idle_s=conn.reused_at - conn.idle_since)
+
     def _not_opened(self, failure: Failure, address: Address) -> Failure:
         self._closed(address)
         return failure
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -13,7 +13,7 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
 from wagtailpaddle_core import ensure
-from wagtailpaddle_routing import AttemptOutcome
+from wagtailpaddle_routing import AttemptOutcome, IdleBound
 
 from wagtailpaddle_daemon.connections import (
     MAX_ANSWER_HEAD_BYTES,
@@ -24,7 +24,7 @@
 from wagtailpaddle_daemon.secrets import has_key_form
 
 SAFE_IDLE_S = 30.0
-UNSAFE_IDLE_S = 0.15
+UNSAFE_IDLE_S = 1.0
 MAX_ANSWER_HEADERS = 100
 VALID_TARGET = re.compile(rb"[\x21-\x7e]+")
 VALID_METHOD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -65,11 +65,17 @@
     """Sends attempts over pooled connections that are never retried unseen.
 
     Requests that must not run twice use connections that were idle for a short
-    time only, so that they seldom meet one that the server is just closing.
+    time only, so that they seldom meet one that the server is just closing. Where
+    servers drop idle connections sooner, all requests use younger ones.
     """
 
     def __init__(self, reactor: Any):
-        self._connections = Connections(reactor, max_idle_s=SAFE_IDLE_S)
+        self._reactor = reactor
+        self._safe = IdleBound(usual_s=SAFE_IDLE_S)
+        self._unsafe = IdleBound(usual_s=UNSAFE_IDLE_S)
+        self._connections = Connections(
+            reactor, max_idle_s=SAFE_IDLE_S, bounds=(self._safe, self._unsafe)
+        )
 
     def send(
         self, address: str, port: int, out: Outgoing, *, max_open: int = 1
@@ -86,7 +92,8 @@
             return fail(RequestNotSent(str(exc)))
         ensure(not has_key_form(data), "server-sees-no-key", server=(address, port))
         req = WholeRequest(out.method, data)
-        idle_s = SAFE_IDLE_S if out.method in SAFE_METHODS else UNSAFE_IDLE_S
+        bound = self._safe if out.method in SAFE_METHODS else self._unsafe
+        idle_s = bound.allowed_s(self._reactor.seconds())
         return self._connections.send(
             (address, port), req, max_idle_s=idle_s, max_open=max_open
         )
--- a/packages/daemon/tests/test_connections.py
+++ b/packages/daemon/tests/test_connections.py
@@ -1,12 +1,13 @@
 """Which connections to a server serve again, and what may go out on them."""
 
 import pytest
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 from wagtailpaddle_daemon.connections import ClientConnection, Connections, WholeRequest
 from wagtailpaddle_daemon.upstream import BodyReader, Outgoing, encode_request
+from wagtailpaddle_routing import IdleBound
 
 ADDRESS = ("127.0.0.1", 9)
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
@@ -123,6 +124,32 @@
     assert pool.n_open(ADDRESS) == 0
 
 
+@pytest.mark.parametrize(
+    ("reason", "after_s", "learned"),
+    [
+        (ConnectionLost(), 0.01, True),
+        (ConnectionDone(), 0.01, True),
+        (ConnectionLost(), 0.5, False),
+        (ConnectionAborted(), 0.01, False),
+    ],
+    ids=["reset", "closed", "later", "own-abort"],
+)
+def test_connection_that_was_gone_after_idling_shortens_the_idle_time(
+    clock, reason, after_s, learned
+):
+    bound = IdleBound(usual_s=1.0)
+    pool = Connections(clock, max_idle_s=30.0, bounds=(bound,))
+    conn = ClientConnection(pool, ADDRESS)
+    conn.makeConnection(StringTransport())
+    exchange(conn.request(get()), conn, GOOD + b"\r\nok")
+    clock.advance(0.4)
+    sent = pool.send(ADDRESS, get(), max_idle_s=1.0)
+    sent.addErrback(lambda _: None)
+    clock.advance(after_s)
+    conn.connectionLost(Failure(reason))
+    assert (bound.allowed_s(clock.seconds()) < 0.4) is learned
+
+
 def test_idle_connection_is_closed_in_time(pool, conn, clock):
     exchange(conn.request(get()), conn, GOOD + b"\r\nok")
     clock.advance(31.0)
--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -303,8 +303,8 @@
             # Every VM of a fleet that just started would take itself for the keeper.
             keepers = []
         self.quota.set_keepers(now, keepers)
-        self.replica.is_carrier = self.replica.own.id in carrying
         present = frozenset(carrying)
+        self.replica.members.note_carriers(now, present)
         if present == self._carriers:
             return ()
         self._carriers = present
--- a/packages/replica/src/wagtailpaddle_replica/members.py
+++ b/packages/replica/src/wagtailpaddle_replica/members.py
@@ -9,10 +9,18 @@
 from wagtailpaddle_replica.messages import Member, Sightings
 
 ALIVE_S = 2.0
+"""A VM that carries callers counts as alive for so long after it was heard from."""
+
+STANDBY_ALIVE_S = 3.5
+"""VMs that stand by are heard from seldom, and through more others."""
+
 GONE_S = 20.0
 FOLLOWED_S = 1.0
 """A VM that somebody asked for news within this time has followers."""
 
+CARRIED_S = 4.0
+"""So long a VM that carried callers counts as one of those that do."""
+
 CENTISECONDS_PER_S = 100.0
 TAG_CACHE_SIZE = 16384
 
@@ -29,8 +37,8 @@
 class Members:
     """The VMs of the fleet by the address at which other VMs reach them.
 
-    A VM counts as alive for ``ALIVE_S`` after anybody heard from it; one that
-    is only known from the store counts as heard from when its record came.
+    A VM counts as alive for a time after anybody heard from it; one that is only
+    known from the store counts as heard from when its record came.
     """
 
     def __init__(self, own: Member):
@@ -39,6 +47,7 @@
         self._sorted: tuple[Member, ...] | None = None
         self._seen_at: dict[int, float] = {}
         self._followed_at: dict[int, float] = {}
+        self._carried_at: dict[int, float] = {}
 
     def learn(self, now: float, member: Member) -> bool:
         """Take in a VM; return whether it was not known."""
@@ -85,7 +94,7 @@
 
     def followers(self, now: float) -> Sightings:
         """Return the VMs that follow this one, if through others."""
-        return _sightings(now, self._followed_at, ALIVE_S)
+        return _sightings(now, self._followed_at, STANDBY_ALIVE_S)
 
     def sightings(self, now: float) -> Sightings:
         """Return when VMs were last heard from; this one was just now."""
@@ -99,13 +108,25 @@
 
     def alive(self, now: float) -> tuple[Member, ...]:
         """Return the VMs that were heard from lately, this one included."""
-        oldest = now - ALIVE_S
         return tuple(
             member
             for member in self.all()
-            if member is self.own or self._seen_at[tag_of(member.id)] >= oldest
+            if member is self.own or self._is_alive(now, member.id)
         )
 
+    def note_carriers(self, now: float, vms: Iterable[VmId]) -> None:
+        """State which VMs carry callers now."""
+        for vm in vms:
+            self._carried_at[tag_of(vm)] = now
+
+    def is_carrier(self, now: float, vm: VmId) -> bool:
+        """Return whether a VM carries callers, or did a short time ago.
+
+        One that is missed soon must not count as alive again because it carries
+        callers no more.
+        """
+        return now - self._carried_at.get(tag_of(vm), float("-inf")) <= CARRIED_S
+
     def silent(self, now: float) -> tuple[Member, ...]:
         """Return the VMs that nobody heard from for ``GONE_S``."""
         oldest = now - GONE_S
@@ -121,6 +142,10 @@
         self._members[self.own.peer_address] = self.own
         self._sorted = None
 
+    def _is_alive(self, now: float, vm: VmId) -> bool:
+        within_s = ALIVE_S if self.is_carrier(now, vm) else STANDBY_ALIVE_S
+        return now - self._seen_at[tag_of(vm)] <= within_s
+
     def _times(self, now: float, sightings: Sightings) -> Iterable[tuple[int, float]]:
         """Yield when known VMs were heard from, by their tags."""
         for tag, age_cs in zip(sightings.tags, sightings.ages_cs, strict=False):
@@ -130,6 +155,7 @@
     def _forget_tag(self, member: Member) -> None:
         self._seen_at.pop(tag_of(member.id), None)
         self._followed_at.pop(tag_of(member.id), None)
+        self._carried_at.pop(tag_of(member.id), None)
 
 
 def _sightings(now: float, seen_at: dict[int, float], within_s: float) -> Sightings:
--- a/packages/replica/src/wagtailpaddle_replica/messages.py
+++ b/packages/replica/src/wagtailpaddle_replica/messages.py
@@ -72,7 +72,7 @@
 
     ``clock`` is the asking VM's time and comes back in the answer, after
     ``hold_s`` seconds if there is no news before. ``sightings`` are the VMs that
-    follow the asking one; it wants those of the others only now and then.
+    follow the asking one.
     """
 
     member: Member
@@ -81,7 +81,6 @@
     servers_from: Offset
     vms_from: Offset
     hold_s: float
-    wants_sightings: bool
     sightings: Sightings = Sightings()
 
     def start_of(self, collection: Collection) -> Offset:
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -16,7 +16,6 @@
     News,
     ReadStore,
     ReplicaAction,
-    Sightings,
     Update,
     WriteMember,
 )
@@ -31,9 +30,9 @@
 """Within this time after the hold an answer is there."""
 
 AVOID_S = 2.0
-PATIENCE_S = 0.8
-STANDBY_PATIENCE_S = 1.5
-SIGHTINGS_EVERY_S = 0.5
+RELAY_PATIENCE_S = 1.1
+PATIENCE_S = 1.4
+STANDBY_PATIENCE_S = 2.4
 LAPSE_AFTER_S = 3.0
 """Entries of servers lapse after three heartbeats of silence, of which up to one may
 have passed before the store went away."""
@@ -84,9 +83,7 @@
         self.copies = {item: Newest(item, decoders[item]) for item in Collection}
         self._seeds = tuple(item for item in seeds if item != own.peer_address)
         self._rng = rng
-        self.is_carrier = False
         self._following: str | None = None
-        self._sightings_at = float("-inf")
         self._avoid_until: dict[str, float] = {}
         self._registered = False
         self._register_at = 0.0
@@ -147,9 +144,7 @@
         if update.clock != follow.clock:
             return Step()
         told_at = update.clock + max(0.0, update.held_s)
-        if update.sightings.tags:
-            self._sightings_at = now
-            self.members.see(now, update.sightings)
+        self.members.see(now, update.sightings)
         self._note_outage(now, update.outage_age_s)
         ages = {
             Collection.CONFIG: update.config_age_s,
@@ -201,14 +196,13 @@
             if (batch := copy.since(follow.start_of(copy.collection))) is not None
         )
         back_at = self._back_at
-        wanted = follow.wants_sightings
         return Update(
             clock=follow.clock,
             held_s=now - asked_at,
             config_age_s=self._told_age(now, Collection.CONFIG),
             servers_age_s=self._told_age(now, Collection.SERVERS),
             batches=batches,
-            sightings=self.members.sightings(now) if wanted else Sightings(),
+            sightings=self.members.sightings(now),
             outage_age_s=NEVER_S if back_at is None else now - back_at,
         )
 
@@ -248,13 +242,19 @@
             return True
         if collection is Collection.VMS:
             return False
-        return self.age_s(now, collection) > self._patience_s(followed)
+        return self.age_s(now, collection) > self._patience_s(now, followed)
 
-    def _patience_s(self, followed: tuple[Member, ...]) -> float:
+    def _patience_s(self, now: float, followed: tuple[Member, ...]) -> float:
         is_relay = all(member.zone != self.own.zone for member in followed)
         if is_relay:
-            return PATIENCE_S
-        return STANDBY_PATIENCE_S + 0.2 * self._rng.random()
+            return RELAY_PATIENCE_S
+        usual_s = PATIENCE_S if self._is_watched(now) else STANDBY_PATIENCE_S
+        return usual_s * (1.0 + 0.2 * self._rng.random())
+
+    def _is_watched(self, now: float) -> bool:
+        """Return whether callers or other VMs depend on this one now."""
+        is_carrier = self.members.is_carrier(now, self.own.id)
+        return is_carrier or self.members.has_followers(now)
 
     def _follow(self, now: float, followed: tuple[Member, ...]) -> list[ReplicaAction]:
         if self._following is not None:
@@ -264,8 +264,7 @@
             return []
         self._following = address
         starts = {item: copy.next_offset for item, copy in self.copies.items()}
-        is_watched = self.is_carrier or self.members.has_followers(now)
-        hold_s = HOLD_S if is_watched else STANDBY_HOLD_S
+        hold_s = HOLD_S if self._is_watched(now) else STANDBY_HOLD_S
         question = Follow(
             member=self.own,
             clock=now,
@@ -273,7 +272,6 @@
             servers_from=starts[Collection.SERVERS],
             vms_from=starts[Collection.VMS],
             hold_s=hold_s,
-            wants_sightings=now - self._sightings_at >= SIGHTINGS_EVERY_S,
             sightings=self.members.followers(now),
         )
         return [FollowVm(address, question, hold_s + ANSWER_S)]
--- /dev/null
+++ b/packages/replica/tests/test_large_fleet.py
@@ -0,0 +1,187 @@
+"""A hundred VMs that follow each other, without a network.
+
+The pattern: small VMs that answer late, one reader of the store, and a tree of
+followers. Nobody may lose sight of a VM that lives, and nobody but the reader may
+call the store.
+"""
+
+import heapq
+from collections import Counter
+from itertools import count
+from random import Random
+
+import pytest
+from wagtailpaddle_replica import (
+    Batch,
+    Collection,
+    FollowVm,
+    Member,
+    ReadStore,
+    Record,
+    Replica,
+    carriers,
+    relays,
+)
+from wagtailpaddle_replica.members import ALIVE_S
+
+TICK_S = 0.1
+SETTLED_S = 4.0
+STORE_S = 0.02
+ZONES = ("a", "b", "c")
+
+
+def decode_member(key, data):
+    name, zone = data.decode().split(",")
+    return make_member(name, zone)
+
+
+def make_member(name, zone):
+    return Member(f"{name}/1", zone, f"{name}:80", name, "1")
+
+
+DECODERS = {
+    Collection.CONFIG: lambda key, data: data,
+    Collection.SERVERS: lambda key, data: data,
+    Collection.VMS: decode_member,
+}
+
+
+class Fleet:
+    """Replicas whose messages take up to ``slow_s`` each way."""
+
+    def __init__(self, n_vms, *, slow_s, seed):
+        self.random = Random(seed)
+        self.slow_s = slow_s
+        self.now = 0.0
+        self.events, self.order = [], count()
+        zones = [(f"vm{n}", ZONES[n % len(ZONES)]) for n in range(n_vms)]
+        self.vms = {
+            name: Replica(make_member(name, zone), DECODERS, seed=n)
+            for n, (name, zone) in enumerate(zones)
+        }
+        self.records = tuple(
+            Record(name, at, f"{name},{zone}".encode())
+            for at, (name, zone) in enumerate(zones)
+        )
+        self.reads = Counter()
+        self.dead = set()
+        self.asked = {}
+        for name in self.vms:
+            self.at(self.random.random() * TICK_S, self.tick, name)
+
+    def at(self, delay_s, function, *args):
+        entry = (self.now + delay_s, next(self.order), function, args)
+        heapq.heappush(self.events, entry)
+
+    def travel_s(self):
+        return 0.002 + self.random.random() * self.slow_s
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            self.now, _, function, args = heapq.heappop(self.events)
+            function(*args)
+        self.now = until
+
+    def tick(self, name):
+        if name in self.dead:
+            return
+        vm = self.vms[name]
+        alive = vm.members.alive(self.now)
+        vm.members.note_carriers(self.now, [member.id for member in carriers(alive)])
+        self.carry_out(name, vm.on_tick(self.now))
+        self.at(TICK_S, self.tick, name)
+
+    def carry_out(self, name, step):
+        for action in step.actions:
+            if isinstance(action, ReadStore):
+                self.reads[name] += self.now > SETTLED_S
+                self.at(STORE_S, self.read, name, action, self.now)
+            elif isinstance(action, FollowVm):
+                self.asked[name] = action
+                self.at(self.travel_s(), self.ask, name, action)
+                self.at(action.timeout_s, self.give_up, name, action)
+
+    def read(self, name, action, sent_at):
+        records = self.records if action.collection is Collection.VMS else ()
+        batch = Batch(action.collection, len(records) or 1, records, True)
+        self.carry_out(name, self.vms[name].on_read(self.now, sent_at, batch))
+
+    def ask(self, name, action):
+        if action.address in self.dead:
+            return
+        followed = self.vms[action.address]
+        followed.on_follow(self.now, action.body)
+        held_s = 0.0 if followed.has_news(action.body) else action.body.hold_s
+        self.at(held_s, self.answer, name, action, self.now)
+
+    def answer(self, name, action, asked_at):
+        if action.address in self.dead:
+            return
+        told = self.vms[action.address].update(self.now, action.body, asked_at)
+        self.at(self.travel_s(), self.hear, name, action, told)
+
+    def hear(self, name, action, told):
+        if self.is_over(name, action):
+            return
+        vm = self.vms[name]
+        step = vm.on_update(self.now, action.address, told, action.body)
+        self.carry_out(name, step)
+
+    def give_up(self, name, action):
+        if not self.is_over(name, action):
+            vm = self.vms[name]
+            self.carry_out(name, vm.on_follow_failed(self.now, action.address))
+
+    def is_over(self, name, action):
+        """Note the end of a question; return whether it was over before."""
+        if name in self.dead or self.asked.get(name) is not action:
+            return True
+        del self.asked[name]
+        return False
+
+    def n_alive(self, name):
+        return len(self.vms[name].members.alive(self.now))
+
+
+@pytest.fixture
+def make_fleet():
+    def make(n_vms, *, slow_s=0.02, seed=1):
+        fleet = Fleet(n_vms, slow_s=slow_s, seed=seed)
+        fleet.run(SETTLED_S)
+        return fleet
+
+    return make
+
+
+@pytest.mark.parametrize("slow_s", [0.002, 0.1])
+@pytest.mark.parametrize("n_vms", [32, 112])
+def test_nobody_loses_sight_of_a_vm_that_lives(make_fleet, n_vms, slow_s):
+    fleet = make_fleet(n_vms, slow_s=slow_s)
+    for step in range(40):
+        fleet.run(SETTLED_S + 0.2 * step)
+        assert {fleet.n_alive(name) for name in fleet.vms} == {n_vms}
+
+
+@pytest.mark.parametrize("slow_s", [0.002, 0.1])
+@pytest.mark.parametrize("n_vms", [32, 112])
+def test_only_the_reader_calls_the_store(make_fleet, n_vms, slow_s):
+    fleet = make_fleet(n_vms, slow_s=slow_s)
+    fleet.run(SETTLED_S + 10.0)
+    members = [vm.own for vm in fleet.vms.values()]
+    reader = relays(members)[0].peer_address
+    assert set(+fleet.reads) == {reader}
+
+
+def test_dead_carrier_and_dead_relay_are_missed_by_everybody(make_fleet):
+    fleet = make_fleet(112)
+    members = [vm.own for vm in fleet.vms.values()]
+    lost = carriers(members)[0].peer_address
+    fleet.dead = {lost, relays(members)[1].peer_address}
+    fleet.run(SETTLED_S + ALIVE_S + 1.0)
+    for name, vm in fleet.vms.items():
+        if name not in fleet.dead:
+            alive = {item.peer_address for item in vm.members.alive(fleet.now)}
+            assert lost not in alive
+    fleet.run(SETTLED_S + 8.0)
+    living = [name for name in fleet.vms if name not in fleet.dead]
+    assert {fleet.n_alive(name) for name in living} == {110}
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -10,6 +10,7 @@
 )
 from wagtailpaddle_routing.choose import CHOOSERS
 from wagtailpaddle_routing.dispatcher import Dispatcher
+from wagtailpaddle_routing.idle import IdleBound
 from wagtailpaddle_routing.leaving import LeavingMarks, LeavingNotice
 from wagtailpaddle_routing.limits import LIMITERS
 from wagtailpaddle_routing.messages import (
@@ -58,6 +59,7 @@
     "Deliver",
     "Dispatch",
     "Dispatcher",
+    "IdleBound",
     "Job",
     "LeavingMarks",
     "LeavingNotice",
