--- a/packages/standins/src/wagtailpaddle_standins/relays.py
+++ b/packages/standins/src/wagtailpaddle_standins/relays.py
@@ -1,9 +1,10 @@
-"""Relays between processes on loopback that can drop what goes one way.
+"""Relays between processes on loopback that can drop, delay and reset.
 
 ``PUT /_control`` with ``{"port": ["forward"]}`` states for each relay, by its
-port, what it drops from then on: ``forward`` is what the connecting side sends,
-``backward`` what the target sends. A relay that is not named passes everything
-on. Connections that lost bytes are closed when their relay passes on again.
+port, what it does from then on: it drops ``forward`` what the connecting side
+sends, ``backward`` what the target sends; ``slow`` delays both; ``reset`` ends
+every connection once. A relay that is not named passes everything on.
+Connections that lost bytes are closed when their relay passes on again.
 """
 
 import argparse
@@ -18,6 +19,9 @@
 CONTROL_PATH = "/_control"
 FORWARD = "forward"
 BACKWARD = "backward"
+SLOW = "slow"
+RESET = "reset"
+SLOW_S = 0.25
 
 
 class Side(Protocol):
@@ -29,6 +33,7 @@
         self.other: Side | None = None
         self.waiting: list[bytes] = []
         self.has_lost = False
+        self.delayed_until: float | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Connect to the target, or begin to pass on."""
@@ -44,17 +49,26 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Pass bytes on, or drop them."""
-        if self.way in self.relay.dropped:
+        if self.way in self.relay.modes:
             self.has_lost = True
         elif self.other is None:
             self.waiting.append(data)
+        elif self.delayed_until is not None or SLOW in self.relay.modes:
+            self._pass_on_later(self.other, data)
         else:
             self.other.transport.write(data)
 
+    def _pass_on_later(self, other: "Side", data: bytes) -> None:
+        """Delay bytes; those that come after them do not overtake them."""
+        loop: Any = reactor
+        at = loop.seconds() + (SLOW_S if SLOW in self.relay.modes else 0.0)
+        self.delayed_until = at = max(at, self.delayed_until or at)
+        loop.callLater(at - loop.seconds(), other.transport.write, data)
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Close the other side, unless it would not hear of it."""
         self.relay.sides.discard(self)
-        if self.other is not None and self.way not in self.relay.dropped:
+        if self.other is not None and self.way not in self.relay.modes:
             self.other.transport.loseConnection()
 
 
@@ -84,26 +98,28 @@
 
     def __init__(self, target: int):
         self.target = target
-        self.dropped: frozenset[str] = frozenset()
+        self.modes: frozenset[str] = frozenset()
         self.sides: set[Side] = set()
 
     def buildProtocol(self, addr: Any) -> Side:  # noqa: N802
         """Return the protocol towards the connecting side."""
         return Side(self, FORWARD)
 
-    def drop(self, ways: frozenset[str]) -> None:
-        """State what is dropped from now on."""
-        healed = self.dropped - ways
-        self.dropped = ways
-        if not healed:
-            return
+    def impair(self, modes: frozenset[str]) -> None:
+        """State what is dropped or delayed from now on."""
+        is_reset = RESET in modes
+        healed = self.modes - modes
+        self.modes = modes - {RESET}
         for side in tuple(self.sides):
-            if side.has_lost or (side.other is not None and side.other.has_lost):
+            has_lost = side.has_lost or (side.other is not None and side.other.has_lost)
+            if is_reset or (healed and has_lost):
                 side.transport.abortConnection()
+                if side.other is not None and side.other.transport is not None:
+                    side.other.transport.abortConnection()
 
 
 class Control(Resource):
-    """Takes in what the relays drop."""
+    """Takes in what the relays drop and delay."""
 
     isLeaf = True  # noqa: N815
 
@@ -113,9 +129,9 @@
 
     def render_PUT(self, request: Any) -> bytes:  # noqa: N802
         """Set every relay anew."""
-        dropped = json.loads(request.content.read())
+        modes = json.loads(request.content.read())
         for port, relay in self._relays.items():
-            relay.drop(frozenset(dropped.get(str(port), ())))
+            relay.impair(frozenset(modes.get(str(port), ())))
         return b"{}"
 
 
