--- a/packages/routing/src/wagtailpaddle_routing/picks.py
+++ b/packages/routing/src/wagtailpaddle_routing/picks.py
@@ -127,6 +127,8 @@
             fitting = [item for item in field.usable if field.fits(item, pending)]
         if not fitting:
             return None
+        untried = [item for item in fitting if item.id not in pending.shed_by]
+        fitting = untried or fitting
         is_first = pending.job.idempotent and not pending.failed_on
         if is_first and field.may_probe:
             probe = next(self._to_probe(field, fitting), None)
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -44,6 +44,7 @@
         "n_not_sent",
         "n_shed",
         "server",
+        "shed_by",
         "started_at",
         "state",
         "waiting_since",
@@ -59,6 +60,7 @@
         self.n_failed: int = 0
         self.n_not_sent: int = 0
         self.failed_on: frozenset[ServerId] = frozenset()
+        self.shed_by: frozenset[ServerId] = frozenset()
         self.may_have_run: bool = False
         self.dropped: ErrorKind | None = None
         self.started_at: float = 0.0
@@ -142,6 +144,7 @@
     server = pending.running_on.id
     if result.outcome is AttemptOutcome.SHED:
         pending.n_shed += 1
+        pending.shed_by |= {server}
     elif result.outcome is AttemptOutcome.NOT_SENT:
         pending.n_not_sent += 1
         pending.failed_on |= {server}
--- a/packages/routing/tests/test_shedding.py
+++ b/packages/routing/tests/test_shedding.py
@@ -110,3 +110,15 @@
         (action,) = dispatcher.arrive(0.01, job)
         chosen.add(action.server)
     assert first.server not in chosen
+
+
+def test_request_that_was_turned_away_goes_to_a_server_that_it_has_not_tried():
+    dispatcher = Dispatcher(picker="freshest", seed=1, charge_shed=True)
+    views = tuple(ServerView(f"s{n}", "a", slots=4, connections=300) for n in range(5))
+    dispatcher.set_servers(0.0, SERVICE, views)
+    (action,) = dispatcher.arrive(0.0, Job("r", "x", SERVICE, False, 0.0, 2.0))
+    tried = [action.server]
+    for _ in range(4):
+        (action,) = dispatcher.finish(0.001, "r", SHED_WITH_ROOM)
+        tried.append(action.server)
+    assert len(set(tried)) == len(views)
