Split admission at the door and the last slots out of the pool; let carriers follow the relay

In the fleet of 112 replicas whose messages and store answers take up to 0.1 s, VMs that carry callers sat at the end of their zone's tree and lost patience, so they read the store themselves.

--- a/packages/replica/src/wagtailpaddle_replica/duties.py
+++ b/packages/replica/src/wagtailpaddle_replica/duties.py
@@ -76,8 +76,8 @@
     """Return whom a VM follows, the best first; nobody if it reads the store.
 
     A relay follows those of the zones before its own, the others of a zone follow
-    in a tree below its relay. Only VMs that come before it are named, so nobody
-    follows in a ring.
+    in a tree below its relay, those that carry callers at its top. Only VMs that come
+    before it are named, so nobody follows in a ring.
     """
     chain = relays(members)
     for index, relay in enumerate(chain):
@@ -85,7 +85,8 @@
             return chain[:index]
     nearest_first = zone_order(own.zone, members)[::-1]
     place = next(at for at, member in enumerate(nearest_first) if member.id == own.id)
-    above = nearest_first[(place - 1) // FAN_OUT]
+    is_carrier = place >= len(nearest_first) - CARRIERS_PER_ZONE
+    above = nearest_first[0 if is_carrier else (place - 1) // FAN_OUT]
     before = [item for item in nearest_first[:place] if item.id != above.id]
     others = [relay for relay in chain if relay.zone != own.zone]
     return (above, *before[: N_CANDIDATES - 2], *others)[:N_CANDIDATES]
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -248,7 +248,8 @@
         is_relay = all(member.zone != self.own.zone for member in followed)
         if is_relay:
             return RELAY_PATIENCE_S
-        usual_s = PATIENCE_S if self._is_watched(now) else STANDBY_PATIENCE_S
+        is_carrier = self.members.is_carrier(now, self.own.id)
+        usual_s = PATIENCE_S if is_carrier else STANDBY_PATIENCE_S
         return usual_s * (1.0 + 0.2 * self._rng.random())
 
     def _is_watched(self, now: float) -> bool:
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -3,7 +3,6 @@
 from random import Random
 
 from wagtailpaddle_core import (
-    AccountId,
     ErrorKind,
     RequestId,
     ServiceId,
@@ -13,6 +12,7 @@
 from wagtailpaddle_routing.accounts import LatencyMeter
 from wagtailpaddle_routing.budget import RetryBudget
 from wagtailpaddle_routing.choose import CHOOSERS
+from wagtailpaddle_routing.door import turn_away
 from wagtailpaddle_routing.ledger import Ledger
 from wagtailpaddle_routing.limits import LIMITERS, SERVICE_LIMITERS
 from wagtailpaddle_routing.messages import (
@@ -41,10 +41,10 @@
 )
 from wagtailpaddle_routing.server import Server
 from wagtailpaddle_routing.serverset import ServerSet
+from wagtailpaddle_routing.sharing import LastSlots
 from wagtailpaddle_routing.trust import TrustBook
 from wagtailpaddle_routing.waiting import WaitingRoom
 
-SHARED_S = 5.0
 RANKED = "ranked"
 LEAST_SERVICE_PART = 0.5
 """Part of the mean service time without which no request is served."""
@@ -106,8 +106,7 @@
         )
         self._latency = LatencyMeter()
         self._open_at: float | None = None
-        self._last_account: AccountId | None = None
-        self._shared_at = float("-inf")
+        self._last_slots = LastSlots(policy.reserved)
 
     @property
     def is_idle(self) -> bool:
@@ -132,7 +131,7 @@
         if now >= job.deadline_at:
             detail = "the deadline passed before the request arrived"
             return [Refuse(job.id, ErrorKind.DEADLINE_EXCEEDED, detail)]
-        self._note_sharing(now, job.account)
+        self._last_slots.note_request(now, job.account)
         pending = self._ledger.open(now, job, self._latency.mean_s)
         self._budget.earn()
         if not self._room.n_queued:
@@ -221,23 +220,19 @@
 
     def _wait(self, now: float, pending: Pending) -> list[Action]:
         """Queue a new request if it can be served in time."""
-        account = pending.job.account
-        mean_s = self._ledger.account(account).mean_s
-        ahead_s = self._room.work_ahead_s(account, mean_s, pending.job.rank)
-        wait_s = ahead_s / self.servers.capacity
-        left_s = pending.job.deadline_at - now
-        if self._room.waits_in_vain(now, pending.job.rank):
-            detail = "requests that are as urgent waited in vain"
-            wait_s = self._wait_s()
-            return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
-        if wait_s > 0.0 and wait_s + self._least_service_s() > left_s:
-            detail = f"the wait is about {wait_s:.1f} s, longer than the deadline"
-            return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
-        is_full = self._room.n_queued >= self._room.max_waiting
-        if is_full and self._room.is_longest(account):
-            detail = f"{self._room.n_queued} requests wait already"
-            return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
-        return self._enqueue(pending) + self._pump(now)
+        turned_away = turn_away(
+            now,
+            pending,
+            self._room,
+            mean_s=self._ledger.account(pending.job.account).mean_s,
+            least_s=self._least_service_s(),
+            capacity=self.servers.capacity,
+            wait_s=self._wait_s(),
+        )
+        if turned_away is None:
+            return self._enqueue(pending) + self._pump(now)
+        detail, wait_s = turned_away.detail, turned_away.wait_s
+        return [self._ledger.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
 
     def _wait_s(self) -> float:
         """Return the time in which what waits now is served, in seconds."""
@@ -265,18 +260,16 @@
         kind = truthful(victim, ErrorKind.OVERLOADED)
         return [self._ledger.refuse(victim, kind, detail, wait_s)]
 
-    def _note_sharing(self, now: float, account: AccountId) -> None:
-        """Note when several accounts last used the service on this VM."""
-        if account == self._last_account:
-            return
-        if self._last_account is not None:
-            self._shared_at = now
-        self._last_account = account
-
     def _place(self, now: float, pending: Pending) -> Server | None:
         """Return a server for the request if it may go now."""
         n_free = self.servers.capacity - self.servers.n_running
-        if n_free <= 0 or not self._may_take_slot(now, pending.job.account, n_free):
+        if n_free <= 0 or not self._last_slots.may_take(
+            now,
+            pending.job.account,
+            self._ledger,
+            capacity=self.servers.capacity,
+            n_free=n_free,
+        ):
             return None
         return self.servers.choose(
             now,
@@ -285,21 +278,6 @@
             may_probe=self._budget.is_ample(now),
         )
 
-    def _may_take_slot(self, now: float, account: AccountId, n_free: int) -> bool:
-        """Keep the last slots for accounts with less than an equal part.
-
-        Only while several accounts use the service here; one alone may have
-        all of the capacity.
-        """
-        capacity = self.servers.capacity
-        part = self._policy.reserved
-        if not part or n_free > max(1.0, capacity * part):
-            return True
-        if now - self._shared_at > SHARED_S:
-            return True
-        equal_part = capacity / max(2, self._ledger.n_accounts)
-        return self._ledger.account(account).n_running < equal_part
-
     def _pump(self, now: float) -> list[Action]:
         """Start queued requests while there is room."""
         actions: list[Action] = []
--- /dev/null
+++ b/packages/routing/src/wagtailpaddle_routing/sharing.py
@@ -0,0 +1,46 @@
+"""The last slots of a service, kept for client accounts that use little of it."""
+
+from wagtailpaddle_core import AccountId
+
+from wagtailpaddle_routing.ledger import Ledger
+
+SHARED_S = 5.0
+"""So long after several accounts used the service it counts as shared."""
+
+
+class LastSlots:
+    """Keeps a part of the capacity for accounts with less than an equal share.
+
+    Only while several accounts use the service here; one alone may have all of the
+    capacity.
+    """
+
+    def __init__(self, part: float):
+        self._part = part
+        self._last_account: AccountId | None = None
+        self._shared_at = float("-inf")
+
+    def note_request(self, now: float, account: AccountId) -> None:
+        """Note who uses the service."""
+        if account == self._last_account:
+            return
+        if self._last_account is not None:
+            self._shared_at = now
+        self._last_account = account
+
+    def may_take(
+        self,
+        now: float,
+        account: AccountId,
+        ledger: Ledger,
+        *,
+        capacity: int,
+        n_free: int,
+    ) -> bool:
+        """Return whether an account may have one of the ``n_free`` slots."""
+        if not self._part or n_free > max(1.0, capacity * self._part):
+            return True
+        if now - self._shared_at > SHARED_S:
+            return True
+        equal_part = capacity / max(2, ledger.n_accounts)
+        return ledger.account(account).n_running < equal_part
