Tell followers how far their upstream has read; work out a document once

And each change of a server worked out all 1100 routes again on every VM.

Change: an answer to a follower says how far the upstream's copy goes, also without news. What a document states is worked out once for its version.

--- a/packages/node/src/wagtailpaddle_node/replicacontrol.py
+++ b/packages/node/src/wagtailpaddle_node/replicacontrol.py
@@ -1,7 +1,7 @@
 """The control side of a node that keeps a copy of the platform's store."""
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from wagtailpaddle_config import (
@@ -61,6 +61,14 @@
 MANY_SERVERS = 20
 
 
+@dataclass(frozen=True, slots=True)
+class Stated:
+    """What a version of the operators' document states, before servers are added."""
+
+    version: int
+    cfg: Configuration
+
+
 class ReplicaControl:
     """Everything of a node on the platform that belongs to no single request."""
 
@@ -91,6 +99,7 @@
         self.n_bad_messages = 0
         self.registered = Registered()
         self._revision: Offset = 0
+        self._stated: Stated | None = None
         self._duties_at = float("-inf")
         self._carriers: frozenset[VmId] = frozenset()
         self._fleet_known_at: float | None = None
@@ -283,7 +292,11 @@
         if self.document is None:
             return ()
         self._revision += 1
-        stated = configure(self.document, self._revision)
+        if self._stated is None or self._stated.version != self.document.version:
+            self._stated = Stated(
+                self.document.version, configure(self.document, self._revision)
+            )
+        stated = replace(self._stated.cfg, revision=self._revision)
         servers = self.registered.servers()
         self.configuration = with_servers(stated, servers, self.configuration)
         self.membership.n_slots = sum(
--- a/packages/replica/src/wagtailpaddle_replica/newest.py
+++ b/packages/replica/src/wagtailpaddle_replica/newest.py
@@ -104,6 +104,17 @@
         newer.sort(key=lambda record: record.offset)
         return Batch(self.collection, self.next_offset, tuple(newer), whole)
 
+    def progress(self, start: Offset) -> Batch | None:
+        """Return what came after ``start``, if only that nothing of it is news.
+
+        Whoever knows how far it is does not read heartbeats that changed nothing
+        when it reads the store itself.
+        """
+        news = self.since(start)
+        if news is None and self.is_known and start < self.next_offset:
+            return Batch(self.collection, self.next_offset, ())
+        return news
+
     def _is_first(self, start: Offset) -> bool:
         """Return whether ``start`` is that of a VM that has nothing yet."""
         return start == 0 and bool(self._entries)
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -193,7 +193,7 @@
         batches = tuple(
             batch
             for copy in self.copies.values()
-            if (batch := copy.since(follow.start_of(copy.collection))) is not None
+            if (batch := copy.progress(follow.start_of(copy.collection))) is not None
         )
         back_at = self._back_at
         return Update(
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -282,6 +282,32 @@
     assert of_kind(replica.on_read(1.0, 0.9, batch), News)
 
 
+def test_follower_that_must_read_does_not_read_heartbeats_that_changed_nothing(
+    make_replica,
+):
+    """Pattern: 216 servers write 144 heartbeats a second, and a relay falls silent."""
+    reader = make_replica("a0")
+    fill(reader, 0.0)
+    servers = tuple(Record(f"s{n}", n, b"ready") for n in range(50))
+    reader.on_read(0.1, 0.1, Batch(Collection.SERVERS, 50, servers, True))
+    ordinary = carriers(FLEET)[0]
+    follower = make_replica(ordinary.peer_address, ordinary.zone)
+    fill(follower, 0.0)
+    (follow,) = of_kind(follower.on_tick(0.2), FollowVm)
+    told = reader.update(0.3, follow.body, asked_at=0.2)
+    step = follower.on_update(0.3, follow.address, told, follow.body)
+    (follow,) = of_kind(step, FollowVm)
+    beats = tuple(Record(f"s{n % 50}", 50 + n, b"ready") for n in range(5000))
+    reader.on_read(0.4, 0.4, Batch(Collection.SERVERS, 5050, beats))
+    assert not reader.has_news(follow.body)
+    told = reader.update(0.5, follow.body, asked_at=0.3)
+    follower.on_update(0.5, follow.address, told, follow.body)
+    late = 0.5 + STANDBY_PATIENCE_S * 1.2
+    reads = of_kind(follower.on_tick(late), ReadStore)
+    (start,) = [item.start for item in reads if item.collection is Collection.SERVERS]
+    assert start == 5050
+
+
 def test_store_that_was_away_gives_lapsed_entries_time_to_return(make_replica):
     replica = make_replica("a0")
     fill(replica, 0.0)
