State the document's version and its age in decision lines and metrics

Cause: a request that an old configuration decided could not be assigned to a cause. Lines had the internal revision, which rises with each change of a server, but neither the version of the operators' document nor how old the copy was: a copy that knew that it was old looked like one that took itself for current.

Change: ConfigState (revision, version, age) from the node goes into the lines Sent and Refused and into two gauges, config_version and config_age_seconds. Nodes without a document leave both out.

Measured: tests of daemon, node and replica pass.

--- a/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/admin/status.py
@@ -107,7 +107,7 @@
     node = context.port.node
     chunks = render_chunks(
         context.metrics,
-        revision=node.configuration.revision,
+        config=node.config_state(context.now()),
         n_in_flight=context.port.gateway.n_in_flight,
     )
     page = []
--- a/packages/daemon/src/wagtailpaddle_daemon/decisions.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/decisions.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_node import ConfigState
 from wagtailpaddle_routing import AttemptOutcome, AttemptResult, Dispatch
 
 from wagtailpaddle_daemon.logs import get_logger
@@ -30,7 +31,12 @@
         self._n_lines = 0
 
     def dispatched(
-        self, now: float, external_id: bytes, action: Dispatch, **fields: Any
+        self,
+        now: float,
+        external_id: bytes,
+        action: Dispatch,
+        config: ConfigState,
+        **fields: Any,
     ) -> None:
         """Log the start of an attempt."""
         if not self._is_logged(now, external_id):
@@ -43,6 +49,7 @@
             attempt=action.attempt,
             queued_s=round(action.queued_s, 4),
             left_s=round(action.timeout_at - now, 3),
+            **_config_fields(config),
             **fields,
         )
 
@@ -70,6 +77,7 @@
         kind: ErrorKind,
         detail: str,
         retry_after_s: float | None,
+        config: ConfigState,
         **fields: Any,
     ) -> None:
         """Log that this VM itself refused a request."""
@@ -79,6 +87,7 @@
             kind=kind.value,
             detail=detail,
             retry_after_s=retry_after_s,
+            **_config_fields(config),
             **fields,
         )
 
@@ -98,5 +107,15 @@
         return digest >> (8 - SAMPLE_BITS) == 0
 
 
+def _config_fields(config: ConfigState) -> dict[str, object]:
+    """Return the fields that state which configuration decided."""
+    fields: dict[str, object] = {"revision": config.revision}
+    if config.version is not None:
+        fields["version"] = config.version
+    if config.age_s is not None:
+        fields["config_age_s"] = round(config.age_s, 3)
+    return fields
+
+
 def _text(external_id: bytes) -> str:
     return external_id.decode("latin-1")
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -162,9 +162,9 @@
             now,
             exchange.external_id,
             action,
+            self._node.config_state(now),
             route=view.route,
             account=view.account,
-            revision=self._node.configuration.revision,
         )
         attempt = action.attempt
         request = action.request
@@ -324,14 +324,15 @@
     def _refuse(self, action: Refuse) -> None:
         exchange = self._exchanges.pop(action.request)
         self._record_request(action.request, exchange, action.kind)
+        now = self._reactor.seconds()
         self._decisions.refused(
             exchange.external_id,
             action.kind,
             action.detail,
             action.retry_after_s,
+            self._node.config_state(now),
             attempts=exchange.n_attempts,
-            waited_s=round(self._reactor.seconds() - exchange.arrived_at, 4),
-            revision=self._node.configuration.revision,
+            waited_s=round(now - exchange.arrived_at, 4),
         )
         if exchange.committed:
             exchange.caller.abort()
--- a/packages/daemon/src/wagtailpaddle_daemon/metrics_page.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/metrics_page.py
@@ -11,6 +11,7 @@
     Metric,
 )
 from prometheus_client.registry import Collector
+from wagtailpaddle_node import ConfigState
 
 from wagtailpaddle_daemon.histogram import Histogram
 from wagtailpaddle_daemon.metrics import Metrics, Series
@@ -47,7 +48,7 @@
 
 
 def render_chunks(
-    metrics: Metrics, *, revision: int, n_in_flight: int
+    metrics: Metrics, *, config: ConfigState, n_in_flight: int
 ) -> Iterator[bytes]:
     """Yield the page in the Prometheus text format in chunks.
 
@@ -61,7 +62,7 @@
     for kind, count in sorted(metrics.refusals.items()):
         refusals.add_metric([kind], count)
     yield _render(
-        _gauge("revision", "Number of configuration records folded.", revision),
+        *_config_gauges(config),
         _gauge("requests_in_flight", "Requests not yet answered.", n_in_flight),
         refusals,
     )
@@ -77,6 +78,18 @@
     )
 
 
+def _config_gauges(config: ConfigState) -> Iterator[Metric]:
+    yield _gauge("revision", "Number of configuration records folded.", config.revision)
+    if config.version is not None:
+        yield _gauge("config_version", "Version in force.", config.version)
+    if config.age_s is not None:
+        yield _gauge(
+            "config_age_seconds",
+            "Time since the configuration was last proven current.",
+            config.age_s,
+        )
+
+
 def _request_families(label: str, items: list[tuple[str, Series]]) -> Iterator[bytes]:
     for name, bounds in (
         ("latency_seconds", LATENCY_BOUNDS_S),
@@ -126,7 +139,7 @@
         yield _render(family, header=start == 0)
 
 
-def _gauge(name: str, help_text: str, value: int) -> Metric:
+def _gauge(name: str, help_text: str, value: float) -> Metric:
     return GaugeMetricFamily(f"wagtailpaddle_{name}", help_text, value=value)
 
 
--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -191,7 +191,7 @@
         """Return the counters and histograms in the Prometheus text format."""
         pieces = render_chunks(
             self.metrics,
-            revision=self.node.configuration.revision,
+            config=self.node.config_state(self._reactor.seconds()),
             n_in_flight=self.gateway.n_in_flight,
         )
         return b"".join(pieces)
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -9,7 +9,7 @@
 from wagtailpaddle_daemon.caller import DisconnectedCaller
 from wagtailpaddle_daemon.gateway import Gateway
 from wagtailpaddle_daemon.upstream import OutgoingRequest
-from wagtailpaddle_node import RequestHead, RequestView
+from wagtailpaddle_node import ConfigState, RequestHead, RequestView
 from wagtailpaddle_routing import Dispatch, Refuse
 
 
@@ -21,6 +21,9 @@
     def __init__(self):
         self.results = []
 
+    def config_state(self, now):
+        return ConfigState(self.configuration.revision)
+
     def next_wake(self, now):
         return now + 1.0
 
--- a/packages/daemon/tests/test_metrics.py
+++ b/packages/daemon/tests/test_metrics.py
@@ -3,6 +3,7 @@
 from wagtailpaddle_daemon.histogram import Histogram
 from wagtailpaddle_daemon.metrics import MAX_PENDING_SAMPLES, OTHER, Metrics
 from wagtailpaddle_daemon.metrics_page import SERIES_PER_CHUNK, render_chunks
+from wagtailpaddle_node import ConfigState
 from wagtailpaddle_routing import AttemptOutcome
 
 
@@ -55,19 +56,23 @@
 def test_page_shows_buckets_and_counters(metrics):
     metrics.record_request(0.0, "a", "r", 0.02, None, n_attempts=2)
     metrics.record_attempt(0.0, "booking", "s1", 0.02, AttemptOutcome.TIMED_OUT)
-    page = b"".join(render_chunks(metrics, revision=7, n_in_flight=0)).decode()
+    state = ConfigState(7, version=41, age_s=0.5)
+    page = b"".join(render_chunks(metrics, config=state, n_in_flight=0)).decode()
     assert 'wagtailpaddle_account_latency_seconds_count{account="a"} 1.0' in page
     assert 'wagtailpaddle_account_attempts_bucket{account="a",le="1.0"} 0.0' in page
     assert 'wagtailpaddle_account_attempts_bucket{account="a",le="2.0"} 1.0' in page
     line = 'wagtailpaddle_server_outcomes_total{outcome="timed-out",'
     assert line + 'server="booking/s1"} 1.0' in page
     assert "wagtailpaddle_revision 7.0" in page
+    assert "wagtailpaddle_config_version 41.0" in page
+    assert "wagtailpaddle_config_age_seconds 0.5" in page
 
 
 def test_page_in_chunks_declares_each_family_once():
     metrics = Metrics()
     for index in range(3 * SERIES_PER_CHUNK):
         metrics.record_request(0.0, f"a{index:02}", "r", 0.02, None)
-    page = b"".join(render_chunks(metrics, revision=0, n_in_flight=0)).decode()
+    chunks = render_chunks(metrics, config=ConfigState(0), n_in_flight=0)
+    page = b"".join(chunks).decode()
     assert page.count("# TYPE wagtailpaddle_account_latency_seconds ") == 1
     assert page.count("wagtailpaddle_account_latency_seconds_count{") == 24
--- a/packages/node/src/wagtailpaddle_node/__init__.py
+++ b/packages/node/src/wagtailpaddle_node/__init__.py
@@ -4,6 +4,7 @@
 from wagtailpaddle_node.messages import (
     Append,
     CallPeer,
+    ConfigState,
     LogEvent,
     NodeAction,
     Replay,
@@ -20,6 +21,7 @@
     "OPEN_ACCOUNT",
     "Append",
     "CallPeer",
+    "ConfigState",
     "Node",
     "NodeAction",
     "LogEvent",
--- a/packages/node/src/wagtailpaddle_node/messages.py
+++ b/packages/node/src/wagtailpaddle_node/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wagtailpaddle_core import AccountId, RequestId, RouteId
+from wagtailpaddle_core import AccountId, Offset, RequestId, RouteId
 from wagtailpaddle_once import StoredAnswer
 from wagtailpaddle_replica import NotifyFollowers, ReadStore, WriteMember
 from wagtailpaddle_routing import CancelAttempt, Deliver, Dispatch, Refuse
@@ -35,6 +35,19 @@
     route: RouteId | None
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigState:
+    """Which configuration decides now, and how current it is proven to be.
+
+    ``version`` is the version of the operators' document and ``age_s`` the time since
+    the copy was last proven current, both None where they do not exist.
+    """
+
+    revision: Offset
+    version: int | None = None
+    age_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CallPeer:
     """Send ``body`` to the daemon at ``address`` and report the result.
--- a/packages/node/src/wagtailpaddle_node/replica_node.py
+++ b/packages/node/src/wagtailpaddle_node/replica_node.py
@@ -9,7 +9,7 @@
 from wagtailpaddle_routing import Dispatcher, Policy
 
 from wagtailpaddle_node.backends import Backends
-from wagtailpaddle_node.messages import LogEvent, NodeAction
+from wagtailpaddle_node.messages import ConfigState, LogEvent, NodeAction
 from wagtailpaddle_node.replica_control import Decoders, ReplicaControl
 from wagtailpaddle_node.replica_membership import ReplicaSettings
 from wagtailpaddle_node.request_node import RequestNode
@@ -48,6 +48,15 @@
             return False
         return membership.is_fresh(now) and membership.may_serve_open(now)
 
+    def config_state(self, now: float) -> ConfigState:
+        """Return which document decides at ``now`` and how old the copy is."""
+        revision = self.configuration.revision
+        document = self.control.document
+        if document is None:
+            return ConfigState(revision)
+        age_s = self.control.replica.age_s(now, Collection.CONFIG)
+        return ConfigState(revision, document.version, age_s)
+
     def addresses(self, now: float, zone: ZoneId | None) -> CallerAddresses:
         """Return the addresses that a caller should use."""
         return self.control.membership.addresses_for(now, zone)
--- a/packages/node/src/wagtailpaddle_node/request_node.py
+++ b/packages/node/src/wagtailpaddle_node/request_node.py
@@ -8,7 +8,12 @@
 from wagtailpaddle_routing import AttemptResult, Dispatcher, Probe, ProbeResult
 
 from wagtailpaddle_node.backends import Backends
-from wagtailpaddle_node.messages import NodeAction, RequestHead, RequestView
+from wagtailpaddle_node.messages import (
+    ConfigState,
+    NodeAction,
+    RequestHead,
+    RequestView,
+)
 from wagtailpaddle_node.request_pipeline import RequestPipeline
 from wagtailpaddle_node.tick_scheduler import TickScheduler
 
@@ -37,6 +42,10 @@
         """The configuration in force on this VM."""
         return self.control.configuration
 
+    def config_state(self, now: float) -> ConfigState:
+        """Return which configuration decides at ``now``, for logs and metrics."""
+        return ConfigState(self.configuration.revision)
+
     @property
     def draining(self) -> bool:
         """Whether new requests are refused because the VM is stopping."""
--- a/packages/standins/src/wagtailpaddle_standins/metrics_cost.py
+++ b/packages/standins/src/wagtailpaddle_standins/metrics_cost.py
@@ -13,6 +13,7 @@
 from wagtailpaddle_daemon.histogram import Histogram
 from wagtailpaddle_daemon.metrics import Metrics
 from wagtailpaddle_daemon.metrics_page import render_chunks
+from wagtailpaddle_node import ConfigState
 from wagtailpaddle_routing import AttemptOutcome
 
 N_VALUES = 20_000
@@ -94,7 +95,7 @@
     longest_s = 0.0
     page = b""
     before = started_at
-    for chunk in render_chunks(metrics, revision=1, n_in_flight=0):
+    for chunk in render_chunks(metrics, config=ConfigState(1), n_in_flight=0):
         now = time.perf_counter()
         page += chunk
         longest_s = max(longest_s, now - before)
