Let VMs without a current upstream read within the bound

Callers saw: a route that had moved was still served by its former service by a VM that nothing disturbed, over 2 s after the change was acknowledged.

Cause: a follower knew that its copy was old and read the store too late. A standby VM did so at an age of 2.4 to 2.64 s, an active one at up to 1.65 s, while every VM must have a change in force after 2 s; the ages did not follow from that bound. When relays hang, each Follow takes up to 0.9 s to fail, so nothing else brings the change in time.

Change: OwnReads. The ages are fractions of the bound, which the settings give. A VM whose upstream does not answer, or has an old copy itself, reads at 0.7 to 0.8 of it; with a current upstream, which sends changes at once, it may wait for longer. A relay that has to read in place of the reader goes on at a short interval, so the VMs below it do not read one by one.

--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -82,7 +82,9 @@
         seed: int = 0,
     ):
         self.backends = backends
-        self.replica = Replica(own, decoders, seeds=cfg.seeds, seed=seed)
+        self.replica = Replica(
+            own, decoders, seeds=cfg.seeds, apply_s=cfg.apply_s, seed=seed
+        )
         self.membership = ReplicaMembership(self.replica, cfg, seed=seed)
         self.quota = PrefetchingRateLimiter(
             own.id,
--- a/packages/node/src/wagtailpaddle_node/replica_membership.py
+++ b/packages/node/src/wagtailpaddle_node/replica_membership.py
@@ -9,6 +9,7 @@
 from wagtailpaddle_fleet import CallerAddresses
 from wagtailpaddle_once import OnceAction, Run, StoredAnswer
 from wagtailpaddle_replica import (
+    DEFAULT_APPLY_S,
     Collection,
     CollectionCopy,
     Member,
@@ -27,7 +28,8 @@
 
     ``max_config_age_s`` is the maximum age of the configuration at which
     requests with a key are served. ``directory_ttl_s`` is how long callers may
-    cache an answer of the directory. ``refill`` names the refill policy of the
+    cache an answer of the directory. ``apply_s`` is the time in which every VM must
+    know a record that the store acknowledged. ``refill`` names the refill policy of the
     rate limiter, and ``window_s`` is its window if the policy counts in windows.
     ``slack`` is how many requests above a limit may be admitted because many VMs
     share its count.
@@ -36,6 +38,7 @@
     max_config_age_s: float = MAX_CONFIG_AGE_S
     directory_ttl_s: float = DIRECTORY_TTL_S
     seeds: tuple[str, ...] = ()
+    apply_s: float = DEFAULT_APPLY_S
     refill: str = "plain"
     window_s: float = 5.0
     slack: float = 0.0
--- a/packages/replica/src/wagtailpaddle_replica/__init__.py
+++ b/packages/replica/src/wagtailpaddle_replica/__init__.py
@@ -16,6 +16,7 @@
     Update,
     WriteMember,
 )
+from wagtailpaddle_replica.own_reads import DEFAULT_APPLY_S
 from wagtailpaddle_replica.replica import (
     ACTIVE_HOLD_S,
     OUTAGE_GRACE_S,
@@ -27,6 +28,7 @@
 
 __all__ = [
     "ACTIVE_HOLD_S",
+    "DEFAULT_APPLY_S",
     "OUTAGE_GRACE_S",
     "Batch",
     "Change",
--- /dev/null
+++ b/packages/replica/src/wagtailpaddle_replica/own_reads.py
@@ -0,0 +1,68 @@
+"""When a VM that follows others reads the store itself."""
+
+from random import Random
+
+from wagtailpaddle_replica.messages import Collection
+
+DEFAULT_APPLY_S = 2.0
+"""A record must be known to every VM this long after the store acknowledged it."""
+
+RELAY_MAX_AGE = 0.55
+SUBSTITUTE_MAX_AGE = 0.15
+"""Maximum age at a relay that reads in place of a reader that gives it nothing new."""
+
+CURRENT_UPSTREAM_AGE = 0.7
+"""An upstream whose copy is older than this cannot reach the store either."""
+
+FOLLOWER_MAX_AGE = 1.2
+ORPHAN_MAX_AGE = 0.7
+SPREAD = 0.1
+"""Reads of many VMs at the same time are spread over this time."""
+
+
+class OwnReads:
+    """Decides at which age a VM reads the store instead of waiting for its upstream.
+
+    All ages are fractions of ``apply_s``. A follower gets changes at once while its
+    upstream is current, although its copy is proven current only later. It is an
+    orphan if its upstream does not answer or has an old copy itself; then nothing
+    brings it changes, and it must read within the bound.
+
+    >>> reads = OwnReads(Random(1), apply_s=2.0)
+    >>> reads.is_due(Collection.CONFIG, 1.7, is_relay=False)
+    False
+    >>> reads.on_follow_failed()
+    >>> reads.is_due(Collection.CONFIG, 1.7, is_relay=False)
+    True
+    """
+
+    def __init__(self, rng: Random, *, apply_s: float = DEFAULT_APPLY_S):
+        self._rng = rng
+        self._apply_s = apply_s
+        self._is_orphan = False
+        self._substituted: set[Collection] = set()
+
+    def is_due(self, collection: Collection, age_s: float, *, is_relay: bool) -> bool:
+        """Return whether a copy of ``age_s`` is too old to wait for the upstream."""
+        age = age_s / self._apply_s
+        if not is_relay:
+            max_age = ORPHAN_MAX_AGE if self._is_orphan else FOLLOWER_MAX_AGE
+            return age > max_age + SPREAD * self._rng.random()
+        if collection in self._substituted:
+            return age > SUBSTITUTE_MAX_AGE
+        if age > RELAY_MAX_AGE:
+            self._substituted.add(collection)
+        return age > RELAY_MAX_AGE
+
+    def on_update(
+        self, upstream_ages_s: tuple[float, ...], advanced: frozenset[Collection]
+    ) -> None:
+        """Record the ages of an upstream's copies, and which copies it advanced."""
+        oldest_s = max(upstream_ages_s, default=0.0)
+        unknown = any(age_s < 0.0 for age_s in upstream_ages_s)
+        self._is_orphan = unknown or oldest_s > CURRENT_UPSTREAM_AGE * self._apply_s
+        self._substituted -= advanced
+
+    def on_follow_failed(self) -> None:
+        """Record that an upstream did not answer."""
+        self._is_orphan = True
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -19,6 +19,7 @@
     Update,
     WriteMember,
 )
+from wagtailpaddle_replica.own_reads import DEFAULT_APPLY_S, OwnReads
 from wagtailpaddle_replica.read_schedule import ReadSchedule
 from wagtailpaddle_replica.topology import relays, upstreams
 
@@ -30,9 +31,6 @@
 """An answer must arrive within this time after the hold time."""
 
 UPSTREAM_BACKOFF_S = 2.0
-RELAY_MAX_AGE_S = 1.3
-ACTIVE_MAX_AGE_S = 1.5
-STANDBY_MAX_AGE_S = 2.4
 MIN_EXPIRING_OUTAGE_S = 3.0
 """The shortest outage of the store in which entries of live servers may expire.
 
@@ -66,9 +64,10 @@
 
     One VM of the fleet reads the store. The relays of the other availability zones
     follow it, and the VMs of a zone follow their relay. A VM whose copy exceeds its
-    maximum age reads the store itself, so no VM depends on another one. The age of
-    a copy is measured by this VM's own clock: an ``Update`` returns the time at
-    which its ``Follow`` was sent.
+    maximum age reads the store itself, so no VM depends on another one. Every VM
+    must know a written record after ``apply_s``. The age of a copy is measured by
+    this VM's own clock: an ``Update`` returns the time at which its ``Follow`` was
+    sent.
     """
 
     def __init__(
@@ -77,11 +76,13 @@
         decoders: Mapping[Collection, Decoder],
         *,
         seeds: tuple[str, ...] = (),
+        apply_s: float = DEFAULT_APPLY_S,
         seed: int = 0,
     ):
         rng = Random(f"replica/{seed}/{own.id}")
         self.members = Members(own)
         self.read_schedule = ReadSchedule(rng)
+        self._own_reads = OwnReads(rng, apply_s=apply_s)
         self.copies = {
             item: CollectionCopy(item, decoders[item]) for item in Collection
         }
@@ -164,6 +165,12 @@
             if has_age or batch.records:
                 as_of = min(now, answered_at) - age_s if has_age else float("-inf")
                 dated_batches.append((batch, as_of))
+        advanced = frozenset(
+            batch.collection
+            for batch, as_of in dated_batches
+            if as_of > self.copies[batch.collection].as_of
+        )
+        self._own_reads.on_update(tuple(ages.values()), advanced)
         step = self._apply_batches(now, tuple(dated_batches))
         follows = self._follow(now, self._upstream_candidates(now))
         return StepResult((*step.actions, *follows), step.changed)
@@ -172,6 +179,7 @@
         """The VM at ``address`` did not answer."""
         self._pending_upstream = None
         self._backoff_until[address] = now + UPSTREAM_BACKOFF_S
+        self._own_reads.on_follow_failed()
         candidates = self._upstream_candidates(now)
         return StepResult(
             (*self._follow(now, candidates), *self._read(now, candidates))
@@ -245,15 +253,9 @@
             return True
         if collection is Collection.VMS:
             return False
-        return self.age_s(now, collection) > self._max_age_s(now, candidates)
-
-    def _max_age_s(self, now: float, candidates: tuple[Member, ...]) -> float:
         is_relay = all(member.zone != self.own.zone for member in candidates)
-        if is_relay:
-            return RELAY_MAX_AGE_S
-        is_active = self.members.is_active(now, self.own.id)
-        max_age_s = ACTIVE_MAX_AGE_S if is_active else STANDBY_MAX_AGE_S
-        return max_age_s * (1.0 + 0.1 * self._rng.random())
+        age_s = self.age_s(now, collection)
+        return self._own_reads.is_due(collection, age_s, is_relay=is_relay)
 
     def _has_dependents(self, now: float) -> bool:
         """Return whether this VM is active or has followers."""
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -25,10 +25,10 @@
     STANDBY_SILENCE_TIMEOUT_S,
     tag_of,
 )
+from wagtailpaddle_replica.own_reads import DEFAULT_APPLY_S, FOLLOWER_MAX_AGE, SPREAD
 from wagtailpaddle_replica.replica import (
     ACTIVE_HOLD_S,
     STANDBY_HOLD_S,
-    STANDBY_MAX_AGE_S,
 )
 from wagtailpaddle_replica.topology import CORES_PER_SLOT, FAN_OUT, MIN_ACTIVE_PER_ZONE
 
@@ -222,7 +222,7 @@
     read_all(replica, 0.0)
     for upstream in upstreams(active, FLEET):
         replica.on_follow_failed(0.5, upstream.peer_address)
-    step = replica.on_tick(STANDBY_MAX_AGE_S * 1.2 + 0.1)
+    step = replica.on_tick(DEFAULT_APPLY_S * 0.85)
     read = {action.collection for action in actions_of(step, ReadStore)}
     assert {Collection.CONFIG, Collection.SERVERS} <= read
 
@@ -308,7 +308,7 @@
     assert not reader.has_update_for(follow.body)
     update = reader.make_update(0.5, follow.body, received_at=0.3)
     follower.on_update(0.5, follow.address, update, follow.body)
-    late = 0.5 + STANDBY_MAX_AGE_S * 1.2
+    late = 0.5 + DEFAULT_APPLY_S * (FOLLOWER_MAX_AGE + SPREAD)
     reads = actions_of(follower.on_tick(late), ReadStore)
     (start,) = [item.start for item in reads if item.collection is Collection.SERVERS]
     assert start == 5050
--- a/packages/standins/tests/test_platform_settings.py
+++ b/packages/standins/tests/test_platform_settings.py
@@ -19,6 +19,7 @@
     "heartbeatS": "1.5",
     "bounds.graceS": "6",
     "bounds.revokeS": "5",
+    "bounds.configApplyS": "7",
     "bounds.ttl_max_s": "5",
     "bounds.floorShare": "0.7",
     "bounds.retryRatio": "0.2",
@@ -41,6 +42,7 @@
 def test_fields_become_settings(text):
     cfg = decode_settings(text())
     assert cfg.peer_address == "10.1.0.5:8407"
+    assert cfg.apply_s == 7.0
     assert cfg.seeds == ("10.1.0.5:8407", "10.2.0.3:8407")
     assert (cfg.grace_s, cfg.floor) == (6.0, 0.7)
     assert cfg.monitoring_address == "10.1.0.5:7660"
