Keep the back-off short where no other VM brings the records

Callers saw: a VM that came back from a partition still served by an old configuration 3 s after the partition had ended.

Cause: a read that hangs as the partition ends takes 1.0 s to time out, and the back-off after it was up to 2.5 s. Together 3.5 s, while a VM must be current 3 s after the end. A relay that waits holds up its zone.

Ruled out: the back-off of upstreams (2.0 s for each of three, tried one after the other, so one of them is always free); the age at which a VM reads (it is already due).

Change: relays, the reader and VMs whose upstream does not answer back off for 0.5 s (0.63 s with jitter). The others keep 2.0 s: their upstream brings the records, and a large fleet must not press on a store that is away.

--- a/packages/replica/src/wagtailpaddle_replica/own_reads.py
+++ b/packages/replica/src/wagtailpaddle_replica/own_reads.py
@@ -39,6 +39,7 @@
     def __init__(self, rng: Random, *, apply_s: float = DEFAULT_APPLY_S):
         self._rng = rng
         self._apply_s = apply_s
+        self.upstream_answers = True
         self._is_orphan = False
         self._substituted: set[Collection] = set()
 
@@ -60,9 +61,11 @@
         """Record the ages of an upstream's copies, and which copies it advanced."""
         oldest_s = max(upstream_ages_s, default=0.0)
         unknown = any(age_s < 0.0 for age_s in upstream_ages_s)
+        self.upstream_answers = True
         self._is_orphan = unknown or oldest_s > CURRENT_UPSTREAM_AGE * self._apply_s
         self._substituted -= advanced
 
     def on_follow_failed(self) -> None:
         """Record that an upstream did not answer."""
+        self.upstream_answers = False
         self._is_orphan = True
--- a/packages/replica/src/wagtailpaddle_replica/read_schedule.py
+++ b/packages/replica/src/wagtailpaddle_replica/read_schedule.py
@@ -7,13 +7,16 @@
 READ_INTERVAL_S = 0.25
 VMS_READ_INTERVAL_S = 1.5
 MAX_BACKOFF_S = 2.0
+URGENT_MAX_BACKOFF_S = 0.5
+"""Longest back-off of a VM that no other VM brings the store's records."""
 
 
 class ReadSchedule:
     """Schedules reads of the store, at most one at a time for each collection.
 
     Failed reads are retried with exponential back-off, so that many VMs together
-    send few calls a second to a store that is unavailable.
+    send few calls a second to a store that is unavailable. The back-off is short
+    where reads are urgent, because a read may also hang when the store returns.
     """
 
     def __init__(self, rng: Random):
@@ -40,10 +43,14 @@
         self._next_at[collection] = now + interval_s
         self.is_failing = False
 
-    def record_failure(self, now: float, collection: Collection) -> None:
+    def record_failure(
+        self, now: float, collection: Collection, *, is_urgent: bool
+    ) -> None:
         """Record a failed read and schedule the retry."""
         self._in_flight.discard(collection)
         self.is_failing = True
         backoff_s = self._backoff_s.get(collection, READ_INTERVAL_S / 2)
-        self._backoff_s[collection] = min(MAX_BACKOFF_S, backoff_s * 2)
+        max_backoff_s = URGENT_MAX_BACKOFF_S if is_urgent else MAX_BACKOFF_S
+        backoff_s = min(max_backoff_s, backoff_s)
+        self._backoff_s[collection] = backoff_s * 2
         self._next_at[collection] = now + backoff_s * (0.75 + 0.5 * self._rng.random())
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -130,7 +130,9 @@
 
     def on_read_failed(self, now: float, collection: Collection) -> StepResult:
         """The store did not answer a read, or refused it."""
-        self.read_schedule.record_failure(now, collection)
+        candidates = self._upstream_candidates(now)
+        is_urgent = self._is_relay(candidates) or not self._own_reads.upstream_answers
+        self.read_schedule.record_failure(now, collection, is_urgent=is_urgent)
         return StepResult()
 
     def on_written(self, now: float, address: str, *, done: bool) -> None:
@@ -253,10 +255,14 @@
             return True
         if collection is Collection.VMS:
             return False
-        is_relay = all(member.zone != self.own.zone for member in candidates)
         age_s = self.age_s(now, collection)
+        is_relay = self._is_relay(candidates)
         return self._own_reads.is_due(collection, age_s, is_relay=is_relay)
 
+    def _is_relay(self, candidates: tuple[Member, ...]) -> bool:
+        """Return whether this VM has no upstream in its own zone."""
+        return all(member.zone != self.own.zone for member in candidates)
+
     def _has_dependents(self, now: float) -> bool:
         """Return whether this VM is active or has followers."""
         is_active = self.members.is_active(now, self.own.id)
--- a/packages/replica/tests/test_config_bound.py
+++ b/packages/replica/tests/test_config_bound.py
@@ -4,6 +4,8 @@
 interrupted for ``STABLE_S``. Other VMs may hang, die and be partitioned meanwhile.
 """
 
+from random import Random
+
 import pytest
 from wagtailpaddle_replica import relays
 
@@ -73,3 +75,48 @@
     fleet.dead |= set(chain_of(fleet))
     observer.run(fleet.now + 4.0)
     assert not observer.late
+
+
+@pytest.mark.parametrize("cut_s", [1.4, 4.0, 6.0])
+def test_vm_is_current_when_it_counts_as_stable_after_a_partition(make_observer, cut_s):
+    """Reads and follows that hang as a partition ends, and back-offs, take too long."""
+    observer = make_observer(36)
+    fleet = observer.fleet
+    for begin in range(8):
+        fleet.disconnected = set(sorted(fleet.vms)[begin * 4 : begin * 4 + 12])
+        fleet.publish()
+        observer.run(fleet.now + cut_s + 0.13 * begin)
+        fleet.disconnected = set()
+        observer.run(fleet.now + STABLE_S + 2.0)
+    assert not observer.late
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_versions_are_in_force_in_time_in_overlapping_faults(make_observer, seed):
+    observer = make_observer(36, seed=seed)
+    fleet = observer.fleet
+    random = Random(f"bound/{seed}")
+    cut_until = refused_until = 0.0
+    for _ in range(120):
+        chance = random.random()
+        if chance < 0.25 and "store" not in fleet.disconnected:
+            fleet.publish()
+        elif chance < 0.30 and not fleet.disconnected:
+            fleet.disconnected = set(random.sample(sorted(fleet.vms), 12))
+            fleet.disconnected |= set(chain_of(fleet)[: random.randrange(4)])
+            cut_until = fleet.now + random.uniform(0.2, 6.0)
+        elif chance < 0.34 and not fleet.disconnected:
+            fleet.disconnected = {"store"}
+            cut_until = fleet.now + random.uniform(0.2, 7.0)
+        elif chance < 0.36 and not fleet.refused_by_store:
+            fleet.refused_by_store = set(random.sample(sorted(fleet.vms), 12))
+            refused_until = fleet.now + random.uniform(1.0, 9.0)
+        elif chance < 0.38 and len(fleet.dead) < 18:
+            fleet.dead |= set(chain_of(fleet)[: random.randrange(3)])
+            fleet.dead |= set(random.sample(sorted(fleet.vms), random.randrange(1, 6)))
+        if fleet.now >= cut_until:
+            fleet.disconnected = set()
+        if fleet.now >= refused_until:
+            fleet.refused_by_store = set()
+        observer.run(fleet.now + STEP_S * STEPS_PER_EVENT)
+    assert not observer.late
