--- a/packages/standins/tests/test_platform_client.py
+++ b/packages/standins/tests/test_platform_client.py
@@ -42,6 +42,10 @@
     await attempt("silent", store.read(Collection.VMS, 1, whole=False))
     service._mode = Mode()
     await attempt("after", store.read(Collection.VMS, 1, whole=False))
+    for _ in range(5):
+        await store.write_member(MEMBER.peer_address, MEMBER)
+    service._mode = Mode(max_records=2)
+    await attempt("parts", store.read(Collection.VMS, 1, whole=False))
     print(json.dumps(found))
     reactor.stop()
 
@@ -119,3 +123,9 @@
     body = bytes(16) + (0).to_bytes(4, "big") + encode_keyed("k", b"v")
     (record,) = keyed_records(decode_log_read(body, 5))
     assert (record.key, record.offset) == ("k", 6)
+
+
+def test_read_whose_answer_ends_before_the_log_is_continued(found):
+    """The caller of ``read`` takes its copy for current as of the read."""
+    assert "next_offset=7" in found["parts"]
+    assert found["parts"].count("Record(") == 6
