--- a/packages/replica/src/wagtailpaddle_replica/collection_copy.py
+++ b/packages/replica/src/wagtailpaddle_replica/collection_copy.py
@@ -77,6 +77,7 @@
         changes = [self._put(record) for record in batch.records]
         if batch.whole:
             changes += self._delete_missing(batch)
+            self._skip_tombstones(batch.next_offset)
         self.next_offset = max(self.next_offset, batch.next_offset)
         self.as_of = max(self.as_of, as_of)
         return tuple(change for change in changes if change is not None)
@@ -153,6 +154,11 @@
             return None
         return Change(key, entry.value, None)
 
+    def _skip_tombstones(self, end: Offset) -> None:
+        """Note that a snapshot does not tell which keys were deleted before ``end``."""
+        if end > self.next_offset:
+            self._tombstones_complete_from = max(self._tombstones_complete_from, end)
+
     def _delete_missing(self, batch: Batch) -> list[Change | None]:
         present = {record.key for record in batch.records}
         missing = [
--- a/packages/replica/tests/test_newest.py
+++ b/packages/replica/tests/test_newest.py
@@ -61,6 +61,16 @@
     assert copy.batch_since(0) is None
 
 
+def test_follower_of_a_vm_that_started_learns_of_earlier_deletions(copy):
+    """s2 was deleted before the upstream's first snapshot and after the follower's."""
+    follower = CollectionCopy(Collection.SERVERS, decode)
+    follower.apply(batch(80, ("s1", 10, b"x"), ("s2", 20, b"y"), whole=True), 1.0)
+    copy.apply(batch(100, ("s1", 10, b"x"), whole=True), 2.0)
+    follower.apply(copy.progress_since(follower.next_offset), 2.0)
+    assert follower.values() == {"s1": b"x"}
+    assert copy.batch_since(follower.next_offset) is None
+
+
 keys = st.sampled_from(["a", "b", "c"])
 values = st.sampled_from([b"x", b"y", b"z", None])
 
