Follow an outdated relay more closely, and let relays read sooner

Cause: a follower learnt only with the next update, held for 0.5 s, that its relay is out of date, and read with the next tick. A relay waited for its own age although its reader reported an old copy. The reader itself turned to other VMs only after its hanging read had timed out (1.0 s). A VM with an answering but outdated relay backed off for up to 2.5 s.

Change: an old copy is followed with the short hold time, and a due read is sent with the update; a relay reads when its reader's copy is older than 0.35 of the bound; a read without an answer for 0.4 s counts as failing; back-offs are fractions of the bound (0.5, urgent 0.25).

A trial with CURRENT_UPSTREAM_AGE at 0.6 let many VMs read beside slow messages (test_only_the_reader_calls_the_store with 0.1 s) and was dropped.

--- a/packages/replica/src/wagtailpaddle_replica/own_reads.py
+++ b/packages/replica/src/wagtailpaddle_replica/own_reads.py
@@ -1,5 +1,6 @@
 """When a VM that follows others reads the store itself."""
 
+from math import inf
 from random import Random
 
 from wagtailpaddle_replica.messages import Collection
@@ -12,7 +13,8 @@
 """Maximum age at a relay that reads in place of a reader that gives it nothing new."""
 
 CURRENT_UPSTREAM_AGE = 0.7
-"""An upstream whose copy is older than this cannot reach the store either."""
+CURRENT_READER_AGE = 0.35
+"""An upstream, or a reader, whose copy is older cannot reach the store either."""
 
 FOLLOWER_MAX_AGE = 1.2
 ORPHAN_MAX_AGE = 0.7
@@ -40,32 +42,32 @@
         self._rng = rng
         self._apply_s = apply_s
         self.upstream_answers = True
-        self._is_orphan = False
+        self._upstream_age = 0.0
         self._substituted: set[Collection] = set()
 
     def is_due(self, collection: Collection, age_s: float, *, is_relay: bool) -> bool:
         """Return whether a copy of ``age_s`` is too old to wait for the upstream."""
         age = age_s / self._apply_s
         if not is_relay:
-            max_age = ORPHAN_MAX_AGE if self._is_orphan else FOLLOWER_MAX_AGE
+            is_orphan = self._upstream_age > CURRENT_UPSTREAM_AGE
+            max_age = ORPHAN_MAX_AGE if is_orphan else FOLLOWER_MAX_AGE
             return age > max_age + SPREAD * self._rng.random()
-        if collection in self._substituted:
-            return age > SUBSTITUTE_MAX_AGE
-        if age > RELAY_MAX_AGE:
+        is_reader_outdated = self._upstream_age > CURRENT_READER_AGE
+        if age > RELAY_MAX_AGE or (is_reader_outdated and age > CURRENT_READER_AGE):
             self._substituted.add(collection)
-        return age > RELAY_MAX_AGE
+        return collection in self._substituted and age > SUBSTITUTE_MAX_AGE
 
     def on_update(
         self, upstream_ages_s: tuple[float, ...], advanced: frozenset[Collection]
     ) -> None:
         """Record the ages of an upstream's copies, and which copies it advanced."""
-        oldest_s = max(upstream_ages_s, default=0.0)
-        unknown = any(age_s < 0.0 for age_s in upstream_ages_s)
+        is_known = all(age_s >= 0.0 for age_s in upstream_ages_s)
+        oldest_s = max(upstream_ages_s, default=0.0) if is_known else inf
+        self._upstream_age = oldest_s / self._apply_s
         self.upstream_answers = True
-        self._is_orphan = unknown or oldest_s > CURRENT_UPSTREAM_AGE * self._apply_s
         self._substituted -= advanced
 
     def on_follow_failed(self) -> None:
         """Record that an upstream did not answer."""
         self.upstream_answers = False
-        self._is_orphan = True
+        self._upstream_age = inf
--- a/packages/replica/src/wagtailpaddle_replica/read_schedule.py
+++ b/packages/replica/src/wagtailpaddle_replica/read_schedule.py
@@ -6,9 +6,13 @@
 
 READ_INTERVAL_S = 0.25
 VMS_READ_INTERVAL_S = 1.5
-MAX_BACKOFF_S = 2.0
-URGENT_MAX_BACKOFF_S = 0.5
-"""Longest back-off of a VM that no other VM brings the store's records."""
+MAX_BACKOFF = 0.5
+URGENT_MAX_BACKOFF = 0.25
+"""Longest back-off where no other VM brings the records; both are fractions of
+``apply_s``."""
+
+OVERDUE_READ_S = 0.4
+"""A read without an answer for this time counts as failing."""
 
 
 class ReadSchedule:
@@ -17,40 +21,47 @@
     Failed reads are retried with exponential back-off, so that many VMs together
     send few calls a second to a store that is unavailable. The back-off is short
     where reads are urgent, because a read may also hang when the store returns.
+    Every VM must know a written record after ``apply_s``.
     """
 
-    def __init__(self, rng: Random):
+    def __init__(self, rng: Random, *, apply_s: float):
         self._rng = rng
+        self._apply_s = apply_s
         self._next_at: dict[Collection, float] = {}
         self._backoff_s: dict[Collection, float] = {}
-        self._in_flight: set[Collection] = set()
-        self.is_failing = False
+        self._sent_at: dict[Collection, float] = {}
+        self._has_failed = False
+
+    def is_failing(self, now: float) -> bool:
+        """Return whether the last read failed or one is overdue."""
+        earliest = now - OVERDUE_READ_S
+        return self._has_failed or any(at < earliest for at in self._sent_at.values())
 
     def begin_if_due(self, now: float, collection: Collection) -> bool:
         """Return whether a read is due, and if so record it as in flight."""
-        if collection in self._in_flight or now < self._next_at.get(collection, 0.0):
+        if collection in self._sent_at or now < self._next_at.get(collection, 0.0):
             return False
-        self._in_flight.add(collection)
+        self._sent_at[collection] = now
         return True
 
     def record_success(self, now: float, collection: Collection) -> None:
         """Record a successful read and schedule the next one."""
-        self._in_flight.discard(collection)
+        self._sent_at.pop(collection, None)
         self._backoff_s.pop(collection, None)
         interval_s = (
             VMS_READ_INTERVAL_S if collection is Collection.VMS else READ_INTERVAL_S
         )
         self._next_at[collection] = now + interval_s
-        self.is_failing = False
+        self._has_failed = False
 
     def record_failure(
         self, now: float, collection: Collection, *, is_urgent: bool
     ) -> None:
         """Record a failed read and schedule the retry."""
-        self._in_flight.discard(collection)
-        self.is_failing = True
+        self._sent_at.pop(collection, None)
+        self._has_failed = True
         backoff_s = self._backoff_s.get(collection, READ_INTERVAL_S / 2)
-        max_backoff_s = URGENT_MAX_BACKOFF_S if is_urgent else MAX_BACKOFF_S
-        backoff_s = min(max_backoff_s, backoff_s)
+        max_backoff = URGENT_MAX_BACKOFF if is_urgent else MAX_BACKOFF
+        backoff_s = min(max_backoff * self._apply_s, backoff_s)
         self._backoff_s[collection] = backoff_s * 2
         self._next_at[collection] = now + backoff_s * (0.75 + 0.5 * self._rng.random())
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -30,6 +30,9 @@
 ANSWER_TIMEOUT_S = 0.4
 """An answer must arrive within this time after the hold time."""
 
+OLD_AGE = 0.4
+"""Age of a copy, as a fraction of ``apply_s``, above which it counts as old."""
+
 UPSTREAM_BACKOFF_S = 2.0
 MIN_EXPIRING_OUTAGE_S = 3.0
 """The shortest outage of the store in which entries of live servers may expire.
@@ -81,7 +84,8 @@
     ):
         rng = Random(f"replica/{seed}/{own.id}")
         self.members = Members(own)
-        self.read_schedule = ReadSchedule(rng)
+        self.read_schedule = ReadSchedule(rng, apply_s=apply_s)
+        self._apply_s = apply_s
         self._own_reads = OwnReads(rng, apply_s=apply_s)
         self.copies = {
             item: CollectionCopy(item, decoders[item]) for item in Collection
@@ -174,8 +178,10 @@
         )
         self._own_reads.on_update(tuple(ages.values()), advanced)
         step = self._apply_batches(now, tuple(dated_batches))
-        follows = self._follow(now, self._upstream_candidates(now))
-        return StepResult((*step.actions, *follows), step.changed)
+        candidates = self._upstream_candidates(now)
+        follows = self._follow(now, candidates)
+        reads = self._read(now, candidates)
+        return StepResult((*step.actions, *follows, *reads), step.changed)
 
     def on_follow_failed(self, now: float, address: str) -> StepResult:
         """The VM at ``address`` did not answer."""
@@ -263,6 +269,16 @@
         """Return whether this VM has no upstream in its own zone."""
         return all(member.zone != self.own.zone for member in candidates)
 
+    def _hold_s(self, now: float) -> float:
+        """Return how long an upstream may hold a ``Follow`` without changes.
+
+        It is short where others depend on this VM, and where the copy is old: then
+        the age of the upstream's copy soon tells whether to wait for it.
+        """
+        age_s = self.age_s(now, Collection.CONFIG)
+        is_old = age_s > OLD_AGE * self._apply_s
+        return ACTIVE_HOLD_S if is_old or self._has_dependents(now) else STANDBY_HOLD_S
+
     def _has_dependents(self, now: float) -> bool:
         """Return whether this VM is active or has followers."""
         is_active = self.members.is_active(now, self.own.id)
@@ -278,7 +294,7 @@
             return []
         self._pending_upstream = address
         starts = {item: copy.next_offset for item, copy in self.copies.items()}
-        hold_s = ACTIVE_HOLD_S if self._has_dependents(now) else STANDBY_HOLD_S
+        hold_s = self._hold_s(now)
         body = Follow(
             member=self.own,
             clock=now,
@@ -296,7 +312,7 @@
         """Return the address of the VM to follow now, or None."""
         alive = self.members.alive(now)
         addresses = [member.peer_address for member in candidates]
-        if not addresses and self.read_schedule.is_failing:
+        if not addresses and self.read_schedule.is_failing(now):
             addresses = self._fallback_addresses(alive)
         if not addresses and len(alive) == 1:
             addresses = list(self._seeds)
--- a/packages/replica/tests/test_config_bound.py
+++ b/packages/replica/tests/test_config_bound.py
@@ -91,7 +91,8 @@
     assert not observer.late
 
 
-@pytest.mark.parametrize("seed", range(8))
+# Seeds 32 and 52: followers of a relay that the store refused waited for it too long.
+@pytest.mark.parametrize("seed", [*range(8), 32, 52])
 def test_versions_are_in_force_in_time_in_overlapping_faults(make_observer, seed):
     observer = make_observer(36, seed=seed)
     fleet = observer.fleet
