Keep the newest offset of a key whose records do not change it

Callers would see: a server that restarted under its id is missing on some VMs until its entry changes, or an older record of a key comes back.

Cause: a record equal to the known one left the known offset in place, so a later update from a VM that lagged, with a deletion or another value at an offset in between, was taken for newer.

Change: an entry keeps the offset of the newest record beside the record that is relayed; heartbeats are still not relayed.

Evidence: the new test (entry at 5, deleted at 8, equal entry at 12, the deletion arrives last) fails before the change and passes after it.

--- a/packages/replica/src/wagtailpaddle_replica/collection_copy.py
+++ b/packages/replica/src/wagtailpaddle_replica/collection_copy.py
@@ -1,7 +1,7 @@
 """A copy of one collection: the newest record of every key."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from wagtailpaddle_core import Offset
@@ -17,10 +17,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A record as it is sent to other VMs, with its decoded value."""
+    """A record as it is sent to other VMs, with its decoded value.
+
+    ``newest_offset`` is the offset of the newest record of the key, which is higher
+    than the record's own if later ones did not change the value.
+    """
 
     record: Record
     value: Any
+    newest_offset: Offset
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +130,7 @@
         previous = None if entry is None else entry.value
         offset = self._tombstones.get(record.key, -1)
         if entry is not None:
-            offset = max(offset, entry.record.offset)
+            offset = max(offset, entry.newest_offset)
         if record.offset <= offset:
             return None
         if record.data is None:
@@ -134,8 +139,9 @@
         assert uncompressed.data is not None
         value = self._decode(record.key, uncompressed.data)
         if entry is not None and previous is not None and value == previous:
+            self._entries[record.key] = replace(entry, newest_offset=record.offset)
             return None
-        self._entries[record.key] = Entry(compress(record), value)
+        self._entries[record.key] = Entry(compress(record), value, record.offset)
         self._tombstones.pop(record.key, None)
         if value is None and previous is None:
             return None
@@ -164,6 +170,6 @@
         missing = [
             key
             for key, entry in self._entries.items()
-            if key not in present and entry.record.offset < batch.next_offset
+            if key not in present and entry.newest_offset < batch.next_offset
         ]
         return [self._delete(key, batch.next_offset - 1) for key in missing]
--- a/packages/replica/tests/test_newest.py
+++ b/packages/replica/tests/test_newest.py
@@ -61,6 +61,14 @@
     assert copy.batch_since(0) is None
 
 
+def test_late_deletion_does_not_remove_a_key_that_returned_unchanged(copy):
+    """s1 was deleted and registered again; its new record equals the former one."""
+    copy.apply(batch(6, ("s1", 5, b"x")), 1.0)
+    copy.apply(batch(13, ("s1", 12, b"x"), whole=True), 2.0)
+    assert copy.apply(batch(9, ("s1", 8, None)), 2.0) == ()
+    assert copy.values() == {"s1": b"x"}
+
+
 def test_follower_of_a_vm_that_started_learns_of_earlier_deletions(copy):
     """s2 was deleted before the upstream's first snapshot and after the follower's."""
     follower = CollectionCopy(Collection.SERVERS, decode)
