Read the limit that a server states, and show it in decision lines

Cause: nothing read the header in which a server states how many requests per second it takes, so neither the limit nor its breaks showed in a log.

The load and the limit of an earlier attempt are no longer kept when a later attempt of the same request ends without an answer. Values that are no number, negative or beyond 1e6/s count as absent. No decision uses the limit yet.

--- a/packages/daemon/src/wagtailpaddle_daemon/decisions.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/decisions.py
@@ -69,6 +69,7 @@
             status=result.status,
             took_s=round(result.latency_s, 4),
             load=result.load,
+            limit=result.stated_limit,
         )
 
     def refused(
--- a/packages/daemon/src/wagtailpaddle_daemon/exchange.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/exchange.py
@@ -37,6 +37,7 @@
         "reader",
         "server",
         "started_at",
+        "stated_limit",
         "timer",
     )
 
@@ -55,6 +56,7 @@
         self.n_attempts: int = 0
         self.server: tuple[ServiceId, ServerId] = (ServiceId(""), ServerId(""))
         self.load: float | None = None
+        self.stated_limit: float | None = None
         self.attempt: int = 0
         self.started_at: float = 0.0
         self.pending: Deferred[Any] | None = None
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -14,6 +14,7 @@
     RequestNode,
 )
 from wagtailpaddle_routing import (
+    LIMIT_PARSERS,
     LOAD_PARSERS,
     AttemptOutcome,
     AttemptResult,
@@ -146,6 +147,8 @@
         exchange.n_attempts = action.attempt
         exchange.started_at = now
         exchange.head = None
+        exchange.load = None
+        exchange.stated_limit = None
         exchange.buffer = []
         exchange.n_buffered = 0
         remaining_s = max(0.0, action.timeout_at - now)
@@ -236,6 +239,7 @@
         status = exchange.head.status
         headers = by_lower_name(exchange.head.headers)
         exchange.load = LOAD_PARSERS[self._dialect.load](headers)
+        exchange.stated_limit = LIMIT_PARSERS[self._dialect.limit](headers)
         self._report_leaving(exchange, headers)
         outcome = interpret(status, headers, self._dialect.shed_answers)
         self._finish_attempt(request, exchange, outcome, status)
@@ -283,7 +287,12 @@
         exchange.attempt = 0
         latency_s = now - exchange.started_at
         result = AttemptResult(
-            outcome, latency_s, status, exchange.load, committed=exchange.committed
+            outcome,
+            latency_s,
+            status,
+            exchange.load,
+            committed=exchange.committed,
+            stated_limit=exchange.stated_limit,
         )
         self._metrics.record_attempt(now, *exchange.server, latency_s, outcome)
         self._decisions.attempt_ended(
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -1,11 +1,13 @@
 """Choice of backend server, fair queues, concurrency limits, retries."""
 
 from wagtailpaddle_routing.answers import (
+    LIMIT_PARSERS,
     LOAD_PARSERS,
     OWN_SHED_ANSWERS,
     SHED_ANSWERS,
     interpret,
     is_leaving,
+    parse_limit,
     parse_load,
 )
 from wagtailpaddle_routing.choosers import CHOOSERS
@@ -46,6 +48,7 @@
 __all__ = [
     "CHOOSERS",
     "LIMITERS",
+    "LIMIT_PARSERS",
     "LOAD_PARSERS",
     "OWN_SHED_ANSWERS",
     "QUEUES",
@@ -79,6 +82,7 @@
     "interpret",
     "connection_cap",
     "is_leaving",
+    "parse_limit",
     "parse_load",
     "servers_per_vm",
     "interpret_probe",
--- a/packages/routing/src/wagtailpaddle_routing/answers.py
+++ b/packages/routing/src/wagtailpaddle_routing/answers.py
@@ -12,7 +12,11 @@
 
 MAX_VALUE_CHARS = 64
 
+MAX_STATED_LIMIT_PER_S = 1e6
+"""A larger limit is no limit, or is wrong."""
+
 LOAD_HEADER = "x-load"
+LIMIT_HEADER = "x-request-limit"
 OUTCOME_HEADER = "x-outcome"
 LEAVING_HEADER = "x-server-state"
 LEAVING_STATES = frozenset({"draining", "leaving"})
@@ -102,6 +106,36 @@
     return load if 0.0 <= load <= 1.0 else None
 
 
+LimitParser = Callable[[Mapping[str, str]], float | None]
+LIMIT_PARSERS: Registry[LimitParser] = Registry("limit parser")
+
+
+@LIMIT_PARSERS.register("own")
+def parse_own_limit(headers: Mapping[str, str]) -> float | None:
+    """Return the requests per second that a server takes in total, or None.
+
+    >>> parse_own_limit({"x-request-limit": "7.5"})
+    7.5
+    """
+    return parse_limit(headers, LIMIT_HEADER)
+
+
+def parse_limit(headers: Mapping[str, str], name: str) -> float | None:
+    """Return the limit in the header ``name``, None if it is missing or unreadable.
+
+    >>> parse_limit({"x-request-limit": "-1"}, "x-request-limit") is None
+    True
+    """
+    value = _header_value(headers, name)
+    if not value:
+        return None
+    try:
+        per_s = float(value)
+    except ValueError:
+        return None
+    return per_s if 0.0 <= per_s <= MAX_STATED_LIMIT_PER_S else None
+
+
 def is_leaving(headers: Mapping[str, str]) -> bool:
     """Return whether the answer states that the server is draining or leaving.
 
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -88,7 +88,8 @@
     ``latency_s`` runs from dispatch to the end of the answer. ``load`` is the
     load in [0, 1] that the server reported, or None. ``status`` is 0 without an
     answer. ``committed`` says that a part of the answer was already sent to the
-    caller, so that the request cannot be retried.
+    caller, so that the request cannot be retried. ``stated_limit`` is how many
+    requests per second the server states that it takes from all VMs, or None.
     """
 
     outcome: AttemptOutcome
@@ -96,6 +97,7 @@
     status: int = 0
     load: float | None = None
     committed: bool = False
+    stated_limit: float | None = None
 
     @property
     def is_shed_with_room(self) -> bool:
--- a/packages/routing/tests/test_answers.py
+++ b/packages/routing/tests/test_answers.py
@@ -1,5 +1,11 @@
 import pytest
-from wagtailpaddle_routing import AttemptOutcome, interpret, is_leaving, parse_load
+from wagtailpaddle_routing import (
+    LIMIT_PARSERS,
+    AttemptOutcome,
+    interpret,
+    is_leaving,
+    parse_load,
+)
 
 
 @pytest.mark.parametrize(
@@ -44,3 +50,10 @@
     assert is_leaving({"x-server-state": " Draining "})
     assert not is_leaving({"x-server-state": "ready"})
     assert not is_leaving({})
+
+
+@pytest.mark.parametrize(
+    "value", ["", "x", "nan", "inf", "-0.1", "1e7", "1e999", "1" * 5000]
+)
+def test_limit_that_cannot_be_parsed_is_ignored(value):
+    assert LIMIT_PARSERS["own"]({"x-request-limit": value}) is None
