--- a/packages/standins/tests/test_platform_documents.py
+++ b/packages/standins/tests/test_platform_documents.py
@@ -11,7 +11,8 @@
     decode_server,
     encode_member,
 )
-from wagtailpaddle_replica import Member
+from wagtailpaddle_platform.wiring import make_decoders
+from wagtailpaddle_replica import Collection, Member
 
 
 def resource(section, name, /, **spec):
@@ -134,3 +135,28 @@
     assert decode_member("10.0.0.1:81", encode_member(member)) == member
     with pytest.raises(ValueError, match=r"peer_address is '10\.0\.0\.1:81', not"):
         decode_member("10.0.0.9:81", encode_member(member))
+
+
+def entry_with(**info):
+    return json.dumps({**ENTRY, "info": {**ENTRY["info"], **info}}).encode()
+
+
+@pytest.mark.parametrize("collection", list(Collection))
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[" * 100_000 + b"]" * 100_000,
+        b'{"info":' * 100_000 + b"1" + b"}" * 100_000,
+        entry_with(slots=1).replace(b'"slots": 1', b'"slots": 1e999'),
+        entry_with(slots=1e308),
+        entry_with(slots=10**30),
+        entry_with(slots="x" * 100_000),
+        b"\xff\xfe",
+        b"NaN",
+    ],
+    ids=["lists", "objects", "infinite", "1e308", "10**30", "text", "bytes", "nan"],
+)
+def test_odd_entry_of_another_writer_is_passed_over(collection, data):
+    """The VMs that read it must neither end nor stop to follow the store."""
+    decode = make_decoders(0.7)[collection]
+    assert decode("config" if collection is Collection.CONFIG else "s1", data) is None
