Repeat a refused request at the same server on a fresh connection

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run although the server was running it.

Cause: surplus bytes close a connection, and an answer with another request's id fails its attempt. But a request that a server shed and that goes to it again keeps its id, so the earlier refusal, repeated on the same connection, was taken for the answer of the second attempt: the caller got not-run, or another server ran the request too.

Change: a request goes to a server that has already refused it only over a new connection, which cannot hold the earlier refusal.

Left: with this project's own headers a server need not echo the id; there a repeated refusal that arrives after the next request was sent is not told apart.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -159,15 +159,16 @@
         *,
         max_idle_s: float,
         max_open: int = MAX_IDLE_CONNECTIONS,
+        is_fresh: bool = False,
     ) -> Deferred[Any]:
         """Return the response to ``req``; cancelling closes the connection.
 
         A connection is reused only if it was idle for at most ``max_idle_s``
-        seconds.
+        seconds, and never if ``is_fresh``.
         """
         idle = self._idle.get(address)
         min_idle_since = self._reactor.seconds() - max_idle_s
-        if idle and idle[-1].idle_since >= min_idle_since:
+        if idle and not is_fresh and idle[-1].idle_since >= min_idle_since:
             conn = idle.pop()
             conn.reused_at = self._reactor.seconds()
             return conn.request(req)
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -176,7 +176,11 @@
         )
         # The attempt may end before the callbacks are added.
         pending = self._upstream.send(
-            address, port, outgoing, max_open=action.connections
+            address,
+            port,
+            outgoing,
+            max_open=action.connections,
+            is_fresh=action.needs_fresh_connection,
         )
         exchange.pending = pending
         pending.addCallbacks(
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -78,11 +78,18 @@
         )
 
     def send(
-        self, address: str, port: int, outgoing: OutgoingRequest, *, max_open: int = 1
+        self,
+        address: str,
+        port: int,
+        outgoing: OutgoingRequest,
+        *,
+        max_open: int = 1,
+        is_fresh: bool = False,
     ) -> Deferred[Any]:
         """Return the response to ``outgoing``; cancelling closes the connection.
 
         Connections to the server stay open for reuse up to ``max_open`` in number.
+        With ``is_fresh`` a new connection is opened.
 
         Raises ``InvariantError`` if the request contains an issued key.
         """
@@ -97,7 +104,11 @@
         bound = self._safe if outgoing.method in SAFE_METHODS else self._unsafe
         idle_s = bound.max_idle_s(self._reactor.seconds())
         return self._connections.send(
-            (address, port), req, max_idle_s=idle_s, max_open=max_open
+            (address, port),
+            req,
+            max_idle_s=idle_s,
+            max_open=max_open,
+            is_fresh=is_fresh,
         )
 
     def close_idle(self, now: float) -> None:
--- a/packages/daemon/tests/test_connections.py
+++ b/packages/daemon/tests/test_connections.py
@@ -101,6 +101,17 @@
     assert not is_idle(pool, conn)
 
 
+def test_repeat_at_a_server_that_refused_uses_a_fresh_connection(pool, conn):
+    """A faulty server may write its earlier refusal once more on a kept connection.
+
+    It bears the request's id, so a repeat there would be taken for refused again.
+    """
+    deliver_response(conn.request(get()), conn, GOOD + b"\r\nok")
+    repeat = pool.send(ADDRESS, get(), max_idle_s=1.0, is_fresh=True)
+    repeat.addErrback(lambda _: None)
+    assert is_idle(pool, conn)
+
+
 def test_unsolicited_bytes_close_an_idle_connection(pool, conn):
     deliver_response(conn.request(get()), conn, GOOD + b"\r\nok")
     conn.dataReceived(b"HTTP/1.1 200 OK\r\n")
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -47,7 +47,7 @@
 class FailingUpstream:
     """An upstream whose requests fail before ``send`` returns."""
 
-    def send(self, address, port, outgoing, *, max_open):
+    def send(self, address, port, outgoing, *, max_open, is_fresh):
         return fail(RequestNotSent())
 
 
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -336,6 +336,7 @@
             timeout_at,
             queued_s,
             int(server.limiter.cap),
+            needs_fresh_connection=server.id in pending.shed_by,
         )
 
     def _stop(self, now: float, pending: PendingRequest) -> None:
