Move the choice of the upstream out of the replica

Which VM to follow, and which ones are left out after they did not answer, is a job of its own: UpstreamChoice in upstream_choice.py. No behaviour changes; tests of replica and node pass.

--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -21,7 +21,8 @@
 )
 from wagtailpaddle_replica.own_reads import DEFAULT_APPLY_S, OwnReads
 from wagtailpaddle_replica.read_schedule import ReadSchedule
-from wagtailpaddle_replica.topology import relays, upstreams
+from wagtailpaddle_replica.topology import upstreams
+from wagtailpaddle_replica.upstream_choice import UpstreamChoice
 
 ACTIVE_HOLD_S = 0.2
 """Hold time of the long polls of VMs that are active or have followers."""
@@ -33,7 +34,6 @@
 OLD_AGE = 0.4
 """Age of a copy, as a fraction of ``apply_s``, above which it counts as old."""
 
-UPSTREAM_BACKOFF_S = 2.0
 MIN_EXPIRING_OUTAGE_S = 3.0
 """The shortest outage of the store in which entries of live servers may expire.
 
@@ -90,10 +90,9 @@
         self.copies = {
             item: CollectionCopy(item, decoders[item]) for item in Collection
         }
-        self._seeds = tuple(item for item in seeds if item != own.peer_address)
+        self._upstream_choice = UpstreamChoice(own, rng, seeds=seeds)
         self._rng = rng
         self._pending_upstream: str | None = None
-        self._backoff_until: dict[str, float] = {}
         self._registered = False
         self._next_register_at = 0.0
         self._leaving = False
@@ -149,7 +148,7 @@
     ) -> StepResult:
         """The VM at ``address`` answered ``follow``."""
         self._pending_upstream = None
-        self._backoff_until.pop(address, None)
+        self._upstream_choice.record_answer(address)
         if update.clock != follow.clock:
             return StepResult()
         answered_at = update.clock + max(0.0, update.held_s)
@@ -186,7 +185,7 @@
     def on_follow_failed(self, now: float, address: str) -> StepResult:
         """The VM at ``address`` did not answer."""
         self._pending_upstream = None
-        self._backoff_until[address] = now + UPSTREAM_BACKOFF_S
+        self._upstream_choice.record_failure(now, address)
         self._own_reads.on_follow_failed()
         candidates = self._upstream_candidates(now)
         return StepResult(
@@ -289,7 +288,12 @@
     ) -> list[ReplicaAction]:
         if self._pending_upstream is not None:
             return []
-        address = self._select_upstream(now, candidates)
+        address = self._upstream_choice.select(
+            now,
+            candidates,
+            self.members.alive(now),
+            is_failing=self.read_schedule.is_failing(now),
+        )
         if address is None:
             return []
         self._pending_upstream = address
@@ -306,35 +310,6 @@
         )
         return [FollowVm(address, body, hold_s + ANSWER_TIMEOUT_S)]
 
-    def _select_upstream(
-        self, now: float, candidates: tuple[Member, ...]
-    ) -> str | None:
-        """Return the address of the VM to follow now, or None."""
-        alive = self.members.alive(now)
-        addresses = [member.peer_address for member in candidates]
-        if not addresses and self.read_schedule.is_failing(now):
-            addresses = self._fallback_addresses(alive)
-        if not addresses and len(alive) == 1:
-            addresses = list(self._seeds)
-        for address in addresses:
-            if self._backoff_until.get(address, float("-inf")) <= now:
-                return address
-        return None
-
-    def _fallback_addresses(self, alive: tuple[Member, ...]) -> list[str]:
-        """Return the VMs that the reader follows while its own reads fail.
-
-        The relays of other availability zones come first: they read in its place.
-        """
-        relay_addresses = [
-            item.peer_address for item in relays(alive) if item.id != self.own.id
-        ]
-        other_addresses = [
-            item.peer_address for item in alive if item.id != self.own.id
-        ]
-        self._rng.shuffle(other_addresses)
-        return [*relay_addresses, *other_addresses]
-
     def _remove_expired(self, now: float) -> list[ReplicaAction]:
         """Remove the expired VMs and delete their records from the store."""
         records = self.copies[Collection.VMS].values()
