Spend an equal part of a server's stated limit on each VM

Cause: no decision used the limit. Class: a server's own statement that is read (or not even that) and not acted upon.

Ruled out: that each VM keeps the limit and only the sum exceeds it (there was no reader of the header); that retries exceed it (the first breaks come as soon as the rule begins to count, on first attempts).

Change: a token bucket for each server that states a limit, with this VM's part of it. The parts are divided as the retry budget is, by the VMs that carry callers; the others get next to nothing. Where the limit is small for the number of VMs, parts and depths are lowered, so that the sum of all buckets stays within it in any 4 s. Requests without room go to servers with room, wait, or are refused at once with the time until their turn. A request that cannot be repeated waits for a limited server rather than go to a server in a failure spell. An answer without the limit ends it. The limits show in status; the random machine draws them and asserts stated-limit-kept.

--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -53,8 +53,8 @@
 TOPOLOGY_INTERVAL_S = 0.25
 N_BUCKET_OWNERS = 3
 FLEET_DISCOVERY_S = 2.0
-MIN_RETRY_DIVISOR = 6
-"""Smallest number of VMs among which the retry budget of the fleet is divided. A VM
+MIN_BUDGET_DIVISOR = 6
+"""Smallest number of VMs among which a budget of the fleet is divided. A VM
 that does not know the others yet must not spend the whole budget alone."""
 
 MAX_LOG_EVENTS = 256
@@ -211,12 +211,22 @@
                 ]
                 for name, service in sorted(self.configuration.services.items())
             },
+            "limits": self._stated_limits(now),
             "alive": [member.id for member in alive],
             "carriers": sorted(self._active),
             "follows": [item.id for item in upstreams(replica.own, alive)],
             "keepers": list(self.quota.owners),
         }
 
+    def _stated_limits(self, now: float) -> dict[str, float]:
+        """Return the requests per second that servers state to take, by server."""
+        return {
+            server.id: server.stated_limit
+            for service in self.backends.dispatcher.status(now)
+            for server in service.servers
+            if server.stated_limit is not None
+        }
+
     def apply_settings(self, cfg: ReplicaSettings) -> None:
         """Apply settings that changed while the process runs."""
         self.membership.cfg = cfg
@@ -336,18 +346,18 @@
         if active == self._active:
             return ()
         self._active = active
-        self.backends.dispatcher.share_retries(now, self._retry_divisor(len(alive)))
+        self.backends.dispatcher.share_budgets(now, self._budget_divisor(len(alive)))
         self._log("VMs that carry callers.", vms=sorted(active), alive=len(alive))
         self.health_probes.set_vms(now, active)
         return self.backends.set_vms(now, active)
 
-    def _retry_divisor(self, n_alive: int) -> int:
-        """Return by how much the retry budget of the fleet is divided for this VM.
+    def _budget_divisor(self, n_alive: int) -> int:
+        """Return by how much the budgets of the fleet are divided for this VM.
 
-        Standby VMs get few requests, but all of them together must not spend the
-        retries of the active VMs.
+        These are the retries and the limits that servers state. Standby VMs get few
+        requests, but all of them together must not spend the part of the active VMs.
         """
-        divisor = max(MIN_RETRY_DIVISOR, len(self._active))
+        divisor = max(MIN_BUDGET_DIVISOR, len(self._active))
         is_active = self.replica.own.id in self._active
         return divisor if is_active else divisor * n_alive
 
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -24,7 +24,13 @@
     Member,
     Record,
 )
-from wagtailpaddle_routing import Dispatch, Policy, Refuse
+from wagtailpaddle_routing import (
+    AttemptOutcome,
+    AttemptResult,
+    Dispatch,
+    Policy,
+    Refuse,
+)
 
 OWN = Member("vm1/1", "a", "vm1:80", "vm1", "1")
 SERVER = Server(id="s1", address="10.0.0.1", port=80, zone="a")
@@ -88,6 +94,13 @@
     assert node.server_address("booking", "s1") == ("10.0.0.1", 80)
 
 
+def test_status_shows_the_limit_that_a_server_states(node):
+    request(node, 0.1, "/book/a")
+    result = AttemptResult(AttemptOutcome.ANSWERED, 0.1, 200, stated_limit=5.5)
+    node.on_attempt(0.2, "r1", result)
+    assert node.control.describe(0.3)["limits"] == {"s1": 5.5}
+
+
 def test_only_open_routes_are_served_with_an_outdated_configuration(node):
     assert request(node, 5.0, "/book/a").kind is ErrorKind.NOT_FRESH
     assert request(node, 5.0, "/none/a").kind is ErrorKind.NOT_FRESH
--- a/packages/routing/src/wagtailpaddle_routing/admission.py
+++ b/packages/routing/src/wagtailpaddle_routing/admission.py
@@ -21,19 +21,24 @@
     *,
     mean_s: float,
     min_service_s: float,
-    capacity: int,
+    capacity: float,
+    ready_in_s: float,
     wait_s: float,
 ) -> AdmissionRefusal | None:
     """Return why a new request may not be queued, or None if it may.
 
     ``mean_s`` is the mean service time of its account, and ``min_service_s`` the least
     service time expected of it. ``wait_s`` is the estimated time to drain the
-    queue when ``capacity`` requests run at a time. Times are seconds.
+    queue when ``capacity`` requests run at a time, and ``ready_in_s`` the time until
+    the servers' stated limits allow the next request. Times are seconds.
     """
     job = pending.job
     if queue.is_starved(now, job.rank):
         return AdmissionRefusal("requests that are as urgent waited in vain", wait_s)
     ahead_s = queue.work_ahead_s(job.account, mean_s, job.rank) / capacity
+    if ready_in_s > 0.0:
+        # Every request, this one too, waits for its turn under the stated limits.
+        ahead_s = max(ready_in_s, ahead_s + mean_s / capacity)
     if ahead_s > 0.0 and ahead_s + min_service_s > job.deadline_at - now:
         detail = f"the wait is about {ahead_s:.1f} s, longer than the deadline"
         return AdmissionRefusal(detail, ahead_s)
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -106,11 +106,14 @@
         if pool is not None:
             pool.servers.report_load(now, server, load)
 
-    def share_retries(self, now: float, n_vms: int) -> None:
-        """Set how many VMs share the retries that the policy allows in total."""
+    def share_budgets(self, now: float, n_vms: int) -> None:
+        """Set how many VMs share what is allowed in total.
+
+        That is the retries of the policy and the limits that servers state.
+        """
         self._n_vms = n_vms
         for pool in self._pools.values():
-            pool.share_retries(now, n_vms)
+            pool.share_budgets(now, n_vms)
 
     def on_trust_notice(self, now: float, notice: TrustNotice) -> None:
         """Apply another VM's notice that a server failed or recovered."""
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -99,6 +99,11 @@
     committed: bool = False
     stated_limit: float | None = None
 
+    @property
+    def is_answer(self) -> bool:
+        """Whether the server sent a complete answer."""
+        return self.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SHED)
+
     @property
     def is_shed_with_room(self) -> bool:
         """Whether a server shed the request although it reports free slots."""
@@ -158,13 +163,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerStatus:
-    """The state of one server on this VM; ``limit`` bounds ``in_flight``."""
+    """The state of one server on this VM; ``limit`` bounds ``in_flight``.
+
+    ``stated_limit`` is how many requests per second the server states that it takes
+    from all VMs, None if it states no limit.
+    """
 
     id: ServerId
     in_flight: int
     limit: float
     hint: float
     usable: bool
+    stated_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/routing/src/wagtailpaddle_routing/pickers.py
+++ b/packages/routing/src/wagtailpaddle_routing/pickers.py
@@ -41,11 +41,25 @@
     def is_available(self, server: Server, pending: PendingRequest) -> bool:
         """Return whether a server is eligible and has a free slot now."""
         return (
-            server.in_flight < server.cap
+            self._has_free_slot(server, pending)
             and server.backoff_until <= self.now
-            and may_serve(server, pending)
+            and server.may_start(self.now)
         )
 
+    def will_be_available(self, server: Server, pending: PendingRequest) -> bool:
+        """Return whether only a stated limit keeps the request from a server.
+
+        The limit must allow a request within half of the time that is left.
+        """
+        limit = server.stated_limit
+        if limit is None or not self._has_free_slot(server, pending):
+            return False
+        wait_s = max(limit.next_at(self.now), server.backoff_until) - self.now
+        return wait_s < (pending.job.deadline_at - self.now) / 2
+
+    def _has_free_slot(self, server: Server, pending: PendingRequest) -> bool:
+        return server.in_flight < server.cap and may_serve(server, pending)
+
     def is_responsive(self, server: Server, pending: PendingRequest) -> bool:
         """Return whether a server is eligible, has a free slot and is not silent."""
         is_silent = server.is_silent(self.now, self.silence_timeout_s)
@@ -165,11 +179,21 @@
             if not self._suspects[item.id].is_suspect(candidates.now)
         ]
         if not cleared:
-            return self._oldest_failure(available)
+            waits = self._waits_for_limit(candidates, pending)
+            return None if waits else self._oldest_failure(available)
         if is_first_attempt and candidates.may_probe:
             return self._explore(candidates, cleared)
         return self._freshest(candidates, cleared)
 
+    def _waits_for_limit(self, candidates: Candidates, pending: PendingRequest) -> bool:
+        """Return whether to wait for a server with a limit, not use a suspect one."""
+        return any(
+            candidates.will_be_available(item, pending)
+            and not self._suspects[item.id].is_suspect(candidates.now)
+            and not item.is_silent(candidates.now, candidates.silence_timeout_s)
+            for item in candidates.usable
+        )
+
     def _to_probe(
         self, candidates: Candidates, servers: Sequence[Server]
     ) -> Iterator[Server]:
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -104,6 +104,7 @@
             max_tokens=policy.max_retries,
             n_vms=n_vms,
         )
+        self.servers.share_limits(now, n_vms)
         self._latency = LatencyEstimator()
         self._backoff_end_at: float | None = None
         self._reserved_slots = ReservedSlots(policy.reserved)
@@ -113,9 +114,10 @@
         """Whether the service has no pending request on this VM."""
         return not self._requests.n_accounts
 
-    def share_retries(self, now: float, n_vms: int) -> None:
-        """Set how many VMs share the fleet's retry budget."""
+    def share_budgets(self, now: float, n_vms: int) -> None:
+        """Set how many VMs share the retry budget and the servers' stated limits."""
         self._budget.share(now, n_vms)
+        self.servers.share_limits(now, n_vms)
 
     def set_servers(
         self, now: float, views: tuple[ServerView, ...], n_sharing_vms: int
@@ -190,7 +192,7 @@
     def tick(self, now: float) -> list[Action]:
         """Refuse expired requests and dispatch to servers whose back-off has ended."""
         actions: list[Action] = [
-            self._requests.refuse_expired(pending, self._drain_time_s())
+            self._requests.refuse_expired(pending, self._drain_time_s(now))
             for pending in self._waiting.expired(now, min_left_s=self._min_service_s())
         ]
         if self._waiting.n_queued:
@@ -215,7 +217,7 @@
             n_running=self.servers.n_running,
             n_accounts=self._requests.n_accounts,
             capacity=self.servers.capacity,
-            wait_s=self._waiting.work_s / self.servers.capacity,
+            wait_s=self._waiting.work_s / self._drain_capacity(now),
             retry_tokens=self._budget.tokens(now),
             servers=self.servers.status(now),
         )
@@ -228,23 +230,30 @@
             self._waiting,
             mean_s=self._requests.account(pending.job.account).mean_s,
             min_service_s=self._min_service_s(),
-            capacity=self.servers.capacity,
-            wait_s=self._drain_time_s(),
+            capacity=self._drain_capacity(now),
+            ready_in_s=self.servers.ready_at(now) - now,
+            wait_s=self._drain_time_s(now),
         )
         if refusal is None:
-            return self._enqueue(pending) + self._dispatch_queued(now)
+            return self._enqueue(now, pending) + self._dispatch_queued(now)
         detail, wait_s = refusal.detail, refusal.wait_s
         return [self._requests.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
 
-    def _drain_time_s(self) -> float:
+    def _drain_time_s(self, now: float) -> float:
         """Return the estimated time to drain the queue, in seconds."""
-        return max(MIN_WAIT_S, self._waiting.work_s / self.servers.capacity)
+        return max(MIN_WAIT_S, self._waiting.work_s / self._drain_capacity(now))
+
+    def _drain_capacity(self, now: float) -> float:
+        """Return how many requests run at a time while the queue drains."""
+        return self.servers.drain_capacity(now, self._latency.mean_s)
 
     def _min_service_s(self) -> float:
         """Return the least service time expected of a request, in seconds."""
         return self._latency.mean_s * MIN_SERVICE_FRACTION
 
-    def _enqueue(self, pending: PendingRequest, *, first: bool = False) -> list[Action]:
+    def _enqueue(
+        self, now: float, pending: PendingRequest, *, first: bool = False
+    ) -> list[Action]:
         """Queue a request; refuse another one if the queue is over its bound."""
         account = self._requests.account(pending.job.account)
         pending.expected_s = account.mean_s
@@ -258,7 +267,7 @@
         if victim is None:
             return []
         detail = f"client account {victim.job.account!r} has the longest queue"
-        wait_s = self._drain_time_s()
+        wait_s = self._drain_time_s(now)
         kind = truthful_kind(victim, ErrorKind.OVERLOADED)
         return [self._requests.refuse(victim, kind, detail, wait_s)]
 
@@ -283,7 +292,7 @@
     def _dispatch_queued(self, now: float) -> list[Action]:
         """Dispatch queued requests while there is free capacity."""
         actions: list[Action] = []
-        while self._waiting.n_queued and self.servers.n_running < self.servers.capacity:
+        while self._may_dispatch(now):
             scan = _ScanResult()
 
             def is_eligible(pending: PendingRequest, scan: _ScanResult = scan) -> bool:
@@ -299,7 +308,7 @@
             if scan.server is None:
                 self._waiting.record_expired(now, pending.job.rank)
                 actions.append(
-                    self._requests.refuse_expired(pending, self._drain_time_s())
+                    self._requests.refuse_expired(pending, self._drain_time_s(now))
                 )
             else:
                 self._waiting.record_served(now, pending.job.rank)
@@ -309,6 +318,13 @@
         )
         return actions
 
+    def _may_dispatch(self, now: float) -> bool:
+        """Return whether a queued request may find a server."""
+        is_busy = self.servers.n_running >= self.servers.capacity
+        if not self._waiting.n_queued or is_busy:
+            return False
+        return self.servers.may_start(now)
+
     def _start(self, now: float, pending: PendingRequest, server: Server) -> Dispatch:
         job = pending.job
         ensure(
@@ -369,7 +385,7 @@
         self, now: float, pending: PendingRequest, result: AttemptResult
     ) -> Refuse:
         """Refuse a request; jitter in Retry-After spreads the callers' retries."""
-        wait_s = MIN_WAIT_S if result.is_shed_with_room else self._drain_time_s()
+        wait_s = MIN_WAIT_S if result.is_shed_with_room else self._drain_time_s(now)
         jittered_s = wait_s * (1.0 + self._random.random())
         return self._requests.refuse_failed(now, pending, result, jittered_s)
 
@@ -381,7 +397,7 @@
         server = self._choose_server(now, pending)
         if server is not None:
             return [self._start(now, pending, server)]
-        return self._enqueue(pending, first=True)
+        return self._enqueue(now, pending, first=True)
 
     def _retry_or_deliver(self, now: float, pending: PendingRequest) -> Action:
         """Retry on a server with a free slot, or deliver the answer at hand."""
--- a/packages/routing/src/wagtailpaddle_routing/server.py
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -11,6 +11,7 @@
     AttemptResult,
     ServerView,
 )
+from wagtailpaddle_routing.stated_limit import StatedLimit
 
 LOAD_TTL_S = 2.0
 DEFAULT_LOAD = 0.5
@@ -45,6 +46,7 @@
         "limiter",
         "share",
         "last_started_at",
+        "stated_limit",
         "usable",
         "view",
     )
@@ -66,6 +68,7 @@
         self._answered_at = float("-inf")
         self._started_at: dict[RequestId, float] = {}
         self.last_started_at = float("-inf")
+        self.stated_limit: StatedLimit | None = None
         self.update_view(view)
 
     @property
@@ -117,8 +120,35 @@
         """Return whether the server answered a request in the last ``limit_s``."""
         return now - self._answered_at <= limit_s
 
+    def may_start(self, now: float) -> bool:
+        """Return whether the limit that the server states allows a request now."""
+        return self.stated_limit is None or self.stated_limit.allows(now)
+
+    def record_stated_limit(
+        self, now: float, result: AttemptResult, *, n_vms: int, jitter: float
+    ) -> None:
+        """Record what an answer states of the rate that the server takes.
+
+        An answer without a limit ends a former one, unless its request was sent
+        before the server stated the limit.
+        """
+        per_s = result.stated_limit
+        if per_s is not None and self.stated_limit is not None:
+            self.stated_limit.restate(now, per_s, n_vms=n_vms)
+        elif per_s is not None:
+            self.stated_limit = StatedLimit(
+                now, per_s, n_vms=n_vms, first_tokens=jitter
+            )
+        elif self.stated_limit is not None and result.is_answer:
+            sent_at = now - result.latency_s
+            if sent_at >= self.stated_limit.stated_at:
+                self.stated_limit = None
+
     def start(self, now: float, request: RequestId) -> None:
         """Count an attempt that starts."""
+        ensure(self.may_start(now), "stated-limit-kept", server=self.id)
+        if self.stated_limit is not None:
+            self.stated_limit.spend(now)
         ensure(self.in_flight < self.cap, "server-limit-kept", server=self.id)
         self.in_flight += 1
         self._started_at[request] = now
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -18,6 +18,8 @@
 from wagtailpaddle_routing.server import Server
 from wagtailpaddle_routing.suspects import SuspectTracker
 
+MIN_DRAIN_CAPACITY = 0.001
+
 
 def connection_cap(connections: int, n_sharing_vms: int) -> int:
     """Return how many connections one of ``n_sharing_vms`` VMs may open to a server.
@@ -43,6 +45,7 @@
     ):
         self.n_running = 0
         self.capacity = 1
+        self._n_limit_vms = 1
         self._zone = zone
         self._picker = picker
         self.suspects = suspects
@@ -90,6 +93,55 @@
         server.update_view(view)
         return server
 
+    def share_limits(self, now: float, n_vms: int) -> None:
+        """Set how many VMs share the limits that servers state."""
+        self._n_limit_vms = n_vms
+        for server in self._servers.values():
+            if server.stated_limit is not None:
+                server.stated_limit.share(now, server.stated_limit.per_s, n_vms=n_vms)
+
+    def may_start(self, now: float) -> bool:
+        """Return whether the stated limit of any server allows a request now."""
+        return any(server.may_start(now) for server in self._usable)
+
+    def ready_at(self, now: float) -> float:
+        """Return when the stated limits allow the next request, ``now`` if at once."""
+        limits = [server.stated_limit for server in self._preferred(now)]
+        times = [now if item is None else item.next_at(now) for item in limits]
+        return min(times, default=now)
+
+    def drain_capacity(self, now: float, mean_s: float) -> float:
+        """Return how many requests of ``mean_s`` seconds run at a time at most.
+
+        A server that states a limit counts for as many as its limit lets run.
+        """
+        if not self._has_limits():
+            return self.capacity
+        running = sum(
+            server.limit
+            if server.stated_limit is None
+            else min(server.limit, server.stated_limit.part_per_s * mean_s)
+            for server in self._preferred(now)
+        )
+        return max(MIN_DRAIN_CAPACITY, min(running, self.capacity))
+
+    def _has_limits(self) -> bool:
+        return any(server.stated_limit is not None for server in self._usable)
+
+    def _preferred(self, now: float) -> Sequence[Server]:
+        """Return the servers to which requests go while some states a limit.
+
+        Suspect servers are no substitute for one that states a limit.
+        """
+        if not self._has_limits():
+            return self._usable
+        cleared = [
+            server
+            for server in self._usable
+            if not self.suspects[server.id].is_suspect(now)
+        ]
+        return cleared or self._usable
+
     def can_serve(self, pending: PendingRequest) -> bool:
         """Return whether some server is eligible for the request, now or later."""
         return any(may_serve(server, pending) for server in self._usable)
@@ -140,6 +192,9 @@
         """Record the result of an attempt, before it is released."""
         before = server.limit
         server.record_attempt(now, result)
+        server.record_stated_limit(
+            now, result, n_vms=self._n_limit_vms, jitter=self._random.random()
+        )
         self.suspects.record_attempt(now, server.id, result)
         if server.usable:
             self._total_limit += server.limit - before
@@ -157,8 +212,13 @@
             known.report_load(now, load)
 
     def next_backoff_end(self, now: float) -> float | None:
-        """Return when the next back-off of a server ends, or None."""
+        """Return when the next back-off or pause of a server ends, or None."""
         times = [server.backoff_until for server in self._usable]
+        times += [
+            server.stated_limit.next_at(now)
+            for server in self._usable
+            if server.stated_limit is not None
+        ]
         return min((at for at in times if at > now), default=None)
 
     def status(self, now: float) -> tuple[ServerStatus, ...]:
@@ -170,6 +230,9 @@
                 limit=server.limit,
                 hint=server.hint(now),
                 usable=server.usable,
+                stated_limit=(
+                    None if server.stated_limit is None else server.stated_limit.per_s
+                ),
             )
             for server in self._servers.values()
         )
--- a/packages/routing/tests/test_machine.py
+++ b/packages/routing/tests/test_machine.py
@@ -126,24 +126,29 @@
         status=st.sampled_from([200, 404, 503]),
         committed=st.booleans(),
         load=st.sampled_from([None, 0.0, 1.0, -5.0, float("nan")]),
+        limit=st.sampled_from([None, 0.0, 2.0, 100.0]),
     )
-    def finish(self, data, outcome, status, committed, load):
+    def finish(self, data, outcome, status, committed, load, limit):
         name = data.draw(st.sampled_from(self.running()))
-        self.end(name, outcome, status, committed, load)
+        self.end(name, outcome, status, committed, load, limit)
 
-    def end(self, name, outcome, status=200, committed=False, load=None):
+    def end(self, name, outcome, status=200, committed=False, load=None, limit=None):
         model = self.requests[name]
         committed = committed and outcome not in NOT_RUN_OUTCOMES
         if outcome not in NOT_RUN_OUTCOMES:
             model.may_have_run = True
         model.server = None
-        result = AttemptResult(outcome, 0.01, status, load, committed)
+        result = AttemptResult(outcome, 0.01, status, load, committed, limit)
         actions = self.dispatcher.finish(self.now, name, result)
         answered = name if outcome is AttemptOutcome.ANSWERED else None
         if committed:
             assert name not in [a.request for a in actions if isinstance(a, Dispatch)]
         self.handle(actions, answered)
 
+    @rule(n_vms=st.integers(1, 20))
+    def share_budgets(self, n_vms):
+        self.dispatcher.share_budgets(self.now, n_vms)
+
     @precondition(lambda self: self.requests)
     @rule(data=st.data())
     def cancel(self, data):
