--- a/packages/routing/src/wagtailpaddle_routing/answers.py
+++ b/packages/routing/src/wagtailpaddle_routing/answers.py
@@ -96,14 +96,7 @@
     >>> parse_load({"x-load": "nan"}) is None
     True
     """
-    value = _header_value(headers, LOAD_HEADER)
-    if not value:
-        return None
-    try:
-        load = float(value)
-    except ValueError:
-        return None
-    return load if 0.0 <= load <= 1.0 else None
+    return _number_up_to(headers, LOAD_HEADER, 1.0)
 
 
 LimitParser = Callable[[Mapping[str, str]], float | None]
@@ -126,14 +119,7 @@
     >>> parse_limit({"x-request-limit": "-1"}, "x-request-limit") is None
     True
     """
-    value = _header_value(headers, name)
-    if not value:
-        return None
-    try:
-        per_s = float(value)
-    except ValueError:
-        return None
-    return per_s if 0.0 <= per_s <= MAX_STATED_LIMIT_PER_S else None
+    return _number_up_to(headers, name, MAX_STATED_LIMIT_PER_S)
 
 
 def is_leaving(headers: Mapping[str, str]) -> bool:
@@ -150,3 +136,14 @@
     if len(value) > MAX_VALUE_CHARS:
         return ""
     return value.strip().lower()
+
+
+def _number_up_to(
+    headers: Mapping[str, str], name: str, highest: float
+) -> float | None:
+    """Return the number in [0, ``highest``] in the header ``name``, or None."""
+    try:
+        number = float(_header_value(headers, name))
+    except ValueError:
+        return None
+    return number if 0.0 <= number <= highest else None
