Take a server out that says in an answer that it leaves

Cause: the platform's header for it was not read; a direct report ended after 600 s; and a report would have held on for a server that started again under its id.

Change: the header's parser is a name of the dialect; on the platform a direct report holds until the entry of the server shows another start. The stand-in server can send the header.

--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -14,6 +14,7 @@
     RequestNode,
 )
 from wagtailpaddle_routing import (
+    LEAVING_PARSERS,
     LIMIT_PARSERS,
     LOAD_PARSERS,
     AttemptOutcome,
@@ -23,7 +24,6 @@
     Dispatch,
     Refuse,
     interpret,
-    is_leaving,
 )
 
 from wagtailpaddle_daemon.caller import Caller, DisconnectedCaller
@@ -249,7 +249,7 @@
         self._finish_attempt(request, exchange, outcome, status)
 
     def _report_leaving(self, exchange: Exchange, headers: dict[str, str]) -> None:
-        if is_leaving(headers):
+        if LEAVING_PARSERS[self._dialect.leaving](headers):
             service, server = exchange.server
             now = self._reactor.seconds()
             self.carry_out(self._node.on_server_leaving(now, service, server))
--- a/packages/node/src/wagtailpaddle_node/backends.py
+++ b/packages/node/src/wagtailpaddle_node/backends.py
@@ -48,10 +48,18 @@
 class Backends:
     """Reports attempts to the outlier detector and server health to the dispatcher."""
 
-    def __init__(self, health: OutlierDetector, dispatcher: Dispatcher):
+    def __init__(
+        self,
+        health: OutlierDetector,
+        dispatcher: Dispatcher,
+        *,
+        leaving_servers: LeavingServers | None = None,
+    ):
         self.health = health
         self.dispatcher = dispatcher
-        self.leaving_servers = LeavingServers()
+        if leaving_servers is None:
+            leaving_servers = LeavingServers()
+        self.leaving_servers = leaving_servers
         self._changed_services: set[ServiceId] = set()
         self._services: dict[ServiceId, Service] = {}
         self._attempts: dict[RequestId, _RunningAttempt] = {}
@@ -89,6 +97,11 @@
             return ()
         return self._update_pool(now, target[0])
 
+    def on_server_restarted(self, target: tuple[ServiceId, ServerId]) -> None:
+        """Forget what a server's former process stated; applied at the next tick."""
+        if self.leaving_servers.forget(target):
+            self._changed_services.add(target[0])
+
     def on_leaving_notice(self, now: float, notice: LeavingNotice) -> None:
         """Record another VM's notice of leaving servers; applied at the next tick."""
         for servers, leaving in ((notice.leaving, True), (notice.back, False)):
--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -10,7 +10,7 @@
     build_configuration,
     with_servers,
 )
-from wagtailpaddle_core import AccountId, Offset, VmId, rank
+from wagtailpaddle_core import AccountId, Offset, ServerId, VmId, rank
 from wagtailpaddle_health import HealthDigest, select_monitors
 from wagtailpaddle_once import OnceAction
 from wagtailpaddle_quota import (
@@ -287,11 +287,21 @@
         if changed.collection is Collection.SERVERS:
             in_grace = self.replica.in_grace(now)
             self._log_servers(now, changed.changes, in_grace)
+            self._forget_restarted(changed.changes)
             return self.registered_servers.apply(
                 now, changed.changes, in_grace=in_grace
             )
         return False
 
+    def _forget_restarted(self, changes: Sequence[Change]) -> None:
+        """Forget what servers stated that have started again under their ids."""
+        for item in changes:
+            known = self.registered_servers.entry(ServerId(item.key))
+            if known is None or item.value is None:
+                continue
+            if known.born != item.value.born:
+                self.backends.on_server_restarted((known.service, known.server.id))
+
     def _apply_document(self, now: float, document: ConfigDocument | None) -> bool:
         known = self.document
         if document is None or (
--- a/packages/node/src/wagtailpaddle_node/replica_node.py
+++ b/packages/node/src/wagtailpaddle_node/replica_node.py
@@ -1,12 +1,13 @@
 """The node of a fleet whose state is in the platform's store."""
 
+from math import inf
 from typing import Any
 
 from wagtailpaddle_core import ServerId, ServiceId, ZoneId
 from wagtailpaddle_fleet import CallerAddresses
 from wagtailpaddle_health import OutlierDetector
 from wagtailpaddle_replica import Batch, Collection, Follow, Member, Update
-from wagtailpaddle_routing import Dispatcher, Policy
+from wagtailpaddle_routing import Dispatcher, LeavingServers, Policy
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.messages import ConfigState, LogEvent, NodeAction
@@ -32,7 +33,9 @@
     ):
         health = OutlierDetector(own.id, zone=own.zone, policy=policy, seed=seed)
         dispatcher = Dispatcher(policy=routing, seed=seed)
-        backends = Backends(health, dispatcher)
+        # What a server says of itself holds until its process ends.
+        leaving_servers = LeavingServers(direct_ttl_s=inf)
+        backends = Backends(health, dispatcher, leaving_servers=leaving_servers)
         control = ReplicaControl(own, backends, decoders, cfg=cfg, seed=seed)
         super().__init__(control, backends, dispatcher)
 
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -1,5 +1,7 @@
 """The control plane of a node that keeps a copy of the platform's store."""
 
+from dataclasses import replace
+
 import pytest
 from wagtailpaddle_config import (
     ClientAccount,
@@ -35,6 +37,7 @@
 OWN = Member("vm1/1", "a", "vm1:80", "vm1", "1")
 SERVER = Server(id="s1", address="10.0.0.1", port=80, zone="a")
 ENTRY = RegisteredServer(service="booking", server=SERVER)
+ENTRIES = {b"x": ENTRY, b"restarted": replace(ENTRY, born=1)}
 
 
 def document(version, *, key="hash"):
@@ -53,7 +56,7 @@
 DOCUMENTS = {b"v5": document(5), b"v9": document(9, key="other"), b"v3": document(3)}
 DECODERS = {
     Collection.CONFIG: lambda key, data: DOCUMENTS.get(data),
-    Collection.SERVERS: lambda key, data: ENTRY,
+    Collection.SERVERS: lambda key, data: ENTRIES[data],
     Collection.VMS: lambda key, data: OWN,
 }
 
@@ -101,6 +104,24 @@
     assert node.control.describe(0.3)["limits"] == {"s1": 5.5}
 
 
+def test_server_that_answers_that_it_leaves_gets_no_request_for_good(node):
+    """Its entry in the store may go on to say that it is ready."""
+    node.on_server_leaving(0.2, "booking", "s1")
+    assert request(node, 0.3, "/book/a").kind is ErrorKind.NO_HEALTHY_SERVER
+    for now in (600.0, 700.0):
+        node.on_read(now, now, batch(Collection.CONFIG, 0, "config", b"v5"))
+        node.on_tick(now)
+    assert request(node, 700.1, "/book/a", name="r2").kind is (
+        ErrorKind.NO_HEALTHY_SERVER
+    )
+
+
+def test_server_that_started_again_under_its_id_gets_requests(node):
+    node.on_server_leaving(0.2, "booking", "s1")
+    node.on_read(1.0, 0.9, batch(Collection.SERVERS, 5, "s1", b"restarted"))
+    assert request(node, 1.1, "/book/a").server == "s1"
+
+
 def test_only_open_routes_are_served_with_an_outdated_configuration(node):
     assert request(node, 5.0, "/book/a").kind is ErrorKind.NOT_FRESH
     assert request(node, 5.0, "/none/a").kind is ErrorKind.NOT_FRESH
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -1,6 +1,7 @@
 """Choice of backend server, fair queues, concurrency limits, retries."""
 
 from wagtailpaddle_routing.answers import (
+    LEAVING_PARSERS,
     LIMIT_PARSERS,
     LOAD_PARSERS,
     OWN_SHED_ANSWERS,
@@ -48,6 +49,7 @@
 __all__ = [
     "CHOOSERS",
     "LIMITERS",
+    "LEAVING_PARSERS",
     "LIMIT_PARSERS",
     "LOAD_PARSERS",
     "OWN_SHED_ANSWERS",
--- a/packages/routing/src/wagtailpaddle_routing/answers.py
+++ b/packages/routing/src/wagtailpaddle_routing/answers.py
@@ -122,6 +122,11 @@
     return _number_up_to(headers, name, MAX_STATED_LIMIT_PER_S)
 
 
+LeavingParser = Callable[[Mapping[str, str]], bool]
+LEAVING_PARSERS: Registry[LeavingParser] = Registry("leaving parser")
+
+
+@LEAVING_PARSERS.register("own")
 def is_leaving(headers: Mapping[str, str]) -> bool:
     """Return whether the answer states that the server is draining or leaving.
 
--- a/packages/routing/src/wagtailpaddle_routing/leaving.py
+++ b/packages/routing/src/wagtailpaddle_routing/leaving.py
@@ -43,7 +43,8 @@
     A server's own report to this VM is announced to the other VMs at once,
     twice more within seconds in case messages are lost, and then every
     ``REFRESH_INTERVAL_S`` for VMs that join. A report from another VM is kept for
-    ``INDIRECT_TTL_S`` and not forwarded. The latest report wins.
+    ``INDIRECT_TTL_S`` and not forwarded, a server's own one for ``direct_ttl_s``
+    seconds. The latest report wins.
 
     >>> servers = LeavingServers()
     >>> target = (ServiceId("booking"), ServerId("s1"))
@@ -53,7 +54,8 @@
     ('s1',)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, direct_ttl_s: float = DIRECT_TTL_S) -> None:
+        self._direct_ttl_s = direct_ttl_s
         self._states: dict[Target, _LeavingState] = {}
 
     def __bool__(self) -> bool:
@@ -80,7 +82,7 @@
         was_leaving = state is not None and state.leaving
         if not leaving and not was_leaving:
             return False
-        ttl_s = DIRECT_TTL_S if direct else INDIRECT_TTL_S
+        ttl_s = self._direct_ttl_s if direct else INDIRECT_TTL_S
         if not leaving:
             ttl_s = 2 * sum(RESEND_INTERVALS_S)
         if state is None or state.leaving != leaving or (direct and not state.direct):
@@ -89,6 +91,11 @@
             state.expires_at = max(state.expires_at, now + ttl_s)
         return leaving != was_leaving
 
+    def forget(self, target: Target) -> bool:
+        """Forget a server that started again; return whether it was leaving."""
+        state = self._states.pop(target, None)
+        return state is not None and state.leaving
+
     def retain(self, service: ServiceId, kept: frozenset[ServerId]) -> None:
         """Remove the servers of a service that are not in ``kept``."""
         for name, server in list(self._states):
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -134,6 +134,28 @@
     assert len(restored.seen("s0")) == n_before
 
 
+def test_server_that_answers_that_it_leaves_gets_no_new_work(restored):
+    restored.set_fault("s0", "platform-leaving")
+    assert eventually(
+        lambda: restored.request(0, "GET", "/read/a").headers.get("server-leaving"),
+        within_s=5.0,
+    )
+    before = len(restored.seen("s0"))
+    for _ in range(20):
+        assert restored.request(0, "GET", "/read/a").status == 200
+    assert len(restored.seen("s0")) == before
+    # A server that started again under its id is another one.
+    restored.set_fault("s0", "")
+    restored.register("s0", born=2)
+    assert eventually(
+        lambda: (
+            restored.request(0, "GET", "/read/a").status == 200
+            and len(restored.seen("s0")) > before
+        ),
+        within_s=5.0,
+    )
+
+
 def test_unreadable_entry_names_no_server_and_other_entries_stay(restored):
     restored.put("keyed.servers", "s0", b"{not json")
     restored.put("keyed.servers", "stranger", b"[]")
