Leave a server alone for as long as its 503 asks

Cause: Retry-After of a server's 503 was passed to the caller at most; a shed answer closed the server for 5 to 160 ms.

Change: a 503 with Retry-After (seconds; in the own dialect dates too; 60 s at most; nonsense ignored) keeps the server out of this VM's choice until the end, and up to 0.2 s longer at random. It is one more statement beside the limit: the same test keeps queued requests, retries and first attempts away, the door refuses at once what cannot wait for the earliest end, with times to return that are spread, and a new start of the server ends both. What the caller is told does not change. Status shows the rests; decision lines have rest_s. The random machine draws rests and restarts; server-rest-kept is asserted on each dispatch.

--- a/packages/daemon/src/wagtailpaddle_daemon/decisions.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/decisions.py
@@ -70,6 +70,7 @@
             took_s=round(result.latency_s, 4),
             load=result.load,
             limit=result.stated_limit,
+            rest_s=result.rest_s,
         )
 
     def refused(
--- a/packages/daemon/src/wagtailpaddle_daemon/dialect.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/dialect.py
@@ -27,7 +27,7 @@
     milliseconds, both from callers and to servers. ``account`` contains the client
     account and ``expected_server`` the id of the server, both to servers only.
     With ``must_echo`` a response must contain the request id. ``shed_answers``,
-    ``load``, ``limit`` and ``leaving`` are names in registries of
+    ``load``, ``limit``, ``leaving`` and ``rest`` are names in registries of
     ``wagtailpaddle_routing``. With ``refuses_on_close`` an idle connection of a
     caller gets a refusal before it is closed. With ``integer_retry_after``
     Retry-After is rounded to seconds. With ``decodes_paths`` percent-encoded paths
@@ -47,6 +47,7 @@
     load: str = "fraction"
     limit: str = "own"
     leaving: str = "own"
+    rest: str = "seconds-or-date"
     refuses_on_close: bool = True
     integer_retry_after: bool = True
     decodes_paths: bool = True
--- a/packages/daemon/src/wagtailpaddle_daemon/exchange.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/exchange.py
@@ -35,6 +35,7 @@
         "pending",
         "queued_s",
         "reader",
+        "rest_s",
         "server",
         "started_at",
         "stated_limit",
@@ -57,6 +58,7 @@
         self.server: tuple[ServiceId, ServerId] = (ServiceId(""), ServerId(""))
         self.load: float | None = None
         self.stated_limit: float | None = None
+        self.rest_s: float | None = None
         self.attempt: int = 0
         self.started_at: float = 0.0
         self.pending: Deferred[Any] | None = None
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -1,5 +1,6 @@
 """The gateway: carries out the node's routing decisions over the network."""
 
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
@@ -17,6 +18,7 @@
     LEAVING_PARSERS,
     LIMIT_PARSERS,
     LOAD_PARSERS,
+    REST_PARSERS,
     AttemptOutcome,
     AttemptResult,
     CancelAttempt,
@@ -149,6 +151,7 @@
         exchange.head = None
         exchange.load = None
         exchange.stated_limit = None
+        exchange.rest_s = None
         exchange.buffer = []
         exchange.n_buffered = 0
         remaining_s = max(0.0, action.timeout_at - now)
@@ -244,6 +247,8 @@
         headers = by_lower_name(exchange.head.headers)
         exchange.load = LOAD_PARSERS[self._dialect.load](headers)
         exchange.stated_limit = LIMIT_PARSERS[self._dialect.limit](headers)
+        parse_rest = REST_PARSERS[self._dialect.rest]
+        exchange.rest_s = parse_rest(status, headers, time.time())
         self._report_leaving(exchange, headers)
         outcome = interpret(status, headers, self._dialect.shed_answers)
         self._finish_attempt(request, exchange, outcome, status)
@@ -297,6 +302,7 @@
             exchange.load,
             committed=exchange.committed,
             stated_limit=exchange.stated_limit,
+            rest_s=exchange.rest_s,
         )
         self._metrics.record_attempt(now, *exchange.server, latency_s, outcome)
         self._decisions.attempt_ended(
--- a/packages/node/src/wagtailpaddle_node/backends.py
+++ b/packages/node/src/wagtailpaddle_node/backends.py
@@ -99,6 +99,7 @@
 
     def on_server_restarted(self, target: tuple[ServiceId, ServerId]) -> None:
         """Forget what a server's former process stated; applied at the next tick."""
+        self.dispatcher.on_server_restarted(*target)
         if self.leaving_servers.forget(target):
             self._changed_services.add(target[0])
 
--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -211,20 +211,35 @@
                 ]
                 for name, service in sorted(self.configuration.services.items())
             },
-            "limits": self._stated_limits(now),
+            **self._statements(now),
             "alive": [member.id for member in alive],
             "carriers": sorted(self._active),
             "follows": [item.id for item in upstreams(replica.own, alive)],
             "keepers": list(self.quota.owners),
         }
 
-    def _stated_limits(self, now: float) -> dict[str, float]:
-        """Return the requests per second that servers state to take, by server."""
-        return {
-            server.id: server.stated_limit
+    def _statements(self, now: float) -> dict[str, dict[str, float]]:
+        """Return what servers stated of themselves, by server.
+
+        ``limits`` are the requests per second that they take, ``rests`` the seconds
+        for which this VM still leaves them alone.
+        """
+        servers = [
+            server
             for service in self.backends.dispatcher.status(now)
             for server in service.servers
-            if server.stated_limit is not None
+        ]
+        return {
+            "limits": {
+                server.id: server.stated_limit
+                for server in servers
+                if server.stated_limit is not None
+            },
+            "rests": {
+                server.id: round(server.rest_s, 3)
+                for server in servers
+                if server.rest_s > 0.0
+            },
         }
 
     def apply_settings(self, cfg: ReplicaSettings) -> None:
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -104,6 +104,16 @@
     assert node.control.describe(0.3)["limits"] == {"s1": 5.5}
 
 
+def test_status_shows_the_rest_that_a_server_asked_for(node):
+    request(node, 0.1, "/book/a")
+    node.on_attempt(
+        0.2, "r1", AttemptResult(AttemptOutcome.ANSWERED, 0.1, 503, rest_s=9.0)
+    )
+    assert 8.0 < node.control.describe(0.3)["rests"]["s1"] < 10.0
+    node.on_read(1.0, 0.9, batch(Collection.SERVERS, 5, "s1", b"restarted"))
+    assert node.control.describe(1.1)["rests"] == {}
+
+
 def test_server_that_answers_that_it_leaves_gets_no_request_for_good(node):
     """Its entry in the store may go on to say that it is ready."""
     node.on_server_leaving(0.2, "booking", "s1")
--- a/packages/routing/src/wagtailpaddle_routing/answers.py
+++ b/packages/routing/src/wagtailpaddle_routing/answers.py
@@ -4,7 +4,9 @@
 cannot be parsed counts as absent and never raises.
 """
 
+import sys
 from collections.abc import Callable, Mapping, Sequence
+from email.utils import parsedate_to_datetime
 
 from wagtailpaddle_core import Registry
 
@@ -15,6 +17,11 @@
 MAX_STATED_LIMIT_PER_S = 1e6
 """A larger limit is no limit, or is wrong."""
 
+MAX_REST_S = 60.0
+"""Longest time for which a server is left alone because it asked for it."""
+
+SERVICE_UNAVAILABLE = 503
+RETRY_AFTER_HEADER = "retry-after"
 LOAD_HEADER = "x-load"
 LIMIT_HEADER = "x-request-limit"
 OUTCOME_HEADER = "x-outcome"
@@ -122,6 +129,43 @@
     return _number_up_to(headers, name, MAX_STATED_LIMIT_PER_S)
 
 
+RestParser = Callable[[int, Mapping[str, str], float], float | None]
+REST_PARSERS: Registry[RestParser] = Registry("rest parser")
+
+
+@REST_PARSERS.register("seconds")
+def parse_rest_seconds(
+    status: int, headers: Mapping[str, str], wall_s: float
+) -> float | None:
+    """Return for how many seconds a 503 asks to send nothing, None if it does not.
+
+    >>> parse_rest_seconds(503, {"retry-after": "1.5"}, 0.0)
+    1.5
+    """
+    if status != SERVICE_UNAVAILABLE:
+        return None
+    seconds = _number_up_to(headers, RETRY_AFTER_HEADER, sys.float_info.max)
+    return None if seconds is None else min(MAX_REST_S, seconds)
+
+
+@REST_PARSERS.register("seconds-or-date")
+def parse_rest(status: int, headers: Mapping[str, str], wall_s: float) -> float | None:
+    """Return for how many seconds a 503 asks to send nothing, None if it does not.
+
+    The header holds seconds or a date (RFC 9110). ``wall_s`` is the time of day, in
+    seconds since 1970.
+    """
+    seconds = parse_rest_seconds(status, headers, wall_s)
+    if seconds is not None or status != SERVICE_UNAVAILABLE:
+        return seconds
+    try:
+        date = parsedate_to_datetime(_header_value(headers, RETRY_AFTER_HEADER))
+    except ValueError:
+        return None
+    seconds = date.timestamp() - wall_s
+    return min(MAX_REST_S, seconds) if seconds > 0.0 else None
+
+
 LeavingParser = Callable[[Mapping[str, str]], bool]
 LEAVING_PARSERS: Registry[LeavingParser] = Registry("leaving parser")
 
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -115,6 +115,12 @@
         for pool in self._pools.values():
             pool.share_budgets(now, n_vms)
 
+    def on_server_restarted(self, service: ServiceId, server: ServerId) -> None:
+        """Forget what the former process of a server stated in its answers."""
+        pool = self._pools.get(service)
+        if pool is not None:
+            pool.servers.forget_statements(server)
+
     def on_trust_notice(self, now: float, notice: TrustNotice) -> None:
         """Apply another VM's notice that a server failed or recovered."""
         if notice.service in self._views:
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -90,6 +90,7 @@
     answer. ``committed`` says that a part of the answer was already sent to the
     caller, so that the request cannot be retried. ``stated_limit`` is how many
     requests per second the server states that it takes from all VMs, or None.
+    ``rest_s`` is for how long it asks this VM to send nothing, or None.
     """
 
     outcome: AttemptOutcome
@@ -98,6 +99,7 @@
     load: float | None = None
     committed: bool = False
     stated_limit: float | None = None
+    rest_s: float | None = None
 
     @property
     def is_answer(self) -> bool:
@@ -166,7 +168,8 @@
     """The state of one server on this VM; ``limit`` bounds ``in_flight``.
 
     ``stated_limit`` is how many requests per second the server states that it takes
-    from all VMs, None if it states no limit.
+    from all VMs, None if it states no limit. ``rest_s`` is how long this VM still
+    leaves the server alone because it asked for it.
     """
 
     id: ServerId
@@ -175,6 +178,7 @@
     hint: float
     usable: bool
     stated_limit: float | None = None
+    rest_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/routing/src/wagtailpaddle_routing/pickers.py
+++ b/packages/routing/src/wagtailpaddle_routing/pickers.py
@@ -47,15 +47,16 @@
         )
 
     def will_be_available(self, server: Server, pending: PendingRequest) -> bool:
-        """Return whether only a stated limit keeps the request from a server.
+        """Return whether only a stated limit or a rest keeps the request away.
 
-        The limit must allow a request within half of the time that is left.
+        A request must be allowed within half of the time that is left.
         """
-        limit = server.stated_limit
-        if limit is None or not self._has_free_slot(server, pending):
+        if not server.is_restricted(self.now):
             return False
-        wait_s = max(limit.next_at(self.now), server.backoff_until) - self.now
-        return wait_s < (pending.job.deadline_at - self.now) / 2
+        if not self._has_free_slot(server, pending):
+            return False
+        start_at = max(server.may_start_at(self.now), server.backoff_until)
+        return start_at - self.now < (pending.job.deadline_at - self.now) / 2
 
     def _has_free_slot(self, server: Server, pending: PendingRequest) -> bool:
         return server.in_flight < server.cap and may_serve(server, pending)
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -50,6 +50,8 @@
 """A request is refused when less than this part of the mean service time is left."""
 
 MIN_WAIT_S = 0.05
+RETURN_SPREAD = 0.5
+"""Callers return within this part of the wait after its end."""
 
 
 class _ScanResult:
@@ -237,6 +239,9 @@
         if refusal is None:
             return self._enqueue(now, pending) + self._dispatch_queued(now)
         detail, wait_s = refusal.detail, refusal.wait_s
+        if self.servers.ready_at(now) > now:
+            # Otherwise all callers would return in the same moment.
+            wait_s *= 1.0 + RETURN_SPREAD * self._random.random()
         return [self._requests.refuse(pending, ErrorKind.OVERLOADED, detail, wait_s)]
 
     def _drain_time_s(self, now: float) -> float:
--- a/packages/routing/src/wagtailpaddle_routing/server.py
+++ b/packages/routing/src/wagtailpaddle_routing/server.py
@@ -44,6 +44,7 @@
         "id",
         "in_flight",
         "limiter",
+        "rest_until",
         "share",
         "last_started_at",
         "stated_limit",
@@ -69,6 +70,7 @@
         self._started_at: dict[RequestId, float] = {}
         self.last_started_at = float("-inf")
         self.stated_limit: StatedLimit | None = None
+        self.rest_until = float("-inf")
         self.update_view(view)
 
     @property
@@ -120,9 +122,28 @@
         """Return whether the server answered a request in the last ``limit_s``."""
         return now - self._answered_at <= limit_s
 
+    def is_restricted(self, now: float) -> bool:
+        """Return whether the server states a limit or asked for a rest."""
+        return self.stated_limit is not None or self.rest_until > now
+
     def may_start(self, now: float) -> bool:
-        """Return whether the limit that the server states allows a request now."""
-        return self.stated_limit is None or self.stated_limit.allows(now)
+        """Return whether the server's limit and rest allow a request now."""
+        return self.may_start_at(now) <= now
+
+    def may_start_at(self, now: float) -> float:
+        """Return when the server's limit and rest allow a request, at least ``now``."""
+        if self.stated_limit is None:
+            return max(now, self.rest_until)
+        return max(self.rest_until, self.stated_limit.next_at(now))
+
+    def forget_statements(self) -> None:
+        """Forget what a former process of the server stated."""
+        self.stated_limit = None
+        self.rest_until = float("-inf")
+
+    def record_rest(self, now: float, rest_s: float, *, spread_s: float) -> None:
+        """Record that the server asked for a rest; it ends ``spread_s`` later."""
+        self.rest_until = max(self.rest_until, now + rest_s + spread_s)
 
     def record_stated_limit(
         self, now: float, result: AttemptResult, *, n_vms: int, jitter: float
@@ -146,6 +167,7 @@
 
     def start(self, now: float, request: RequestId) -> None:
         """Count an attempt that starts."""
+        ensure(self.rest_until <= now, "server-rest-kept", server=self.id)
         ensure(self.may_start(now), "stated-limit-kept", server=self.id)
         if self.stated_limit is not None:
             self.stated_limit.spend(now)
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -19,6 +19,8 @@
 from wagtailpaddle_routing.suspects import SuspectTracker
 
 MIN_DRAIN_CAPACITY = 0.001
+REST_SPREAD_S = 0.2
+"""Time over which the VMs return to a server after its rest, in seconds."""
 
 
 def connection_cap(connections: int, n_sharing_vms: int) -> int:
@@ -105,35 +107,43 @@
         return any(server.may_start(now) for server in self._usable)
 
     def ready_at(self, now: float) -> float:
-        """Return when the stated limits allow the next request, ``now`` if at once."""
-        limits = [server.stated_limit for server in self._preferred(now)]
-        times = [now if item is None else item.next_at(now) for item in limits]
+        """Return when limits and rests allow the next request, ``now`` if at once."""
+        times = [server.may_start_at(now) for server in self._preferred(now)]
         return min(times, default=now)
 
     def drain_capacity(self, now: float, mean_s: float) -> float:
         """Return how many requests of ``mean_s`` seconds run at a time at most.
 
-        A server that states a limit counts for as many as its limit lets run.
+        A server that states a limit counts for as many as its limit lets run, one
+        at rest only if all are.
         """
-        if not self._has_limits():
+        if not self._is_restricted(now):
             return self.capacity
+        preferred = self._preferred(now)
+        awake = [server for server in preferred if server.rest_until <= now]
         running = sum(
             server.limit
             if server.stated_limit is None
             else min(server.limit, server.stated_limit.part_per_s * mean_s)
-            for server in self._preferred(now)
+            for server in awake or preferred
         )
         return max(MIN_DRAIN_CAPACITY, min(running, self.capacity))
 
-    def _has_limits(self) -> bool:
-        return any(server.stated_limit is not None for server in self._usable)
+    def forget_statements(self, server: ServerId) -> None:
+        """Forget what a server stated, because it has started again."""
+        known = self._servers.get(server)
+        if known is not None:
+            known.forget_statements()
+
+    def _is_restricted(self, now: float) -> bool:
+        return any(server.is_restricted(now) for server in self._usable)
 
     def _preferred(self, now: float) -> Sequence[Server]:
-        """Return the servers to which requests go while some states a limit.
+        """Return the servers to which requests go while some are restricted.
 
-        Suspect servers are no substitute for one that states a limit.
+        Suspect servers are no substitute for one that states a limit or rests.
         """
-        if not self._has_limits():
+        if not self._is_restricted(now):
             return self._usable
         cleared = [
             server
@@ -196,6 +206,9 @@
             now, result, n_vms=self._n_limit_vms, jitter=self._random.random()
         )
         self.suspects.record_attempt(now, server.id, result)
+        if result.rest_s is not None:
+            spread_s = REST_SPREAD_S * self._random.random()
+            server.record_rest(now, result.rest_s, spread_s=spread_s)
         if server.usable:
             self._total_limit += server.limit - before
         if result.is_shed_with_room:
@@ -214,11 +227,7 @@
     def next_backoff_end(self, now: float) -> float | None:
         """Return when the next back-off or pause of a server ends, or None."""
         times = [server.backoff_until for server in self._usable]
-        times += [
-            server.stated_limit.next_at(now)
-            for server in self._usable
-            if server.stated_limit is not None
-        ]
+        times += [server.may_start_at(now) for server in self._usable]
         return min((at for at in times if at > now), default=None)
 
     def status(self, now: float) -> tuple[ServerStatus, ...]:
@@ -233,6 +242,7 @@
                 stated_limit=(
                     None if server.stated_limit is None else server.stated_limit.per_s
                 ),
+                rest_s=max(0.0, server.rest_until - now),
             )
             for server in self._servers.values()
         )
--- a/packages/routing/tests/test_machine.py
+++ b/packages/routing/tests/test_machine.py
@@ -127,18 +127,28 @@
         committed=st.booleans(),
         load=st.sampled_from([None, 0.0, 1.0, -5.0, float("nan")]),
         limit=st.sampled_from([None, 0.0, 2.0, 100.0]),
+        rest_s=st.sampled_from([None, 0.0, 0.3, 60.0]),
     )
-    def finish(self, data, outcome, status, committed, load, limit):
+    def finish(self, data, outcome, status, committed, load, limit, rest_s):
         name = data.draw(st.sampled_from(self.running()))
-        self.end(name, outcome, status, committed, load, limit)
-
-    def end(self, name, outcome, status=200, committed=False, load=None, limit=None):
+        self.end(name, outcome, status, committed, load, limit, rest_s)
+
+    def end(
+        self,
+        name,
+        outcome,
+        status=200,
+        committed=False,
+        load=None,
+        limit=None,
+        rest_s=None,
+    ):
         model = self.requests[name]
         committed = committed and outcome not in NOT_RUN_OUTCOMES
         if outcome not in NOT_RUN_OUTCOMES:
             model.may_have_run = True
         model.server = None
-        result = AttemptResult(outcome, 0.01, status, load, committed, limit)
+        result = AttemptResult(outcome, 0.01, status, load, committed, limit, rest_s)
         actions = self.dispatcher.finish(self.now, name, result)
         answered = name if outcome is AttemptOutcome.ANSWERED else None
         if committed:
@@ -149,6 +159,10 @@
     def share_budgets(self, n_vms):
         self.dispatcher.share_budgets(self.now, n_vms)
 
+    @rule(server=st.integers(0, N_SERVERS - 1))
+    def restart_server(self, server):
+        self.dispatcher.on_server_restarted(SERVICE, ServerId(f"s{server}"))
+
     @precondition(lambda self: self.requests)
     @rule(data=st.data())
     def cancel(self, data):
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -156,6 +156,23 @@
     )
 
 
+def test_server_that_asks_for_a_rest_gets_nothing_meanwhile(restored):
+    restored.set_fault("s1", "platform-rest")
+    n_before = len(restored.seen("s1"))
+    assert eventually(
+        lambda: (
+            restored.request(0, "GET", "/read/a").status == 200
+            and len(restored.seen("s1")) > n_before
+        ),
+        within_s=5.0,
+    )
+    n_asked = len(restored.seen("s1"))
+    rested_until = time.monotonic() + 1.0
+    while time.monotonic() < rested_until:
+        assert restored.request(0, "GET", "/read/a").status == 200
+    assert len(restored.seen("s1")) == n_asked
+
+
 def test_unreadable_entry_names_no_server_and_other_entries_stay(restored):
     restored.put("keyed.servers", "s0", b"{not json")
     restored.put("keyed.servers", "stranger", b"[]")
