--- a/packages/daemon/tests/test_connections.py
+++ b/packages/daemon/tests/test_connections.py
@@ -112,6 +112,32 @@
     assert is_idle(pool, conn)
 
 
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Long: ",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    ],
+    ids=["status", "header", "value", "chunk-size", "trailer"],
+)
+def test_bytes_without_end_fail_the_request_and_close_the_connection(pool, conn, start):
+    """A server in trouble may send bytes that are no answer until the caller closes."""
+    sent = conn.request(get())
+    body, ends = deliver_response(sent, conn, start)
+    for _ in range(200):
+        if conn.transport.disconnected or conn.transport.disconnecting:
+            break
+        conn.dataReceived(b"x" * 1024)
+    assert conn.transport.disconnected or conn.transport.disconnecting
+    conn.connectionLost(Failure(ConnectionAborted()))
+    assert [end is not None for end in ends] == [True]
+    assert body == b""
+    assert not is_idle(pool, conn)
+
+
 def test_unsolicited_bytes_close_an_idle_connection(pool, conn):
     deliver_response(conn.request(get()), conn, GOOD + b"\r\nok")
     conn.dataReceived(b"HTTP/1.1 200 OK\r\n")
