Make the record of a heartbeat without a copy by field names

dataclasses.replace reads the fields by name for each heartbeat of each server; the constructor does the same work directly.

--- a/packages/replica/src/wagtailpaddle_replica/collection_copy.py
+++ b/packages/replica/src/wagtailpaddle_replica/collection_copy.py
@@ -1,7 +1,7 @@
 """A copy of one collection: the newest record of every key."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 from wagtailpaddle_core import Offset
@@ -139,7 +139,7 @@
         assert uncompressed.data is not None
         value = self._decode(record.key, uncompressed.data)
         if entry is not None and previous is not None and value == previous:
-            self._entries[record.key] = replace(entry, newest_offset=record.offset)
+            self._entries[record.key] = Entry(entry.record, value, record.offset)
             return None
         self._entries[record.key] = Entry(compress(record), value, record.offset)
         self._tombstones.pop(record.key, None)
