--- a/packages/standins/src/wagtailpaddle_standins/backend.py
+++ b/packages/standins/src/wagtailpaddle_standins/backend.py
@@ -24,7 +24,7 @@
 HEALTH_PATH = "/_health"
 HEALTH_CONTROL_PATH = "/_health_control"
 FAULT_PATH_SEGMENT = "fault"
-NOT_RUN_FAULTS = frozenset({"shed", "platform-shed"})
+NOT_RUN_FAULTS = frozenset({"shed", "platform-shed", "platform-rest"})
 
 
 @dataclass(frozen=True, slots=True)
