Accept every queued connection before a port is closed

Cause: on a graceful stop the daemon called the port's doRead once and then closed it in the next turn of the reactor. Twisted bounds the connections accepted by one doRead by the traffic seen before: after a single connection the bound is 1. Other connections in the kernel's queue, and all that came until the next turn, were reset, although their callers may have sent a request. So a request got no answer around a planned stop; the daemon's log has no line of it. Change: the queue is emptied without that bound, once at the decision and once immediately before the socket is closed.

--- a/packages/daemon/src/wagtailpaddle_daemon/reactor_util.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/reactor_util.py
@@ -41,12 +41,24 @@
 
     A queued connection may carry a request. If the port were closed without
     accepting it, the connection would be reset and its caller could not know
-    whether the request ran.
+    whether the request ran. ``stopListening`` closes the port in the next turn of
+    the reactor, so the queue is emptied once more immediately before.
     """
-    port.doRead()
+    _accept_queued(port)
+    port.reactor.callLater(0, _accept_queued, port)
     await port.stopListening()
 
 
+def _accept_queued(port: Any) -> None:
+    """Accept every connection in the kernel's queue.
+
+    Twisted adapts the number of connections accepted at once to the traffic seen
+    before; after a quiet moment it is 1.
+    """
+    port.numberAccepts = LISTEN_BACKLOG + 1
+    port.doRead()
+
+
 async def wait_until(
     reactor: Any, condition: Callable[[], bool], timeout_s: float
 ) -> bool:
