Hand out no connection that the load tool is closing, and wait for its load

Cause 1: a stopping daemon writes a refusal on each kept connection and closes its side. Twisted's pool reads these bytes on an unused connection, starts to close it, and yet hands it out until the reactor's next turn: a request sent then gets ResponseNeverReceived, although the refusal had been read before. That is the caller's library; the daemon had answered. Cause 2: two tests slept 1.5 s after starting the load process, also where the process was not up yet. They wait for its first request at a server now, then as long as before; the bounds on what follows are unchanged.

--- a/packages/standins/src/wagtailpaddle_standins/load.py
+++ b/packages/standins/src/wagtailpaddle_standins/load.py
@@ -20,11 +20,12 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import deferLater
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
 from twisted.web.http_headers import Headers
 from wagtailpaddle_daemon.upstream import BytesProducer
 
 from wagtailpaddle_standins.attempts import Outcome, outcome_from_error
+from wagtailpaddle_standins.kept_connections import KeptConnections
 
 DIRECTORY_PATH = "/.well-known/wagtailpaddle/addresses"
 DIRECTORY_TIMEOUT_S = 2.0
@@ -110,7 +111,7 @@
         self._label = load_plan.label
         self._out = out
         self._addresses = AddressCache(load_plan.seeds)
-        pool = HTTPConnectionPool(reactor)
+        pool = KeptConnections(reactor)
         pool.retryAutomatically = False
         pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         pool.maxPersistentPerHost = 32
--- a/packages/standins/tests/test_failures.py
+++ b/packages/standins/tests/test_failures.py
@@ -427,6 +427,11 @@
     return [work[server] for server in servers]
 
 
+def wait_for_work(system, before):
+    """Wait until the servers get requests that they had not got ``before``."""
+    assert wait_for(lambda: works(system) != before)
+
+
 def used_server(system, before):
     """Return the server that got most work since ``before``.
 
@@ -444,6 +449,7 @@
 def test_server_taken_from_the_configuration_gets_no_new_work(system, load):
     idle = works(system)
     run = load(12.0, rate=25.0)
+    wait_for_work(system, idle)
     time.sleep(1.5)
     taken = used_server(system, idle)
     system.set_fault(taken, "slow", parameter=1.0)
@@ -466,6 +472,7 @@
 def test_server_that_answers_that_it_leaves_gets_no_new_work(system, load):
     idle = works(system)
     run = load(13.0, rate=25.0)
+    wait_for_work(system, idle)
     time.sleep(1.5)
     leaving = used_server(system, idle)
     untold = work_of(system, leaving)
