Send retries to servers that did not just fail, and bound a hanging retry

Between two time-outs such a server has no request in flight, so it did not count as silent, and its ejection takes some seconds. Change: an attempt that cannot be repeated prefers servers that are not suspect (state that the tracker already has); an attempt after an error times out as a first one does, as long as no attempt has timed out and another one is permitted. Result: test_retry.py, 3 cases fail before, pass now; routing, node and daemon tests pass.

--- a/packages/routing/src/wagtailpaddle_routing/pickers.py
+++ b/packages/routing/src/wagtailpaddle_routing/pickers.py
@@ -94,10 +94,16 @@
 
 @PICKERS.register("balanced")
 class BalancedPicker:
-    """Balances load; prefers servers that just answered for non-idempotent requests."""
+    """Balances load; prefers servers that just answered for non-idempotent requests.
+
+    An attempt that cannot be repeated goes to a server that did not fail lately, if
+    there is one: a retry may use all the time that is left, so a hanging server
+    would hold the request until its deadline.
+    """
 
     def __init__(self, *, chooser: Chooser, suspects: SuspectTracker, random: Random):
         self._chooser = chooser
+        self._suspects = suspects
         self._random = random
 
     def pick(self, candidates: Candidates, pending: PendingRequest) -> Server | None:
@@ -118,6 +124,10 @@
             is_proven = server.is_proven(candidates.now, candidates.silence_timeout_s)
             return is_proven and is_responsive(server)
 
+        def is_trusted(server: Server) -> bool:
+            is_suspect = self._suspects[server.id].is_suspect(candidates.now)
+            return not is_suspect and is_responsive(server)
+
         def is_available(server: Server) -> bool:
             return candidates.is_available(server, pending)
 
@@ -129,6 +139,9 @@
         chosen = None
         if not pending.job.idempotent:
             chosen = choose(candidates.now, zone_split, proven, random)
+        is_repeatable = pending.job.idempotent and not pending.failed_on
+        if chosen is None and not is_repeatable:
+            chosen = choose(candidates.now, zone_split, is_trusted, random)
         if chosen is None:
             chosen = choose(candidates.now, zone_split, is_responsive, random)
         if chosen is not None or not candidates.may_use_silent(pending):
--- a/packages/routing/src/wagtailpaddle_routing/retry.py
+++ b/packages/routing/src/wagtailpaddle_routing/retry.py
@@ -43,6 +43,7 @@
         "n_failed",
         "n_not_sent",
         "n_shed",
+        "n_timed_out",
         "server",
         "shed_by",
         "started_at",
@@ -58,6 +59,7 @@
         self.n_attempts: int = 0
         self.n_shed: int = 0
         self.n_failed: int = 0
+        self.n_timed_out: int = 0
         self.n_not_sent: int = 0
         self.failed_on: frozenset[ServerId] = frozenset()
         self.shed_by: frozenset[ServerId] = frozenset()
@@ -155,6 +157,7 @@
         pending.failed_on |= {server}
     elif is_failure(result):
         pending.n_failed += 1
+        pending.n_timed_out += result.outcome is AttemptOutcome.TIMED_OUT
         pending.failed_on |= {server}
     if result.outcome not in NOT_RUN_OUTCOMES or result.committed:
         pending.may_have_run = True
--- a/packages/routing/src/wagtailpaddle_routing/timeouts.py
+++ b/packages/routing/src/wagtailpaddle_routing/timeouts.py
@@ -9,12 +9,16 @@
 ) -> float:
     """Return when an attempt that starts now times out.
 
-    The first attempt of an idempotent request times out before the deadline, so
-    that a hanging server leaves time for another. The next attempt may use the
-    rest, so a slow request still gets its answer.
+    An attempt of an idempotent request times out before the deadline, so that a
+    hanging server leaves time for another. After one time-out, and in the last
+    permitted attempt, the request may use the rest, so a slow request still gets
+    its answer.
     """
     deadline_at = pending.job.deadline_at
-    if not pending.job.idempotent or pending.n_failed or not may_retry:
+    is_last = pending.n_failed + 1 >= pending.job.max_attempts
+    if not pending.job.idempotent or not may_retry:
+        return deadline_at
+    if pending.n_timed_out or is_last:
         return deadline_at
     half_s = (deadline_at - now) / 2
     attempt_timeout_s = latency.attempt_timeout_s
--- a/packages/routing/tests/test_retry.py
+++ b/packages/routing/tests/test_retry.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from wagtailpaddle_core import ANSWERS, ErrorKind, Outcome, RequestId, ServiceId
 from wagtailpaddle_routing import Deliver, Dispatch, Refuse
@@ -22,6 +24,44 @@
     assert second.server != first.server
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_retry_avoids_a_server_that_has_just_timed_out(
+    make_dispatcher, view, job, ended, seed
+):
+    """A hanging server has no request in flight between two time-outs.
+
+    A retry there would wait until the request's deadline.
+    """
+    views = tuple(view(f"s{index}") for index in range(3))
+    dispatcher = make_dispatcher(views, seed=seed)
+    (hanging,) = dispatcher.arrive(0.0, job("r1"))
+    finish(dispatcher, 1.0, "r1", ended("timed-out", 1.0))
+    finish(dispatcher, 1.1, "r1", ended())
+    (first,) = dispatcher.arrive(1.2, job("r2", at=1.2))
+    (second,) = finish(dispatcher, 1.3, "r2", ended(status=500))
+    assert second.server not in (hanging.server, first.server)
+
+
+def test_hanging_retry_after_an_error_leaves_time_for_another_server(
+    dispatcher, job, ended
+):
+    """A server starts to hang between two answers, so it does not look suspect yet."""
+    (first,) = dispatcher.arrive(0.0, job("r", timeout_s=10.0))
+    (second,) = finish(dispatcher, 0.1, "r", ended(status=500))
+    assert second.timeout_at < 5.1
+    (third,) = finish(
+        dispatcher, second.timeout_at, "r", ended("timed-out", second.timeout_at - 0.1)
+    )
+    assert third.timeout_at == 10.0
+    assert len({first.server, second.server, third.server}) == 3
+
+
+def test_last_permitted_attempt_may_use_the_time_that_is_left(dispatcher, job, ended):
+    dispatcher.arrive(0.0, replace(job("r"), max_attempts=2))
+    (second,) = finish(dispatcher, 0.1, "r", ended(status=500))
+    assert second.timeout_at == 10.0
+
+
 @pytest.mark.parametrize("outcome", ["failed", "timed-out", "cut-short", "cancelled"])
 def test_non_idempotent_request_that_may_have_run_is_not_sent_again(
     dispatcher, job, ended, outcome
