Send a notice about a server across each zone boundary once

Cause: every failure and recovery of a server was sent by the VM that saw it to each other active VM. Change: one active VM of each other zone gets the notice and forwards it there; if the call fails, the other VMs of that zone are called (notice_routes.py). A VM of the old build does not forward, so during a roll some VMs learn of a failure from their own requests only.

--- a/packages/daemon/src/wagtailpaddle_daemon/peerlink.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/peerlink.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import ssl
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -19,8 +19,9 @@
 class PeerLink:
     """Serves calls from other daemons and makes calls to them.
 
-    ``async_handlers`` are asynchronous handlers by message type. The node replies to
-    messages of all other types immediately.
+    ``handlers`` handle messages of some types; they return the reply, None for an
+    acknowledgement, or an awaitable of either. The node replies to messages of all
+    other types immediately.
     """
 
     def __init__(
@@ -31,14 +32,14 @@
         security: Security,
         carry_out: Callable[[tuple[NodeAction, ...]], None],
         *,
-        async_handlers: Mapping[type, Callable[[Any], Awaitable[Any]]] | None = None,
+        handlers: Mapping[type, Callable[[Any], Any]] | None = None,
     ):
         self._reactor = reactor
         self._node = node
         self._carry_out = carry_out
         self._server = PeerServer(vm, self._on_message, security)
         self._client = PeerClient(vm, security, reactor.seconds)
-        self._async_handlers = dict(async_handlers or {})
+        self._handlers = dict(handlers or {})
         self._tasks: set[Any] = set()
 
     def start(self, host: str, port: int) -> Deferred[None]:
@@ -82,7 +83,7 @@
         self._carry_out(actions)
 
     def _on_message(self, sender: VmId, body: Any) -> Any:
-        handler = self._async_handlers.get(type(body))
+        handler = self._handlers.get(type(body))
         if handler is not None:
             return handler(body)
         return self._node.on_message(self._reactor.seconds(), sender, body)
--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -18,7 +18,7 @@
     ReadStore,
     WriteMember,
 )
-from wagtailpaddle_routing import Policy
+from wagtailpaddle_routing import Policy, TrustNotice
 
 from wagtailpaddle_daemon.dialect import Dialect
 from wagtailpaddle_daemon.frontend import FrontendFactory, FrontendLimits
@@ -113,7 +113,10 @@
             self.node,
             cfg.security,
             carry_out,
-            async_handlers={Follow: self._long_polls.on_follow},
+            handlers={
+                Follow: self._long_polls.on_follow,
+                TrustNotice: self._on_trust_notice,
+            },
         )
         self.gateway.register_handlers(
             {
@@ -212,6 +215,10 @@
         self.node.control.apply_settings(cfg.control)
         log.info("Settings changed.", grace_s=cfg.grace_s, linger_s=cfg.linger_s)
 
+    def _on_trust_notice(self, body: TrustNotice) -> None:
+        now = self._reactor.seconds()
+        self.gateway.carry_out(self.node.on_trust_notice(now, body))
+
     def _is_drained(self) -> bool:
         self._frontend.close_inactive(self._reactor.seconds() - MIN_INACTIVE_S)
         return not self._frontend.n_connections and not self.gateway.n_in_flight
--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -39,6 +39,7 @@
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.health_probes import HealthProbes
 from wagtailpaddle_node.messages import LogEvent, NodeAction
+from wagtailpaddle_node.notice_routes import Hops, NoticeRoutes
 from wagtailpaddle_node.pending_calls import Component, PendingCall, PendingCalls
 from wagtailpaddle_node.registered_servers import RegisteredServers
 from wagtailpaddle_node.replica_membership import (
@@ -104,6 +105,7 @@
         self._document_cfg: DocumentConfiguration | None = None
         self._topology_updated_at = float("-inf")
         self._active: frozenset[VmId] = frozenset()
+        self._notice_routes = NoticeRoutes(own)
         self._fleet_known_at: float | None = None
         self._log_events: list[LogEvent] = []
 
@@ -133,12 +135,15 @@
                     self.n_bad_messages += 1
                     return None
                 self.backends.health.merge(now, body)
-            case TrustNotice():
-                self.backends.dispatcher.on_trust_notice(now, body)
             case TokenRequestBatch():
                 return self.quota.on_message(now, body)
         return None
 
+    def on_trust_notice(self, now: float, body: TrustNotice) -> tuple[Any, ...]:
+        """Another VM noticed that a server fails or recovered."""
+        self.backends.dispatcher.on_trust_notice(now, body)
+        return self._send_notices(now, self._notice_routes.on_received(body))
+
     def on_follow(self, now: float, body: Follow) -> tuple[Any, ...]:
         """Another VM asked for updates of the copied collections."""
         return self._apply_step(now, self.replica.on_follow(now, body))
@@ -171,6 +176,10 @@
                 return self._apply_step(now, step)
             case TokenRequestBatch() as body:
                 self.quota.on_call_failed(now, call.vm, body)
+            case TrustNotice() as body:
+                return self._send_notices(
+                    now, self._notice_routes.on_failed(call.vm, body)
+                )
         return ()
 
     # Timers
@@ -371,6 +380,7 @@
         if active == self._active:
             return ()
         self._active = active
+        self._notice_routes.set_active(found)
         self.backends.dispatcher.share_budgets(now, self._budget_divisor(len(alive)))
         self._log("VMs that carry callers.", vms=sorted(active), alive=len(alive))
         self.health_probes.set_vms(now, active)
@@ -388,12 +398,14 @@
 
     def send_trust_notices(self, now: float) -> tuple[Any, ...]:
         """Notify the active VMs at once of servers that fail or recover."""
-        own = self.replica.own.id
+        actions: tuple[Any, ...] = ()
+        for notice in self.backends.dispatcher.pop_trust_notices():
+            actions += self._send_notices(now, self._notice_routes.first_hops(notice))
+        return actions
+
+    def _send_notices(self, now: float, hops: Hops) -> tuple[Any, ...]:
         return tuple(
-            self.calls.to_vm(now, Component.HEALTH, vm, notice)
-            for notice in self.backends.dispatcher.pop_trust_notices()
-            for vm in sorted(self._active)
-            if vm != own
+            self.calls.to_vm(now, Component.HEALTH, vm, notice) for vm, notice in hops
         )
 
     def _is_fleet_known(self, now: float) -> bool:
--- a/packages/node/src/wagtailpaddle_node/replica_node.py
+++ b/packages/node/src/wagtailpaddle_node/replica_node.py
@@ -7,7 +7,7 @@
 from wagtailpaddle_fleet import CallerAddresses
 from wagtailpaddle_health import OutlierDetector
 from wagtailpaddle_replica import Batch, Collection, Follow, Member, Update
-from wagtailpaddle_routing import Dispatcher, LeavingServers, Policy
+from wagtailpaddle_routing import Dispatcher, LeavingServers, Policy, TrustNotice
 
 from wagtailpaddle_node.backends import Backends
 from wagtailpaddle_node.messages import ConfigState, LogEvent, NodeAction
@@ -94,6 +94,10 @@
         """The store answered a write of a VM's record, or did not answer it."""
         self.control.replica.on_written(now, address, done=done)
 
+    def on_trust_notice(self, now: float, body: TrustNotice) -> tuple[NodeAction, ...]:
+        """Another VM noticed that a server fails or recovered."""
+        return self._pipeline.settle(now, self.control.on_trust_notice(now, body))
+
     def on_follow(self, now: float, body: Follow) -> tuple[NodeAction, ...]:
         """Another VM asked for updates; answer if ``has_update_for`` or at time-out."""
         return self._pipeline.settle(now, self.control.on_follow(now, body))
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -14,7 +14,7 @@
     SplitPart,
 )
 from wagtailpaddle_core import ErrorKind
-from wagtailpaddle_node import ReplicaNode, ReplicaSettings, RequestHead
+from wagtailpaddle_node import CallPeer, ReplicaNode, ReplicaSettings, RequestHead
 from wagtailpaddle_node.registered_servers import RegisteredServers
 from wagtailpaddle_node.replica_control import FLEET_DISCOVERY_S
 from wagtailpaddle_node.weighted_splits import WeightedSplits
@@ -23,6 +23,7 @@
     Batch,
     Change,
     Collection,
+    Follow,
     Member,
     Record,
 )
@@ -32,6 +33,7 @@
     Dispatch,
     Policy,
     Refuse,
+    TrustNotice,
 )
 
 OWN = Member("vm1/1", "a", "vm1:80", "vm1", "1")
@@ -229,3 +231,22 @@
     assert sum(item > 1.0 for item in retry_tokens) == 6
     assert sum(sorted(retry_tokens)[-6:]) == pytest.approx(budget)
     assert max(sorted(retry_tokens)[:-6]) <= 1.0
+
+
+def trust_calls(actions):
+    return [
+        (action.receiver, action.body)
+        for action in actions
+        if isinstance(action, CallPeer) and isinstance(action.body, TrustNotice)
+    ]
+
+
+def test_notice_of_another_zone_is_forwarded_within_the_own_one(node):
+    for name, zone in (("vm2", "a"), ("vm3", "b")):
+        other = Member(f"{name}/1", zone, f"{name}:80", name, "1")
+        node.on_follow(0.1, Follow(other, 0.1, 0, 0, 0, hold_s=0.5))
+    node.on_tick(0.5)
+    notice = TrustNotice("booking", "s1", failed=True, forward=True)
+    assert trust_calls(node.on_trust_notice(0.6, notice)) == [
+        ("vm2/1", replace(notice, forward=False))
+    ]
--- a/packages/routing/src/wagtailpaddle_routing/suspects.py
+++ b/packages/routing/src/wagtailpaddle_routing/suspects.py
@@ -32,11 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TrustNotice:
-    """Notifies other VMs that a server failed, or that it was cleared."""
+    """Notifies other VMs that a server failed, or that it was cleared.
+
+    The receiver forwards it to the active VMs of its zone if ``forward`` is set.
+    """
 
     service: ServiceId
     server: ServerId
     failed: bool
+    forward: bool = False
 
 
 def is_failure(result: AttemptResult) -> bool:
