Leave the tags out of sightings between VMs that know the same VMs

Cause: every update to a follower carries the last sight of each VM as a tag and an age, 10 bytes a VM, two to five times a second for each follower, also across zones. Change: a follower states the hash of the VMs that it knows; where it is the upstream's own, the ages follow in the order of the sorted tags, which each side computes when its members change.

--- a/packages/replica/src/wagtailpaddle_replica/members.py
+++ b/packages/replica/src/wagtailpaddle_replica/members.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
-from functools import lru_cache
+from functools import lru_cache, reduce
+from operator import xor
 
 from wagtailpaddle_core import VmId, score
 
-from wagtailpaddle_replica.messages import Member, Sightings
+from wagtailpaddle_replica.messages import NOT_SEEN_CS, Member, Sightings
 
 ACTIVE_SILENCE_TIMEOUT_S = 2.0
 """An active VM counts as alive for this time after its last sighting."""
@@ -45,6 +46,8 @@
         self.own = own
         self._members: dict[str, Member] = {own.peer_address: own}
         self._sorted: tuple[Member, ...] | None = None
+        self._sorted_tags: tuple[int, ...] | None = None
+        self._hash = 0
         self._last_seen_at: dict[int, float] = {}
         self._last_follow_at: dict[int, float] = {}
         self._last_active_at: dict[int, float] = {}
@@ -59,7 +62,7 @@
         if previous is not None:
             self._remove_tag(previous)
         self._members[member.peer_address] = member
-        self._sorted = None
+        self._sorted = self._sorted_tags = None
         self._last_seen_at.setdefault(tag_of(member.id), now)
         return True
 
@@ -70,7 +73,7 @@
         member = self._members.pop(address, None)
         if member is None:
             return False
-        self._sorted = None
+        self._sorted = self._sorted_tags = None
         self._remove_tag(member)
         return True
 
@@ -96,11 +99,26 @@
         """Return the sightings of direct and indirect followers."""
         return _sightings(now, self._last_follow_at, STANDBY_SILENCE_TIMEOUT_S)
 
-    def sightings(self, now: float) -> Sightings:
-        """Return the last sighting of each VM, and of this VM as of now."""
-        return _sightings(
-            now, {**self._last_seen_at, tag_of(self.own.id): now}, MEMBER_RETENTION_S
+    @property
+    def hash(self) -> int:
+        """The hash of the known VMs, the same on every VM that knows the same ones."""
+        self._update_tags()
+        return self._hash
+
+    def sightings(self, now: float, *, members_hash: int = 0) -> Sightings:
+        """Return the last sighting of each VM, and of this VM as of now.
+
+        The tags are left out if the receiver knows the same VMs, that is, if
+        ``members_hash`` is its hash of them and equals that of this VM.
+        """
+        seen_at = {**self._last_seen_at, tag_of(self.own.id): now}
+        if members_hash != self.hash:
+            return _sightings(now, seen_at, MEMBER_RETENTION_S)
+        ages_cs = tuple(
+            _age_cs(now, seen_at[tag], MEMBER_RETENTION_S)
+            for tag in self._update_tags()
         )
+        return Sightings((), ages_cs, members_hash)
 
     def all(self) -> tuple[Member, ...]:
         """Return every known VM, sorted by address."""
@@ -159,10 +177,21 @@
         self, now: float, sightings: Sightings
     ) -> Iterable[tuple[int, float]]:
         """Yield the tag and time of each sighting of a known VM."""
-        for tag, age_cs in zip(sightings.tags, sightings.ages_cs, strict=False):
+        tags = sightings.tags
+        if not tags and sightings.members_hash == self.hash:
+            tags = self._update_tags()
+        for tag, age_cs in zip(tags, sightings.ages_cs, strict=False):
             if tag in self._last_seen_at and age_cs >= 0:
                 yield tag, now - age_cs / CENTISECONDS_PER_S
 
+    def _update_tags(self) -> tuple[int, ...]:
+        """Return the sorted tags of all known VMs; update their hash if needed."""
+        if self._sorted_tags is None:
+            tags = (tag_of(self.own.id), *self._last_seen_at)
+            self._sorted_tags = tuple(sorted(tags))
+            self._hash = reduce(xor, self._sorted_tags)
+        return self._sorted_tags
+
     def _remove_tag(self, member: Member) -> None:
         self._last_seen_at.pop(tag_of(member.id), None)
         self._last_follow_at.pop(tag_of(member.id), None)
@@ -176,5 +205,12 @@
     recent = [(tag, at) for tag, at in last_seen_at.items() if at >= earliest]
     return Sightings(
         tuple(tag for tag, _ in recent),
-        tuple(max(0, int((now - at) * CENTISECONDS_PER_S)) for _, at in recent),
+        tuple(_age_cs(now, at, max_silence_s) for _, at in recent),
     )
+
+
+def _age_cs(now: float, at: float, max_silence_s: float) -> int:
+    """Return the age of a sighting in hundredths of a second, if it is recent."""
+    if at < now - max_silence_s:
+        return NOT_SEEN_CS
+    return max(0, int((now - at) * CENTISECONDS_PER_S))
--- a/packages/replica/src/wagtailpaddle_replica/messages.py
+++ b/packages/replica/src/wagtailpaddle_replica/messages.py
@@ -60,16 +60,23 @@
     cores: float = 1.0
 
 
+NOT_SEEN_CS = -1
+"""Age of a VM that was not seen lately, in a message without tags."""
+
+
 @dataclass(frozen=True, slots=True)
 class Sightings:
     """How long ago each VM was last seen by any VM, in hundredths of a second.
 
     A message carries one entry per VM of the fleet, so a VM is identified by its
-    short tag and not by its id.
+    short tag and not by its id. Between VMs that know the same VMs the tags are left
+    out: ``members_hash`` is the hash of their tags, and the ages are in the order of
+    the sorted tags, with ``NOT_SEEN_CS`` for a VM that was not seen lately.
     """
 
     tags: tuple[int, ...] = ()
     ages_cs: tuple[int, ...] = ()
+    members_hash: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +85,8 @@
 
     ``clock`` is the sender's time and is returned in the ``Update``. The receiver
     answers at the first change, or after ``hold_s`` seconds without one.
-    ``sightings`` are the followers of the sender.
+    ``sightings`` are the followers of the sender, ``members_hash`` is the hash of the
+    VMs that it knows.
     """
 
     member: Member
@@ -88,6 +96,7 @@
     vms_from: Offset
     hold_s: float
     sightings: Sightings = Sightings()
+    members_hash: int = 0
 
     def start_of(self, collection: Collection) -> Offset:
         """Return the first offset of a collection that the sender lacks."""
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -209,7 +209,7 @@
             config_age_s=self._reported_age_s(now, Collection.CONFIG),
             servers_age_s=self._reported_age_s(now, Collection.SERVERS),
             batches=batches,
-            sightings=self.members.sightings(now),
+            sightings=self.members.sightings(now, members_hash=follow.members_hash),
             outage_age_s=UNKNOWN_AGE_S if ended_at is None else now - ended_at,
         )
 
@@ -296,6 +296,7 @@
             vms_from=starts[Collection.VMS],
             hold_s=hold_s,
             sightings=self.members.follower_sightings(now),
+            members_hash=self.members.hash,
         )
         return [FollowVm(address, body, hold_s + ANSWER_TIMEOUT_S)]
 
