Take no request late in a planned stop that its end may cut

Cause: a leaving VM on the platform took requests for half of its grace period and on open connections until its end; with a grace period of 10 s a request taken after 5 s, with a deadline of 8 s, is cut without an answer at 9.2 s if its server is slow. Other operators reported this shape.

--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -181,6 +181,7 @@
         self.gateway.carry_out(self.node.leave(began_at))
         await sleep(self._reactor, self.cfg.linger_s)
         self.lifecycle.drain()
+        self.node.drain_until(deadline_at)
         if self._caller_port is not None:
             await stop_listening(self._caller_port)
         remaining_s = deadline_at - self._reactor.seconds()
--- a/packages/node/src/wagtailpaddle_node/request_node.py
+++ b/packages/node/src/wagtailpaddle_node/request_node.py
@@ -119,6 +119,14 @@
         """Refuse new requests from now on."""
         self._pipeline.draining = True
 
+    def drain_until(self, ends_at: float) -> None:
+        """Refuse new requests from now on that may outlast this VM.
+
+        It stops at ``ends_at`` and would cut them, which leaves it unknown whether
+        they ran. Shorter ones are still served on open connections.
+        """
+        self._pipeline.ends_at = ends_at
+
     # Events of requests and attempts
 
     def on_request(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
--- a/packages/node/src/wagtailpaddle_node/request_pipeline.py
+++ b/packages/node/src/wagtailpaddle_node/request_pipeline.py
@@ -1,6 +1,7 @@
 """The request pipeline: admission, rate limit, claim, dispatch, response."""
 
 from collections.abc import Iterable
+from math import inf
 
 from wagtailpaddle_config import Route
 from wagtailpaddle_core import (
@@ -43,7 +44,7 @@
 
     ``settle`` receives the decisions of other packages about requests and
     returns actions for the front end. While ``draining`` is set, new requests
-    are refused.
+    are refused; those whose deadline is after ``ends_at`` are refused in any case.
     """
 
     def __init__(self, control: Control, backends: Backends, dispatcher: Dispatcher):
@@ -51,6 +52,7 @@
         self.backends = backends
         self.dispatcher = dispatcher
         self.draining = False
+        self.ends_at = inf
         self._requests = RequestTable()
         self._splits = WeightedSplits()
         self._swept_revision: Offset = -1
@@ -184,6 +186,9 @@
             )
         account = authenticate(cfg, head, route)
         timeout_s = min(head.timeout_s or route.timeout_s, route.timeout_s)
+        if now + timeout_s > self.ends_at:
+            detail = "the VM shuts down before the request's deadline"
+            raise WagtailError(ErrorKind.DRAINING, detail)
         name = OPEN_ACCOUNT if account is None else account.id
         return AdmittedRequest(
             head,
--- a/packages/node/tests/test_flow.py
+++ b/packages/node/tests/test_flow.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 from wagtailpaddle_core import ErrorKind, RequestId
 from wagtailpaddle_once import Run, RunOutcome
 from wagtailpaddle_routing import AttemptOutcome, AttemptResult, Dispatch, Refuse
@@ -56,6 +57,18 @@
     assert kinds(pipeline.begin(1.0, head)) == [ErrorKind.DRAINING]
 
 
+@pytest.mark.parametrize(("timeout_s", "is_taken"), [(1.9, True), (2.1, False)])
+def test_vm_that_stops_takes_no_request_that_may_outlast_it(
+    pipeline, head, timeout_s, is_taken
+):
+    """The end of the grace period would cut the request without an answer."""
+    pipeline.ends_at = 3.0
+    late = replace(head, idempotency_key=None, timeout_s=timeout_s)
+    (action,) = pipeline.begin(1.0, late)
+    assert isinstance(action, Dispatch) == is_taken
+    assert is_taken or action.kind is ErrorKind.DRAINING
+
+
 def test_paused_vm_dispatches_no_waiting_request(pipeline, control, head):
     first = replace(head, id=RequestId("r0"), idempotency_key=None)
     pipeline.begin(1.0, first)
--- a/packages/standins/tests/test_platform_settings.py
+++ b/packages/standins/tests/test_platform_settings.py
@@ -7,6 +7,7 @@
     decode_settings,
     read_settings_file,
 )
+from wagtailpaddle_platform.wiring import daemon_settings
 
 LINES = {
     "zone": "namur-a",
@@ -52,6 +53,12 @@
     assert other.monitoring_address == "10.1.0.5:9464"
 
 
+@pytest.mark.parametrize(("grace_s", "linger_s"), [(4, 2.0), (6, 3.0), (30, 3.0)])
+def test_most_of_a_long_grace_period_is_for_requests_in_flight(text, grace_s, linger_s):
+    cfg = daemon_settings(decode_settings(text(bounds__graceS=str(grace_s))))
+    assert (cfg.grace_s, cfg.linger_s) == (grace_s, linger_s)
+
+
 @pytest.mark.parametrize(
     ("changes", "message"),
     [
