Load only the control side that a VM runs

Cause: each VM of the platform imported the whole other control side (log of changes, seats, shares, claims) through the roots of our packages, and the metrics page's library. Change: the roots of six packages import a module when one of its names is first used (core/lazy.py); the store's feed no longer imports the log's; the metrics page is loaded when it is asked for.

--- a/packages/core/src/wagtailpaddle_core/__init__.py
+++ b/packages/core/src/wagtailpaddle_core/__init__.py
@@ -13,6 +13,7 @@
     ZoneId,
 )
 from wagtailpaddle_core.invariants import InvariantError, ensure
+from wagtailpaddle_core.lazy import lazy_attributes
 from wagtailpaddle_core.registry import Registry
 from wagtailpaddle_core.rendezvous import rank, score
 
@@ -34,6 +35,7 @@
     "WagtailError",
     "ZoneId",
     "ensure",
+    "lazy_attributes",
     "rank",
     "score",
 ]
--- a/packages/daemon/src/wagtailpaddle_daemon/feed.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/feed.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred
 from wagtailpaddle_core import Offset
 from wagtailpaddle_node import Append, Node, NodeAction, RawLogRecord
 from wagtailpaddle_peer import encode_log_record
@@ -130,10 +129,3 @@
 
 def _raw_records(read: LogRead) -> tuple[RawLogRecord, ...]:
     return tuple(RawLogRecord(offset, data) for offset, data in read.records)
-
-
-def start_coroutine(coroutine: Any) -> Deferred[Any]:
-    """Run a coroutine; log its exceptions instead of raising them."""
-    return Deferred.fromCoroutine(coroutine).addErrback(
-        lambda failure: log.error("Task failed.", failure=failure.getTraceback())
-    )
--- a/packages/daemon/src/wagtailpaddle_daemon/reactor_util.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/reactor_util.py
@@ -29,6 +29,13 @@
     return waiter
 
 
+def start_coroutine(coroutine: Any) -> Deferred[Any]:
+    """Run a coroutine; log its exceptions instead of raising them."""
+    return Deferred.fromCoroutine(coroutine).addErrback(
+        lambda failure: log.error("Task failed.", failure=failure.getTraceback())
+    )
+
+
 async def listen(reactor: Any, address: str, factory: Any) -> Any:
     """Listen on ``host:port`` and return the port."""
     host, port = split_address(address)
--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -28,7 +28,6 @@
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.long_polls import LongPolls
 from wagtailpaddle_daemon.metrics import Metrics
-from wagtailpaddle_daemon.metrics_page import render_chunks
 from wagtailpaddle_daemon.peerlink import PeerLink
 from wagtailpaddle_daemon.reactor_util import (
     PeriodicCalls,
@@ -193,6 +192,9 @@
 
     def metrics_text(self) -> bytes:
         """Return the counters and histograms in the Prometheus text format."""
+        # Most VMs are never asked for metrics.
+        from wagtailpaddle_daemon.metrics_page import render_chunks
+
         pieces = render_chunks(
             self.metrics,
             config=self.node.config_state(self._reactor.seconds()),
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -12,7 +12,7 @@
 from wagtailpaddle_peer import LogCodec
 
 from wagtailpaddle_daemon.admin import Admin, ChangeState, VmView, change_state
-from wagtailpaddle_daemon.feed import Feed, start_coroutine
+from wagtailpaddle_daemon.feed import Feed
 from wagtailpaddle_daemon.frontend import FrontendFactory, FrontendLimits
 from wagtailpaddle_daemon.gateway import Gateway
 from wagtailpaddle_daemon.healthlog import log_health_events
@@ -27,6 +27,7 @@
     listen,
     sleep,
     split_address,
+    start_coroutine,
     stop_listening,
     wait_until,
 )
--- a/packages/daemon/src/wagtailpaddle_daemon/storefeed.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/storefeed.py
@@ -7,8 +7,8 @@
 from wagtailpaddle_node import NodeAction, ReplicaNode
 from wagtailpaddle_replica import Batch, ReadStore, WriteMember
 
-from wagtailpaddle_daemon.feed import start_coroutine
 from wagtailpaddle_daemon.logs import get_logger
+from wagtailpaddle_daemon.reactor_util import start_coroutine
 from wagtailpaddle_daemon.store import Store, StoreError
 
 log = get_logger("store")
--- a/packages/fleet/src/wagtailpaddle_fleet/__init__.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/__init__.py
@@ -1,44 +1,49 @@
 """Membership of the proxy fleet: voting seats, freshness and caller directory."""
 
-from wagtailpaddle_fleet.freshness import FRESHNESS_S, Freshness
-from wagtailpaddle_fleet.incarnations import (
-    LIST_LAG_S,
-    Incarnations,
-    new_incarnation,
-    split_vm_id,
-    vm_id,
-)
-from wagtailpaddle_fleet.membership import Membership
-from wagtailpaddle_fleet.messages import (
-    AcceptanceState,
-    Action,
-    AppendRecord,
-    CallerAddresses,
-    Depart,
-    FleetRecord,
-    FoldRecords,
-    HandOverAnswer,
-    HandOverSeats,
-    Join,
-    ListedVm,
-    OffsetAnswer,
-    OffsetQuery,
-    PeerAnswer,
-    PeerMessage,
-    RawRecord,
-    RecordsAnswer,
-    RecordsQuery,
-    RestoreSnapshot,
-    SeatChange,
-    SeatId,
-    SendPeer,
-    Settle,
-    SnapshotAnswer,
-    SnapshotQuery,
-    TakeSeat,
-    Vm,
-)
-from wagtailpaddle_fleet.roster import Roster, Seat
+from typing import TYPE_CHECKING
+
+from wagtailpaddle_core import lazy_attributes
+
+if TYPE_CHECKING:
+    from wagtailpaddle_fleet.freshness import FRESHNESS_S, Freshness
+    from wagtailpaddle_fleet.incarnations import (
+        LIST_LAG_S,
+        Incarnations,
+        new_incarnation,
+        split_vm_id,
+        vm_id,
+    )
+    from wagtailpaddle_fleet.membership import Membership
+    from wagtailpaddle_fleet.messages import (
+        AcceptanceState,
+        Action,
+        AppendRecord,
+        CallerAddresses,
+        Depart,
+        FleetRecord,
+        FoldRecords,
+        HandOverAnswer,
+        HandOverSeats,
+        Join,
+        ListedVm,
+        OffsetAnswer,
+        OffsetQuery,
+        PeerAnswer,
+        PeerMessage,
+        RawRecord,
+        RecordsAnswer,
+        RecordsQuery,
+        RestoreSnapshot,
+        SeatChange,
+        SeatId,
+        SendPeer,
+        Settle,
+        SnapshotAnswer,
+        SnapshotQuery,
+        TakeSeat,
+        Vm,
+    )
+    from wagtailpaddle_fleet.roster import Roster, Seat
 
 __all__ = [
     "FRESHNESS_S",
@@ -79,3 +84,10 @@
     "TakeSeat",
     "Vm",
 ]
+
+if not TYPE_CHECKING:
+    __getattr__ = lazy_attributes(
+        __name__,
+        __all__,
+        ["messages", "incarnations", "freshness", "roster", "membership"],
+    )
--- a/packages/node/src/wagtailpaddle_node/request_pipeline.py
+++ b/packages/node/src/wagtailpaddle_node/request_pipeline.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from math import inf
+from typing import TYPE_CHECKING
 
 from wagtailpaddle_config import Route
 from wagtailpaddle_core import (
@@ -26,7 +27,6 @@
 )
 
 from wagtailpaddle_node.backends import Backends
-from wagtailpaddle_node.control import Control, ControlAction
 from wagtailpaddle_node.messages import NodeAction, Replay, RequestHead, RequestView
 from wagtailpaddle_node.request_table import (
     OPEN_ACCOUNT,
@@ -38,6 +38,9 @@
 )
 from wagtailpaddle_node.weighted_splits import WeightedSplits
 
+if TYPE_CHECKING:
+    from wagtailpaddle_node.control import Control, ControlAction
+
 
 class RequestPipeline:
     """Advances each request from its arrival to its response.
@@ -47,7 +50,7 @@
     are refused; those whose deadline is after ``ends_at`` are refused in any case.
     """
 
-    def __init__(self, control: Control, backends: Backends, dispatcher: Dispatcher):
+    def __init__(self, control: "Control", backends: Backends, dispatcher: Dispatcher):
         self.control = control
         self.backends = backends
         self.dispatcher = dispatcher
@@ -123,7 +126,7 @@
     def settle(
         self,
         now: float,
-        actions: Iterable[ControlAction],
+        actions: "Iterable[ControlAction]",
         *,
         answer: StoredAnswer | None = None,
     ) -> tuple[NodeAction, ...]:
--- a/packages/quota/src/wagtailpaddle_quota/__init__.py
+++ b/packages/quota/src/wagtailpaddle_quota/__init__.py
@@ -1,41 +1,46 @@
 """Fleet-wide rate limits of client accounts: shares, loans, prefetched tokens."""
 
-from wagtailpaddle_quota.bucket import TokenBucket
-from wagtailpaddle_quota.messages import (
-    NO_REVISION,
-    AppendRecord,
-    BucketState,
-    ChangeShares,
-    Decision,
-    Granted,
-    HandOverShare,
-    HandOverShareAnswer,
-    Limit,
-    LoanAnswer,
-    LoanRequest,
-    QuotaAction,
-    QuotaMessage,
-    QuotaReply,
-    QuotaStatus,
-    Refused,
-    SendPeer,
-    ShareChange,
-    ShareEntry,
-    ShareHint,
-    ShareId,
-    ShareRecord,
-    ShareSnapshot,
-    SharesQuery,
-    SharesState,
-    TokenGrant,
-    TokenGrantBatch,
-    TokenRequest,
-    TokenRequestBatch,
-    WaitUntil,
-)
-from wagtailpaddle_quota.pool import TokenPool
-from wagtailpaddle_quota.prefetch_limiter import FetchTokens, PrefetchingRateLimiter
-from wagtailpaddle_quota.share_limiter import ShareRateLimiter
+from typing import TYPE_CHECKING
+
+from wagtailpaddle_core import lazy_attributes
+
+if TYPE_CHECKING:
+    from wagtailpaddle_quota.bucket import TokenBucket
+    from wagtailpaddle_quota.messages import (
+        NO_REVISION,
+        AppendRecord,
+        BucketState,
+        ChangeShares,
+        Decision,
+        Granted,
+        HandOverShare,
+        HandOverShareAnswer,
+        Limit,
+        LoanAnswer,
+        LoanRequest,
+        QuotaAction,
+        QuotaMessage,
+        QuotaReply,
+        QuotaStatus,
+        Refused,
+        SendPeer,
+        ShareChange,
+        ShareEntry,
+        ShareHint,
+        ShareId,
+        ShareRecord,
+        ShareSnapshot,
+        SharesQuery,
+        SharesState,
+        TokenGrant,
+        TokenGrantBatch,
+        TokenRequest,
+        TokenRequestBatch,
+        WaitUntil,
+    )
+    from wagtailpaddle_quota.pool import TokenPool
+    from wagtailpaddle_quota.prefetch_limiter import FetchTokens, PrefetchingRateLimiter
+    from wagtailpaddle_quota.share_limiter import ShareRateLimiter
 
 __all__ = [
     "NO_REVISION",
@@ -74,3 +79,10 @@
     "TokenRequestBatch",
     "WaitUntil",
 ]
+
+if not TYPE_CHECKING:
+    __getattr__ = lazy_attributes(
+        __name__,
+        __all__,
+        ["messages", "bucket", "pool", "prefetch_limiter", "share_limiter"],
+    )
