--- a/packages/daemon/tests/test_connections.py
+++ b/packages/daemon/tests/test_connections.py
@@ -101,6 +101,22 @@
     assert not is_idle(pool, conn)
 
 
+WHOLE = GOOD + b"Server: x\r\n\r\nok"
+
+
+@pytest.mark.parametrize("reason", [ConnectionDone, ConnectionLost])
+@pytest.mark.parametrize("n_bytes", range(len(WHOLE)))
+def test_response_that_breaks_off_anywhere_is_not_complete(conn, n_bytes, reason):
+    """A server that stops in the middle of its head must not look like an answer."""
+    ends = []
+    sent = conn.request(get())
+    sent.addCallback(lambda answer: answer.deliverBody(BodyReader(list, ends.append)))
+    sent.addErrback(ends.append)
+    conn.dataReceived(WHOLE[:n_bytes])
+    conn.connectionLost(Failure(reason()))
+    assert [isinstance(end, Failure) for end in ends] == [True]
+
+
 def test_repeat_at_a_server_that_refused_uses_a_fresh_connection(pool, conn):
     """A faulty server may write its earlier refusal once more on a kept connection.
 
