Split the event log and the operators' view off the replica's control

Cause: replica_control.py had grown to 467 lines with three jobs. Change: event_log.py holds and words the events, replica_view.py describes the fleet as a VM sees it; two tests call the node's describe instead of the control's. Behaviour unchanged.

--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -204,7 +204,7 @@
 
     def status(self) -> dict[str, Any]:
         """Return this VM's view of the fleet, with its age in seconds."""
-        view = self.node.control.describe(self._reactor.seconds())
+        view = self.node.describe(self._reactor.seconds())
         return {
             "state": self.lifecycle.state,
             "ready": self.is_ready,
--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -32,13 +32,13 @@
     StepResult,
     Update,
     active_vms,
-    upstreams,
 )
 from wagtailpaddle_routing import TrustNotice
 
 from wagtailpaddle_node.backends import Backends
+from wagtailpaddle_node.event_log import EventLog
 from wagtailpaddle_node.health_probes import HealthProbes
-from wagtailpaddle_node.messages import LogEvent, NodeAction
+from wagtailpaddle_node.messages import NodeAction
 from wagtailpaddle_node.notice_routes import Hops, NoticeRoutes
 from wagtailpaddle_node.pending_calls import Component, PendingCall, PendingCalls
 from wagtailpaddle_node.registered_servers import RegisteredServers
@@ -58,9 +58,6 @@
 """Smallest number of VMs among which a budget of the fleet is divided. A VM
 that does not know the others yet must not spend the whole budget alone."""
 
-MAX_LOG_EVENTS = 256
-MAX_LOGGED_SERVERS = 20
-
 
 @dataclass(frozen=True, slots=True)
 class DocumentConfiguration:
@@ -107,13 +104,7 @@
         self._active: frozenset[VmId] = frozenset()
         self._notice_routes = NoticeRoutes(own)
         self._fleet_known_at: float | None = None
-        self._log_events: list[LogEvent] = []
-
-    def pop_log_events(self) -> tuple[LogEvent, ...]:
-        """Remove and return the events to log since the last call."""
-        events = tuple(self._log_events)
-        self._log_events.clear()
-        return events
+        self.events = EventLog()
 
     # Events of the store
 
@@ -186,7 +177,7 @@
 
     def on_stall(self, now: float, stalled_s: float) -> None:
         """Log a stall; nothing was granted during it, so nothing must be corrected."""
-        self._log("The process stood still.", seconds=round(stalled_s, 2))
+        self.events.record("The process stood still.", seconds=round(stalled_s, 2))
 
     def tick(self, now: float) -> tuple[Any, ...]:
         """Run the timers of all parts; called several times a second."""
@@ -199,62 +190,15 @@
             actions += self._rebuild_configuration(now)
         return actions + self._convert_fetches(now, self.quota.tick(now))
 
-    def describe(self, now: float) -> dict[str, Any]:
-        """Return this VM's view of the fleet and its age, for operators."""
-        replica = self.replica
-        ages = {
-            item.value: round(replica.age_s(now, item), 3)
-            for item in Collection
-            if replica.copies[item].is_known
-        }
-        alive = replica.members.alive(now)
-        return {
-            "vm": replica.own.id,
-            "configuration": self.document.version if self.document else None,
-            "fresh": self.membership.is_fresh(now),
-            "age_s": ages,
-            "servers": {
-                name: [
-                    {"id": server.id, "leaving": server.leaving}
-                    for server in service.servers
-                ]
-                for name, service in sorted(self.configuration.services.items())
-            },
-            **self._statements(now),
-            "alive": [member.id for member in alive],
-            "carriers": sorted(self._active),
-            "follows": [item.id for item in upstreams(replica.own, alive)],
-            "keepers": list(self.quota.owners),
-        }
-
-    def _statements(self, now: float) -> dict[str, dict[str, float]]:
-        """Return what servers stated of themselves, by server.
-
-        ``limits`` are the requests per second that they take, ``rests`` the seconds
-        for which this VM still leaves them alone.
-        """
-        servers = [
-            server
-            for service in self.backends.dispatcher.status(now)
-            for server in service.servers
-        ]
-        return {
-            "limits": {
-                server.id: server.stated_limit
-                for server in servers
-                if server.stated_limit is not None
-            },
-            "rests": {
-                server.id: round(server.rest_s, 3)
-                for server in servers
-                if server.rest_s > 0.0
-            },
-        }
-
     def apply_settings(self, cfg: ReplicaSettings) -> None:
         """Apply settings that changed while the process runs."""
         self.membership.cfg = cfg
 
+    @property
+    def active(self) -> frozenset[VmId]:
+        """The VMs that carry callers, in this VM's view."""
+        return self._active
+
     def leave(self, now: float) -> tuple[Any, ...]:
         """Begin a graceful stop."""
         self.membership.leaving = True
@@ -310,7 +254,11 @@
             return any(applied)
         if changed.collection is Collection.SERVERS:
             in_grace = self.replica.in_grace(now)
-            self._log_servers(now, changed.changes, in_grace)
+            self.events.record_servers(
+                changed.changes,
+                lapsed=in_grace,
+                age_s=self.replica.age_s(now, Collection.SERVERS),
+            )
             self._forget_restarted(changed.changes)
             return self.registered_servers.apply(
                 now, changed.changes, in_grace=in_grace
@@ -333,7 +281,7 @@
         ):
             return False
         self.document = document
-        self._log(
+        self.events.record(
             "Configuration in force.",
             version=document.version,
             age_s=round(self.replica.age_s(now, Collection.CONFIG), 3),
@@ -382,7 +330,9 @@
         self._active = active
         self._notice_routes.set_active(found)
         self.backends.dispatcher.share_budgets(now, self._budget_divisor(len(alive)))
-        self._log("VMs that carry callers.", vms=sorted(active), alive=len(alive))
+        self.events.record(
+            "VMs that carry callers.", vms=sorted(active), alive=len(alive)
+        )
         self.health_probes.set_vms(now, active)
         return self.backends.set_vms(now, active)
 
@@ -437,31 +387,3 @@
             )
             for fetch in fetches
         )
-
-    def _log_servers(
-        self, now: float, changes: Sequence[Change], in_grace: bool
-    ) -> None:
-        """Log changed servers, in a single event if there are many."""
-        if len(changes) > MAX_LOGGED_SERVERS:
-            n_gone = sum(item.value is None for item in changes)
-            self._log("Servers changed.", n_gone=n_gone, n_changed=len(changes))
-            return
-        for item in changes:
-            self._log_server(now, item.key, item.value, in_grace)
-
-    def _log_server(self, now: float, key: str, entry: Any, in_grace: bool) -> None:
-        age_s = round(self.replica.age_s(now, Collection.SERVERS), 3)
-        if entry is None:
-            self._log("Server is gone.", server=key, lapsed=in_grace, age_s=age_s)
-            return
-        self._log(
-            "Server registered.",
-            server=key,
-            service=entry.service,
-            leaving=entry.server.leaving,
-            age_s=age_s,
-        )
-
-    def _log(self, event: str, **facts: object) -> None:
-        if len(self._log_events) < MAX_LOG_EVENTS:
-            self._log_events.append(LogEvent(event, tuple(facts.items())))
--- a/packages/node/src/wagtailpaddle_node/replica_node.py
+++ b/packages/node/src/wagtailpaddle_node/replica_node.py
@@ -13,6 +13,7 @@
 from wagtailpaddle_node.messages import ConfigState, LogEvent, NodeAction
 from wagtailpaddle_node.replica_control import Decoders, ReplicaControl
 from wagtailpaddle_node.replica_membership import ReplicaSettings
+from wagtailpaddle_node.replica_view import describe
 from wagtailpaddle_node.request_node import RequestNode
 
 
@@ -64,9 +65,13 @@
         """Return the addresses that a caller should use."""
         return self.control.membership.addresses_for(now, zone)
 
+    def describe(self, now: float) -> dict[str, Any]:
+        """Return this VM's view of the fleet, for operators."""
+        return describe(self.control, now)
+
     def pop_log_events(self) -> tuple[LogEvent, ...]:
         """Remove and return the events to log since the last call."""
-        return self.control.pop_log_events()
+        return self.control.events.pop()
 
     def is_activity(self, reply: Any) -> bool:
         """Return whether a peer's reply should make the following ticks frequent.
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -103,7 +103,7 @@
     request(node, 0.1, "/book/a")
     result = AttemptResult(AttemptOutcome.ANSWERED, 0.1, 200, stated_limit=5.5)
     node.on_attempt(0.2, "r1", result)
-    assert node.control.describe(0.3)["limits"] == {"s1": 5.5}
+    assert node.describe(0.3)["limits"] == {"s1": 5.5}
 
 
 def test_status_shows_the_rest_that_a_server_asked_for(node):
@@ -111,9 +111,9 @@
     node.on_attempt(
         0.2, "r1", AttemptResult(AttemptOutcome.ANSWERED, 0.1, 503, rest_s=9.0)
     )
-    assert 8.0 < node.control.describe(0.3)["rests"]["s1"] < 10.0
+    assert 8.0 < node.describe(0.3)["rests"]["s1"] < 10.0
     node.on_read(1.0, 0.9, batch(Collection.SERVERS, 5, "s1", b"restarted"))
-    assert node.control.describe(1.1)["rests"] == {}
+    assert node.describe(1.1)["rests"] == {}
 
 
 def test_server_that_answers_that_it_leaves_gets_no_request_for_good(node):
