Give up a slow request only for a retry that can start

Cause: the time-out of an attempt was set when it started, if the retry budget was mostly full then, and the token was taken when the time was over. Several slow requests saw the same token; a leaving VM has one.

Change: at the time-out the daemon asks the dispatcher. It gives up only if a token is there and another server has a free slot; else the attempt goes on. Same cause nearby: the server was told the attempt's time-out as its deadline, and an answer that was already streamed was broken off at the time-out.

--- a/packages/daemon/src/wagtailpaddle_daemon/exchange.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/exchange.py
@@ -26,6 +26,7 @@
         "buffer",
         "caller",
         "committed",
+        "deadline_at",
         "external_id",
         "head",
         "load",
@@ -53,6 +54,7 @@
         self.outgoing = outgoing
         self.external_id = external_id
         self.arrived_at = arrived_at
+        self.deadline_at = arrived_at
         self.queued_s: float = 0.0
         self.n_attempts: int = 0
         self.server: tuple[ServiceId, ServerId] = (ServiceId(""), ServerId(""))
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -148,13 +148,14 @@
         exchange.attempt = action.attempt
         exchange.n_attempts = action.attempt
         exchange.started_at = now
+        exchange.deadline_at = action.deadline_at
         exchange.head = None
         exchange.load = None
         exchange.stated_limit = None
         exchange.rest_s = None
         exchange.buffer = []
         exchange.n_buffered = 0
-        remaining_s = max(0.0, action.timeout_at - now)
+        remaining_s = max(0.0, action.deadline_at - now)
         account = self._node.request_view(action.request).account
         added = self._dialect.attempt_headers(remaining_s, action.server, account)
         outgoing = OutgoingRequest(
@@ -174,9 +175,7 @@
         )
         attempt = action.attempt
         request = action.request
-        exchange.timer = self._reactor.callLater(
-            remaining_s, self._on_attempt_timeout, request, attempt
-        )
+        self._set_timeout(exchange, now, action.timeout_at, request, attempt)
         # The attempt may end before the callbacks are added.
         pending = self._upstream.send(
             address,
@@ -192,6 +191,18 @@
         )
         pending.addErrback(self._on_handling_error, request, attempt)
 
+    def _set_timeout(
+        self,
+        exchange: Exchange,
+        now: float,
+        at: float,
+        request: RequestId,
+        attempt: int,
+    ) -> None:
+        exchange.timer = self._reactor.callLater(
+            max(0.0, at - now), self._on_attempt_timeout, request, attempt
+        )
+
     def _on_response(self, request: RequestId, attempt: int, response: Any) -> None:
         exchange = self._running_exchange(request, attempt)
         reader = BodyReader(
@@ -270,6 +281,15 @@
         exchange = self._running_exchange(request, attempt)
         if exchange is None:
             return
+        now = self._reactor.seconds()
+        timeout_at = (
+            exchange.deadline_at
+            if exchange.committed
+            else self._node.extend_timeout(now, request)
+        )
+        if timeout_at > now:
+            self._set_timeout(exchange, now, timeout_at, request, attempt)
+            return
         self._abort_attempt(exchange)
         self._finish_attempt(request, exchange, AttemptOutcome.TIMED_OUT)
 
--- a/packages/node/src/wagtailpaddle_node/request_node.py
+++ b/packages/node/src/wagtailpaddle_node/request_node.py
@@ -150,6 +150,13 @@
         actions = self._pipeline.finish(now, request, result, answer)
         return refused + actions + self.control.send_trust_notices(now)
 
+    def extend_timeout(self, now: float, request: RequestId) -> float:
+        """Return until when an attempt whose time-out is over may go on.
+
+        ``now`` means that it is given up: end it and call ``on_attempt``.
+        """
+        return self.dispatcher.extend_timeout(now, request)
+
     def on_cancel(
         self, now: float, request: RequestId
     ) -> tuple[bool, tuple[NodeAction, ...]]:
--- a/packages/routing/src/wagtailpaddle_routing/budget.py
+++ b/packages/routing/src/wagtailpaddle_routing/budget.py
@@ -55,9 +55,13 @@
         """Add the tokens of one first attempt."""
         self._tokens = min(self._max_tokens, self._tokens + self._per_request)
 
+    def has_token(self, now: float) -> bool:
+        """Return whether ``acquire`` would succeed now."""
+        return self.tokens(now) >= 1.0
+
     def acquire(self, now: float) -> bool:
         """Remove one token; return whether there was one."""
-        if self.tokens(now) < 1.0:
+        if not self.has_token(now):
             return False
         self._tokens -= 1.0
         return True
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -153,6 +153,17 @@
         pool = self._pools[pending.job.service]
         return tuple(pool.finish(now, pending, result))
 
+    def extend_timeout(self, now: float, request: RequestId) -> float:
+        """Return until when an attempt whose time-out is over may go on.
+
+        ``now`` means that it is given up: the front end ends it and calls ``finish``.
+        """
+        pending = self._pending.get(request)
+        if pending is None or pending.state is not State.RUNNING:
+            return now
+        pool = self._pools[pending.job.service]
+        return pool.extend_timeout(now, pending)
+
     def cancel(self, now: float, request: RequestId) -> tuple[Action, ...]:
         """Cancel ``request``, since its caller has disconnected."""
         pending = self._pending.get(request)
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -115,7 +115,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Send the request to ``server``; give up at ``timeout_at``.
+    """Send the request to ``server``; ask what to do at ``timeout_at``.
+
+    ``Dispatcher.extend_timeout`` then says whether to give up the attempt. The server
+    may work until ``deadline_at``, when the request ends.
 
     ``queued_s`` is how long the request was queued before this attempt;
     ``connections`` is how many connections this VM may have open to the server.
@@ -129,6 +132,7 @@
     server: ServerId
     attempt: int
     timeout_at: float
+    deadline_at: float
     queued_s: float = 0.0
     connections: int = 1
     needs_fresh_connection: bool = False
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -43,7 +43,11 @@
 from wagtailpaddle_routing.server import Server
 from wagtailpaddle_routing.serverset import ServerSet
 from wagtailpaddle_routing.suspects import SuspectTracker
-from wagtailpaddle_routing.timeouts import attempt_timeout_at
+from wagtailpaddle_routing.timeouts import (
+    attempt_timeout_at,
+    extended_timeout_at,
+    may_use_another,
+)
 
 RANKED = "ranked"
 MIN_SERVICE_FRACTION = 0.5
@@ -164,6 +168,16 @@
             actions += self._dispatch_queued(now)
         return actions
 
+    def extend_timeout(self, now: float, pending: PendingRequest) -> float:
+        """Return until when the running attempt may go on after its time-out.
+
+        That is ``now`` if another server can take the request at once. Otherwise the
+        caller would get an error instead of an answer that may still come.
+        """
+        if now >= pending.job.deadline_at or self._can_replace(now, pending):
+            return now
+        return extended_timeout_at(now, pending, self._latency)
+
     def cancel(self, now: float, pending: PendingRequest) -> list[Action]:
         """Remove a request whose caller has disconnected."""
         if pending.state is not State.RUNNING:
@@ -355,11 +369,21 @@
             server.id,
             pending.n_attempts,
             timeout_at,
+            job.deadline_at,
             queued_s,
             int(server.limiter.cap),
             needs_fresh_connection=server.id in pending.shed_by,
         )
 
+    def _can_replace(self, now: float, pending: PendingRequest) -> bool:
+        """Return whether another server can take over from the running one now."""
+        return (
+            may_use_another(pending)
+            and pending.drop_kind is None
+            and self._budget.has_token(now)
+            and self.servers.has_other(now, pending, self._latency.silence_timeout_s)
+        )
+
     def _stop(self, now: float, pending: PendingRequest) -> None:
         """Release the slot of the running attempt."""
         self.servers.release(pending.job.id, pending.running_server)
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -169,17 +169,19 @@
         A server with requests in flight that has answered none of them for
         ``silence_timeout_s`` may hang, and is chosen last.
         """
-        candidates = Candidates(
-            now,
-            self._usable,
-            self._to_verify,
-            self._zone_split,
-            self._zone,
-            silence_timeout_s,
-            may_probe,
-        )
+        candidates = self._candidates(now, silence_timeout_s, may_probe=may_probe)
         return self._picker.pick(candidates, pending)
 
+    def has_other(
+        self, now: float, pending: PendingRequest, silence_timeout_s: float
+    ) -> bool:
+        """Return whether another server than the running one has a free slot for it."""
+        candidates = self._candidates(now, silence_timeout_s)
+        return any(
+            server is not pending.server and candidates.is_available(server, pending)
+            for server in self._usable
+        )
+
     def start(self, now: float, request: RequestId, server: Server) -> None:
         """Count an attempt that starts."""
         view = server.view
@@ -247,6 +249,19 @@
             for server in self._servers.values()
         )
 
+    def _candidates(
+        self, now: float, silence_timeout_s: float, *, may_probe: bool = True
+    ) -> Candidates:
+        return Candidates(
+            now,
+            self._usable,
+            self._to_verify,
+            self._zone_split,
+            self._zone,
+            silence_timeout_s,
+            may_probe,
+        )
+
     def _refresh(self) -> None:
         """Recompute which servers are usable, and the capacity."""
         known_ids = {view.id for view in self._views}
--- a/packages/standins/src/wagtailpaddle_standins/measure/servermodel.py
+++ b/packages/standins/src/wagtailpaddle_standins/measure/servermodel.py
@@ -222,6 +222,13 @@
         attempt, server = self._running.get(token[0], (0, None))
         if attempt != token[1]:
             return
+        clock = self._model.clock
+        timeout_at = self.dispatcher.extend_timeout(
+            clock.now, self._jobs[token[0]][0].id
+        )
+        if timeout_at > clock.now:
+            clock.at(timeout_at, self._on_timeout, token, sent_at)
+            return
         if server is not None:
             server.n_busy -= 1
         self._finish(token, AttemptOutcome.TIMED_OUT, sent_at)
--- a/packages/standins/src/wagtailpaddle_standins/soak/world.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/world.py
@@ -43,7 +43,7 @@
 from wagtailpaddle_standins.soak.freshaudit import FreshAudit
 from wagtailpaddle_standins.soak.host import Exchange, Host
 from wagtailpaddle_standins.soak.platform import LogDownError, Platform
-from wagtailpaddle_standins.soak.servers import Ending, Servers
+from wagtailpaddle_standins.soak.servers import Servers
 
 ZONES = ("a", "b", "c")
 N_SERVERS = 6
@@ -294,23 +294,36 @@
             key = (exchange.account, head.idempotency_key)
         ending = self.servers.attempt(action.server, action.request, key)
         sent_at = self.fabric.clock(host.process)
-        remaining_s = action.timeout_at - sent_at
-        if ending is None or ending.delay_s > remaining_s:
-            ending = Ending(max(0.0, remaining_s), AttemptOutcome.TIMED_OUT)
-        attempt, outcome = action.attempt, ending
+        attempt = action.attempt
 
-        def end() -> None:
+        def end(outcome: AttemptOutcome, status: int = 0) -> None:
             current = host.exchanges.get(action.request)
             if current is None or current.attempt != attempt:
                 return
+            current.attempt = 0
             now = self.fabric.clock(host.process)
-            result = AttemptResult(outcome.outcome, now - sent_at, outcome.status)
-            answer = StoredAnswer(outcome.status, (), b"answer")
+            result = AttemptResult(outcome, now - sent_at, status)
+            answer = StoredAnswer(status, (), b"answer")
             self.carry_out(
                 host, host.node.on_attempt(now, action.request, result, answer)
             )
 
-        self._later(host, ending.delay_s, end)
+        def time_out() -> None:
+            current = host.exchanges.get(action.request)
+            if current is None or current.attempt != attempt:
+                return
+            now = self.fabric.clock(host.process)
+            timeout_at = host.node.extend_timeout(now, action.request)
+            if timeout_at > now:
+                self._later(host, timeout_at - now, time_out)
+            else:
+                end(AttemptOutcome.TIMED_OUT)
+
+        if ending is not None:
+            self._later(
+                host, ending.delay_s, partial(end, ending.outcome, ending.status)
+            )
+        self._later(host, max(0.0, action.timeout_at - sent_at), time_out)
 
     def _call(self, host: Host, action: CallPeer) -> None:
         target = self.hosts.get(action.address)
