Pass over heartbeats of servers that the store did late

Cause: the record with the higher offset was taken for the newer word. The number of the heartbeat, which tells the order, was dropped in decoding.

Change: a copy of a collection may know the version of its values; those of servers are the start and the number of the heartbeat. A lower one changes nothing, and after a removal neither does the same one.

--- a/packages/config/src/wagtailpaddle_config/config_document.py
+++ b/packages/config/src/wagtailpaddle_config/config_document.py
@@ -1,7 +1,7 @@
 """Configuration published as one document and always replaced as a whole."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from wagtailpaddle_core import Offset, ServerId, ServiceId
 
@@ -49,14 +49,16 @@
     """A backend server as it registered itself.
 
     ``born`` is the start time in wall-clock milliseconds; it distinguishes the
-    incarnations of one id. ``warmup_s`` is the remaining warm-up time that the
-    server reports.
+    incarnations of one id. ``sequence`` grows with each heartbeat of an incarnation;
+    two entries that differ only there are equal. ``warmup_s`` is the remaining
+    warm-up time that the server reports.
     """
 
     service: ServiceId
     server: Server
     born: int = 0
     warmup_s: float = 0.0
+    sequence: float = field(default=0.0, compare=False)
 
 
 ServersByService = Mapping[ServiceId, tuple[Server, ...]]
--- a/packages/node/src/wagtailpaddle_node/registered_servers.py
+++ b/packages/node/src/wagtailpaddle_node/registered_servers.py
@@ -5,6 +5,14 @@
 from wagtailpaddle_replica import OUTAGE_GRACE_S, Change
 
 
+def server_version(entry: RegisteredServer) -> tuple[int, float] | None:
+    """Return the order of a server's entries: by its start, then by its heartbeats.
+
+    None if the start is unknown, since a restart counts heartbeats anew.
+    """
+    return (entry.born, entry.sequence) if entry.born else None
+
+
 class RegisteredServers:
     """The registered servers, including entries that may have expired wrongly.
 
--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -41,7 +41,7 @@
 from wagtailpaddle_node.messages import NodeAction
 from wagtailpaddle_node.notice_routes import Hops, NoticeRoutes
 from wagtailpaddle_node.pending_calls import Component, PendingCall, PendingCalls
-from wagtailpaddle_node.registered_servers import RegisteredServers
+from wagtailpaddle_node.registered_servers import RegisteredServers, server_version
 from wagtailpaddle_node.replica_membership import (
     NoClaims,
     ReplicaMembership,
@@ -81,7 +81,12 @@
     ):
         self.backends = backends
         self.replica = Replica(
-            own, decoders, seeds=cfg.seeds, apply_s=cfg.apply_s, seed=seed
+            own,
+            decoders,
+            versions={Collection.SERVERS: server_version},
+            seeds=cfg.seeds,
+            apply_s=cfg.apply_s,
+            seed=seed,
         )
         self.membership = ReplicaMembership(self.replica, cfg, seed=seed)
         self.quota = PrefetchingRateLimiter(
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -196,6 +196,29 @@
     assert found.apply(1.0, (Change("s1", leaving, None),), in_grace=True)
 
 
+@pytest.mark.parametrize(
+    ("late", "is_leaving"),
+    [
+        ({"sequence": 7.0}, True),
+        ({"born": 4, "sequence": 99.0}, True),
+        ({"sequence": 9.0}, False),
+        ({"born": 6}, False),
+    ],
+)
+def test_old_heartbeat_does_not_make_a_draining_server_ready_again(
+    node, monkeypatch, late, is_leaving
+):
+    """The store did a heartbeat of before, seconds after the server's last word."""
+    ready = replace(ENTRY, born=5, sequence=7.0)
+    draining = replace(ready, server=replace(SERVER, leaving=True), sequence=8.0)
+    monkeypatch.setitem(ENTRIES, b"draining", draining)
+    monkeypatch.setitem(ENTRIES, b"late", replace(ready, **late))
+    node.on_read(1.0, 1.0, batch(Collection.SERVERS, 1, "s1", b"draining"))
+    node.on_read(2.0, 2.0, batch(Collection.SERVERS, 2, "s1", b"late"))
+    entry = node.control.registered_servers.entry("s1")
+    assert entry.server.leaving is is_leaving
+
+
 def test_split_is_close_to_its_weights_in_any_sequence_of_requests():
     parts = (SplitPart(service="x", weight=1.0), SplitPart(service="y", weight=3.0))
     route = Route(id="r", service="", path="/", split=parts)
--- a/packages/replica/src/wagtailpaddle_replica/collection_copy.py
+++ b/packages/replica/src/wagtailpaddle_replica/collection_copy.py
@@ -12,9 +12,21 @@
 Decoder = Callable[[str, bytes], Any]
 """Decodes a record's key and data; returns None if the record is unreadable."""
 
+VersionOf = Callable[[Any], Any]
+"""Returns the version of a decoded value, or None if it has none.
+
+Versions of one key are ordered as its writer wrote them, so they tell a write that
+the store carried out late from the newest one.
+"""
+
 MAX_TOMBSTONES = 4096
 
 
+def no_version(value: Any) -> None:
+    """Return that a value has no version: the order of the offsets decides."""
+    return
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     """A record as it is sent to other VMs, with its decoded value.
@@ -42,7 +54,9 @@
 
     ``as_of`` is the latest time for which the copy is proven to contain everything
     that the store had acknowledged by then. A record with the same value as before
-    is no change, so heartbeats that change nothing are not relayed.
+    is no change, so heartbeats that change nothing are not relayed. A record whose
+    version is lower than that of an earlier one was written late and is passed over;
+    after a deletion so is one with the version of the deleted value.
 
     >>> copy = CollectionCopy(Collection.CONFIG, lambda key, data: data)
     >>> batch = Batch(Collection.CONFIG, 1, (Record("a", 0, b"x"),))
@@ -50,11 +64,19 @@
     ['a']
     """
 
-    def __init__(self, collection: Collection, decode: Decoder):
+    def __init__(
+        self,
+        collection: Collection,
+        decode: Decoder,
+        *,
+        version_of: VersionOf = no_version,
+    ):
         self.collection = collection
         self.next_offset: Offset = 0
         self.as_of = float("-inf")
         self._decode = decode
+        self._version_of = version_of
+        self._versions: dict[str, Any] = {}
         self._entries: dict[str, Entry] = {}
         self._tombstones: dict[str, Offset] = {}
         self._tombstones_complete_from: Offset = 0
@@ -138,6 +160,11 @@
         uncompressed = decompress(record)
         assert uncompressed.data is not None
         value = self._decode(record.key, uncompressed.data)
+        if self._is_outdated(record.key, value):
+            if entry is not None:
+                self._entries[record.key] = Entry(entry.record, previous, record.offset)
+            return None
+        self._record_version(record.key, value)
         if entry is not None and previous is not None and value == previous:
             self._entries[record.key] = Entry(entry.record, value, record.offset)
             return None
@@ -147,11 +174,25 @@
             return None
         return Change(record.key, previous, value)
 
+    def _is_outdated(self, key: str, value: Any) -> bool:
+        """Return whether a value is older than one that this copy has had."""
+        version = None if value is None else self._version_of(value)
+        newest = self._versions.get(key)
+        if version is None or newest is None:
+            return False
+        return bool(version < newest or (version == newest and self.get(key) is None))
+
+    def _record_version(self, key: str, value: Any) -> None:
+        version = None if value is None else self._version_of(value)
+        if version is not None:
+            self._versions[key] = version
+
     def _delete(self, key: str, offset: Offset) -> Change | None:
         self._tombstones.pop(key, None)
         self._tombstones[key] = offset
         while len(self._tombstones) > MAX_TOMBSTONES:
             oldest = next(iter(self._tombstones))
+            self._versions.pop(oldest, None)
             self._tombstones_complete_from = max(
                 self._tombstones_complete_from, self._tombstones.pop(oldest) + 1
             )
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -3,8 +3,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from random import Random
-
-from wagtailpaddle_replica.collection_copy import Change, CollectionCopy, Decoder
+from types import MappingProxyType
+
+from wagtailpaddle_replica.collection_copy import (
+    Change,
+    CollectionCopy,
+    Decoder,
+    VersionOf,
+    no_version,
+)
 from wagtailpaddle_replica.members import Members
 from wagtailpaddle_replica.messages import (
     UNKNOWN_AGE_S,
@@ -82,6 +89,7 @@
         own: Member,
         decoders: Mapping[Collection, Decoder],
         *,
+        versions: Mapping[Collection, VersionOf] = MappingProxyType({}),
         seeds: tuple[str, ...] = (),
         apply_s: float = DEFAULT_APPLY_S,
         seed: int = 0,
@@ -92,7 +100,10 @@
         self._apply_s = apply_s
         self._own_reads = OwnReads(rng, apply_s=apply_s)
         self.copies = {
-            item: CollectionCopy(item, decoders[item]) for item in Collection
+            item: CollectionCopy(
+                item, decoders[item], version_of=versions.get(item, no_version)
+            )
+            for item in Collection
         }
         self._upstream_choice = UpstreamChoice(own, rng, seeds=seeds)
         self._rng = rng
--- a/packages/replica/tests/test_newest.py
+++ b/packages/replica/tests/test_newest.py
@@ -129,3 +129,48 @@
     damaged = Record("config", 0, b"not compressed", is_packed=True)
     with pytest.raises(ValueError, match="'config' is damaged"):
         copy.apply(Batch(Collection.CONFIG, 1, (damaged,)), 1.0)
+
+
+@pytest.fixture
+def versioned():
+    """A copy of values ``<version><state>``, such as ``7r``; without digits: none."""
+
+    def version_of(data):
+        return int(data[:-1]) if len(data) > 1 else None
+
+    return CollectionCopy(Collection.SERVERS, decode, version_of=version_of)
+
+
+@pytest.mark.parametrize("is_gone", [False, True])
+def test_write_that_the_store_does_late_changes_nothing(versioned, is_gone):
+    """Guards against a draining or removed server that is in use again.
+
+    The store does a write without an answer seconds later, after newer ones.
+    """
+    versioned.apply(batch(2, ("s1", 0, b"7r"), ("s1", 1, b"8d")), 1.0)
+    if is_gone:
+        versioned.apply(batch(3, ("s1", 2, None)), 2.0)
+    known = versioned.get("s1")
+    assert versioned.apply(batch(4, ("s1", 3, b"7r")), 3.0) == ()
+    assert versioned.get("s1") == known
+    assert versioned.next_offset == 4
+
+
+def test_late_write_is_not_relayed(versioned):
+    versioned.apply(batch(2, ("s1", 0, b"7r"), ("s1", 1, b"8d")), 1.0)
+    versioned.apply(batch(4, ("s1", 3, b"7r")), 3.0)
+    assert versioned.batch_since(0).records == (Record("s1", 1, b"8d"),)
+
+
+def test_removed_entry_returns_with_a_newer_version_only(versioned):
+    versioned.apply(batch(1, ("s1", 0, b"7r")), 1.0)
+    versioned.apply(batch(2, ("s1", 1, None)), 2.0)
+    assert versioned.apply(batch(3, ("s1", 2, b"7r")), 3.0) == ()
+    (change,) = versioned.apply(batch(4, ("s1", 3, b"8r")), 4.0)
+    assert change.value == b"8r"
+
+
+def test_values_without_a_version_follow_the_offsets(versioned):
+    versioned.apply(batch(1, ("s1", 0, b"7r")), 1.0)
+    (change,) = versioned.apply(batch(2, ("s1", 1, b"x")), 2.0)
+    assert change.value == b"x"
--- a/packages/standins/tests/test_platform_documents.py
+++ b/packages/standins/tests/test_platform_documents.py
@@ -105,7 +105,9 @@
 def test_two_heartbeats_that_differ_in_their_sequence_are_equal():
     later = {**ENTRY, "status": {**ENTRY["status"], "sequence": 8}}
     first = decode_server("i-1", json.dumps(ENTRY).encode())
-    assert first == decode_server("i-1", json.dumps(later).encode())
+    second = decode_server("i-1", json.dumps(later).encode())
+    assert first == second
+    assert (first.sequence, second.sequence) == (7, 8)
 
 
 BROKEN = [
