Refuse queued requests whose turn comes after a planned stop

Cause: a stop looked at requests that arrive; the queue was left to the end of the process. Requests that wait for a token were left in the same way.

Change: from SIGTERM on the queue of each service refuses, last ones first, what it estimates to be served after the end, and at the end all that still waits is refused. 503, not run, with a short Retry-After that is spread. Both daemons do it.

--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -44,6 +44,9 @@
 STATE_LOG_INTERVAL_S = 0.2
 HOUSEKEEPING_INTERVAL_S = 1.0
 MIN_INACTIVE_S = 0.3
+FINAL_REFUSAL_S = 0.1
+"""Requests that still wait this long before the end are refused."""
+
 
 log = get_logger("daemon")
 
@@ -178,13 +181,16 @@
         log.info("Leaving.", in_flight=self.gateway.n_in_flight)
         self._frontend.draining = True
         self.gateway.carry_out(self.node.leave(began_at))
+        self.gateway.carry_out(self.node.drain_queues_until(began_at, deadline_at))
         await sleep(self._reactor, self.cfg.linger_s)
         self.lifecycle.drain()
         self.node.drain_until(deadline_at)
         if self._caller_port is not None:
             await stop_listening(self._caller_port)
-        remaining_s = deadline_at - self._reactor.seconds()
+        remaining_s = deadline_at - FINAL_REFUSAL_S - self._reactor.seconds()
         await wait_until(self._reactor, self._is_drained, remaining_s)
+        self.gateway.carry_out(self.node.refuse_waiting(self._reactor.seconds()))
+        await wait_until(self._reactor, self._is_drained, FINAL_REFUSAL_S)
         self._frontend.close_idle()
         await self._close()
         self.lifecycle.stopped()
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -124,7 +124,10 @@
         self.lifecycle.leave()
         log.info("Leaving.", in_flight=self.gateway.n_in_flight)
         self._frontend.draining = True
-        self.gateway.carry_out(self.node.leave(self._reactor.seconds()))
+        now = self._reactor.seconds()
+        deadline_at = now + self.cfg.linger_s + self.cfg.drain_s
+        self.gateway.carry_out(self.node.leave(now))
+        self.gateway.carry_out(self.node.drain_queues_until(now, deadline_at))
         await sleep(self._reactor, self.cfg.linger_s)
         self.lifecycle.drain()
         self.node.drain()
@@ -133,6 +136,7 @@
         await wait_until(
             self._reactor, lambda: not self.gateway.n_in_flight, self.cfg.drain_s
         )
+        self.gateway.carry_out(self.node.refuse_waiting(self._reactor.seconds()))
         self.gateway.carry_out(self.node.release(self._reactor.seconds()))
         await wait_until(
             self._reactor,
--- a/packages/node/src/wagtailpaddle_node/request_node.py
+++ b/packages/node/src/wagtailpaddle_node/request_node.py
@@ -127,6 +127,16 @@
         """
         self._pipeline.ends_at = ends_at
 
+    def drain_queues_until(self, now: float, ends_at: float) -> tuple[NodeAction, ...]:
+        """Refuse queued requests, now and later, whose turn is after this VM's end."""
+        refused = self._begin_event(now)
+        drained = self.dispatcher.drain_until(now, ends_at)
+        return refused + self._pipeline.settle(now, drained)
+
+    def refuse_waiting(self, now: float) -> tuple[NodeAction, ...]:
+        """Refuse every request that still waits, since the VM stops now."""
+        return self._begin_event(now) + self._pipeline.refuse_waiting(now)
+
     # Events of requests and attempts
 
     def on_request(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
--- a/packages/node/src/wagtailpaddle_node/request_pipeline.py
+++ b/packages/node/src/wagtailpaddle_node/request_pipeline.py
@@ -173,6 +173,14 @@
                 actions += self._refuse(now, admitted, fault)
         return actions
 
+    def refuse_waiting(self, now: float) -> tuple[NodeAction, ...]:
+        """Refuse the waiting requests, since the VM stops; running ones end."""
+        fault = WagtailError(ErrorKind.DRAINING, "the VM shuts down")
+        actions: tuple[NodeAction, ...] = ()
+        for admitted in self._requests.pending():
+            actions += self._refuse(now, admitted, fault)
+        return actions
+
     def _admit(self, now: float, head: RequestHead) -> AdmittedRequest:
         if self.draining:
             raise WagtailError(ErrorKind.DRAINING, "the VM is shutting down")
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -273,3 +273,21 @@
     assert trust_calls(node.on_trust_notice(0.6, notice)) == [
         ("vm2/1", replace(notice, forward=False))
     ]
+
+
+def test_vm_that_stops_refuses_what_still_waits(node):
+    """Guards against queued requests and ones without a token that are just cut."""
+    waiting = set()
+    for index in range(40):
+        path = ("/book/a", "/open/a")[index % 2]
+        head = RequestHead(f"w{index}", "", path, "GET", "hash", timeout_s=9.0)
+        answered = [
+            action
+            for action in node.on_request(0.1, head)
+            if isinstance(action, Dispatch | Refuse)
+        ]
+        waiting |= set() if answered else {head.id}
+    assert len(waiting) > 1
+    refused = [item for item in node.refuse_waiting(0.2) if isinstance(item, Refuse)]
+    assert {item.request for item in refused} == waiting
+    assert {item.kind for item in refused} == {ErrorKind.DRAINING}
--- a/packages/routing/src/wagtailpaddle_routing/bounded_queue.py
+++ b/packages/routing/src/wagtailpaddle_routing/bounded_queue.py
@@ -80,12 +80,14 @@
         return longest <= self._lengths.of(account) + 1
 
     def evict(self) -> PendingRequest | None:
+        """Remove and return a request if the queue is over its bound, else None."""
+        return self.pop_last() if len(self._queued) > self.max_waiting else None
+
+    def pop_last(self) -> PendingRequest:
         """Remove and return the newest request of the account with the longest queue.
 
-        Returns None if the queue is within its bound.
+        The queue must not be empty.
         """
-        if len(self._queued) <= self.max_waiting:
-            return None
         victim = self._queue.newest(self._lengths.longest())
         self.remove(victim)
         return victim
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -1,6 +1,7 @@
 """The dispatcher: routes admitted requests to backend servers."""
 
 from dataclasses import replace
+from math import inf
 from random import Random
 from typing import Any
 
@@ -61,6 +62,7 @@
         self._pending: dict[RequestId, PendingRequest] = {}
         self._suspects: dict[ServiceId, SuspectTracker] = {}
         self._n_vms = 1
+        self._ends_at = inf
 
     @property
     def n_pending(self) -> int:
@@ -186,6 +188,15 @@
         pool = self._pools[pending.job.service]
         return tuple(pool.drop(pending, kind, detail))
 
+    def drain_until(self, now: float, ends_at: float) -> tuple[Action, ...]:
+        """Refuse what this VM, which stops at ``ends_at``, cannot serve by then."""
+        self._ends_at = ends_at
+        return tuple(
+            action
+            for pool in self._pools.values()
+            for action in pool.drain_until(now, ends_at)
+        )
+
     def tick(self, now: float) -> tuple[Action, ...]:
         """Process what is due: deadlines, ended back-offs and idle services."""
         actions: list[Action] = []
@@ -223,6 +234,7 @@
             n_vms=self._n_vms,
         )
         pool.set_servers(now, *known)
+        pool.drain_until(now, self._ends_at)
         self._pools[service] = pool
         return pool
 
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -1,5 +1,6 @@
 """Request handling of one service: admission, queueing, dispatch and retries."""
 
+from math import inf
 from random import Random
 
 from wagtailpaddle_core import (
@@ -114,6 +115,7 @@
         self._latency = LatencyEstimator()
         self._backoff_end_at: float | None = None
         self._reserved_slots = ReservedSlots(policy.reserved)
+        self._ends_at = inf
 
     @property
     def is_idle(self) -> bool:
@@ -200,17 +202,26 @@
         self._waiting.remove(pending)
         return [self._requests.refuse(pending, truthful_kind(pending, kind), detail)]
 
+    def drain_until(self, now: float, ends_at: float) -> list[Action]:
+        """Refuse the queued requests that this VM cannot serve before ``ends_at``.
+
+        ``tick`` refuses further ones as the estimate of their wait changes.
+        """
+        self._ends_at = ends_at
+        return self._refuse_surplus(now)
+
     def close(self) -> list[Action]:
         """Refuse the queued requests; running attempts finish."""
         self.servers.replace((), 1)
         return self._refuse_unservable()
 
     def tick(self, now: float) -> list[Action]:
-        """Refuse expired requests and dispatch to servers whose back-off has ended."""
+        """Refuse late requests and dispatch to servers whose back-off has ended."""
         actions: list[Action] = [
             self._requests.refuse_expired(pending, self._drain_time_s(now))
             for pending in self._waiting.expired(now, min_left_s=self._min_service_s())
         ]
+        actions += self._refuse_surplus(now)
         if self._waiting.n_queued:
             actions += self._dispatch_queued(now)
         return actions
@@ -222,8 +233,9 @@
         deadline_at = self._waiting.next_deadline()
         if deadline_at is not None:
             deadline_at -= self._min_service_s()
-        times = (deadline_at, self._backoff_end_at)
-        return min((at for at in times if at is not None), default=None)
+        last_start_at = self._ends_at - self._latency.silence_timeout_s
+        times = (deadline_at, self._backoff_end_at, last_start_at)
+        return min((at for at in times if at is not None and at < inf), default=None)
 
     def status(self, now: float) -> ServiceStatus:
         """Return the state of this service."""
@@ -435,6 +447,18 @@
             return self._start(now, pending, server)
         return self._requests.deliver(pending)
 
+    def _refuse_surplus(self, now: float) -> list[Action]:
+        """Refuse the last requests of a queue that outlasts this VM."""
+        actions: list[Action] = []
+        last_start_at = self._ends_at - self._latency.silence_timeout_s
+        while self._waiting.n_queued and now + self._drain_time_s(now) > last_start_at:
+            pending = self._waiting.pop_last()
+            kind = truthful_kind(pending, ErrorKind.DRAINING)
+            detail = "the VM shuts down before the request's turn"
+            wait_s = MIN_WAIT_S * (1.0 + self._random.random())
+            actions.append(self._requests.refuse(pending, kind, detail, wait_s))
+        return actions
+
     def _refuse_unservable(self) -> list[Action]:
         """Refuse the queued requests that no server is eligible for any more."""
         unservable = [
