Let no VM that leaves own the buckets of rates

Cause: a VM that is alive and not active was taken for a standby VM, which owners are chosen from. A leaving VM is both, so it, and the VMs that hear from it, named it the owner, and it granted the whole rate beside the real one.

Change: Member.is_leaving, and no such VM is a candidate.

--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -322,7 +322,11 @@
         alive = self.replica.members.alive(now)
         found = active_vms(alive, n_slots=self.membership.n_slots)
         active_ids = {member.id for member in found}
-        standby_ids = [member.id for member in alive if member.id not in active_ids]
+        standby_ids = [
+            member.id
+            for member in alive
+            if not member.is_leaving and member.id not in active_ids
+        ]
         owners = rank("rates", standby_ids or sorted(active_ids))[:N_BUCKET_OWNERS]
         if not self._is_fleet_known(now):
             # Otherwise every VM of a fleet that just started would own all buckets.
--- a/packages/node/src/wagtailpaddle_node/replica_membership.py
+++ b/packages/node/src/wagtailpaddle_node/replica_membership.py
@@ -71,12 +71,12 @@
         candidates = [
             member
             for member in self._replica.members.alive(now)
-            if member.caller_address
+            if not member.is_leaving
         ]
         if not self.is_fresh(now) or not self.may_serve_open(now):
             others = self._replica.members.all()
             candidates = [
-                item for item in others if item.caller_address and item.id != own.id
+                item for item in others if not item.is_leaving and item.id != own.id
             ]
         found = active_vms(candidates, n_slots=self.n_slots)
         same_zone = [member for member in found if member.zone == zone]
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -275,6 +275,54 @@
     ]
 
 
+@pytest.fixture
+def fleet():
+    """Six VMs in three zones, all active, each of which knows the others."""
+    vms = tuple(
+        Member(f"vm{index}/1", zone, f"vm{index}:80", f"vm{index}", "1")
+        for index, zone in enumerate(("a", "b", "c") * 2)
+    )
+    decoders = {**DECODERS, Collection.VMS: lambda key, data: vms[int(key[2:])]}
+    records = tuple(Record(vm.peer_address, n, b"x") for n, vm in enumerate(vms))
+    nodes = []
+    for own in vms:
+        node = ReplicaNode(own, decoders, cfg=ReplicaSettings(), routing=Policy())
+        node.on_read(0.0, 0.0, batch(Collection.CONFIG, 0, "config", b"v5"))
+        node.on_read(0.0, 0.0, Batch(Collection.VMS, 6, records, True))
+        nodes.append(node)
+    return nodes
+
+
+def meet(nodes, now):
+    """Let each node hear from each other one, and tick."""
+    for node in nodes:
+        for other in nodes:
+            if other is not node:
+                starts = dict.fromkeys(("config_from", "servers_from", "vms_from"), 0)
+                message = Follow(member=other.own, clock=now, hold_s=0.2, **starts)
+                node.on_follow(now, message)
+    for node in nodes:
+        node.on_tick(now)
+
+
+def test_vm_that_stops_owns_no_buckets(fleet):
+    """Guards against a full rate that is granted twice: by the VM and by the owner.
+
+    The leaving VM, and the VMs that it follows, took it for a standby VM.
+    """
+    for now in (0.1, 1.0, 2.5):
+        meet(fleet, now)
+    (owner,) = {node.control.quota.owners[0] for node in fleet}
+    leaving = next(node for node in fleet if node.own.id != owner)
+    leaving.leave(2.6)
+    for node in fleet:
+        deleted = Record(leaving.own.peer_address, 6, None)
+        node.on_read(2.7, 2.7, Batch(Collection.VMS, 7, (deleted,)))
+    meet(fleet, 3.0)
+    assert {node.control.quota.owners[0] for node in fleet} == {owner}
+    assert all(leaving.own.id not in node.control.quota.owners for node in fleet)
+
+
 def test_vm_that_stops_refuses_what_still_waits(node):
     """Guards against queued requests and ones without a token that are just cut."""
     waiting = set()
--- a/packages/replica/src/wagtailpaddle_replica/messages.py
+++ b/packages/replica/src/wagtailpaddle_replica/messages.py
@@ -59,6 +59,11 @@
     incarnation: str = ""
     cores: float = 1.0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the VM is shutting down: it names no address to callers."""
+        return not self.caller_address
+
 
 NOT_SEEN_CS = -1
 """Age of a VM that was not seen lately, in a message without tags."""
--- a/packages/replica/src/wagtailpaddle_replica/topology.py
+++ b/packages/replica/src/wagtailpaddle_replica/topology.py
@@ -48,7 +48,7 @@
     The zones share the load of ``n_slots`` slots of backend servers equally, and each
     zone has enough active VMs to provide the processor cores for its share.
     """
-    serving = [member for member in members if member.caller_address]
+    serving = [member for member in members if not member.is_leaving]
     zones = ordered_zones(serving)
     cores = n_slots * CORES_PER_SLOT / max(1, len(zones))
     active: list[Member] = []
