Compare the id of a response before its body is asked for

Cause: the body of a response without one ends within deliverBody, which came before the comparison of the echoed id. So a late refusal of another request counted as "not run", and a late empty 200 as the answer; the check then ended the next attempt.

Change: the check comes first, nothing is taken from such a response, and its connection is closed, also if the response was complete.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
@@ -25,6 +25,14 @@
 
 Address = tuple[str, int]
 
+AcceptsResponse = Callable[[Any], bool]
+"""Returns whether a response with these headers belongs to a request."""
+
+
+def accept_any(headers: Any) -> bool:
+    """Return True: every response belongs to the request before it."""
+    return True
+
 
 class OversizedHeadError(Exception):
     """The headers of a backend server's response exceed the limit."""
@@ -33,15 +41,19 @@
 class EncodedRequest:
     """An encoded request, with the interface that Twisted's client protocol needs.
 
-    From ``method`` the protocol knows whether the response has a body.
+    From ``method`` the protocol knows whether the response has a body. ``accepts``
+    tells from a response's headers whether it belongs to this request.
     """
 
     persistent = True
     absoluteURI = None  # noqa: N815
     headers = None
 
-    def __init__(self, method: bytes, data: bytes):
+    def __init__(
+        self, method: bytes, data: bytes, accepts: AcceptsResponse = accept_any
+    ):
         self.method = method
+        self.accepts = accepts
         self._data = data
 
     def writeTo(self, transport: Any) -> Deferred[None]:  # noqa: N802
@@ -58,7 +70,8 @@
 
     It is not reused after surplus bytes behind a response, after bytes that
     arrive without a request, or if the response states in any way that the
-    server closes the connection.
+    server closes the connection, nor after a response to another request: the
+    one to this request may still come.
     """
 
     _n_head_bytes = 0
@@ -98,15 +111,18 @@
         self.transport.abortConnection()
 
     def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
-        if self._currentRequest is not None and (rest or self._must_close()):
-            self._currentRequest.persistent = False
+        req = self._currentRequest
+        if req is not None and (rest or self._must_close(req)):
+            req.persistent = False
         super()._finishResponse_WAITING(rest)
 
     _finishResponse_TRANSMITTING = _finishResponse_WAITING  # noqa: N815
 
-    def _must_close(self) -> bool:
+    def _must_close(self, req: EncodedRequest) -> bool:
         if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
             return True
+        if not req.accepts(self._parser.response.headers):
+            return True
         headers = self._parser.connHeaders
         if headers.hasHeader(b"Transfer-Encoding") and headers.hasHeader(
             b"Content-Length"
--- a/packages/daemon/src/wagtailpaddle_daemon/exchange.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/exchange.py
@@ -97,4 +97,4 @@
     if not echoed:
         return dialect.must_echo
     sent = [value for name, value in outgoing.headers if name == dialect.request_id]
-    return bool(sent) and echoed[0] != sent[0]
+    return bool(sent) and any(value != sent[0] for value in echoed)
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -42,6 +42,7 @@
     ResponseHead,
     Upstream,
     classify_failure,
+    discard,
     is_oversized,
     iter_headers,
     make_response_head,
@@ -183,6 +184,9 @@
             outgoing,
             max_open=action.connections,
             is_fresh=action.needs_fresh_connection,
+            accepts=lambda headers: (
+                not is_mismatched(exchange.outgoing, headers, self._dialect)
+            ),
         )
         exchange.pending = pending
         pending.addCallbacks(
@@ -205,23 +209,24 @@
 
     def _on_response(self, request: RequestId, attempt: int, response: Any) -> None:
         exchange = self._running_exchange(request, attempt)
-        reader = BodyReader(
-            lambda data: self._on_body_data(request, attempt, data),
-            lambda reason: self._on_body_end(request, attempt, reason),
-        )
-        if exchange is not None:
-            exchange.reader = reader
-            headers = tuple(end_to_end(iter_headers(response.headers)))
-            exchange.head = make_response_head(response, headers)
-        response.deliverBody(reader)
         if exchange is None:
-            reader.abort()
-        elif is_mismatched(
+            discard(response)
+            return
+        headers = tuple(end_to_end(iter_headers(response.headers)))
+        # The body of a response without one ends as soon as it is asked for.
+        if is_mismatched(
             exchange.outgoing, response.headers, self._dialect
         ) or is_oversized(headers):
             log.warning("Response mismatched or oversized.", request=request)
-            reader.abort()
+            discard(response)
             self._finish_attempt(request, exchange, AttemptOutcome.FAILED)
+            return
+        exchange.head = make_response_head(response, headers)
+        exchange.reader = BodyReader(
+            lambda data: self._on_body_data(request, attempt, data),
+            lambda reason: self._on_body_end(request, attempt, reason),
+        )
+        response.deliverBody(exchange.reader)
 
     def _on_body_data(self, request: RequestId, attempt: int, data: bytes) -> None:
         exchange = self._running_exchange(request, attempt)
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -17,8 +17,10 @@
 
 from wagtailpaddle_daemon.connections import (
     MAX_RESPONSE_HEAD_BYTES,
+    AcceptsResponse,
     ConnectionPool,
     EncodedRequest,
+    accept_any,
 )
 from wagtailpaddle_daemon.headers import Header
 from wagtailpaddle_daemon.secrets import contains_issued_key
@@ -85,9 +87,12 @@
         *,
         max_open: int = 1,
         is_fresh: bool = False,
+        accepts: AcceptsResponse = accept_any,
     ) -> Deferred[Any]:
-        """Return the response to ``outgoing``; cancelling closes the connection.
+        """Return the next response to ``outgoing``; cancelling closes the connection.
 
+        A response that ``accepts`` does not accept is returned too, and its
+        connection is not used again.
         Connections to the server stay open for reuse up to ``max_open`` in number.
         With ``is_fresh`` a new connection is opened.
 
@@ -100,7 +105,7 @@
         ensure(
             not contains_issued_key(data), "server-sees-no-key", server=(address, port)
         )
-        req = EncodedRequest(outgoing.method, data)
+        req = EncodedRequest(outgoing.method, data, accepts)
         bound = self._safe if outgoing.method in SAFE_METHODS else self._unsafe
         idle_s = bound.max_idle_s(self._reactor.seconds())
         return self._connections.send(
@@ -190,6 +195,13 @@
             connection.abortConnection()
 
 
+def discard(response: Any) -> None:
+    """Read nothing more of a response, and close its connection if it has not ended."""
+    reader = BodyReader(lambda data: None, lambda reason: None)
+    response.deliverBody(reader)
+    reader.abort()
+
+
 def make_response_head(response: Any, headers: tuple[Header, ...]) -> ResponseHead:
     """Return the head of a response, with ``headers`` instead of its own."""
     length = None if response.length is UNKNOWN_LENGTH else response.length
--- /dev/null
+++ b/packages/daemon/tests/test_foreign_responses.py
@@ -0,0 +1,157 @@
+"""Responses to other requests, on bytes: what a gateway makes of them."""
+
+from dataclasses import replace
+
+import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from wagtailpaddle_config import Configuration
+from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_daemon.caller import DisconnectedCaller
+from wagtailpaddle_daemon.connections import ClientConnection
+from wagtailpaddle_daemon.dialect import DEFAULT_DIALECT
+from wagtailpaddle_daemon.gateway import Gateway
+from wagtailpaddle_daemon.upstream import OutgoingRequest, Upstream
+from wagtailpaddle_node import ConfigState, RequestHead, RequestView
+from wagtailpaddle_routing import AttemptOutcome, Deliver, Dispatch, Refuse
+
+ID = b"X-Request-Id"
+DIALECT = replace(DEFAULT_DIALECT, must_echo=True)
+
+
+class OneAttemptNode:
+    """A node that sends each request once and keeps how its attempt ended."""
+
+    configuration = Configuration()
+
+    def __init__(self):
+        self.results = []
+        self.leaving = []
+
+    def config_state(self, now):
+        return ConfigState(self.configuration.revision)
+
+    def next_wake(self, now):
+        return now + 1.0
+
+    def server_address(self, service, server):
+        return "127.0.0.1", 9
+
+    def request_view(self, request):
+        return RequestView(None, None)
+
+    def on_request(self, now, head):
+        return (Dispatch(head.id, "s", "b", 1, now + 3.0, now + 3.0),)
+
+    def on_attempt(self, now, request, result, answer=None):
+        self.results.append(result)
+        if result.outcome is AttemptOutcome.ANSWERED:
+            return (Deliver(request),)
+        return (Refuse(request, ErrorKind.OUTCOME_UNKNOWN, "not answered"),)
+
+    def on_server_leaving(self, now, service, server):
+        self.leaving.append(server)
+        return ()
+
+
+class RecordingCaller(DisconnectedCaller):
+    """A caller that keeps the status, or the kind of the refusal, that it got."""
+
+    got = None
+
+    def write_head(self, head):
+        self.got = head.status
+
+    def refuse(self, kind, detail, retry_after_s):
+        self.got = kind
+
+
+@pytest.fixture
+def node():
+    return OneAttemptNode()
+
+
+@pytest.fixture
+def exchange(node, metrics):
+    """Send a request on a kept connection; return the connection and the caller."""
+    clock = Clock()
+    upstream = Upstream(clock)
+    pool = upstream._connections
+    conn = ClientConnection(pool, ("127.0.0.1", 9))
+    conn.makeConnection(StringTransport())
+    pool._n_open[conn.address] += 1
+    pool.add_idle(conn)
+    gateway = Gateway(clock, node, upstream, metrics, dialect=DIALECT)
+
+    def send(method=b"POST"):
+        caller = RecordingCaller()
+        outgoing = OutgoingRequest(method, b"/", ((ID, b"mine"),), b"")
+        head = RequestHead("r", "", "/", method.decode(), None)
+        gateway.on_request(head, outgoing, caller)
+        assert b"mine" in conn.transport.value()
+        return conn, caller
+
+    return send
+
+
+def response(status, request_id=b"other", *, body=b"", more=b""):
+    length = b"" if status == 204 else b"Content-Length: %d\r\n" % len(body)
+    head = b"HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n" % (status, request_id)
+    return head + length + more + b"\r\n" + body
+
+
+def is_idle(conn):
+    return conn in conn._pool._idle.get(conn.address, ())
+
+
+@pytest.mark.parametrize("body", [b"", b"theirs"])
+@pytest.mark.parametrize(
+    ("status", "more"),
+    [
+        (200, b""),
+        (204, b""),
+        (421, b""),
+        (503, b"X-Outcome: not-run\r\nRetry-After: 9\r\nX-Server-State: draining\r\n"),
+        (429, b"Retry-After: 9\r\n"),
+    ],
+)
+@pytest.mark.parametrize("n_bytes", [1, 4096])
+def test_response_to_another_request_is_no_answer(
+    node, exchange, status, more, body, n_bytes
+):
+    """Guards against a second run after the late refusal of an earlier request.
+
+    The body of such a response ends at once if it has none.
+    """
+    conn, caller = exchange()
+    sent = response(status, body=b"" if status == 204 else body, more=more)
+    for start in range(0, len(sent), n_bytes):
+        conn.dataReceived(sent[start : start + n_bytes])
+    (result,) = node.results
+    assert result.outcome is AttemptOutcome.FAILED
+    assert (result.rest_s, result.load, result.stated_limit) == (None, None, None)
+    assert node.leaving == []
+    assert caller.got is ErrorKind.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize("method", [b"POST", b"GET", b"HEAD"])
+def test_connection_ends_after_a_response_to_another_request(exchange, method):
+    """The response to this request may still come, and is no one else's."""
+    conn, _ = exchange(method)
+    conn.dataReceived(response(503))
+    assert conn.transport.disconnecting
+    assert not is_idle(conn)
+
+
+@pytest.mark.parametrize("status", [200, 204])
+def test_own_response_without_a_body_is_delivered(node, exchange, status):
+    conn, caller = exchange()
+    conn.dataReceived(response(status, b"mine"))
+    assert caller.got == status
+    assert is_idle(conn)
+
+
+def test_response_that_echoes_two_ids_is_no_answer(node, exchange):
+    conn, _ = exchange()
+    conn.dataReceived(response(200, b"mine", more=b"X-Request-Id: other\r\n"))
+    assert [result.outcome for result in node.results] == [AttemptOutcome.FAILED]
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -49,7 +49,7 @@
 class FailingUpstream:
     """An upstream whose requests fail before ``send`` returns."""
 
-    def send(self, address, port, outgoing, *, max_open, is_fresh):
+    def send(self, address, port, outgoing, **options):
         return fail(RequestNotSent())
 
 
@@ -99,7 +99,7 @@
 
     sent = None
 
-    def send(self, address, port, outgoing, *, max_open, is_fresh):
+    def send(self, address, port, outgoing, **options):
         self.sent = outgoing
         return Deferred()
 
@@ -140,7 +140,7 @@
 class StreamingUpstream:
     """An upstream whose server answers at once, with a body that does not end."""
 
-    def send(self, address, port, outgoing, *, max_open, is_fresh):
+    def send(self, address, port, outgoing, **options):
         return succeed(EndlessResponse())
 
 
