Tell callers "not run" only if the server said so

Cause: a server that ran a request and answers 503, 429 or 408 of its own says nothing of "not run", and the status went on to the caller, who reads it so. A refusal with a large body was even streamed.

Change: statuses that callers take for "not run" are named in the dialect. Such an answer without the server's statement is a failed attempt: retried if idempotent, else 502, without Retry-After. Bodies of refusals are not kept.

--- a/packages/daemon/src/wagtailpaddle_daemon/dialect.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/dialect.py
@@ -28,10 +28,12 @@
     account and ``expected_server`` the id of the server, both to servers only.
     With ``must_echo`` a response must contain the request id. ``shed_answers``,
     ``load``, ``limit``, ``leaving`` and ``rest`` are names in registries of
-    ``wagtailpaddle_routing``. With ``refuses_on_close`` an idle connection of a
-    caller gets a refusal before it is closed. With ``integer_retry_after``
-    Retry-After is rounded to seconds. With ``decodes_paths`` percent-encoded paths
-    are decoded before routes are matched.
+    ``wagtailpaddle_routing``. Callers take an answer with one of
+    ``not_run_statuses`` for a statement that their request did not run, so no answer
+    of a server that ran it is passed on with such a status. With
+    ``refuses_on_close`` an idle connection of a caller gets a refusal before it is
+    closed. With ``integer_retry_after`` Retry-After is rounded to seconds. With
+    ``decodes_paths`` percent-encoded paths are decoded before routes are matched.
     """
 
     request_id: bytes = b"X-Request-Id"
@@ -48,6 +50,7 @@
     limit: str = "own"
     leaving: str = "own"
     rest: str = "seconds-or-date"
+    not_run_statuses: frozenset[int] = frozenset()
     refuses_on_close: bool = True
     integer_retry_after: bool = True
     decodes_paths: bool = True
--- a/packages/daemon/src/wagtailpaddle_daemon/exchange.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/exchange.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 from wagtailpaddle_core import ServerId, ServiceId
 from wagtailpaddle_once import StoredAnswer
+from wagtailpaddle_routing import AttemptOutcome
 
 from wagtailpaddle_daemon.caller import Caller
 from wagtailpaddle_daemon.dialect import DEFAULT_DIALECT, Dialect
@@ -16,8 +17,9 @@
 
     ``attempt`` is 0 while no attempt runs. ``buffer`` holds the start of the
     response's body until ``committed``: from then on the response is streamed to
-    the caller and no other attempt is possible. ``queued_s`` is the time spent
-    in queues, over all attempts.
+    the caller and no other attempt is possible. ``outcome`` is what the head of the
+    response says of the attempt, if the response is complete. ``queued_s`` is the
+    time spent in queues, over all attempts.
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         "load",
         "n_attempts",
         "n_buffered",
+        "outcome",
         "outgoing",
         "pending",
         "queued_s",
@@ -69,6 +72,7 @@
         self.buffer: list[bytes] = []
         self.n_buffered: int = 0
         self.committed: bool = False
+        self.outcome: AttemptOutcome = AttemptOutcome.FAILED
         self.timer: Any = None
 
 
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -222,6 +222,7 @@
             self._finish_attempt(request, exchange, AttemptOutcome.FAILED)
             return
         exchange.head = make_response_head(response, headers)
+        exchange.outcome = self._outcome_of(exchange.head)
         exchange.reader = BodyReader(
             lambda data: self._on_body_data(request, attempt, data),
             lambda reason: self._on_body_end(request, attempt, reason),
@@ -235,10 +236,16 @@
         if exchange.committed:
             exchange.caller.write(data)
             return
-        exchange.buffer.append(data)
         exchange.n_buffered += len(data)
-        if exchange.n_buffered > RESPONSE_BUFFER_BYTES:
-            self._start_streaming(exchange)
+        is_full = exchange.n_buffered > RESPONSE_BUFFER_BYTES
+        if exchange.outcome is AttemptOutcome.ANSWERED:
+            exchange.buffer.append(data)
+            if is_full:
+                self._start_streaming(exchange)
+        elif is_full:
+            # The caller never sees this body, so it is not read to its end.
+            self._abort_attempt(exchange)
+            self._finish_attempt(request, exchange, AttemptOutcome.FAILED)
 
     def _start_streaming(self, exchange: Exchange) -> None:
         assert exchange.head is not None
@@ -266,8 +273,16 @@
         parse_rest = REST_PARSERS[self._dialect.rest]
         exchange.rest_s = parse_rest(status, headers, time.time())
         self._report_leaving(exchange, headers)
-        outcome = interpret(status, headers, self._dialect.shed_answers)
-        self._finish_attempt(request, exchange, outcome, status)
+        self._finish_attempt(request, exchange, exchange.outcome, status)
+
+    def _outcome_of(self, head: ResponseHead) -> AttemptOutcome:
+        """Return the outcome of an attempt whose complete response has this head."""
+        headers = by_lower_name(head.headers)
+        outcome = interpret(head.status, headers, self._dialect.shed_answers)
+        is_answer = outcome is AttemptOutcome.ANSWERED
+        if is_answer and head.status in self._dialect.not_run_statuses:
+            return AttemptOutcome.FAILED
+        return outcome
 
     def _report_leaving(self, exchange: Exchange, headers: dict[str, str]) -> None:
         if LEAVING_PARSERS[self._dialect.leaving](headers):
--- a/packages/daemon/tests/test_foreign_responses.py
+++ b/packages/daemon/tests/test_foreign_responses.py
@@ -10,13 +10,15 @@
 from wagtailpaddle_daemon.caller import DisconnectedCaller
 from wagtailpaddle_daemon.connections import ClientConnection
 from wagtailpaddle_daemon.dialect import DEFAULT_DIALECT
-from wagtailpaddle_daemon.gateway import Gateway
+from wagtailpaddle_daemon.gateway import RESPONSE_BUFFER_BYTES, Gateway
 from wagtailpaddle_daemon.upstream import OutgoingRequest, Upstream
 from wagtailpaddle_node import ConfigState, RequestHead, RequestView
 from wagtailpaddle_routing import AttemptOutcome, Deliver, Dispatch, Refuse
 
 ID = b"X-Request-Id"
-DIALECT = replace(DEFAULT_DIALECT, must_echo=True)
+DIALECT = replace(
+    DEFAULT_DIALECT, must_echo=True, not_run_statuses=frozenset({503, 429})
+)
 
 
 class OneAttemptNode:
@@ -155,3 +157,17 @@
     conn, _ = exchange()
     conn.dataReceived(response(200, b"mine", more=b"X-Request-Id: other\r\n"))
     assert [result.outcome for result in node.results] == [AttemptOutcome.FAILED]
+
+
+@pytest.mark.parametrize("more", [b"", b"X-Outcome: not-run\r\n"])
+@pytest.mark.parametrize("n_bytes", [2, 10 * RESPONSE_BUFFER_BYTES])
+def test_body_of_a_refusal_is_neither_kept_nor_passed_on(node, exchange, more, n_bytes):
+    """A large body was streamed to the caller, and with it the status."""
+    conn, caller = exchange()
+    conn.dataReceived(response(503, b"mine", body=b"x" * n_bytes, more=more))
+    (result,) = node.results
+    is_shed = bool(more) and n_bytes == 2
+    assert (result.outcome is AttemptOutcome.SHED) == is_shed
+    assert not result.committed
+    assert caller.got is ErrorKind.OUTCOME_UNKNOWN
+    assert is_idle(conn) == (n_bytes == 2)
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -225,6 +225,45 @@
     assert len(ran) == 1
 
 
+def runs_of(platform, request_id):
+    return [
+        server
+        for server in platform.servers
+        for seen in platform.seen(server)
+        if ["X-Request-Id", request_id] in seen["headers"]
+    ]
+
+
+@pytest.mark.parametrize(
+    "fault", ["platform-own-503", "platform-own-429", "platform-own-408"]
+)
+def test_answer_after_a_run_is_not_passed_on_as_not_run(restored, fault):
+    """Guards against a refusal "not run" of a request that a server ran.
+
+    A server may answer with such a status of its own after it ran the request.
+    """
+    for server in restored.servers:
+        restored.set_fault(server, fault)
+    answer = restored.request(0, "POST", "/book/a", request_id=fault)
+    assert answer.status == 502
+    assert "retry-after" not in answer.headers
+    assert "x-response-stamp" not in answer.headers
+    assert len(runs_of(restored, fault)) == 1
+
+
+@pytest.mark.parametrize("fault", ["platform-late-refusal", "platform-late-answer"])
+def test_answer_to_an_earlier_request_is_not_believed(restored, fault):
+    """Guards against a second run, and against the answer of someone else."""
+    for server in restored.servers:
+        restored.set_fault(server, fault)
+    answers = {
+        name: restored.request(0, "POST", "/book/a", request_id=name).status
+        for name in (f"{fault}-{n}" for n in range(6))
+    }
+    assert set(answers.values()) == {502}
+    assert [len(runs_of(restored, name)) for name in answers] == [1] * 6
+
+
 def test_shed_request_is_retried_at_another_server(restored):
     # The request may need two retries, and other tests used up the retry budget.
     time.sleep(RETRY_REFILL_S)
