Count only a VM's own gap as an outage of the store

Cause: a VM that stood still, or that started with an old copy, took its gap for an outage, and each Update handed that on. The retention of a removed entry began at the removal, not at the end of the outage.

Change: own gaps only, from when the servers were known, less stalls; nothing is taken from an Update; the retention ends with the grace time. The tests of RegisteredServers.apply pass the end of that time in place of a flag, with the same bounds, and have a case more.

--- a/packages/node/src/wagtailpaddle_node/registered_servers.py
+++ b/packages/node/src/wagtailpaddle_node/registered_servers.py
@@ -2,7 +2,7 @@
 
 from wagtailpaddle_config import RegisteredServer, ServersByService, servers_by_service
 from wagtailpaddle_core import ServerId
-from wagtailpaddle_replica import OUTAGE_GRACE_S, Change
+from wagtailpaddle_replica import Change
 
 
 def server_version(entry: RegisteredServer) -> tuple[int, float] | None:
@@ -17,15 +17,17 @@
     """The registered servers, including entries that may have expired wrongly.
 
     During an outage of the store servers cannot renew their entries. An entry
-    whose removal is seen within the grace period after an outage is retained for
-    ``OUTAGE_GRACE_S``, unless its server had stated that it was leaving.
+    whose removal is seen within the grace period after an outage is retained until
+    the end of that period, unless its server had stated that it was leaving.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, RegisteredServer] = {}
         self._retained_until: dict[str, float] = {}
 
-    def apply(self, now: float, changes: tuple[Change, ...], *, in_grace: bool) -> bool:
+    def apply(
+        self, now: float, changes: tuple[Change, ...], *, grace_ends_at: float
+    ) -> bool:
         """Apply changed entries; return whether the servers changed."""
         changed = False
         for change in changes:
@@ -33,8 +35,8 @@
                 self._retained_until.pop(change.key, None)
                 self._entries[change.key] = change.value
                 changed = True
-            elif in_grace and not self._is_leaving(change.key):
-                self._retained_until.setdefault(change.key, now + OUTAGE_GRACE_S)
+            elif now < grace_ends_at and not self._is_leaving(change.key):
+                self._retained_until[change.key] = grace_ends_at
             else:
                 changed |= self._remove(change.key)
         return changed
--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -182,6 +182,7 @@
 
     def on_stall(self, now: float, stalled_s: float) -> None:
         """Log a stall; nothing was granted during it, so nothing must be corrected."""
+        self.replica.on_stall(stalled_s)
         self.events.record("The process stood still.", seconds=round(stalled_s, 2))
 
     def tick(self, now: float) -> tuple[Any, ...]:
@@ -258,15 +259,14 @@
             ]
             return any(applied)
         if changed.collection is Collection.SERVERS:
-            in_grace = self.replica.in_grace(now)
             self.events.record_servers(
                 changed.changes,
-                lapsed=in_grace,
+                lapsed=self.replica.in_grace(now),
                 age_s=self.replica.age_s(now, Collection.SERVERS),
             )
             self._forget_restarted(changed.changes)
             return self.registered_servers.apply(
-                now, changed.changes, in_grace=in_grace
+                now, changed.changes, grace_ends_at=self.replica.grace_ends_at
             )
         return False
 
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -162,38 +162,50 @@
 @pytest.fixture
 def registered_servers():
     found = RegisteredServers()
-    found.apply(0.0, (Change("s1", None, ENTRY),), in_grace=False)
+    found.apply(0.0, (Change("s1", None, ENTRY),), grace_ends_at=0.0)
     return found
 
 
 def test_entry_removed_while_the_store_answers_is_removed_at_once(registered_servers):
-    assert registered_servers.apply(1.0, (Change("s1", ENTRY, None),), in_grace=False)
+    gone = (Change("s1", ENTRY, None),)
+    assert registered_servers.apply(1.0, gone, grace_ends_at=1.0)
     assert len(registered_servers) == 0
 
 
 def test_entry_expired_in_an_outage_is_retained_until_renewed_or_timed_out(
     registered_servers,
 ):
-    assert not registered_servers.apply(
-        1.0, (Change("s1", ENTRY, None),), in_grace=True
-    )
+    gone, back = (Change("s1", ENTRY, None),), (Change("s1", None, ENTRY),)
+    ends_at = 1.0 + OUTAGE_GRACE_S
+    assert not registered_servers.apply(1.0, gone, grace_ends_at=ends_at)
     assert len(registered_servers) == 1
     assert not registered_servers.expire(1.0 + OUTAGE_GRACE_S / 2)
-    registered_servers.apply(2.0, (Change("s1", None, ENTRY),), in_grace=True)
+    registered_servers.apply(2.0, back, grace_ends_at=ends_at)
     assert not registered_servers.expire(1.1 + OUTAGE_GRACE_S)
-    registered_servers.apply(3.0, (Change("s1", ENTRY, None),), in_grace=True)
+    ends_at = 3.0 + OUTAGE_GRACE_S
+    registered_servers.apply(3.0, gone, grace_ends_at=ends_at)
     assert registered_servers.expire(3.1 + OUTAGE_GRACE_S)
     assert len(registered_servers) == 0
 
 
+def test_entry_removed_late_in_the_grace_time_is_not_retained_beyond_it(
+    registered_servers,
+):
+    """Guards against a server in use for 2.2 s after each removal in that time."""
+    gone = (Change("s1", ENTRY, None),)
+    registered_servers.apply(2.0, gone, grace_ends_at=2.2)
+    assert not registered_servers.expire(2.1)
+    assert registered_servers.expire(2.2)
+
+
 def test_entry_of_a_leaving_server_is_removed_even_in_an_outage():
     found = RegisteredServers()
     leaving = RegisteredServer(
         service="booking",
         server=Server(id="s1", address="h", port=1, zone="a", leaving=True),
     )
-    found.apply(0.0, (Change("s1", None, leaving),), in_grace=False)
-    assert found.apply(1.0, (Change("s1", leaving, None),), in_grace=True)
+    found.apply(0.0, (Change("s1", None, leaving),), grace_ends_at=0.0)
+    assert found.apply(1.0, (Change("s1", leaving, None),), grace_ends_at=3.0)
 
 
 @pytest.mark.parametrize(
--- a/packages/replica/src/wagtailpaddle_replica/messages.py
+++ b/packages/replica/src/wagtailpaddle_replica/messages.py
@@ -119,7 +119,7 @@
 
     ``clock`` is copied from the ``Follow``, and ``held_s`` is how long the ``Follow``
     was held. The ages state how old the sender's copies are, or ``UNKNOWN_AGE_S``.
-    ``outage_age_s`` is the time since the end of the last outage of the store.
+    ``outage_age_s`` is always unknown: earlier versions believed it.
     """
 
     clock: float
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -111,7 +111,9 @@
         self._registered = False
         self._next_register_at = 0.0
         self._leaving = False
-        self._outage_ended_at: float | None = None
+        self._grace_ends_at = float("-inf")
+        self._servers_known_at: float | None = None
+        self._stalled_s = 0.0
 
     @property
     def own(self) -> Member:
@@ -124,11 +126,19 @@
 
     def in_grace(self, now: float) -> bool:
         """Return whether entries of live servers may have expired in an outage."""
-        ended_at = self._outage_ended_at
-        return ended_at is not None and now - ended_at < OUTAGE_GRACE_S
+        return now < self._grace_ends_at
+
+    @property
+    def grace_ends_at(self) -> float:
+        """When live servers have registered again after the last outage."""
+        return self._grace_ends_at
 
     # Events reported by the host
 
+    def on_stall(self, stalled_s: float) -> None:
+        """This process stood still: for that time it knows nothing of the store."""
+        self._stalled_s += stalled_s
+
     def on_tick(self, now: float) -> StepResult:
         """Perform the due reads, follows and writes; called several times a second."""
         actions: list[ReplicaAction] = [*self._register(now)]
@@ -167,7 +177,6 @@
         if update.clock != follow.clock:
             return StepResult()
         self.members.merge_sightings(now, update.sightings)
-        self._merge_outage(now, update.outage_age_s)
         dated_batches = self._date_batches(now, update, follow)
         advanced = frozenset(
             batch.collection
@@ -213,7 +222,6 @@
             if (batch := copy.progress_since(follow.start_of(copy.collection)))
             is not None
         )
-        ended_at = self._outage_ended_at
         return Update(
             clock=follow.clock,
             held_s=now - received_at,
@@ -221,7 +229,6 @@
             servers_age_s=self._reported_age_s(now, Collection.SERVERS),
             batches=batches,
             sightings=self.members.sightings(now, members_hash=follow.members_hash),
-            outage_age_s=UNKNOWN_AGE_S if ended_at is None else now - ended_at,
         )
 
     def leave(self, now: float) -> StepResult:
@@ -361,27 +368,27 @@
     def _apply_batch(
         self, now: float, batch: Batch, as_of: float
     ) -> tuple[Change, ...]:
-        """Apply a batch; a long gap between batches of servers is an outage."""
+        """Apply a batch; a long gap between batches of servers is an outage.
+
+        Only what this VM saw itself counts: not the time before its first batch, nor
+        a time in which it stood still, nor a gap of another VM.
+        """
         copy = self.copies[batch.collection]
         previous_as_of = copy.as_of
         changes = copy.apply(batch, as_of)
-        is_outage = (
-            previous_as_of != float("-inf")
-            and copy.as_of - previous_as_of >= MIN_EXPIRING_OUTAGE_S
-        )
-        if batch.collection is Collection.SERVERS and is_outage:
-            self._outage_ended_at = now
+        if batch.collection is Collection.SERVERS and copy.as_of > previous_as_of:
+            self._check_for_outage(now, previous_as_of, copy.as_of)
         return changes
 
-    def _merge_outage(self, now: float, age_s: float) -> None:
-        """Merge the end of an outage that another VM reported."""
-        if age_s >= 0.0:
-            ended_at = now - age_s
-            self._outage_ended_at = (
-                ended_at
-                if self._outage_ended_at is None
-                else max(ended_at, self._outage_ended_at)
-            )
+    def _check_for_outage(
+        self, now: float, previous_as_of: float, as_of: float
+    ) -> None:
+        if self._servers_known_at is None:
+            self._servers_known_at = now
+        gap_s = as_of - max(previous_as_of, self._servers_known_at)
+        if gap_s - self._stalled_s >= MIN_EXPIRING_OUTAGE_S:
+            self._grace_ends_at = now + OUTAGE_GRACE_S
+        self._stalled_s = 0.0
 
     def _update_members(self, now: float, changes: tuple[Change, ...]) -> None:
         for change in changes:
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -322,6 +322,42 @@
     assert not replica.in_grace(4.0 + OUTAGE_GRACE_S)
 
 
+def test_vm_that_stood_still_sees_no_outage(make_replica):
+    """Guards against removed servers in use after a freeze: the store answered."""
+    replica = make_replica("a0")
+    read_all(replica, 0.0)
+    replica.on_stall(4.0)
+    replica.on_read(4.2, 4.1, Batch(Collection.SERVERS, 2, ()))
+    assert not replica.in_grace(4.2)
+    replica.on_stall(1.1)
+    replica.on_read(9.0, 8.9, Batch(Collection.SERVERS, 3, ()))
+    assert replica.in_grace(9.0)
+
+
+def test_outage_is_not_believed_on_another_vms_word(make_replica):
+    """A VM without a gap of its own would keep removed servers in use."""
+    cut, follower = make_replica("a0"), make_replica("b0")
+    read_all(cut, 0.0)
+    read_all(follower, 9.8)
+    cut.on_read(10.0, 10.0, Batch(Collection.SERVERS, 2, ()))
+    assert cut.in_grace(10.0)
+    (follow,) = actions_of(follower.on_tick(10.1), FollowVm)
+    update = cut.make_update(10.2, follow.body, received_at=10.1)
+    assert update.outage_age_s < 0.0
+    told = replace(update, outage_age_s=0.2)
+    follower.on_update(10.2, follow.address, told, follow.body)
+    assert not follower.in_grace(10.2)
+
+
+def test_vm_that_starts_with_an_old_copy_sees_no_outage(make_replica):
+    """It gets the copy of a VM that is cut off, and reads the store itself next."""
+    replica = make_replica("a0")
+    old = Batch(Collection.SERVERS, 1, (), whole=True)
+    replica._apply_batch(10.0, old, 5.0)
+    replica.on_read(10.3, 10.2, Batch(Collection.SERVERS, 2, ()))
+    assert not replica.in_grace(10.3)
+
+
 def test_outage_too_short_for_entries_to_expire_begins_no_grace_time(make_replica):
     """A server that left during a short outage is removed without a grace time.
 
