Show that bytes without end from a server are not kept

Change: tests on bytes for these, and for a body that a slow caller does not read. No source changed.

--- a/packages/daemon/tests/test_connections.py
+++ b/packages/daemon/tests/test_connections.py
@@ -6,6 +6,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 from wagtailpaddle_daemon.connections import (
+    MAX_RESPONSE_HEAD_BYTES,
     ClientConnection,
     ConnectionPool,
     EncodedRequest,
@@ -246,3 +247,46 @@
         b"Content-Length: 2",
     ]
     assert body == b"xy"
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Line: x\r\n"),
+        (b"HTTP/1.1 200 OK\r\nX-Line: x\r\n", b" folded\r\n"),
+        (CHUNKED + b"2;x=", b"y" * 64),
+        (CHUNKED + b"0\r\n", b"X-Trailer: x\r\n"),
+    ],
+    ids=["interim", "hints", "headers", "folded", "chunk-extension", "trailers"],
+)
+def test_pieces_without_end_are_not_kept(pool, conn, start, piece):
+    """Guards against a server that fills the memory with what is no body."""
+    sent = conn.request(get())
+    _, ends = deliver_response(sent, conn, start)
+    n_bytes = 0
+    while n_bytes < 4 * MAX_RESPONSE_HEAD_BYTES and not conn.transport.disconnecting:
+        conn.dataReceived(piece)
+        n_bytes += len(piece)
+        if conn.transport.disconnected:
+            break
+    assert conn.transport.disconnected or conn.transport.disconnecting
+    conn.connectionLost(Failure(ConnectionAborted()))
+    assert [end is not None for end in ends] == [True]
+
+
+def test_body_without_end_waits_for_the_one_who_reads_it(conn):
+    """Guards against a daemon that keeps what a slow caller has not read yet."""
+    received = []
+    sent = conn.request(get())
+    reader = BodyReader(received.append, lambda reason: None)
+    sent.addCallback(lambda response: response.deliverBody(reader))
+    conn.dataReceived(CHUNKED + b"4\r\nbody\r\n")
+    reader.transport.pauseProducing()
+    assert conn.transport.producerState == "paused"
+    reader.transport.resumeProducing()
+    assert conn.transport.producerState == "producing"
