Let a VM that starts ask the owners of a running fleet at once

Cause: a VM that starts knows no owner of the buckets for 2 s and admits a sixth of each rate and two tokens on its own, also where a fleet with an owner is there.

Change: once a VM that began 2 s or more earlier is heard of, the owners are asked at once. A VM that starts is no owner itself before its 2 s are over.

Result: three cases of the new test failed on the former code, which knew no owner.

--- a/packages/fleet/src/wagtailpaddle_fleet/__init__.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/__init__.py
@@ -11,6 +11,7 @@
         Incarnations,
         new_incarnation,
         split_vm_id,
+        started_at,
         vm_id,
     )
     from wagtailpaddle_fleet.membership import Membership
@@ -52,6 +53,7 @@
     "Roster",
     "Seat",
     "new_incarnation",
+    "started_at",
     "split_vm_id",
     "vm_id",
     "AcceptanceState",
--- a/packages/fleet/src/wagtailpaddle_fleet/incarnations.py
+++ b/packages/fleet/src/wagtailpaddle_fleet/incarnations.py
@@ -1,6 +1,7 @@
 """Detection of VMs that are gone, by the platform's list and incarnations."""
 
 from collections.abc import Iterable
+from math import inf
 from random import Random
 
 from wagtailpaddle_core import VmId
@@ -23,6 +24,19 @@
     return f"{millis:0{_INCARNATION_MS_DIGITS}x}-{rng.getrandbits(_RANDOM_BITS):08x}"
 
 
+def started_at(incarnation: str) -> float:
+    """Return when an incarnation began, by its own clock, in seconds since 1970.
+
+    >>> started_at(new_incarnation(2.5, Random(1)))
+    2.5
+    """
+    millis = incarnation.partition("-")[0]
+    try:
+        return int(millis, 16) / 1000
+    except ValueError:
+        return inf
+
+
 def vm_id(peer_address: str, incarnation: str) -> VmId:
     """Return the id of one incarnation of the VM at an address."""
     return VmId(f"{peer_address}/{incarnation}")
--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -1,6 +1,6 @@
 """Control plane of a node that keeps a copy of the platform's store."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -11,6 +11,7 @@
     with_servers,
 )
 from wagtailpaddle_core import AccountId, Offset, ServerId, VmId, rank
+from wagtailpaddle_fleet import started_at
 from wagtailpaddle_health import HealthDigest, select_monitors
 from wagtailpaddle_once import OnceAction
 from wagtailpaddle_quota import (
@@ -54,6 +55,8 @@
 TOPOLOGY_INTERVAL_S = 0.25
 N_BUCKET_OWNERS = 3
 FLEET_DISCOVERY_S = 2.0
+"""The VMs of a fleet that starts have discovered each other after this time."""
+
 MIN_BUDGET_DIVISOR = 6
 """Smallest number of VMs among which a budget of the fleet is divided. A VM
 that does not know the others yet must not spend the whole budget alone."""
@@ -108,7 +111,8 @@
         self._topology_updated_at = float("-inf")
         self._active: frozenset[VmId] = frozenset()
         self._notice_routes = NoticeRoutes(own)
-        self._fleet_known_at: float | None = None
+        self._vms_known_at: float | None = None
+        self._has_older_peer = False
         self.events = EventLog()
 
     # Events of the store
@@ -142,6 +146,7 @@
 
     def on_follow(self, now: float, body: Follow) -> tuple[Any, ...]:
         """Another VM asked for updates of the copied collections."""
+        self._record_peer(body.member)
         return self._apply_step(now, self.replica.on_follow(now, body))
 
     def on_peer_reply(self, now: float, number: int, reply: Any) -> tuple[Any, ...]:
@@ -152,6 +157,7 @@
         match call.body, reply:
             case Follow() as body, Update():
                 step = self.replica.on_update(now, call.address, reply, body)
+                self._record_peer(self.replica.members.at(call.address))
                 return self._apply_step(now, step)
             case TokenRequestBatch() as body, TokenGrantBatch():
                 self.quota.on_reply(now, call.vm, body, reply)
@@ -322,16 +328,7 @@
         alive = self.replica.members.alive(now)
         found = active_vms(alive, n_slots=self.membership.n_slots)
         active_ids = {member.id for member in found}
-        standby_ids = [
-            member.id
-            for member in alive
-            if not member.is_leaving and member.id not in active_ids
-        ]
-        owners = rank("rates", standby_ids or sorted(active_ids))[:N_BUCKET_OWNERS]
-        if not self._is_fleet_known(now):
-            # Otherwise every VM of a fleet that just started would own all buckets.
-            owners = []
-        self.quota.set_owners(now, owners)
+        self.quota.set_owners(now, self._bucket_owners(now, alive, active_ids))
         active = frozenset(active_ids)
         self.replica.members.record_active(now, active)
         if active == self._active:
@@ -345,6 +342,22 @@
         self.health_probes.set_vms(now, active)
         return self.backends.set_vms(now, active)
 
+    def _bucket_owners(
+        self, now: float, alive: Sequence[Member], active: Set[VmId]
+    ) -> list[VmId]:
+        """Return the owners of the buckets, the preferred one first.
+
+        A VM that starts is none yet, or every VM of a fleet that starts would own all
+        buckets. It asks the owners of a fleet that was there before it.
+        """
+        candidates = {member.id for member in alive if not member.is_leaving}
+        if not self._is_fleet_known(now):
+            candidates.discard(self.replica.own.id)
+            if not self._has_older_peer:
+                return []
+        standby = candidates - active
+        return rank("rates", standby or candidates)[:N_BUCKET_OWNERS]
+
     def _budget_divisor(self, n_alive: int) -> int:
         """Return by how much the budgets of the fleet are divided for this VM.
 
@@ -369,14 +382,20 @@
 
     def _is_fleet_known(self, now: float) -> bool:
         """Return whether the VMs of the fleet have had time to discover each other."""
-        if (
-            self._fleet_known_at is None
-            and self.replica.copies[Collection.VMS].is_known
-        ):
-            self._fleet_known_at = now
-        known_at = self._fleet_known_at
+        if self._vms_known_at is None and self.replica.copies[Collection.VMS].is_known:
+            self._vms_known_at = now
+        known_at = self._vms_known_at
         return known_at is not None and now - known_at >= FLEET_DISCOVERY_S
 
+    def _record_peer(self, peer: Member | None) -> None:
+        """Record whether a VM that lives knew the fleet before this one began.
+
+        The buckets have an owner then, which this VM may ask at once.
+        """
+        if peer is not None and not self._has_older_peer:
+            latest_start = started_at(self.replica.own.incarnation) - FLEET_DISCOVERY_S
+            self._has_older_peer = started_at(peer.incarnation) < latest_start
+
     def _send_health_digests(self, now: float) -> tuple[Any, ...]:
         digests = self.backends.health.digests(now)
         own = self.replica.own.id
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -1,6 +1,7 @@
 """The control plane of a node that keeps a copy of the platform's store."""
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 from wagtailpaddle_config import (
@@ -14,6 +15,7 @@
     SplitPart,
 )
 from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_fleet import new_incarnation
 from wagtailpaddle_node import CallPeer, ReplicaNode, ReplicaSettings, RequestHead
 from wagtailpaddle_node.registered_servers import RegisteredServers
 from wagtailpaddle_node.replica_control import FLEET_DISCOVERY_S
@@ -26,6 +28,7 @@
     Follow,
     Member,
     Record,
+    Update,
 )
 from wagtailpaddle_routing import (
     AttemptOutcome,
@@ -335,6 +338,38 @@
     assert all(leaving.own.id not in node.control.quota.owners for node in fleet)
 
 
+@pytest.mark.parametrize("index", range(3))
+@pytest.mark.parametrize(("peer_s", "knows_owner"), [(10.0, True), (99.0, False)])
+def test_vm_that_starts_asks_the_owner_that_a_running_fleet_has(
+    peer_s, knows_owner, index
+):
+    """Guards against a part of each rate on top, granted by each VM that starts.
+
+    Where all VMs start together, none of them knows the owner yet.
+    """
+    rng = Random(1)
+    vms = [
+        Member(f"v{n}/1", "a", f"v{n}:80", f"v{n}", new_incarnation(peer_s, rng))
+        for n in range(3)
+    ]
+    own = replace(vms[index], incarnation=new_incarnation(100.0, rng))
+    decoders = {**DECODERS, Collection.VMS: lambda key, data: vms[int(key[1:])]}
+    node = ReplicaNode(own, decoders, cfg=ReplicaSettings(), routing=Policy())
+    records = tuple(Record(f"v{n}", n, b"x") for n in range(3))
+    node.on_read(0.0, 0.0, Batch(Collection.VMS, 3, records, True))
+    others = [vm for vm in vms if vm.id != own.id]
+    calls = [item for item in node.on_tick(0.1) if isinstance(item, CallPeer)]
+    for call in calls:
+        node.on_peer_reply(0.2, call.call, Update(call.body.clock, 0.0, 0.1, 0.1))
+    if not calls:
+        # The reader of the store follows no one; the others follow it.
+        node.on_follow(0.2, Follow(others[0], 0.2, 0, 0, 0, 0.2))
+    node.on_tick(0.4)
+    owners = set(node.control.quota.owners)
+    assert bool(owners) == knows_owner
+    assert owners <= {vm.id for vm in others}
+
+
 def test_vm_that_stops_refuses_what_still_waits(node):
     """Guards against queued requests and ones without a token that are just cut."""
     waiting = set()
--- a/packages/replica/src/wagtailpaddle_replica/members.py
+++ b/packages/replica/src/wagtailpaddle_replica/members.py
@@ -120,6 +120,10 @@
         )
         return Sightings((), ages_cs, members_hash)
 
+    def at(self, address: str) -> Member | None:
+        """Return the VM that is known at an address for peers, or None."""
+        return self._members.get(address)
+
     def all(self) -> tuple[Member, ...]:
         """Return every known VM, sorted by address."""
         if self._sorted is None:
