Ask for no return with a refusal of what may have run

Seen in reading the change: a queued request that had failed at one server and is refused because the VM stops got Retry-After with its 502.

Cause: the wait was passed on whatever kind the refusal had.

Change: as in the other refusals, only one that has not run names a time. The test holds the request in the queue now; before, it could start again at once.

--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -456,7 +456,8 @@
             kind = truthful_kind(pending, ErrorKind.DRAINING)
             detail = "the VM shuts down before the request's turn"
             wait_s = MIN_WAIT_S * (1.0 + self._random.random())
-            actions.append(self._requests.refuse(pending, kind, detail, wait_s))
+            retry_after_s = None if pending.may_have_run else wait_s
+            actions.append(self._requests.refuse(pending, kind, detail, retry_after_s))
         return actions
 
     def _refuse_unservable(self) -> list[Action]:
--- a/packages/routing/tests/test_drain.py
+++ b/packages/routing/tests/test_drain.py
@@ -66,14 +66,17 @@
 def test_request_that_may_have_run_is_not_called_not_run(
     make_dispatcher, view, job, ended
 ):
-    dispatcher = make_dispatcher((view("s0", slots=1), view("s1", slots=1)))
+    """It waits for a second server, with both of them busy."""
+    views = (view("s0", slots=1), view("s1", slots=1))
+    dispatcher = make_dispatcher(views, limiter="fixed")
     for index in range(8):
         dispatcher.arrive(0.0, job(f"r{index}"))
     dispatcher.finish(0.1, RequestId("r0"), ended("failed", 0.1))
     refused = dispatcher.drain_until(0.1, 0.2)
-    kinds = {item.request: item.kind for item in refused}
-    assert ErrorKind.DRAINING in kinds.values()
-    assert kinds.get("r0", ErrorKind.SERVER_FAILED) is ErrorKind.SERVER_FAILED
+    by_request = {item.request: item for item in refused}
+    assert by_request["r0"].kind is ErrorKind.SERVER_FAILED
+    assert by_request["r0"].retry_after_s is None
+    assert by_request["r7"].kind is ErrorKind.DRAINING
 
 
 def test_queue_is_kept_without_an_end(queue):
