Show that a machine that stood still splits the fleet and its quotas

Cause: the machine wakes with old sightings, takes the other zones for dead and is followed by its zone; nothing joins the two parts for some 18 s, and each has a bucket owner.

--- a/review/kit_2/fleet.py
+++ b/review/kit_2/fleet.py
@@ -138,22 +138,37 @@
         self.mode: Callable[[Request], str] = lambda request: ""
         """Returns how a call fails: "busy", "silent", or "" for not at all."""
 
+        self.reader = ""
+        """The daemon that read the list of the servers last."""
+
+    def port_of(self, caller: str) -> Callable[..., Awaitable[None]]:
+        """Return what serves the connections of one daemon, for a port of its own."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self.serve(reader, writer, caller)
+
+        return serve
+
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record as its writer would."""
         self.topics.setdefault(topic, Topic()).append(key, value)
 
     async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, caller: str
     ) -> None:
-        """Answer the calls of one connection."""
+        """Answer the calls of one connection of a daemon."""
         with contextlib.suppress(asyncio.CancelledError, ConnectionError):
-            await self._serve(reader, writer)
+            await self._serve(reader, writer, caller)
         writer.close()
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, caller: str
     ) -> None:
         while (request := await read_request(reader)) is not None:
+            if request.query.get("topic") == "keyed.servers":
+                self.reader = caller
             mode = self.mode(request)
             if mode == "silent":
                 await asyncio.sleep(3600)
@@ -278,6 +293,7 @@
     name: str
     zone: str
     ip: str
+    store_address: str = ""
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -350,7 +366,6 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
         self._role = deploy["roles"]["proxy"]
         self._ports: dict[str, int] = {}
-        self._store_address = ""
 
     async def __aenter__(self) -> "Fleet":
         try:
@@ -451,10 +466,6 @@
         return self._folder / f"{daemon.name}.log"
 
     async def _start(self) -> None:
-        store_ip, self._store_address = "127.0.0.1", ""
-        listener = await asyncio.start_server(self.store.serve, store_ip, 0)
-        self._listeners.append(listener)
-        self._store_address = _address_of(listener)
         for server in self.servers:
             listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
             self._listeners.append(listener)
@@ -463,6 +474,10 @@
         self._tasks.append(asyncio.create_task(self._beat()))
         self._place_daemons()
         for daemon in self.daemons:
+            serve = self.store.port_of(daemon.name)
+            listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+            self._listeners.append(listener)
+            daemon.store_address = _address_of(listener)
             self.start_daemon(daemon)
         await self.wait_ready()
         self.record.write(f"{len(self.daemons)} daemons are ready")
@@ -472,8 +487,9 @@
         names = ("directory", "front", "ready", "control")
         fixed = int(self._role["env"]["WAGTAILPADDLE_MONITORING_PORT"])
         for _ in range(50):
-            net, first = random.randint(20, 250), random.randint(20000, 30000)
-            ips = [f"127.77.{net}.{n + 1}" for n in range(self._n_daemons)]
+            net, first = random.randint(0, 16383), random.randint(20000, 30000)
+            prefix = f"127.{64 + net // 256}.{net % 256}"
+            ips = [f"{prefix}.{n + 1}" for n in range(self._n_daemons)]
             ports = [first + n for n in range(len(names))]
             if all(_is_free(ip, port) for ip in ips for port in (*ports, fixed)):
                 self._ports = dict(zip(names, ports, strict=True))
@@ -553,7 +569,7 @@
             "bounds.ttl_max_s": "5",
             "bounds.probesPerS": "3",
             "bounds.floorShare": "0.7",
-            "platform.address": self._store_address,
+            "platform.address": daemon.store_address,
             "platform.form": "log",
             "platform.writesPerS": "400",
             "platform.readsPerS": "2000",
