--- a/review/kit_2/fleet.py
+++ b/review/kit_2/fleet.py
@@ -67,6 +67,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    has_left: Callable[[], bool] = lambda: False
+    """Returns whether the caller has closed the connection since."""
 
     @property
     def path(self) -> str:
@@ -102,7 +104,7 @@
         body = await reader.readexactly(int(headers.get("content-length", "0")))
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
-    return Request(method, target, headers, body)
+    return Request(method, target, headers, body, reader.at_eof)
 
 
 def encode_response(status: int, headers: dict[str, str], body: bytes) -> bytes:
