--- a/review/9/case.py
+++ b/review/9/case.py
@@ -25,34 +25,35 @@
 )
 
 GRACE_S = 6.0
-WORK_S = 3.3
-SLOTS = 1
+N_DAEMONS = 4
+WORK_S = 2.25
+SLOTS = 4
 KEY = "2b9wu3fexd9dnn2ctnfz"
 RESOURCES = [
-    route("book", "/book/", kind="non_idempotent", timeoutS=12),
+    route("book", "/book/", kind="non_idempotent", timeoutS=10),
     service(),
     tenant("portal", KEY),
 ]
 
 
 class Slots:
-    """A server's slot: requests take it in the order in which they came."""
+    """The servers' slots: requests take them in the order in which they came."""
 
     def __init__(self, record: Record):
         self.record = record
-        self.locks: dict[str, asyncio.Lock] = {}
+        self.slots: dict[str, asyncio.Semaphore] = {}
         self.n_waiting: dict[str, int] = {}
         self.begun: dict[str, float] = {}
 
     async def answer(
         self, server: Server, request: Request, writer: asyncio.StreamWriter
     ) -> None:
-        """Wait for the slot, work and answer; drop the request of a lost caller."""
+        """Wait for a slot, work and answer; drop the request of a lost caller."""
         name = request.headers["x-request-id"]
         self.record.write(f"{name} reaches {server.name}")
-        lock = self.locks.setdefault(server.name, asyncio.Lock())
+        slots = self.slots.setdefault(server.name, asyncio.Semaphore(SLOTS))
         self.n_waiting[server.name] = self.n_waiting.get(server.name, 0) + 1
-        async with lock:
+        async with slots:
             self.n_waiting[server.name] -= 1
             if request.has_left():
                 self.record.write(f"{name} is dropped by {server.name}, never begun")
@@ -68,7 +69,7 @@
 async def book(fleet: Fleet, daemon: Daemon, name: str) -> int:
     """Send a booking; return the status, 0 if the connection ends without an answer."""
     reader, writer = await asyncio.open_connection(*fleet.address(daemon, "front"))
-    named = {"X_Request_Id": name, "X_Deadline_Ms": "12000", "Api_Key": KEY}
+    named = {"X_Request_Id": name, "X_Deadline_Ms": "10000", "Api_Key": KEY}
     writer.write(encode_request("POST", "/book/a", b"date=1", **named))
     fleet.record.write(f"{name} is sent to {daemon.name}")
     try:
@@ -86,15 +87,15 @@
     slots = Slots(record)
     names = ("i-0", "i-1")
     servers = [Server(name, "zone-a", slots.answer, slots=SLOTS) for name in names]
-    async with Fleet(record, servers, RESOURCES) as fleet:
+    async with Fleet(record, servers, RESOURCES, n_daemons=N_DAEMONS) as fleet:
         await asyncio.sleep(5.0)
         tasks: dict[str, asyncio.Task[int]] = {}
         stopped, *others = fleet.daemons
         for daemon in (*others, stopped):
-            for n in range(len(servers)):
+            for n in range(len(servers) * SLOTS):
                 name = f"booking-{n}-by-{daemon.name}"
                 tasks[name] = asyncio.create_task(book(fleet, daemon, name))
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(0.01)
         if has_trouble:
             record.write(f"SIGTERM to {stopped.name}")
             os.kill(stopped.pid, signal.SIGTERM)
