Forward words that only look like keys as callers sent them

Cause: KeyFilter took every word in the format of issued keys for a key, and query_without_key took its field out of the query. Two assumptions were wrong: that the format makes a key, which only the configuration knows, and that a request may be changed to keep a secret. The same assumptions on other paths: path and body with such a word were refused, headers with it left out, the request id replaced (so were ids of over 128 characters or with a byte beyond ASCII), and a key of a few letters was found in ordinary text.

Change: method, target, body and request id reach the server as sent. The front end names the hashes of words that may be keys in RequestHead.contained_keys, and the node refuses (400) if the configuration holds one. Keys of under 8 bytes are not searched for. The assertion before a connection compares with the request's own key. The decision log holds at most 128 bytes of an id, and the internal id in place of one that may contain a key.

--- a/packages/daemon/src/wagtailpaddle_daemon/decisions.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/decisions.py
@@ -9,6 +9,7 @@
 
 from wagtailpaddle_daemon.logs import get_logger
 
+MAX_LOGGED_ID_BYTES = 128
 UNSAMPLED_LINES_PER_S = 100
 """Rate of log lines per second above which successful requests are sampled."""
 
@@ -120,4 +121,4 @@
 
 
 def _text(external_id: bytes) -> str:
-    return external_id.decode("latin-1")
+    return external_id[:MAX_LOGGED_ID_BYTES].decode("latin-1")
--- a/packages/daemon/src/wagtailpaddle_daemon/frontend.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/frontend.py
@@ -21,16 +21,15 @@
 from wagtailpaddle_daemon.headers import (
     Header,
     end_to_end,
-    query_without_key,
     without_key,
 )
 from wagtailpaddle_daemon.problems import CONTENT_TYPE, problem_body
 from wagtailpaddle_daemon.request_parsing import (
     Target,
-    check_contains_no_key,
     check_framing,
     check_path,
     choose_request_id,
+    hash_contained_keys,
     parse_idempotency_key,
     parse_target,
     parse_timeout,
@@ -135,7 +134,7 @@
         received_id = self.getHeader(dialect.request_id)
         key = dialect.read_key(self.getHeader(dialect.key))
         keys = KeyFilter(key)
-        self._external_id = choose_request_id(received_id, keys)
+        self._external_id = choose_request_id(received_id)
         self.id = RequestId(uuid4().hex)
         if self._error is not None:
             self._close_after_response()
@@ -162,10 +161,13 @@
         path = target.path.decode("latin-1")
         if dialect.decodes_paths:
             path = unquote(path, errors="replace")
-        check_contains_no_key(keys, self.method, target.path, body)
         check_path(path)
         idempotency_key = self._idempotency_key()
-        uri = query_without_key(target.uri, keys)
+        uri = target.uri
+        headers = tuple(self._outgoing_headers(target.host, keys))
+        header_values = b"\n".join(value for _, value in headers)
+        parts = (self.method, uri, header_values, body)
+        contained_keys = hash_contained_keys(keys, parts)
         fingerprint = ""
         if idempotency_key is not None:
             fingerprint = sha256(b"\n".join((self.method, uri, body))).hexdigest()
@@ -179,9 +181,13 @@
             idempotency_key=idempotency_key,
             fingerprint=fingerprint,
             n_bytes=len(body),
+            contained_keys=contained_keys,
         )
-        headers = tuple(self._outgoing_headers(target.host, keys))
-        return head, OutgoingRequest(self.method, uri, headers, body)
+        hidden_key = None if contained_keys else keys.key
+        outgoing = OutgoingRequest(
+            self.method, uri, headers, body, hidden_key=hidden_key
+        )
+        return head, outgoing
 
     def _idempotency_key(self) -> str | None:
         name = self.frontend.dialect.idempotency_key
@@ -196,7 +202,7 @@
         ):
             if name.lower() not in replaced:
                 yield name, value
-        if host and not keys.matches(host):
+        if host:
             yield b"Host", host
         yield dialect.request_id, self._external_id
 
@@ -297,8 +303,7 @@
         self.method, self.clientproto = b"POST", b"HTTP/1.1"
         dialect = self.frontend.dialect
         received_id = self.getHeader(dialect.request_id)
-        keys = KeyFilter(dialect.read_key(self.getHeader(dialect.key)))
-        self._external_id = choose_request_id(received_id, keys)
+        self._external_id = choose_request_id(received_id)
         self._close_after_response()
         self._refuse_error(self._error)
 
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -98,8 +98,9 @@
     ) -> None:
         """Handle a request that a caller has sent completely."""
         now = self._reactor.seconds()
+        external_id = self._external_id(head, outgoing)
         self._exchanges[head.id] = Exchange(
-            caller, outgoing, external_id=self._external_id(outgoing), arrived_at=now
+            caller, outgoing, external_id=external_id, arrived_at=now
         )
         self.carry_out(self._node.on_request(now, head))
 
@@ -164,12 +165,8 @@
         remaining_s = max(0.0, action.deadline_at - now)
         account = self._node.request_view(action.request).account
         added = self._dialect.attempt_headers(remaining_s, action.server, account)
-        outgoing = OutgoingRequest(
-            exchange.outgoing.method,
-            exchange.outgoing.uri,
-            (*exchange.outgoing.headers, *added),
-            exchange.outgoing.body,
-        )
+        headers = (*exchange.outgoing.headers, *added)
+        outgoing = replace(exchange.outgoing, headers=headers)
         view = self._node.request_view(action.request)
         self._decisions.dispatched(
             now,
@@ -419,8 +416,13 @@
         elif exchange.pending is not None:
             exchange.pending.cancel()
 
-    def _external_id(self, outgoing: OutgoingRequest) -> bytes:
-        """Return the request id in the headers, which the caller sees too."""
+    def _external_id(self, head: RequestHead, outgoing: OutgoingRequest) -> bytes:
+        """Return the id for the decision log, which the caller sees too.
+
+        The request's internal id stands for one that may contain a key.
+        """
+        if head.contained_keys:
+            return str(head.id).encode()
         values = (v for name, v in outgoing.headers if name == self._dialect.request_id)
         return next(values, b"")
 
--- a/packages/daemon/src/wagtailpaddle_daemon/headers.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/headers.py
@@ -48,7 +48,7 @@
 def without_key(
     headers: Iterable[Header], keys: KeyFilter, *, key_header: bytes = AUTHORIZATION
 ) -> Iterator[Header]:
-    """Yield the headers without a key; a cookie loses only the parts with it."""
+    """Yield the headers without the key; a cookie loses only the parts with it."""
     for name, value in headers:
         if name.lower() == key_header.lower() or keys.matches(name):
             continue
@@ -58,12 +58,3 @@
             kept = keys.remove_matches(value, b";").strip()
             if kept:
                 yield name, kept
-
-
-def query_without_key(uri: bytes, keys: KeyFilter) -> bytes:
-    """Return ``uri`` without the query fields that contain a key."""
-    path, separator, query = uri.partition(b"?")
-    if not separator or not keys.matches(query):
-        return uri
-    kept = keys.remove_matches(query, b"&")
-    return path + b"?" + kept if kept else path
--- a/packages/daemon/src/wagtailpaddle_daemon/request_parsing.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/request_parsing.py
@@ -1,15 +1,16 @@
 """Parsing and validation of callers' requests."""
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from uuid import uuid4
 
 from twisted.web.http_headers import Headers
+from wagtailpaddle_config import hash_secret
 from wagtailpaddle_core import ErrorKind, WagtailError
 
 from wagtailpaddle_daemon.secrets import KeyFilter
 
-MAX_REQUEST_ID_CHARS = 128
 MAX_IDEMPOTENCY_KEY_CHARS = 255
 MAX_TIMEOUT_MS = 86_400_000
 VALID_TARGET = re.compile(rb"[!\"$-~]+")
@@ -70,28 +71,19 @@
         raise WagtailError(ErrorKind.BAD_REQUEST, detail)
 
 
-def choose_request_id(value: bytes | None, keys: KeyFilter) -> bytes:
-    """Return the caller's request id if it is valid and no key, else a new one."""
-    is_valid = (
-        value is not None
-        and 0 < len(value) <= MAX_REQUEST_ID_CHARS
-        and value.isascii()
-        and not keys.matches(value)
-    )
-    return value if is_valid and value is not None else uuid4().hex.encode()
+def choose_request_id(value: bytes | None) -> bytes:
+    """Return the caller's request id as it was sent, or a new one if there is none."""
+    return value or uuid4().hex.encode()
 
 
-def check_contains_no_key(
-    keys: KeyFilter, method: bytes, path: bytes, body: bytes
-) -> None:
-    """Raise ``WagtailError`` if the method, path or body contains the key.
+def hash_contained_keys(keys: KeyFilter, parts: Iterable[bytes]) -> frozenset[str]:
+    """Return the hashes of words in ``parts`` of a request that may be keys.
 
-    In headers and queries the key is removed; these parts cannot be changed.
+    ``parts`` are sent to a server as they are, so a request with a key in them has to
+    be refused.
     """
-    for name, value in (("method", method), ("path", path), ("body", body)):
-        if keys.matches(value):
-            detail = f"the {name} contains a key; send it in Authorization only"
-            raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+    found = frozenset[bytes]().union(*map(keys.find_candidates, parts))
+    return frozenset(hash_secret(word.decode("latin-1")) for word in found)
 
 
 def check_path(path: str) -> None:
--- a/packages/daemon/src/wagtailpaddle_daemon/secrets.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/secrets.py
@@ -1,48 +1,79 @@
-"""Detection of callers' keys in bytes that are to be sent to a backend server."""
+"""Search for callers' keys in bytes that are to be sent to a backend server."""
 
 import re
 from base64 import b64encode
+from collections.abc import Iterator
+from itertools import islice
 from urllib.parse import unquote_to_bytes
 
+KEY_PREFIX = b"wp_"
 KEY_PATTERN = re.compile(rb"wp_[A-Za-z0-9_-]{43}")
 MAX_UNQUOTE_ROUNDS = 3
+MAX_KEY_CANDIDATES = 64
+"""Words in the format of a key that are looked up for one part of a request."""
 
+MIN_SEARCHED_KEY_BYTES = 8
+"""A shorter key cannot be told from ordinary text around it."""
 
-def contains_issued_key(data: bytes) -> bool:
-    """Return whether ``data`` contains bytes in the format of an issued key."""
-    return b"wp_" in data and KEY_PATTERN.search(data) is not None
+
+def iter_decoded(data: bytes) -> Iterator[bytes]:
+    """Yield ``data`` and what it is with percent-encoding taken off, repeatedly.
+
+    >>> list(iter_decoded(b"a%2520b"))
+    [b'a%2520b', b'a%20b', b'a b']
+    """
+    yield data
+    for _ in range(MAX_UNQUOTE_ROUNDS):
+        if b"%" not in data:
+            return
+        data = unquote_to_bytes(data)
+        yield data
 
 
 class KeyFilter:
-    """Finds the key of one request, plain or encoded.
+    """Finds keys in the other parts of a request, plain or encoded.
 
-    Searches for the key itself, its percent-encoded, base64 and hexadecimal
-    forms, and anything that has the format of an issued key.
+    Searches for the key that came with the request and for its percent-encoded,
+    base64 and hexadecimal forms. ``key`` is None if there is none to search for.
 
-    >>> KeyFilter(b"secret").matches(b"a=sec%72et")
+    >>> KeyFilter(b"a-secret").matches(b"a=a-sec%72et")
     True
     """
 
-    __slots__ = ("_lowercase_forms", "_forms")
+    __slots__ = ("_forms", "_lowercase_forms", "key")
 
     def __init__(self, key: bytes | None):
         self._forms: tuple[bytes, ...] = ()
         self._lowercase_forms: tuple[bytes, ...] = ()
-        if key is not None:
-            self._forms = (key, *base64_cores(key))
-            self._lowercase_forms = (key.hex().encode(),)
+        is_searched = key is not None and len(key) >= MIN_SEARCHED_KEY_BYTES
+        self.key = key if is_searched else None
+        if self.key is not None:
+            self._forms = (self.key, *base64_cores(self.key))
+            self._lowercase_forms = (self.key.hex().encode(),)
 
     def matches(self, data: bytes) -> bool:
-        """Return whether ``data`` contains a key."""
-        if self._contains_form(data):
-            return True
-        for _ in range(MAX_UNQUOTE_ROUNDS):
-            if b"%" not in data:
-                return False
-            data = unquote_to_bytes(data)
-            if self._contains_form(data):
-                return True
-        return False
+        """Return whether ``data`` contains the key of the request."""
+        if self.key is None:
+            return False
+        return any(self._contains_form(text) for text in iter_decoded(data))
+
+    def find_candidates(self, data: bytes) -> frozenset[bytes]:
+        """Return the words in ``data`` that may be keys.
+
+        These are the key of the request and words in the format of issued keys. The
+        format does not make a word a key: the configuration knows whether it is one.
+
+        >>> KeyFilter(None).find_candidates(b"a=wp_short")
+        frozenset()
+        """
+        found: set[bytes] = set()
+        for text in iter_decoded(data):
+            if self.key is not None and self._contains_form(text):
+                found.add(self.key)
+            if KEY_PREFIX in text:
+                words = KEY_PATTERN.finditer(text)
+                found.update(word[0] for word in islice(words, MAX_KEY_CANDIDATES))
+        return frozenset(found)
 
     def remove_matches(self, data: bytes, separator: bytes) -> bytes:
         """Return ``data`` without the separated parts that contain a key.
@@ -57,9 +88,7 @@
         for form in self._forms:
             if form in data:
                 return True
-        if contains_issued_key(data):
-            return True
-        if not self._lowercase_forms or len(data) < len(self._lowercase_forms[0]):
+        if len(data) < len(self._lowercase_forms[0]):
             return False
         lowercase = data.lower()
         return any(form in lowercase for form in self._lowercase_forms)
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -24,7 +24,6 @@
     accept_any,
 )
 from wagtailpaddle_daemon.headers import Header
-from wagtailpaddle_daemon.secrets import contains_issued_key
 
 MAX_SAFE_IDLE_S = 30.0
 MAX_UNSAFE_IDLE_S = 1.0
@@ -43,12 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """A request to a backend server. ``uri`` is the path with the query."""
+    """A request to a backend server. ``uri`` is the path with the query.
+
+    ``hidden_key`` is the caller's key, which no part of the request may contain, or
+    None if there is none.
+    """
 
     method: bytes
     uri: bytes
     headers: tuple[Header, ...]
     body: bytes
+    hidden_key: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,14 +101,15 @@
         Connections to the server stay open for reuse up to ``max_open`` in number.
         With ``is_fresh`` a new connection is opened.
 
-        Raises ``InvariantError`` if the request contains an issued key.
+        Raises ``InvariantError`` if the request contains its hidden key.
         """
         try:
             head = encode_head(outgoing, b"%s:%d" % (address.encode(), port))
         except ValueError as exc:
             return fail(RequestNotSent(str(exc)))
+        hidden = outgoing.hidden_key
         ensure(
-            not contains_issued_key(head) and not contains_issued_key(outgoing.body),
+            hidden is None or (hidden not in head and hidden not in outgoing.body),
             "server-sees-no-key",
             server=(address, port),
         )
--- a/packages/node/src/wagtailpaddle_node/request_pipeline.py
+++ b/packages/node/src/wagtailpaddle_node/request_pipeline.py
@@ -34,6 +34,7 @@
     RequestTable,
     Stage,
     authenticate,
+    check_contains_no_key,
     make_job,
     match_route,
 )
@@ -81,6 +82,7 @@
         try:
             route = self.find_route(now, head)
             account = authenticate(self.control.configuration, head, route)
+            check_contains_no_key(self.control.configuration, head)
             admitted = self.admit(now, head, route, account, self.splits.choose)
         except WagtailError as exc:
             return (Refuse(head.id, exc.kind, exc.detail),)
--- a/packages/node/src/wagtailpaddle_node/request_table.py
+++ b/packages/node/src/wagtailpaddle_node/request_table.py
@@ -152,6 +152,17 @@
     return account
 
 
+def check_contains_no_key(cfg: Configuration, head: RequestHead) -> None:
+    """Raise ``WagtailError`` if a server would see a valid key.
+
+    What merely looks like a key is passed on.
+    """
+    for key_hash in head.contained_keys:
+        if cfg.account_for(key_hash) is not None:
+            detail = "the request contains a key beyond the header for it"
+            raise WagtailError(ErrorKind.BAD_REQUEST, detail)
+
+
 def check_allowed(account: ClientAccount, route: Route) -> None:
     """Raise ``WagtailError`` if an account may not use a route."""
     if route.accounts and account.id not in route.accounts:
--- a/packages/node/tests/test_flow.py
+++ b/packages/node/tests/test_flow.py
@@ -87,3 +87,13 @@
     assert kinds(pipeline.finish(1.2, head.id, refused, None)) == [
         ErrorKind.KEY_UNKNOWN
     ]
+
+
+@pytest.mark.parametrize(
+    ("contained", "refused"),
+    [({"hash"}, [ErrorKind.BAD_REQUEST]), ({"no key"}, []), (set(), [])],
+)
+def test_only_a_valid_key_in_a_request_refuses_it(pipeline, head, contained, refused):
+    """Guards against the refusal of a word that merely looks like a key."""
+    head = replace(head, contained_keys=frozenset(contained))
+    assert kinds(pipeline.begin(1.0, head)) == refused
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -59,6 +59,17 @@
     assert "key-of-large" not in json.dumps(seen)
 
 
+def test_request_with_a_word_like_a_key_reaches_a_server_as_sent(platform):
+    """Guards against a server that runs a query without one of its fields."""
+    word = "wp_furniture-pack_oak-table-four-chairs-namur-jambes-2026"
+    uri = f"/read/a?page=1&pack={word}&size=20"
+    answer = platform.request(0, "GET", uri, request_id=word)
+    seen = json.loads(answer.body)
+    named = {name.lower(): value for name, value in seen["headers"]}
+    assert (answer.status, seen["uri"]) == (200, uri)
+    assert named["x-request-id"] == word
+
+
 def test_caller_cannot_name_another_account(platform):
     answer = platform.request(
         0, "GET", "/read/a", X_Tenant="small", X_Expect_Instance="s9"
