Answer requests that servers still have when a VM ends

Cause: at the end of the grace time only what waits on the VM was refused. The wrong assumption: what has been passed on is being worked on. The same assumption stood in the daemon with its own log, where the outcome of a claimed key was left open too, and a request that waited for its claim was left out of refuse_waiting.

Change: abandon_running, after refuse_waiting, ends every attempt and answers 502 (outcome unknown); nothing is held against the server, the unknown outcome of a claimed request is stored. A request that waits for its claim is refused as not run; a claim granted later is withdrawn. Why this works: every request in flight is at a server, in a queue, or before its token or claim, and each of these now ends with its answer while its connection is open.

--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -53,6 +53,9 @@
 FINAL_REFUSAL_S = 0.1
 """Requests that still wait this long before the end are refused."""
 
+FINAL_FLUSH_S = 0.1
+"""How long callers may take to read the last answers."""
+
 
 log = get_logger("daemon")
 
@@ -182,8 +185,9 @@
     async def stop(self) -> None:
         """Shut down gracefully within ``grace_s`` seconds.
 
-        Callers are directed to other VMs and requests in flight finish. One twelfth
-        of the time is left for closing.
+        Callers are directed to other VMs and requests in flight finish; those that
+        do not are answered as ones that may have run. One twelfth of the time is
+        left for closing.
         """
         if self.lifecycle.state in ("leaving", "draining", "stopped"):
             return
@@ -203,6 +207,8 @@
         await wait_until(self._reactor, self._is_drained, remaining_s)
         self.gateway.carry_out(self.node.refuse_waiting(self._reactor.seconds()))
         await wait_until(self._reactor, self._is_drained, FINAL_REFUSAL_S)
+        self.gateway.carry_out(self.node.abandon_running(self._reactor.seconds()))
+        await wait_until(self._reactor, self._is_drained, FINAL_FLUSH_S)
         self._frontend.close_idle()
         await self._close()
         self.lifecycle.stopped()
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -121,8 +121,9 @@
     async def stop(self) -> None:
         """Shut down gracefully.
 
-        Callers are directed to other VMs, requests in flight finish, the node hands
-        over its duties, then every port closes.
+        Callers are directed to other VMs, requests in flight finish or are answered
+        as ones that may have run, the node hands over its duties, then every port
+        closes.
         """
         if self.lifecycle.state in ("leaving", "draining", "stopped"):
             return
@@ -142,6 +143,7 @@
             self._reactor, lambda: not self.gateway.n_in_flight, self.cfg.drain_s
         )
         self.gateway.carry_out(self.node.refuse_waiting(self._reactor.seconds()))
+        self.gateway.carry_out(self.node.abandon_running(self._reactor.seconds()))
         self.gateway.carry_out(self.node.release(self._reactor.seconds()))
         await wait_until(
             self._reactor,
--- a/packages/node/src/wagtailpaddle_node/request_node.py
+++ b/packages/node/src/wagtailpaddle_node/request_node.py
@@ -147,6 +147,13 @@
         """Refuse every request that still waits, since the VM stops now."""
         return self._begin_event(now) + self._pipeline.refuse_waiting(now)
 
+    def abandon_running(self, now: float) -> tuple[NodeAction, ...]:
+        """Refuse every request at a server as one that may have run, at the VM's end.
+
+        Call it after ``refuse_waiting``.
+        """
+        return self._begin_event(now) + self._pipeline.abandon_running(now)
+
     # Events of requests and attempts
 
     def on_request(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
--- a/packages/node/src/wagtailpaddle_node/request_pipeline.py
+++ b/packages/node/src/wagtailpaddle_node/request_pipeline.py
@@ -142,11 +142,12 @@
                 case Run():
                     settled += self._run(now, action.request)
                 case ClaimReplay():
-                    self._requests.remove(action.request)
-                    settled.append(Replay(action.request, action.answer))
+                    if self._requests.remove(action.request) is not None:
+                        settled.append(Replay(action.request, action.answer))
                 case Reject():
-                    self._requests.remove(action.request)
-                    settled.append(Refuse(action.request, action.kind, action.detail))
+                    if self._requests.remove(action.request) is not None:
+                        refusal = Refuse(action.request, action.kind, action.detail)
+                        settled.append(refusal)
                 case Dispatch():
                     self.backends.on_attempt_started(now, action)
                     settled.append(action)
@@ -183,7 +184,23 @@
         fault = WagtailError(ErrorKind.DRAINING, "the VM shuts down")
         actions: tuple[NodeAction, ...] = ()
         for admitted in self._requests.pending():
-            actions += self._refuse(now, admitted, fault)
+            if admitted.stage is Stage.CLAIM:
+                # A claim that is granted later is withdrawn then.
+                self._requests.remove(admitted.head.id)
+                actions += (Refuse(admitted.head.id, fault.kind, fault.detail),)
+            else:
+                actions += self._refuse(now, admitted, fault)
+        return actions
+
+    def abandon_running(self, now: float) -> tuple[NodeAction, ...]:
+        """Refuse the requests that servers still have, since the VM stops now.
+
+        They may have run, or may still run.
+        """
+        actions: tuple[NodeAction, ...] = ()
+        for admitted in self._requests.pending():
+            abandoned = self.dispatcher.abandon(now, admitted.head.id)
+            actions += self.settle(now, abandoned)
         return actions
 
     def find_route(self, now: float, head: RequestHead) -> Route:
@@ -303,7 +320,9 @@
     def _run(self, now: float, request: RequestId) -> tuple[NodeAction, ...]:
         """Dispatch a request whose claim was granted, if it may still run."""
         admitted = self._requests.get(request)
-        if admitted is None or admitted.detached:
+        if admitted is None:
+            return self._withdraw_claim(now, request)
+        if admitted.detached:
             kind = ErrorKind.IDEMPOTENCY_UNAVAILABLE
             gone = WagtailError(kind, "the caller disconnected")
             return self._release_claim(now, request, gone)
@@ -317,9 +336,12 @@
     ) -> tuple[NodeAction, ...]:
         """Refuse a request with a granted claim and free its key for a retry."""
         self._requests.remove(request)
+        withdrawn = self._withdraw_claim(now, request)
+        return (Refuse(request, fault.kind, fault.detail), *withdrawn)
+
+    def _withdraw_claim(self, now: float, request: RequestId) -> tuple[NodeAction, ...]:
         ended = self.control.claims.finish(now, request, RunOutcome.NOT_RUN)
-        claim_actions = self.settle(now, self.control.convert_claim_actions(now, ended))
-        return (Refuse(request, fault.kind, fault.detail), *claim_actions)
+        return self.settle(now, self.control.convert_claim_actions(now, ended))
 
     def _on_answered(
         self, now: float, action: Deliver | Refuse, answer: StoredAnswer | None
--- a/packages/node/tests/test_flow.py
+++ b/packages/node/tests/test_flow.py
@@ -97,3 +97,23 @@
     """Guards against the refusal of a word that merely looks like a key."""
     head = replace(head, contained_keys=frozenset(contained))
     assert kinds(pipeline.begin(1.0, head)) == refused
+
+
+def test_ending_vm_stores_the_unknown_outcome_of_a_claimed_request(
+    pipeline, control, head
+):
+    """Guards against a cut request whose repeat would find no outcome."""
+    pipeline.begin(1.0, head)
+    pipeline.settle(1.1, (Run(head.id),))
+    assert pipeline.refuse_waiting(2.0) == ()
+    assert kinds(pipeline.abandon_running(2.0)) == [ErrorKind.OUTCOME_UNKNOWN]
+    assert control.claims.ended == [(head.id, RunOutcome.UNKNOWN)]
+    assert pipeline.n_requests == 0
+
+
+def test_ending_vm_refuses_a_request_that_waits_for_its_claim(pipeline, control, head):
+    """Guards against a request that is cut without an answer before its claim."""
+    pipeline.begin(1.0, head)
+    assert kinds(pipeline.refuse_waiting(2.0)) == [ErrorKind.DRAINING]
+    assert pipeline.settle(2.1, (Run(head.id),)) == ()
+    assert control.claims.ended == [(head.id, RunOutcome.NOT_RUN)]
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -192,6 +192,18 @@
         pool = self._pools[pending.job.service]
         return tuple(pool.cancel(now, pending))
 
+    def abandon(self, now: float, request: RequestId) -> tuple[Action, ...]:
+        """End the running attempt of ``request`` and refuse it: it may have run.
+
+        The VM ends before the server's answer comes. Otherwise the caller would be
+        left without an answer.
+        """
+        pending = self._pending.get(request)
+        if pending is None or pending.state is not State.RUNNING:
+            return ()
+        pool = self._pools[pending.job.service]
+        return tuple(pool.abandon(now, pending))
+
     def drop(
         self, now: float, request: RequestId, kind: ErrorKind, detail: str
     ) -> tuple[Action, ...]:
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -38,6 +38,7 @@
     PendingRequest,
     State,
     Step,
+    failure_kind,
     next_step,
     record_result,
     truthful_kind,
@@ -202,6 +203,19 @@
         cancelled = CancelAttempt(pending.job.id, server.id, pending.n_attempts)
         return [cancelled, *self._dispatch_queued(now)]
 
+    def abandon(self, now: float, pending: PendingRequest) -> list[Action]:
+        """End the running attempt of a request, and refuse it as one that may have run.
+
+        Nothing is recorded of the server, which may be sound.
+        """
+        server = pending.running_server
+        self._stop(now, pending)
+        pending.may_have_run = True
+        detail = "the VM shut down before the server answered"
+        refusal = self._requests.refuse(pending, failure_kind(pending), detail)
+        cancelled = CancelAttempt(pending.job.id, server.id, pending.n_attempts)
+        return [cancelled, refusal]
+
     def drop(
         self, pending: PendingRequest, kind: ErrorKind, detail: str
     ) -> list[Action]:
--- a/packages/routing/tests/test_drain.py
+++ b/packages/routing/tests/test_drain.py
@@ -2,7 +2,7 @@
 
 import pytest
 from wagtailpaddle_core import ANSWERS, ErrorKind, Outcome, RequestId
-from wagtailpaddle_routing import Dispatch, Refuse
+from wagtailpaddle_routing import CancelAttempt, Dispatch, Refuse
 
 SERVICE_S = 0.5
 ENDS_AT = 4.0
@@ -82,3 +82,25 @@
 def test_queue_is_kept_without_an_end(queue):
     assert queue.tick(1.0) == ()
     assert queue.n_pending == 20
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_request_at_a_server_is_answered_when_the_vm_ends(
+    make_dispatcher, view, job, idempotent
+):
+    """Guards against work that is passed on and cut without an answer."""
+    dispatcher = make_dispatcher((view("s0"),))
+    dispatcher.arrive(0.0, job("r0", idempotent=idempotent, timeout_s=30.0))
+    cancelled, refused = dispatcher.abandon(ENDS_AT, RequestId("r0"))
+    assert cancelled == CancelAttempt(RequestId("r0"), "s0", 1)
+    assert ANSWERS[refused.kind].outcome is Outcome.UNKNOWN
+    assert refused.retry_after_s is None
+    assert dispatcher.n_pending == 0
+    # The server is not blamed: it serves the next request.
+    (dispatch,) = dispatcher.arrive(ENDS_AT, job("r1", at=ENDS_AT))
+    assert dispatch.server == "s0"
+
+
+def test_request_that_waits_for_a_server_is_not_abandoned(queue):
+    """Guards against an unknown outcome where "not run" is certain."""
+    assert queue.abandon(0.0, RequestId("r1")) == ()
--- a/packages/standins/src/wagtailpaddle_standins/processes.py
+++ b/packages/standins/src/wagtailpaddle_standins/processes.py
@@ -89,11 +89,12 @@
         *,
         site: str = "default",
         vias: Sequence[str] = (),
+        options: Sequence[str] = (),
     ) -> None:
         """Start one daemon that reads the log at ``log_port``.
 
         ``vias`` are the relays for its connections to peers, as arguments
-        ``PORT=RELAY`` of the module ``relayed``.
+        ``PORT=RELAY`` of the module ``relayed``; ``options`` are further arguments.
         """
         operators = "demo=" + hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         args = [
@@ -107,6 +108,7 @@
             f"--operators={operators}",
             f"--fleet-secret={FLEET_SECRET}",
             "--log-level=warning",
+            *options,
         ]
         if vias:
             args = [*(f"--via={via}" for via in vias), *args]
--- a/packages/standins/src/wagtailpaddle_standins/system.py
+++ b/packages/standins/src/wagtailpaddle_standins/system.py
@@ -223,8 +223,11 @@
         """Kill a daemon (SIGKILL)."""
         self.processes.kill(f"daemon-{index}")
 
-    def start(self, index: int) -> None:
-        """Start a daemon, or a new incarnation of it on the same address."""
+    def start(self, index: int, *options: str) -> None:
+        """Start a daemon, or a new incarnation of it on the same address.
+
+        ``options`` are further arguments of its command line.
+        """
         address = self.daemons[index]
         self.processes.start_daemon(
             f"daemon-{index}",
@@ -232,6 +235,7 @@
             self._relays.log_port(index),
             site=self.deployment.site,
             vias=self._relays.vias(index),
+            options=options,
         )
 
     def stop(self, index: int) -> int:
--- a/packages/standins/tests/test_failures.py
+++ b/packages/standins/tests/test_failures.py
@@ -108,6 +108,26 @@
     system.wait_until_ready()
 
 
+def test_stop_answers_requests_that_servers_do_not(system, secrets):
+    """Guards against a caller left without an answer once its request is passed on."""
+    system.stop(2)
+    system.start(2, "--drain-s=0.5")
+    system.wait_until_ready()
+    paths = [f"/deliveries/hangs-at-stop-{number}/fault/slow/30" for number in (1, 2)]
+    callers = [system.caller(2, secrets["account-0"]) for _ in paths]
+    callers[0].begin("POST", paths[0], b"x", timeout_s=40.0)
+    keyed = {"Idempotency-Key": "hangs-at-stop"}
+    callers[1].begin("POST", paths[1], b"x", headers=keyed, timeout_s=40.0)
+    assert wait_for(lambda: all(count_runs(system)[path] == 1 for path in paths))
+    system.processes.signal("daemon-2", signal.SIGTERM)
+    replies = [caller.end() for caller in callers]
+    assert [reply.status for reply in replies] == [502, 502]
+    assert {reply.headers["x-outcome"] for reply in replies} == {"unknown"}
+    assert system.processes.wait("daemon-2", timeout_s=20.0) == 0
+    system.start(2)
+    system.wait_until_ready()
+
+
 def test_interrupt_ends_a_stopping_daemon_at_once(system, secrets):
     path = "/deliveries/second-signal/fault/slow/20"
     caller = system.caller(2, secrets["account-0"])
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -340,6 +340,36 @@
     restored.wait_ready()
 
 
+def test_stop_answers_requests_that_servers_do_not(restored):
+    """Guards against a caller left without an answer once its request is passed on."""
+    restored.publish([*DOCUMENT, route("long", "/long/", timeoutS=20)])
+    path = "/long/fault/hang"
+    statuses = []
+
+    def send(method):
+        sent = restored.request(2, method, path, X_Deadline_Ms="20000")
+        statuses.append(sent.status)
+
+    def has_arrived():
+        runs = [item for name in restored.servers for item in restored.seen(name)]
+        return sum(item["uri"] == path for item in runs) >= 2
+
+    assert eventually(
+        lambda: restored.request(2, "GET", "/long/a").status == 200, within_s=2.0
+    )
+    callers = [threading.Thread(target=send, args=(name,)) for name in ("GET", "POST")]
+    for caller in callers:
+        caller.start()
+    assert eventually(has_arrived)
+    restored.processes.signal("daemon-2", signal.SIGTERM)
+    assert restored.processes.wait("daemon-2", timeout_s=6.0) == 0
+    for caller in callers:
+        caller.join()
+    assert statuses == [502, 502]
+    restored.start_daemon(2)
+    restored.wait_ready()
+
+
 def test_status_page_shows_state_and_ages(platform):
     platform.wait_ready()
 
