Probe VMs that seem dead, so that parts of a fleet join again

Cause: on waking, the VM took all others for dead, read the store, and its zone followed it; the other zones had another reader. Each part named its own owner of the buckets, and nothing joined them for 20 s. The wrong assumption: who has not been heard of is dead.

Change: a VM without upstreams probes one of the VMs that seem dead every 0.5 s, with a Follow that is answered at once; every 2 s while other VMs bring what its reads do not. Why this works: each part has a VM without upstreams, every VM knows the records of all, and one answer brings both parts each other's sightings.

--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -184,8 +184,8 @@
     # Timers
 
     def on_stall(self, now: float, stalled_s: float) -> None:
-        """Log a stall; nothing was granted during it, so nothing must be corrected."""
-        self.replica.on_stall(stalled_s)
+        """This process stood still, and the others went on without it."""
+        self.replica.on_stall(now, stalled_s)
         self.events.record("The process stood still.", seconds=round(stalled_s, 2))
 
     def tick(self, now: float) -> tuple[Any, ...]:
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -108,6 +108,7 @@
         self._upstream_choice = UpstreamChoice(own, rng, seeds=seeds)
         self._rng = rng
         self._pending_upstream: str | None = None
+        self._pending_is_probe = False
         self._registered = False
         self._next_register_at = 0.0
         self._leaving = False
@@ -135,8 +136,8 @@
 
     # Events reported by the host
 
-    def on_stall(self, stalled_s: float) -> None:
-        """This process stood still: for that time it knows nothing of the store."""
+    def on_stall(self, now: float, stalled_s: float) -> None:
+        """This process stood still: for that time it knows nothing of the others."""
         self._stalled_s += stalled_s
 
     def on_tick(self, now: float) -> StepResult:
@@ -195,7 +196,8 @@
         """The VM at ``address`` did not answer."""
         self._pending_upstream = None
         self._upstream_choice.record_failure(now, address)
-        self._own_reads.on_follow_failed()
+        if not self._pending_is_probe:
+            self._own_reads.on_follow_failed()
         candidates = self._upstream_candidates(now)
         return StepResult(
             (*self._follow(now, candidates), *self._read(now, candidates))
@@ -295,17 +297,19 @@
     ) -> list[ReplicaAction]:
         if self._pending_upstream is not None:
             return []
-        address = self._upstream_choice.select(
+        target = self._upstream_choice.select(
             now,
             candidates,
             self.members.alive(now),
+            self.members.all(),
             is_failing=self.read_schedule.is_failing(now),
         )
-        if address is None:
+        if target is None:
             return []
-        self._pending_upstream = address
+        self._pending_upstream = target.address
+        self._pending_is_probe = target.is_probe
         starts = {item: copy.next_offset for item, copy in self.copies.items()}
-        hold_s = self._hold_s(now)
+        hold_s = 0.0 if target.is_probe else self._hold_s(now)
         body = Follow(
             member=self.own,
             clock=now,
@@ -316,7 +320,7 @@
             sightings=self.members.follower_sightings(now),
             members_hash=self.members.hash,
         )
-        return [FollowVm(address, body, hold_s + ANSWER_TIMEOUT_S)]
+        return [FollowVm(target.address, body, hold_s + ANSWER_TIMEOUT_S)]
 
     def _remove_expired(self, now: float) -> list[ReplicaAction]:
         """Remove the expired VMs and delete their records from the store."""
--- a/packages/replica/src/wagtailpaddle_replica/upstream_choice.py
+++ b/packages/replica/src/wagtailpaddle_replica/upstream_choice.py
@@ -1,19 +1,35 @@
 """Which VM a replica follows next."""
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from random import Random
 
 from wagtailpaddle_replica.messages import Member
 from wagtailpaddle_replica.topology import relays
 
 UPSTREAM_BACKOFF_S = 2.0
+PROBE_INTERVAL_S = 0.5
+"""Time between two probes of VMs that seem dead."""
+
+FALLBACK_PROBE_INTERVAL_S = 2.0
+"""The same while other VMs bring what reads do not: a probe delays it."""
+
+
+@dataclass(frozen=True, slots=True)
+class FollowTarget:
+    """The address of a VM to follow; ``is_probe`` if the VM seems dead."""
+
+    address: str
+    is_probe: bool = False
 
 
 class UpstreamChoice:
     """Chooses the address to follow; one that did not answer is left out for a time.
 
     A VM without upstreams reads the store. While its reads fail it follows any other
-    VM, and if it knows no other VM, the ``seeds``.
+    VM. Otherwise it probes one of the VMs that seem dead now and then, and the
+    ``seeds`` if all others do. If two parts of a fleet have lost sight of each other,
+    each has a reader, and one answer to it joins the parts.
     """
 
     def __init__(self, own: Member, rng: Random, *, seeds: Iterable[str]):
@@ -21,6 +37,7 @@
         self._rng = rng
         self._seeds = tuple(item for item in seeds if item != own.peer_address)
         self._backoff_until: dict[str, float] = {}
+        self._next_probe_at = float("-inf")
 
     def record_answer(self, address: str) -> None:
         """Record that the VM at ``address`` answered."""
@@ -35,10 +52,11 @@
         now: float,
         candidates: Sequence[Member],
         alive: Sequence[Member],
+        known: Sequence[Member],
         *,
         is_failing: bool,
-    ) -> str | None:
-        """Return the address of the VM to follow now, or None.
+    ) -> FollowTarget | None:
+        """Return the VM to follow now, or None.
 
         ``candidates`` are this VM's upstreams, best first. ``is_failing`` states that
         its reads of the store fail.
@@ -48,11 +66,37 @@
             addresses = self._fallback_addresses(alive)
         if not addresses and len(alive) == 1:
             addresses = list(self._seeds)
+        if not candidates and now >= self._next_probe_at:
+            silent = self._first_available(now, self._silent_addresses(alive, known))
+            if silent is not None:
+                has_fallback = bool(addresses)
+                self._next_probe_at = now + (
+                    FALLBACK_PROBE_INTERVAL_S if has_fallback else PROBE_INTERVAL_S
+                )
+                return FollowTarget(silent, is_probe=True)
+        address = self._first_available(now, addresses)
+        return None if address is None else FollowTarget(address)
+
+    def _first_available(self, now: float, addresses: Iterable[str]) -> str | None:
+        """Return the first address without a recent failure, or None."""
         for address in addresses:
             if self._backoff_until.get(address, float("-inf")) <= now:
                 return address
         return None
 
+    def _silent_addresses(
+        self, alive: Sequence[Member], known: Sequence[Member]
+    ) -> list[str]:
+        """Return the VMs that seem dead, in random order."""
+        if len(alive) == len(known):
+            return []
+        sighted = {member.peer_address for member in alive}
+        addresses = [
+            item.peer_address for item in known if item.peer_address not in sighted
+        ]
+        self._rng.shuffle(addresses)
+        return addresses
+
     def _fallback_addresses(self, alive: Sequence[Member]) -> list[str]:
         """Return the VMs that the reader follows while its own reads fail.
 
--- a/packages/replica/tests/conftest.py
+++ b/packages/replica/tests/conftest.py
@@ -14,6 +14,7 @@
     ReadStore,
     Record,
     Replica,
+    WriteMember,
     active_vms,
 )
 
@@ -60,8 +61,10 @@
         )
         self.reads = Counter()
         self.dead = set()
+        self.deleted = []
         self.disconnected = set()
         self.refused_by_store = set()
+        self.wakes_at = {}
         self.pending_follows = {}
         self.versions = [(0.0, 1)]
         for name in self.vms:
@@ -74,6 +77,22 @@
     def network_delay_s(self):
         return 0.002 + self.random.random() * self.max_delay_s
 
+    def freeze(self, name, for_s):
+        """Let a VM stand still; what arrives meanwhile waits for it."""
+        self.wakes_at[name] = self.now + for_s
+        self.schedule(for_s, self.wake, name, for_s)
+
+    def wake(self, name, stalled_s):
+        del self.wakes_at[name]
+        self.vms[name].on_stall(self.now, stalled_s)
+
+    def is_frozen(self, name, function, *args):
+        """Return whether a VM stands still; then the call follows when it wakes."""
+        if name not in self.wakes_at:
+            return False
+        self.schedule(self.wakes_at[name] - self.now, function, *args)
+        return True
+
     def run(self, until):
         while self.events and self.events[0][0] <= until:
             self.now, _, function, args = heapq.heappop(self.events)
@@ -81,7 +100,7 @@
         self.now = until
 
     def tick(self, name):
-        if name in self.dead:
+        if name in self.dead or self.is_frozen(name, self.tick, name):
             return
         vm = self.vms[name]
         alive = vm.members.alive(self.now)
@@ -98,6 +117,8 @@
                 self.pending_follows[name] = action
                 self.schedule(self.network_delay_s(), self.deliver_follow, name, action)
                 self.schedule(action.timeout_s, self.time_out_follow, name, action)
+            elif isinstance(action, WriteMember) and action.member is None:
+                self.deleted.append((name, action.address))
 
     def publish(self):
         """Write a new version of the configuration to the store."""
@@ -122,16 +143,22 @@
         self.schedule(self.network_delay_s(), self.deliver_read, name, sent_at, batch)
 
     def deliver_read(self, name, sent_at, batch):
+        if self.is_frozen(name, self.deliver_read, name, sent_at, batch):
+            return
         if name not in self.dead:
             self.perform(name, self.vms[name].on_read(self.now, sent_at, batch))
 
     def fail_read(self, name, action):
+        if self.is_frozen(name, self.fail_read, name, action):
+            return
         vm = self.vms[name]
         self.perform(name, vm.on_read_failed(self.now, action.collection))
 
     def deliver_follow(self, name, action):
         if action.address in self.dead or {name, action.address} & self.disconnected:
             return
+        if self.is_frozen(action.address, self.deliver_follow, name, action):
+            return
         upstream = self.vms[action.address]
         upstream.on_follow(self.now, action.body)
         held_s = 0.0 if upstream.has_update_for(action.body) else action.body.hold_s
@@ -140,12 +167,17 @@
     def send_update(self, name, action, received_at):
         if action.address in self.dead or {name, action.address} & self.disconnected:
             return
+        arguments = (name, action, received_at)
+        if self.is_frozen(action.address, self.send_update, *arguments):
+            return
         update = self.vms[action.address].make_update(
             self.now, action.body, received_at
         )
         self.schedule(self.network_delay_s(), self.receive_update, name, action, update)
 
     def receive_update(self, name, action, update):
+        if self.is_frozen(name, self.receive_update, name, action, update):
+            return
         if self.already_ended(name, action):
             return
         vm = self.vms[name]
@@ -153,6 +185,8 @@
         self.perform(name, step)
 
     def time_out_follow(self, name, action):
+        if self.is_frozen(name, self.time_out_follow, name, action):
+            return
         if not self.already_ended(name, action):
             vm = self.vms[name]
             self.perform(name, vm.on_follow_failed(self.now, action.address))
--- a/packages/replica/tests/test_large_fleet.py
+++ b/packages/replica/tests/test_large_fleet.py
@@ -9,7 +9,14 @@
 
 import pytest
 from wagtailpaddle_replica import Collection, active_vms, relays
-from wagtailpaddle_replica.members import ACTIVE_SILENCE_TIMEOUT_S
+from wagtailpaddle_replica.members import (
+    ACTIVE_SILENCE_TIMEOUT_S,
+    MEMBER_RETENTION_S,
+)
+
+FREEZE_S = 4.0
+JOIN_S = 3.0
+"""Every promise holds again this long after a disturbance, in seconds."""
 
 SETTLED_S = 4.0
 """Time after which the VMs of a simulated fleet have found each other, in seconds."""
@@ -109,3 +116,34 @@
     assert max(ages) < 3.0
     # The other relays read in the reader's place, and hardly any other VM does.
     assert sum(fleet.reads.values()) < 8.0 * 20
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("index", range(3))
+def test_vm_that_stood_still_does_not_split_the_fleet(make_fleet, index, seed):
+    """Guards against two readers, each of which takes the other's VMs for dead.
+
+    The VM is the reader, or a relay that follows it.
+    """
+    fleet = make_fleet(9, seed=seed)
+    relay = relays([vm.own for vm in fleet.vms.values()])[index].peer_address
+    fleet.freeze(relay, FREEZE_S)
+    fleet.run(SETTLED_S + FREEZE_S + JOIN_S)
+    assert {name: fleet.n_alive(name) for name in fleet.vms} == dict.fromkeys(
+        fleet.vms, 9
+    )
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("is_store_cut", [False, True])
+def test_zones_that_were_cut_off_join_again(make_fleet, seed, is_store_cut):
+    """Guards against parts of a fleet that stay apart after a partition."""
+    fleet = make_fleet(30, seed=seed)
+    zone = {name for name, vm in fleet.vms.items() if vm.own.zone == "a"}
+    fleet.disconnected = set(zone)
+    fleet.run(SETTLED_S + 5.0)
+    if is_store_cut:
+        fleet.refused_by_store = set(fleet.vms)
+    fleet.disconnected = set()
+    fleet.run(SETTLED_S + 5.0 + JOIN_S)
+    assert {fleet.n_alive(name) for name in fleet.vms} == {30}
--- a/packages/replica/tests/test_replica.py
+++ b/packages/replica/tests/test_replica.py
@@ -326,10 +326,10 @@
     """Guards against removed servers in use after a freeze: the store answered."""
     replica = make_replica("a0")
     read_all(replica, 0.0)
-    replica.on_stall(4.0)
+    replica.on_stall(4.1, 4.0)
     replica.on_read(4.2, 4.1, Batch(Collection.SERVERS, 2, ()))
     assert not replica.in_grace(4.2)
-    replica.on_stall(1.1)
+    replica.on_stall(5.3, 1.1)
     replica.on_read(9.0, 8.9, Batch(Collection.SERVERS, 3, ()))
     assert replica.in_grace(9.0)
 
