Remove no VM's record soon after standing still

A VM that had stood still for over 20 s took its own silence for that of all others: as it woke without upstreams, it deleted the records of all of them from the store.

Change: none expires before a VM has watched for MEMBER_RETENTION_S since its last stall.

Result: test_vm_that_stood_still_for_long_deletes_no_record failed before and passes.

--- a/packages/replica/src/wagtailpaddle_replica/members.py
+++ b/packages/replica/src/wagtailpaddle_replica/members.py
@@ -48,10 +48,15 @@
         self._sorted: tuple[Member, ...] | None = None
         self._sorted_tags: tuple[int, ...] | None = None
         self._hash = 0
+        self._watching_since = float("-inf")
         self._last_seen_at: dict[int, float] = {}
         self._last_follow_at: dict[int, float] = {}
         self._last_active_at: dict[int, float] = {}
 
+    def on_stall(self, now: float) -> None:
+        """This process stood still until now, and saw none of the others."""
+        self._watching_since = now
+
     def add(self, now: float, member: Member) -> bool:
         """Add or replace a VM; return whether this incarnation is new."""
         previous = self._members.get(member.peer_address)
@@ -154,8 +159,13 @@
         return now - self._last_active_at.get(tag_of(vm), float("-inf")) <= ACTIVE_TTL_S
 
     def expired(self, now: float) -> tuple[Member, ...]:
-        """Return the other VMs without a sighting for ``MEMBER_RETENTION_S``."""
+        """Return the other VMs without a sighting for ``MEMBER_RETENTION_S``.
+
+        None has expired before this VM has watched for as long.
+        """
         earliest = now - MEMBER_RETENTION_S
+        if self._watching_since > earliest:
+            return ()
         return tuple(
             member
             for member in self.all()
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -139,6 +139,7 @@
     def on_stall(self, now: float, stalled_s: float) -> None:
         """This process stood still: for that time it knows nothing of the others."""
         self._stalled_s += stalled_s
+        self.members.on_stall(now)
 
     def on_tick(self, now: float) -> StepResult:
         """Perform the due reads, follows and writes; called several times a second."""
--- a/packages/replica/tests/test_large_fleet.py
+++ b/packages/replica/tests/test_large_fleet.py
@@ -147,3 +147,12 @@
     fleet.disconnected = set()
     fleet.run(SETTLED_S + 5.0 + JOIN_S)
     assert {fleet.n_alive(name) for name in fleet.vms} == {30}
+
+
+def test_vm_that_stood_still_for_long_deletes_no_record(make_fleet):
+    """Guards against a VM that takes its own silence for that of all others."""
+    fleet = make_fleet(9)
+    reader = relays([vm.own for vm in fleet.vms.values()])[0].peer_address
+    fleet.freeze(reader, MEMBER_RETENTION_S + 5.0)
+    fleet.run(SETTLED_S + MEMBER_RETENTION_S + 5.0 + 3.0)
+    assert reader not in {name for name, _ in fleet.deleted}
