Take over the buckets anew after standing still

An owner of the buckets that had stood still went on with full ones, though the second owner had granted the whole rate meanwhile: "nothing was granted during it, so nothing must be corrected" was wrong, as others had granted. A call that timed out because its caller stood still made that caller ask the second owner for 2 s beside the sound first one.

Change: after a stall the buckets begin with few tokens, and a call that fails within 0.3 s of it is not held against the owner.

Result: test_owner_that_stood_still_begins_with_few_tokens and test_vm_that_stood_still_goes_on_to_ask_the_first_owner failed before and pass.

--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -186,6 +186,7 @@
     def on_stall(self, now: float, stalled_s: float) -> None:
         """This process stood still, and the others went on without it."""
         self.replica.on_stall(now, stalled_s)
+        self.quota.on_stall(now)
         self.events.record("The process stood still.", seconds=round(stalled_s, 2))
 
     def tick(self, now: float) -> tuple[Any, ...]:
--- a/packages/quota/src/wagtailpaddle_quota/prefetch_limiter.py
+++ b/packages/quota/src/wagtailpaddle_quota/prefetch_limiter.py
@@ -32,6 +32,9 @@
 
 IDLE_S = 3.0
 OWNER_BACKOFF_S = 2.0
+RESUME_S = 0.3
+"""Calls that fail this soon after a stall were pending during it."""
+
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 10.0
 MIN_RETRY_RATE = 0.1
@@ -147,6 +150,7 @@
         self._backoff_until: dict[VmId, float] = {}
         self._requested_at = float("-inf")
         self._granted_at = float("-inf")
+        self._resumed_at = float("-inf")
 
     def set_owners(self, now: float, owners: Sequence[VmId]) -> None:
         """Set the bucket owners, the preferred one first."""
@@ -155,6 +159,11 @@
         if self._is_owner and not was_owner:
             self._begin_granting(now)
 
+    def on_stall(self, now: float) -> None:
+        """This process stood still: others may have granted in its place."""
+        self._pool.take_over(now)
+        self._resumed_at = now
+
     @property
     def _is_owner(self) -> bool:
         """Whether this VM is the preferred owner."""
@@ -277,8 +286,12 @@
             self._receive(now, grant, n_waiting_for.get(grant.account, 0.0))
 
     def on_call_failed(self, now: float, vm: VmId, message: TokenRequestBatch) -> None:
-        """Back off from an owner that did not answer; tokens it granted are lost."""
-        self._backoff_until[vm] = now + OWNER_BACKOFF_S
+        """Back off from an owner that did not answer; tokens it granted are lost.
+
+        A call that this VM was too late to complete says nothing of the owner.
+        """
+        if now - self._resumed_at > RESUME_S:
+            self._backoff_until[vm] = now + OWNER_BACKOFF_S
         self._clear_pending(message)
 
     def _request_tokens(
--- a/packages/quota/tests/test_stocked_rates.py
+++ b/packages/quota/tests/test_stocked_rates.py
@@ -289,3 +289,32 @@
     second.set_owners(9.1, VMS[1:3])
     (grant,) = second.on_message(9.1, wish).grants
     assert grant.granted <= 0.1 * LIMIT.rate + 1.0
+
+
+def test_owner_that_stood_still_begins_with_few_tokens():
+    """Guards against a full bucket beside what the second owner granted meanwhile."""
+    fleet = Fleet()
+    owner = fleet.limiters[OWNER]
+    owner.on_message(1.0, TokenRequestBatch((TokenRequest("kiosk", 20.0),)))
+    owner.on_stall(5.0)
+    wish = TokenRequestBatch((TokenRequest("kiosk", 20.0),))
+    (grant,) = owner.on_message(5.0, wish).grants
+    assert grant.granted <= INITIAL_TOKENS
+
+
+def test_vm_that_stood_still_goes_on_to_ask_the_first_owner():
+    """Guards against a second owner beside one that is sound.
+
+    The call was pending while this VM stood still.
+    """
+    limiter = Fleet().limiters[VMS[3]]
+    limiter.acquire(1.0, "kiosk", 9.0)
+    (fetch,) = limiter.fetch(1.0, "kiosk")
+    limiter.on_stall(5.0)
+    limiter.on_call_failed(5.0, fetch.vm, fetch.body)
+    limiter.acquire(5.1, "kiosk", 9.0)
+    (fetch,) = limiter.fetch(5.1, "kiosk")
+    assert fetch.vm == OWNER
+    limiter.on_call_failed(5.5, fetch.vm, fetch.body)
+    (fetch,) = limiter.fetch(5.6, "kiosk")
+    assert fetch.vm == VMS[1]
