Accept only well-formed status lines as answers

Cause: Twisted reads the status with int(), so 000, +200, 2_00, 1200, HTTP/2.0 and a CR in the reason passed. The wrong assumption: what the library has parsed is what HTTP allows. The same held for the clients of the store, the log and the list of VMs, for probes (000 counted as good), for stored answers of other VMs, and for the command line, which took 000 for success.

Change: strict_client checks the line before it is parsed and is used by every HTTP client of the daemon; what fails is no response, so the caller gets 502 (outcome unknown). StoredAnswer refuses a status outside 200 to 599. The command line looks up the outcome of a change that is answered with neither success nor an error.

--- a/packages/cli/src/wagtailpaddle_cli/client.py
+++ b/packages/cli/src/wagtailpaddle_cli/client.py
@@ -14,7 +14,8 @@
 CONNECT_TIMEOUT_S = 2.0
 LOOKUP_ROUNDS = 4
 LOOKUP_INTERVAL_S = 0.5
-MIN_ERROR_STATUS = 400
+SUCCESS_STATUSES = range(200, 300)
+ERROR_STATUSES = range(400, 600)
 NOT_FOUND = 404
 
 NOT_SENT_ERRORS = (error.ConnectError, error.TimeoutError, RequestNotSent)
@@ -147,14 +148,16 @@
 
 
 def _raise_for_status(response: Response) -> Response:
-    if response.status >= MIN_ERROR_STATUS:
-        if not isinstance(response.value, dict):
-            raise CommandError(
-                ExitStatus.UNKNOWN,
-                f"response with HTTP status {response.status} has no problem document",
-            )
-        raise error_from_problem(response.value)
-    return response
+    """Return a response that reports success; raise ``CommandError`` otherwise."""
+    if response.status in SUCCESS_STATUSES:
+        return response
+    if response.status not in ERROR_STATUSES:
+        detail = f"response with HTTP status {response.status} states no outcome"
+        raise CommandError(ExitStatus.UNKNOWN, detail)
+    if not isinstance(response.value, dict):
+        detail = f"response with HTTP status {response.status} has no problem document"
+        raise CommandError(ExitStatus.UNKNOWN, detail)
+    raise error_from_problem(response.value)
 
 
 def _unreachable_error(failures: list[str]) -> CommandError:
--- a/packages/cli/tests/test_client.py
+++ b/packages/cli/tests/test_client.py
@@ -108,3 +108,11 @@
 def test_read_goes_to_the_next_address_after_a_lost_response():
     client = ScriptedClient({"a": [NoResponse("lost")], "b": [RECORDED]})
     assert run_local(client.get("/v1/status")) is RECORDED
+
+
+@pytest.mark.parametrize("status", [0, 101, 304, 600])
+def test_change_answered_without_an_outcome_is_looked_up(change, status):
+    """Guards against an odd answer that is reported as success or as refusal."""
+    client, result = change({"a": [Response(status, {}), RECORDED]})
+    assert result is RECORDED
+    assert n_puts(client) == 1
--- a/packages/core/src/wagtailpaddle_core/__init__.py
+++ b/packages/core/src/wagtailpaddle_core/__init__.py
@@ -16,6 +16,7 @@
 from wagtailpaddle_core.lazy import lazy_attributes
 from wagtailpaddle_core.registry import Registry
 from wagtailpaddle_core.rendezvous import rank, score
+from wagtailpaddle_core.statuses import is_final_status
 from wagtailpaddle_core.tables import only
 
 __all__ = [
@@ -36,6 +37,7 @@
     "WagtailError",
     "ZoneId",
     "ensure",
+    "is_final_status",
     "lazy_attributes",
     "only",
     "rank",
--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -13,9 +13,11 @@
 from twisted.internet.error import ConnectionAborted, ConnectionDone
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
-from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol
+from twisted.web._newclient import HEADER, STATUS
 from wagtailpaddle_routing import IdleBound
 
+from wagtailpaddle_daemon.strict_client import StrictClientProtocol
+
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 16
 MAX_RESPONSE_HEAD_BYTES = 65536
@@ -112,7 +114,7 @@
         self._body = memoryview(b"")
 
 
-class ClientConnection(HTTP11ClientProtocol):
+class ClientConnection(StrictClientProtocol):
     """A connection that bounds the headers and rejects surplus bytes.
 
     It is not reused after surplus bytes behind a response, after bytes that
--- a/packages/daemon/src/wagtailpaddle_daemon/fetch.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/fetch.py
@@ -4,7 +4,9 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, readBody
+
+from wagtailpaddle_daemon.strict_client import StrictConnectionPool
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,9 +27,7 @@
     def __init__(self, reactor: Any, *, timeout_s: float):
         self._reactor = reactor
         self._timeout_s = timeout_s
-        pool = HTTPConnectionPool(reactor)
-        pool.retryAutomatically = False
-        self._agent = Agent(reactor, pool=pool)
+        self._agent = Agent(reactor, pool=StrictConnectionPool(reactor))
 
     def get(self, url: str) -> Deferred[FetchedResponse]:
         """Return the response of ``url``, which must be ASCII.
--- a/packages/daemon/src/wagtailpaddle_daemon/logclient.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/logclient.py
@@ -7,10 +7,11 @@
 import msgspec
 import treq
 from twisted.internet.defer import Deferred
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
 from wagtailpaddle_core import Offset, Registry
 
 from wagtailpaddle_daemon.fetch import Fetcher
+from wagtailpaddle_daemon.strict_client import StrictConnectionPool
 
 READ_TIMEOUT_S = 2.0
 APPEND_TIMEOUT_S = 2.0
@@ -62,9 +63,8 @@
     def __init__(self, reactor: Any, url: str):
         self._url = url
         self._fetcher = Fetcher(reactor, timeout_s=READ_TIMEOUT_S)
-        pool = HTTPConnectionPool(reactor)
-        pool.retryAutomatically = False
-        self._http = treq.client.HTTPClient(Agent(reactor, pool=pool))
+        agent = Agent(reactor, pool=StrictConnectionPool(reactor))
+        self._http = treq.client.HTTPClient(agent)
 
     async def _read(self, stream: str, start: Offset) -> LogRead:
         url = f"{self._url}/streams/{stream}?from={start}&limit={MAX_READ_RECORDS}"
--- a/packages/daemon/tests/test_response_bytes.py
+++ b/packages/daemon/tests/test_response_bytes.py
@@ -240,3 +240,59 @@
     conn.dataReceived(without_length(status, b""))
     assert [result.outcome for result in node.results] == [AttemptOutcome.ANSWERED]
     assert caller.got == status
+
+
+ODD_STATUS_LINES = [
+    b"HTTP/1.1 000 Odd",
+    b"HTTP/1.1 099 Odd",
+    b"HTTP/1.1 600 Odd",
+    b"HTTP/1.1 1200 Odd",
+    b"HTTP/1.1 0200 Odd",
+    b"HTTP/1.1 20 Odd",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 -200 OK",
+    b"HTTP/1.1 2_00 OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1 200OK",
+    b"HTTP/1.1 200 O\rK",
+    b"HTTP/1.1 200 O\0K",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/11.1 200 OK",
+    b"HTTP/1.+1 200 OK",
+    b"ICY/1.1 200 OK",
+    b"http/1.1 200 OK",
+]
+
+
+@pytest.mark.parametrize("n_bytes", [2, 10 * RESPONSE_BUFFER_BYTES])
+@pytest.mark.parametrize("line", ODD_STATUS_LINES)
+def test_response_without_a_valid_status_line_is_no_answer(
+    node, exchange, line, n_bytes
+):
+    """Guards against such an answer at a caller, whole or streamed."""
+    conn, caller = exchange()
+    head = b"\r\nX-Request-Id: mine\r\nContent-Length: %d\r\n\r\n" % n_bytes
+    conn.dataReceived(line + head + b"x" * n_bytes)
+    assert [result.outcome for result in node.results] == [AttemptOutcome.FAILED]
+    assert (caller.got, caller.body) == (ErrorKind.OUTCOME_UNKNOWN, b"")
+    assert conn.transport.disconnecting
+    assert not is_idle(conn)
+
+
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [
+        (b"HTTP/1.1 200", 200),
+        (b"HTTP/1.1 200 ", 200),
+        (b"HTTP/1.1 200 caf\xe9", 200),
+        (b"HTTP/1.0 299 OK", 299),
+        (b"HTTP/1.1 599 Odd but allowed", 599),
+        (b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 201 Created", 201),
+    ],
+)
+def test_unusual_status_line_that_http_allows_is_passed_on(exchange, line, status):
+    conn, caller = exchange()
+    head = b"\r\nX-Request-Id: mine\r\nContent-Length: 2\r\n\r\n"
+    conn.dataReceived(line + head + b"ok")
+    assert (caller.got, caller.body) == (status, b"ok")
--- a/packages/once/src/wagtailpaddle_once/messages.py
+++ b/packages/once/src/wagtailpaddle_once/messages.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from wagtailpaddle_core import AccountId, ErrorKind, RequestId, VmId, ZoneId
+from wagtailpaddle_core import (
+    AccountId,
+    ErrorKind,
+    RequestId,
+    VmId,
+    ZoneId,
+    is_final_status,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +57,18 @@
 class StoredAnswer:
     """The backend server's answer, replayed if the request is repeated.
 
-    ``headers`` are (name, value) pairs.
+    ``headers`` are (name, value) pairs. Raises ``ValueError`` for a ``status`` that is
+    not that of a final HTTP response, as a peer may send any number.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    def __post_init__(self) -> None:
+        if not is_final_status(self.status):
+            raise ValueError(f"{self.status} is not the status of an answer")
+
 
 class ClaimState(StrEnum):
     """What a replica knows about the outcome of a claimed request."""
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -264,6 +264,24 @@
     assert len(runs_of(restored, fault)) == 1
 
 
+@pytest.mark.parametrize("kind", ["000", "signed", "600"])
+@pytest.mark.parametrize(
+    ("method", "path", "max_runs"), [("POST", "/book/a", 1), ("GET", "/read/a", 3)]
+)
+def test_answer_without_a_valid_status_is_not_passed_on(
+    restored, kind, method, path, max_runs
+):
+    """Guards against an answer that no server may give, and one that says "not run"."""
+    for server in restored.servers:
+        restored.set_fault(server, f"platform-status-{kind}")
+    request_id = f"status-{kind}-{method}"
+    answer = restored.request(0, method, path, request_id=request_id)
+    assert answer.status == 502
+    assert "x-response-stamp" not in answer.headers
+    assert "retry-after" not in answer.headers
+    assert 1 <= len(runs_of(restored, request_id)) <= max_runs
+
+
 @pytest.mark.parametrize("fault", ["platform-late-refusal", "platform-late-answer"])
 def test_answer_to_an_earlier_request_is_not_believed(restored, fault):
     """Guards against a second run, and against the answer of someone else."""
