Search for the key in the caller's part of a request only

Where operators name an account like its key, X-Tenant would have ended each of its requests. A request's own headers are apart from the daemon's now.

Result: test_header_that_the_daemon_adds_may_equal_the_key.

--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -165,8 +165,7 @@
         remaining_s = max(0.0, action.deadline_at - now)
         account = self._node.request_view(action.request).account
         added = self._dialect.attempt_headers(remaining_s, action.server, account)
-        headers = (*exchange.outgoing.headers, *added)
-        outgoing = replace(exchange.outgoing, headers=headers)
+        outgoing = replace(exchange.outgoing, added=tuple(added))
         view = self._node.request_view(action.request)
         self._decisions.dispatched(
             now,
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -44,8 +44,8 @@
 class OutgoingRequest:
     """A request to a backend server. ``uri`` is the path with the query.
 
-    ``hidden_key`` is the caller's key, which no part of the request may contain, or
-    None if there is none.
+    ``hidden_key`` is the caller's key, which no part of the caller's request may
+    contain, or None if there is none. ``added`` are the daemon's own headers.
     """
 
     method: bytes
@@ -53,6 +53,16 @@
     headers: tuple[Header, ...]
     body: bytes
     hidden_key: bytes | None = None
+    added: tuple[Header, ...] = ()
+
+    @property
+    def shows_key(self) -> bool:
+        """Whether the server would see the caller's key."""
+        key = self.hidden_key
+        if key is None:
+            return False
+        headers = (item for header in self.headers for item in header)
+        return any(key in part for part in (self.uri, self.body, *headers))
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,18 +111,13 @@
         Connections to the server stay open for reuse up to ``max_open`` in number.
         With ``is_fresh`` a new connection is opened.
 
-        Raises ``InvariantError`` if the request contains its hidden key.
+        Raises ``InvariantError`` if the request shows its caller's key.
         """
         try:
             head = encode_head(outgoing, b"%s:%d" % (address.encode(), port))
         except ValueError as exc:
             return fail(RequestNotSent(str(exc)))
-        hidden = outgoing.hidden_key
-        ensure(
-            hidden is None or (hidden not in head and hidden not in outgoing.body),
-            "server-sees-no-key",
-            server=(address, port),
-        )
+        ensure(not outgoing.shows_key, "server-sees-no-key", server=(address, port))
         req = EncodedRequest(outgoing.method, head, outgoing.body, accepts=accepts)
         bound = self._safe if outgoing.method in SAFE_METHODS else self._unsafe
         idle_s = bound.max_idle_s(self._reactor.seconds())
@@ -139,7 +144,8 @@
     lines = [b"%s %s HTTP/1.1" % (outgoing.method, outgoing.uri)]
     if not any(name.lower() == b"host" for name, _ in outgoing.headers):
         lines.append(b"Host: " + host)
-    lines += [b"%s: %s" % header for header in outgoing.headers]
+    headers = (*outgoing.headers, *outgoing.added)
+    lines += [b"%s: %s" % header for header in headers]
     if outgoing.body or outgoing.method not in SAFE_METHODS:
         lines.append(b"Content-Length: %d" % len(outgoing.body))
     head = b"\r\n".join(lines)
--- a/packages/daemon/tests/test_upstream_keys.py
+++ b/packages/daemon/tests/test_upstream_keys.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.testing import MemoryReactorClock
 from wagtailpaddle_core.invariants import InvariantError
-from wagtailpaddle_daemon.upstream import OutgoingRequest, Upstream
+from wagtailpaddle_daemon.upstream import OutgoingRequest, Upstream, encode_head
 
 KEY = b"wp_" + b"k" * 43
 
@@ -36,6 +36,14 @@
         send(**part(key), key=key)
 
 
+def test_header_that_the_daemon_adds_may_equal_the_key():
+    """Guards against a failure where operators name an account like its key."""
+    headers = ((b"X-Tenant", KEY),)
+    outgoing = OutgoingRequest(b"GET", b"/", (), b"", hidden_key=KEY, added=headers)
+    assert not outgoing.shows_key
+    assert b"X-Tenant: " + KEY in encode_head(outgoing, b"x")
+
+
 def test_request_with_a_word_like_a_key_is_sent(send):
     """Guards against a daemon that ends a proper request as one with a key."""
     assert len(send(uri=b"/?k=" + KEY, body=KEY, key=b"another-key")) == 1
