Bound the last flush of a stop by the grace time

The time in which callers read the last answers was 0.1 s whatever the grace time; with one of 1 s the VM would have been killed meanwhile. It is 1/24 of it now, half of what is left for closing, and ends as soon as connections are closed.

--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -53,8 +53,8 @@
 FINAL_REFUSAL_S = 0.1
 """Requests that still wait this long before the end are refused."""
 
-FINAL_FLUSH_S = 0.1
-"""How long callers may take to read the last answers."""
+FINAL_FLUSH = 1 / 24
+"""Part of the grace time in which callers read the last answers."""
 
 
 log = get_logger("daemon")
@@ -208,7 +208,8 @@
         self.gateway.carry_out(self.node.refuse_waiting(self._reactor.seconds()))
         await wait_until(self._reactor, self._is_drained, FINAL_REFUSAL_S)
         self.gateway.carry_out(self.node.abandon_running(self._reactor.seconds()))
-        await wait_until(self._reactor, self._is_drained, FINAL_FLUSH_S)
+        flush_s = self.cfg.grace_s * FINAL_FLUSH
+        await wait_until(self._reactor, self._is_drained, flush_s)
         self._frontend.close_idle()
         await self._close()
         self.lifecycle.stopped()
