Share the front end's fixtures among its tests

test_front and test_forwarded_request had the same stand-in for the gateway and the same factory. They are in conftest.py now. No test is changed.

--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -11,12 +11,15 @@
 from twisted.internet.testing import StringTransport
 from wagtailpaddle_config import hash_secret
 from wagtailpaddle_daemon.admin import Admin
+from wagtailpaddle_daemon.client_guard import ClientGuard
+from wagtailpaddle_daemon.frontend import FrontendFactory
 from wagtailpaddle_daemon.logclient import LogError, LogRead
 from wagtailpaddle_daemon.metrics import Metrics
 from wagtailpaddle_daemon.service import make_vm
 from wagtailpaddle_daemon.settings import build_parser, read_settings
 from wagtailpaddle_node import Node, RawLogRecord
 from wagtailpaddle_peer import LogCodec
+from wagtailpaddle_resources import make_budget
 from wagtailpaddle_standins.readyclock import ReadyClock
 
 TOKEN = "operator-token"
@@ -162,6 +165,37 @@
     return MemoryLog()
 
 
+class RecordingGateway:
+    """A gateway that keeps the requests and their callers; the test answers them."""
+
+    def __init__(self):
+        self.requests = []
+        self.callers = []
+
+    def on_request(self, head, outgoing, caller):
+        self.requests.append((head, outgoing))
+        self.callers.append(caller)
+
+    def on_caller_disconnect(self, request):
+        pass
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def gateway():
+    return RecordingGateway()
+
+
+@pytest.fixture
+def front(clock, gateway):
+    guard = ClientGuard(clock, make_budget(200.0, 4096), receive_s=5.0)
+    return FrontendFactory(clock, gateway, lambda *_: b"{}", guard=guard)
+
+
 @pytest.fixture
 def metrics():
     return Metrics(max_accounts=2)
--- a/packages/daemon/tests/test_forwarded_request.py
+++ b/packages/daemon/tests/test_forwarded_request.py
@@ -1,36 +1,16 @@
 """Requests reach the gateway as callers sent them, also with words like keys."""
 
 import pytest
-from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from wagtailpaddle_config import hash_secret
-from wagtailpaddle_daemon.client_guard import ClientGuard
-from wagtailpaddle_daemon.frontend import FrontendFactory
-from wagtailpaddle_resources import make_budget
 
 WORD = b"wp_furniture-pack_oak-table-four-chairs-namur-jambes-2026"
 KEY = b"2b9wu3fexd9dnn2ctnfz"
 
 
-class RecordingGateway:
-    """A gateway that keeps the requests it is given."""
-
-    def __init__(self):
-        self.requests = []
-
-    def on_request(self, head, outgoing, caller):
-        self.requests.append((head, outgoing))
-
-    def on_caller_disconnect(self, request):
-        pass
-
-
 @pytest.fixture
-def receive():
+def receive(front, gateway):
     """Return a function that sends a request and returns what the gateway gets."""
-    clock, gateway = Clock(), RecordingGateway()
-    guard = ClientGuard(clock, make_budget(200.0, 4096), receive_s=5.0)
-    front = FrontendFactory(clock, gateway, lambda *_: b"{}", guard=guard)
 
     def receive(uri=b"/", request_id=b"r1", copy=b"c", body=b"", key=KEY):
         channel = front.buildProtocol(None)
--- a/packages/daemon/tests/test_front.py
+++ b/packages/daemon/tests/test_front.py
@@ -1,13 +1,9 @@
 """Callers' connections: keep-alive, graceful shutdown and slow senders."""
 
 import pytest
-from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from wagtailpaddle_core import ErrorKind
-from wagtailpaddle_daemon.client_guard import ClientGuard
-from wagtailpaddle_daemon.frontend import FrontendFactory
 from wagtailpaddle_daemon.upstream import ResponseHead
-from wagtailpaddle_resources import make_budget
 
 REQUEST = b"GET /catalogue HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -24,35 +20,6 @@
         self.disconnecting = True
 
 
-class RecordingGateway:
-    """A gateway that collects callers; the test answers them."""
-
-    def __init__(self):
-        self.callers = []
-
-    def on_request(self, head, outgoing, caller):
-        self.callers.append(caller)
-
-    def on_caller_disconnect(self, request):
-        pass
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
-@pytest.fixture
-def gateway():
-    return RecordingGateway()
-
-
-@pytest.fixture
-def front(clock, gateway):
-    guard = ClientGuard(clock, make_budget(200.0, 4096), receive_s=5.0)
-    return FrontendFactory(clock, gateway, lambda *_: b"{}", guard=guard)
-
-
 @pytest.fixture
 def connect(front):
     def connect():
