Name the candidates for keys in a request after what they are

RequestHead.contained_keys held hashes of words that may be keys, most of which are none; key_candidates says so. The schedule of probes has a function of its own.

--- a/packages/daemon/src/wagtailpaddle_daemon/frontend.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/frontend.py
@@ -29,7 +29,7 @@
     check_framing,
     check_path,
     choose_request_id,
-    hash_contained_keys,
+    hash_key_candidates,
     parse_idempotency_key,
     parse_target,
     parse_timeout,
@@ -167,7 +167,7 @@
         headers = tuple(self._outgoing_headers(target.host, keys))
         header_values = b"\n".join(value for _, value in headers)
         parts = (self.method, uri, header_values, body)
-        contained_keys = hash_contained_keys(keys, parts)
+        key_candidates = hash_key_candidates(keys, parts)
         fingerprint = ""
         if idempotency_key is not None:
             fingerprint = sha256(b"\n".join((self.method, uri, body))).hexdigest()
@@ -181,9 +181,9 @@
             idempotency_key=idempotency_key,
             fingerprint=fingerprint,
             n_bytes=len(body),
-            contained_keys=contained_keys,
+            key_candidates=key_candidates,
         )
-        hidden_key = None if contained_keys else keys.key
+        hidden_key = None if key_candidates else keys.key
         outgoing = OutgoingRequest(
             self.method, uri, headers, body, hidden_key=hidden_key
         )
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -420,7 +420,7 @@
 
         The request's internal id stands for one that may contain a key.
         """
-        if head.contained_keys:
+        if head.key_candidates:
             return str(head.id).encode()
         values = (v for name, v in outgoing.headers if name == self._dialect.request_id)
         return next(values, b"")
--- a/packages/daemon/src/wagtailpaddle_daemon/request_parsing.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/request_parsing.py
@@ -76,7 +76,7 @@
     return value or uuid4().hex.encode()
 
 
-def hash_contained_keys(keys: KeyFilter, parts: Iterable[bytes]) -> frozenset[str]:
+def hash_key_candidates(keys: KeyFilter, parts: Iterable[bytes]) -> frozenset[str]:
     """Return the hashes of words in ``parts`` of a request that may be keys.
 
     ``parts`` are sent to a server as they are, so a request with a key in them has to
--- a/packages/daemon/tests/test_forwarded_request.py
+++ b/packages/daemon/tests/test_forwarded_request.py
@@ -46,7 +46,7 @@
 def test_short_key_is_not_searched_for_in_ordinary_text(receive, key):
     """Guards against the refusal of a request that contains the key by chance."""
     head, outgoing, _ = receive(b"/?page=1", key=key, body=b"page 1")
-    assert head.contained_keys == frozenset()
+    assert head.key_candidates == frozenset()
     assert outgoing.uri == b"/?page=1"
 
 
@@ -61,10 +61,10 @@
 )
 def test_key_in_a_part_that_stays_as_sent_is_named_to_the_node(receive, parts):
     head, _, _ = receive(**parts)
-    assert head.contained_keys == {hash_secret(KEY.decode())}
+    assert head.key_candidates == {hash_secret(KEY.decode())}
 
 
 def test_header_with_the_key_is_left_out(receive):
     head, outgoing, headers = receive(copy=b"a" + KEY)
     assert b"X-Copy" not in headers
-    assert (head.contained_keys, outgoing.hidden_key) == (frozenset(), KEY)
+    assert (head.key_candidates, outgoing.hidden_key) == (frozenset(), KEY)
--- a/packages/node/src/wagtailpaddle_node/messages.py
+++ b/packages/node/src/wagtailpaddle_node/messages.py
@@ -15,8 +15,8 @@
     ``path`` is decoded and has no query. ``key_hash`` is the hash of the
     caller's key or None. ``timeout_s`` is the caller's time-out or None.
     ``fingerprint`` distinguishes requests with the same idempotency key.
-    ``n_bytes`` is the size of the body. ``contained_keys`` are the hashes of words
-    that may be keys, in parts of the request that a server gets as they are.
+    ``n_bytes`` is the size of the body. ``key_candidates`` are the hashes of the words
+    that may be keys, in the parts of the request that a server gets as they are.
     """
 
     id: RequestId
@@ -28,7 +28,7 @@
     idempotency_key: str | None = None
     fingerprint: str = ""
     n_bytes: int = 0
-    contained_keys: frozenset[str] = frozenset()
+    key_candidates: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/wagtailpaddle_node/request_table.py
+++ b/packages/node/src/wagtailpaddle_node/request_table.py
@@ -157,7 +157,7 @@
 
     What merely looks like a key is passed on.
     """
-    for key_hash in head.contained_keys:
+    for key_hash in head.key_candidates:
         if cfg.account_for(key_hash) is not None:
             detail = "the request contains a key beyond the header for it"
             raise WagtailError(ErrorKind.BAD_REQUEST, detail)
--- a/packages/node/tests/test_flow.py
+++ b/packages/node/tests/test_flow.py
@@ -95,7 +95,7 @@
 )
 def test_only_a_valid_key_in_a_request_refuses_it(pipeline, head, contained, refused):
     """Guards against the refusal of a word that merely looks like a key."""
-    head = replace(head, contained_keys=frozenset(contained))
+    head = replace(head, key_candidates=frozenset(contained))
     assert kinds(pipeline.begin(1.0, head)) == refused
 
 
--- a/packages/replica/src/wagtailpaddle_replica/upstream_choice.py
+++ b/packages/replica/src/wagtailpaddle_replica/upstream_choice.py
@@ -67,16 +67,17 @@
         if not addresses and len(alive) == 1:
             addresses = list(self._seeds)
         if not candidates and now >= self._next_probe_at:
-            silent = self._first_available(now, self._silent_addresses(alive, known))
-            if silent is not None:
-                has_fallback = bool(addresses)
-                self._next_probe_at = now + (
-                    FALLBACK_PROBE_INTERVAL_S if has_fallback else PROBE_INTERVAL_S
-                )
-                return FollowTarget(silent, is_probe=True)
+            address = self._first_available(now, self._silent_addresses(alive, known))
+            if address is not None:
+                self._schedule_probe(now, has_fallback=bool(addresses))
+                return FollowTarget(address, is_probe=True)
         address = self._first_available(now, addresses)
         return None if address is None else FollowTarget(address)
 
+    def _schedule_probe(self, now: float, *, has_fallback: bool) -> None:
+        interval_s = FALLBACK_PROBE_INTERVAL_S if has_fallback else PROBE_INTERVAL_S
+        self._next_probe_at = now + interval_s
+
     def _first_available(self, now: float, addresses: Iterable[str]) -> str | None:
         """Return the first address without a recent failure, or None."""
         for address in addresses:
