--- a/packages/standins/src/wagtailpaddle_standins/soak/world.py
+++ b/packages/standins/src/wagtailpaddle_standins/soak/world.py
@@ -303,7 +303,8 @@
             current.attempt = 0
             now = self.fabric.clock(host.process)
             result = AttemptResult(outcome, now - sent_at, status)
-            answer = StoredAnswer(status, (), b"answer")
+            is_answer = outcome is AttemptOutcome.ANSWERED
+            answer = StoredAnswer(status, (), b"answer") if is_answer else None
             self.carry_out(
                 host, host.node.on_attempt(now, action.request, result, answer)
             )
