Free each response at once, without a garbage collection

The check of status lines wrapped a method of Twisted's parser in a function that refers to the parser: a reference cycle that kept every response until the next collection. The parser gets the checking class instead.

Result: test_finished_response_is_freed_at_once failed before and passes.

--- a/packages/daemon/src/wagtailpaddle_daemon/strict_client.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/strict_client.py
@@ -9,7 +9,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory
-from twisted.web._newclient import HTTP11ClientProtocol, ParseError
+from twisted.web._newclient import HTTP11ClientProtocol, HTTPClientParser, ParseError
 from twisted.web.client import HTTPConnectionPool
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] ([1-5][0-9]{2})(?: [\t -~\x80-\xff]*)?")
@@ -35,6 +35,12 @@
         raise StatusLineError("change of protocol without a request for it", line[:64])
 
 
+class _StrictParser(HTTPClientParser):
+    def statusReceived(self, line: bytes) -> None:  # noqa: N802
+        check_status_line(line)
+        super().statusReceived(line)
+
+
 class StrictClientProtocol(HTTP11ClientProtocol):
     """A connection on which a malformed status line ends the request."""
 
@@ -42,7 +48,9 @@
         """Send ``request`` and return its response."""
         response = super().request(request)
         if self._parser is not None:
-            self._parser.statusReceived = _checked(self._parser.statusReceived)
+            # Twisted leaves no choice of the parser, and a wrapped method would form
+            # a reference cycle that keeps each response until a garbage collection.
+            self._parser.__class__ = _StrictParser
         return response
 
 
@@ -64,13 +72,3 @@
 
     def buildProtocol(self, addr: Any) -> StrictClientProtocol:  # noqa: N802
         return StrictClientProtocol(self._on_idle)
-
-
-def _checked(receive: Any) -> Any:
-    """Return a receiver of status lines that checks each one first."""
-
-    def receive_checked(line: bytes) -> None:
-        check_status_line(line)
-        receive(line)
-
-    return receive_checked
--- a/packages/daemon/tests/test_strict_client.py
+++ b/packages/daemon/tests/test_strict_client.py
@@ -1,5 +1,8 @@
 """Every client of the daemon accepts only well-formed status lines."""
 
+import gc
+from weakref import ref
+
 import pytest
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.web._newclient import Request, ResponseFailed
@@ -51,3 +54,16 @@
     codes = []
     response.addCallback(lambda found: codes.append(found.code))
     assert codes == [204]
+
+
+def test_finished_response_is_freed_at_once():
+    """Guards against responses that take memory until a garbage collection."""
+    conn, response = send_on(StrictConnectionPool(MemoryReactorClock()))
+    parser = ref(conn._parser)
+    gc.disable()
+    try:
+        conn.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        del conn, response
+        assert parser() is None
+    finally:
+        gc.enable()
