Report the servers that get no requests while others are not served

Once a second, where requests of a service were refused or ended with an error, each VM logs the servers to which it sent none for 2 s, by the reasons that hold (a registry), and wagtailpaddle_idle_servers counts them on the metrics page. No decision is changed.

--- a/packages/daemon/src/wagtailpaddle_daemon/metrics.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/metrics.py
@@ -14,7 +14,7 @@
     ServiceId,
 )
 from wagtailpaddle_resources import ConnectionLedger
-from wagtailpaddle_routing import AttemptOutcome
+from wagtailpaddle_routing import AttemptOutcome, IdleServers
 
 from wagtailpaddle_daemon.histogram import Histogram, Summary
 
@@ -162,6 +162,7 @@
         self.servers = SeriesTable(ServerSeries, max_series=max_servers)
         self.refusals: Counter[str] = Counter()
         self.clients: ConnectionLedger | None = None
+        self.idle_servers: tuple[IdleServers, ...] = ()
         self._pending: list[_RequestSample | _WaitSample | _AttemptSample] = []
 
     def record_request(
--- a/packages/daemon/src/wagtailpaddle_daemon/metrics_page.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/metrics_page.py
@@ -13,6 +13,7 @@
 from prometheus_client.registry import Collector
 from wagtailpaddle_node import ConfigState
 from wagtailpaddle_resources import ConnectionLedger, Reason
+from wagtailpaddle_routing import IdleServers
 
 from wagtailpaddle_daemon.histogram import Histogram
 from wagtailpaddle_daemon.metrics import Metrics, Series
@@ -64,6 +65,7 @@
         refusals.add_metric([kind], count)
     yield _render(
         *_config_gauges(config),
+        _idle_servers_family(metrics.idle_servers),
         _gauge("requests_in_flight", "Requests not yet answered.", n_in_flight),
         refusals,
         *_client_families(metrics.clients),
@@ -92,6 +94,18 @@
         )
 
 
+def _idle_servers_family(reports: tuple[IdleServers, ...]) -> Metric:
+    family = GaugeMetricFamily(
+        "wagtailpaddle_idle_servers",
+        "Servers that this VM gave no request in 2 s while others were not served.",
+        labels=["service", "reason"],
+    )
+    for report in reports:
+        for reason, servers in report.by_reason:
+            family.add_metric([report.service, reason], len(servers))
+    return family
+
+
 def _client_families(clients: ConnectionLedger | None) -> Iterator[Metric]:
     if clients is None:
         return
--- a/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/replicaservice.py
@@ -29,7 +29,7 @@
     FrontendLimits,
 )
 from wagtailpaddle_daemon.gateway import Gateway
-from wagtailpaddle_daemon.healthlog import log_health_events
+from wagtailpaddle_daemon.healthlog import log_health_events, log_idle_servers
 from wagtailpaddle_daemon.lifecycle import Lifecycle
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.long_polls import LongPolls
@@ -290,6 +290,7 @@
         self._upstream.close_idle(now)
         self._peers.close_idle()
         log_health_events(self.node)
+        self.metrics.idle_servers = log_idle_servers(now, self.node)
 
 
 def make_member(cfg: ReplicaDaemonSettings) -> Member:
--- a/packages/daemon/src/wagtailpaddle_daemon/service.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/service.py
@@ -17,7 +17,7 @@
 from wagtailpaddle_daemon.feed import Feed
 from wagtailpaddle_daemon.frontend import FrontendFactory, FrontendLimits
 from wagtailpaddle_daemon.gateway import Gateway
-from wagtailpaddle_daemon.healthlog import log_health_events
+from wagtailpaddle_daemon.healthlog import log_health_events, log_idle_servers
 from wagtailpaddle_daemon.lifecycle import Lifecycle
 from wagtailpaddle_daemon.logclient import LOG_ADAPTERS
 from wagtailpaddle_daemon.logs import get_logger
@@ -192,6 +192,7 @@
         self._peers.close_idle()
         self._feed.write_snapshots()
         log_health_events(self.node)
+        self.metrics.idle_servers = log_idle_servers(now, self.node)
 
     def _directory(self, key_hash: str | None, zone: str | None) -> bytes:
         now = self._reactor.seconds()
--- a/packages/routing/src/wagtailpaddle_routing/__init__.py
+++ b/packages/routing/src/wagtailpaddle_routing/__init__.py
@@ -18,6 +18,7 @@
 from wagtailpaddle_routing.connection_shares import ConnectionShares, servers_per_vm
 from wagtailpaddle_routing.dispatcher import Dispatcher
 from wagtailpaddle_routing.idle import IdleBound
+from wagtailpaddle_routing.idle_servers import IDLE_REASONS, IdleServers
 from wagtailpaddle_routing.inspection import FACTS, Candidate, Effect, Fact
 from wagtailpaddle_routing.leaving import LeavingNotice, LeavingServers
 from wagtailpaddle_routing.limits import LIMITERS
@@ -59,6 +60,8 @@
 __all__ = [
     "CHOOSERS",
     "FACTS",
+    "IDLE_REASONS",
+    "IdleServers",
     "LIMITERS",
     "LEAVING_PARSERS",
     "LIMIT_PARSERS",
--- a/packages/routing/src/wagtailpaddle_routing/dispatcher.py
+++ b/packages/routing/src/wagtailpaddle_routing/dispatcher.py
@@ -15,6 +15,7 @@
     only,
 )
 
+from wagtailpaddle_routing.idle_servers import IdleServers
 from wagtailpaddle_routing.inspection import Candidate
 from wagtailpaddle_routing.messages import (
     Action,
@@ -248,6 +249,10 @@
         """Return the state of the services that have traffic on this VM."""
         return tuple(pool.status(now) for pool in self._pools.values())
 
+    def report_idle_servers(self, now: float) -> tuple[IdleServers, ...]:
+        """Return which servers of each service with traffic got no request lately."""
+        return tuple(pool.report_idle_servers(now) for pool in self._pools.values())
+
     def copy_for(self, service: ServiceId) -> "Dispatcher":
         """Return a copy to try out requests of one service on.
 
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -6,6 +6,7 @@
 from wagtailpaddle_core import (
     ErrorKind,
     RequestId,
+    ServerId,
     ServiceId,
     ensure,
 )
@@ -15,6 +16,7 @@
 from wagtailpaddle_routing.bounded_queue import BoundedQueue
 from wagtailpaddle_routing.budget import RetryBudget
 from wagtailpaddle_routing.choosers import CHOOSERS
+from wagtailpaddle_routing.idle_servers import IdleServers, RequestCounts
 from wagtailpaddle_routing.inspection import Candidate
 from wagtailpaddle_routing.limits import LIMITERS, SERVICE_LIMITERS
 from wagtailpaddle_routing.messages import (
@@ -39,6 +41,7 @@
     State,
     Step,
     failure_kind,
+    is_failure,
     next_step,
     record_result,
     truthful_kind,
@@ -120,6 +123,7 @@
         self._backoff_end_at: float | None = None
         self._reserved_slots = ReservedSlots(policy.reserved)
         self._ends_at = inf
+        self._reported = RequestCounts()
 
     @property
     def is_idle(self) -> bool:
@@ -266,6 +270,18 @@
         pending = PendingRequest(job, now)
         return self.servers.inspect(now, pending, self._latency.silence_timeout_s)
 
+    def report_idle_servers(self, now: float) -> IdleServers:
+        """Return the servers without a request lately, if requests were not served.
+
+        The counts are those of the requests that ended since the last call.
+        """
+        counts = self._requests.counts.since(self._reported)
+        self._reported = self._requests.counts
+        groups: tuple[tuple[str, tuple[ServerId, ...]], ...] = ()
+        if counts.n_unserved:
+            groups = self.servers.group_idle(now, self._latency.silence_timeout_s)
+        return IdleServers(self.service, self.servers.n_usable, counts, groups)
+
     def frozen_parts(self) -> list[object]:
         """Return the immutable parts, which a copy of the pool can share."""
         jobs = [pending.job for pending in self._waiting.all_queued()]
@@ -444,7 +460,8 @@
         if step is Step.RETRY_OR_DELIVER:
             return [self._retry_or_deliver(now, pending)]
         if step is Step.DELIVER:
-            return [self._requests.deliver(pending)]
+            is_served = not is_failure(result)
+            return [self._requests.deliver(pending, is_served=is_served)]
         if step is Step.REFUSE:
             return [self._refuse_failed(now, pending, result)]
         if step is Step.DROP:
@@ -480,7 +497,7 @@
         server = self._choose_server(now, pending)
         if server is not None and self._budget.acquire(now):
             return self._start(now, pending, server)
-        return self._requests.deliver(pending)
+        return self._requests.deliver(pending, is_served=False)
 
     def _refuse_surplus(self, now: float) -> list[Action]:
         """Refuse the last requests of a queue that outlasts this VM."""
--- a/packages/routing/src/wagtailpaddle_routing/request_tracker.py
+++ b/packages/routing/src/wagtailpaddle_routing/request_tracker.py
@@ -3,6 +3,7 @@
 from wagtailpaddle_core import AccountId, ErrorKind, RequestId, ServiceId, ensure
 
 from wagtailpaddle_routing.accounts import Account, Accounts
+from wagtailpaddle_routing.idle_servers import RequestCounts
 from wagtailpaddle_routing.messages import AttemptResult, Deliver, Job, Refuse
 from wagtailpaddle_routing.queues import Queue
 from wagtailpaddle_routing.retry import (
@@ -33,6 +34,13 @@
         self._pending = pending
         self._queue = queue
         self._accounts = Accounts()
+        self._n_ended = 0
+        self._n_unserved = 0
+
+    @property
+    def counts(self) -> RequestCounts:
+        """How many requests have got their answer so far, and how many unserved."""
+        return RequestCounts(self._n_ended, self._n_unserved)
 
     @property
     def n_accounts(self) -> int:
@@ -83,9 +91,10 @@
         if self._accounts.remove_request(pending.job.account):
             self._queue.remove_account(pending.job.account)
 
-    def deliver(self, pending: PendingRequest) -> Deliver:
-        """Close a request with the answer of its last attempt."""
+    def deliver(self, pending: PendingRequest, *, is_served: bool) -> Deliver:
+        """Close a request with the answer of its last attempt, maybe an error."""
         self.close(pending)
+        self._count(is_served=is_served)
         return Deliver(pending.job.id)
 
     def refuse(
@@ -103,6 +112,7 @@
             kind=kind,
         )
         self.close(pending)
+        self._count(is_served=False)
         return Refuse(pending.job.id, kind, detail, retry_after_s)
 
     def refuse_unservable(self, pending: PendingRequest) -> Refuse:
@@ -133,5 +143,9 @@
         retry_after_s = None if pending.may_have_run else wait_s
         return self.refuse(pending, kind, detail, retry_after_s)
 
+    def _count(self, *, is_served: bool) -> None:
+        self._n_ended += 1
+        self._n_unserved += not is_served
+
     def _charge(self, pending: PendingRequest, used_s: float) -> None:
         self._queue.charge(pending.job.account, used_s, pending.job.weight)
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -6,6 +6,7 @@
 from wagtailpaddle_core import RequestId, ServerId, ZoneId, ensure
 
 from wagtailpaddle_routing.choosers import ZoneSplit
+from wagtailpaddle_routing.idle_servers import group_idle_servers
 from wagtailpaddle_routing.inspection import Candidate, Inspection, inspect_server
 from wagtailpaddle_routing.limits import Limiter, ServiceLimiter
 from wagtailpaddle_routing.messages import (
@@ -231,6 +232,13 @@
             for server in self._servers.values()
         )
 
+    def group_idle(
+        self, now: float, silence_timeout_s: float
+    ) -> tuple[tuple[str, tuple[ServerId, ...]], ...]:
+        """Return the usable servers without a request lately, grouped by reason."""
+        candidates = self._candidates(now, silence_timeout_s)
+        return group_idle_servers(candidates, self.suspects.__getitem__)
+
     def start(self, now: float, request: RequestId, server: Server) -> None:
         """Count an attempt that starts."""
         view = server.view
