Let no request be decided by a copy that is older than its bound

What callers saw: a request was routed by version 67 2.065 s after version 80 was acknowledged, where 2 s are allowed, on a VM that nothing disturbed.

Cause: a VM that follows another waited up to 2.4 to 2.6 s for an upstream whose last stated age was young, however late the next answer came, and nothing asked for the age of the copy where a request was decided. The time-outs on the way (reader, relay, parent, follower) were each sound and their sum was held against no bound. Class: a bound that is kept by a sum of background time-outs, and is checked nowhere.

Change: a request that arrives at a VM whose copy of the configuration or of the servers is not proven within the bound waits, for 0.25 s at most, while the VM reads the store. If the store is out of reach the last copies decide, as before. A VM that decides for callers or grants tokens reads at 0.7 of the bound, whatever its upstream states.

--- a/packages/node/src/wagtailpaddle_node/replica_control.py
+++ b/packages/node/src/wagtailpaddle_node/replica_control.py
@@ -132,6 +132,7 @@
                     return None
                 self.backends.health.merge(now, body)
             case TokenRequestBatch():
+                self.replica.record_use(now)
                 return self.quota.on_message(now, body)
         return None
 
@@ -232,6 +233,21 @@
         """Return the actions of claims as they are."""
         return tuple(actions)
 
+    # Proof that the copies are current
+
+    def must_confirm(self, now: float) -> bool:
+        """Return whether a request must wait for the store before it is decided.
+
+        While the store is out of reach the last copies decide.
+        """
+        return self.replica.is_outdated(now) and self.replica.may_confirm(now)
+
+    def confirm(self, now: float) -> tuple[Any, ...]:
+        """Read the copies that are too old to decide."""
+        age_s = self.replica.age_s(now, Collection.CONFIG)
+        self.events.record("Requests wait for the store.", age_s=round(age_s, 3))
+        return self._apply_step(now, self.replica.confirm(now))
+
     def send_leaving_notices(self, now: float) -> tuple[Any, ...]:
         """Send nothing: servers publish in the store that they are leaving."""
         return ()
--- a/packages/node/src/wagtailpaddle_node/replica_node.py
+++ b/packages/node/src/wagtailpaddle_node/replica_node.py
@@ -3,18 +3,30 @@
 from math import inf
 from typing import Any
 
-from wagtailpaddle_core import ServerId, ServiceId, ZoneId
+from wagtailpaddle_core import ErrorKind, RequestId, ServerId, ServiceId, ZoneId
 from wagtailpaddle_fleet import CallerAddresses
 from wagtailpaddle_health import OutlierDetector
 from wagtailpaddle_replica import Batch, Collection, Follow, Member, Update
-from wagtailpaddle_routing import Dispatcher, LeavingServers, Policy, TrustNotice
+from wagtailpaddle_routing import (
+    Dispatcher,
+    LeavingServers,
+    Policy,
+    Refuse,
+    TrustNotice,
+)
 
 from wagtailpaddle_node.backends import Backends
-from wagtailpaddle_node.messages import ConfigState, LogEvent, NodeAction
+from wagtailpaddle_node.messages import (
+    ConfigState,
+    LogEvent,
+    NodeAction,
+    RequestHead,
+)
 from wagtailpaddle_node.replica_control import Decoders, ReplicaControl
 from wagtailpaddle_node.replica_membership import ReplicaSettings
 from wagtailpaddle_node.replica_view import describe
 from wagtailpaddle_node.request_node import RequestNode
+from wagtailpaddle_node.unconfirmed_requests import UnconfirmedRequests
 
 
 class ReplicaNode(RequestNode):
@@ -39,6 +51,7 @@
         backends = Backends(health, dispatcher, leaving_servers=leaving_servers)
         control = ReplicaControl(own, backends, decoders, cfg=cfg, seed=seed)
         super().__init__(control, backends, dispatcher)
+        self._unconfirmed = UnconfirmedRequests()
 
     @property
     def own(self) -> Member:
@@ -80,6 +93,45 @@
         """
         return not isinstance(reply, Update)
 
+    def next_wake(self, now: float) -> float:
+        """Return when ``on_tick`` should be called next; not before ``now``."""
+        at = super().next_wake(now)
+        overdue_at = self._unconfirmed.next_wake()
+        return at if overdue_at is None else max(now, min(at, overdue_at))
+
+    def on_request(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
+        """Admit a request or refuse it, once the copies are proven current."""
+        self.control.replica.record_use(now)
+        if not self.control.must_confirm(now):
+            return super().on_request(now, head)
+        refused = self._begin_event(now)
+        self._tick_scheduler.record_activity(now)
+        is_first = not self._unconfirmed
+        self._unconfirmed.add(now, head)
+        if not is_first:
+            return refused
+        return refused + self._pipeline.settle(now, self.control.confirm(now))
+
+    def on_cancel(
+        self, now: float, request: RequestId
+    ) -> tuple[bool, tuple[NodeAction, ...]]:
+        """The caller of ``request`` disconnected; return whether it continues."""
+        if self._unconfirmed.discard(request):
+            return False, ()
+        return super().on_cancel(now, request)
+
+    def on_tick(self, now: float) -> tuple[NodeAction, ...]:
+        """Run the timers of all parts; call it at the time of ``next_wake``."""
+        return super().on_tick(now) + self._begin_confirmed(now)
+
+    def refuse_waiting(self, now: float) -> tuple[NodeAction, ...]:
+        """Refuse every request that still waits, since the VM stops now."""
+        kind, detail = ErrorKind.DRAINING, "the VM shuts down"
+        refused = tuple(
+            Refuse(item.head.id, kind, detail) for item in self._unconfirmed.pop_all()
+        )
+        return refused + super().refuse_waiting(now)
+
     def on_read(
         self, now: float, sent_at: float, batch: Batch
     ) -> tuple[NodeAction, ...]:
@@ -87,13 +139,15 @@
         refused = self._begin_event(now)
         self._tick_scheduler.record_activity(now)
         actions = self.control.on_read(now, sent_at, batch)
-        return refused + self._pipeline.settle(now, actions) + self._pipeline.sweep(now)
+        actions = self._pipeline.settle(now, actions) + self._pipeline.sweep(now)
+        return refused + actions + self._begin_confirmed(now)
 
     def on_read_failed(
         self, now: float, collection: Collection
     ) -> tuple[NodeAction, ...]:
         """The store did not answer a read."""
-        return self._pipeline.settle(now, self.control.on_read_failed(now, collection))
+        failed = self.control.on_read_failed(now, collection)
+        return self._pipeline.settle(now, failed) + self._begin_confirmed(now)
 
     def on_written(self, now: float, address: str, *, done: bool) -> None:
         """The store answered a write of a VM's record, or did not answer it."""
@@ -120,7 +174,8 @@
     ) -> tuple[NodeAction, ...]:
         """A peer answered a ``CallPeer``."""
         actions = super().on_peer_reply(now, call, reply)
-        return actions + self._pipeline.retry_all_tokens(now)
+        actions += self._pipeline.retry_all_tokens(now)
+        return actions + self._begin_confirmed(now)
 
     def on_peer_failed(self, now: float, call: int) -> tuple[NodeAction, ...]:
         """A ``CallPeer`` got no reply; the peer may still have received it."""
@@ -137,3 +192,15 @@
         if entry is None or entry.service != service:
             raise LookupError(f"server {server!r} is not in service {service!r}")
         return entry.server.address, entry.server.port
+
+    def _begin_confirmed(self, now: float) -> tuple[NodeAction, ...]:
+        """Begin the requests that need not wait for the store any longer."""
+        if not self._unconfirmed:
+            return ()
+        held = self._unconfirmed.pop_overdue(now)
+        if not self.control.must_confirm(now):
+            held += self._unconfirmed.pop_all()
+        actions: tuple[NodeAction, ...] = ()
+        for item in held:
+            actions += self._pipeline.begin(now, item.head, arrived_at=item.arrived_at)
+        return actions
--- a/packages/node/src/wagtailpaddle_node/request_pipeline.py
+++ b/packages/node/src/wagtailpaddle_node/request_pipeline.py
@@ -77,13 +77,17 @@
         times = (self._requests.next_retry_at(), self.dispatcher.next_wake(now))
         return min((at for at in times if at is not None), default=None)
 
-    def begin(self, now: float, head: RequestHead) -> tuple[NodeAction, ...]:
-        """Admit a request or refuse it."""
+    def begin(
+        self, now: float, head: RequestHead, *, arrived_at: float | None = None
+    ) -> tuple[NodeAction, ...]:
+        """Admit a request or refuse it; its time began at ``arrived_at``, or now."""
+        if arrived_at is None:
+            arrived_at = now
         try:
             route = self.find_route(now, head)
             account = authenticate(self.control.configuration, head, route)
             check_contains_no_key(self.control.configuration, head)
-            admitted = self.admit(now, head, route, account, self.splits.choose)
+            admitted = self.admit(arrived_at, head, route, account, self.splits.choose)
         except WagtailError as exc:
             return (Refuse(head.id, exc.kind, exc.detail),)
         self._requests.add(admitted)
@@ -225,7 +229,7 @@
 
     def admit(
         self,
-        now: float,
+        arrived_at: float,
         head: RequestHead,
         route: Route,
         account: ClientAccount | None,
@@ -233,7 +237,7 @@
     ) -> AdmittedRequest:
         """Return an admitted request. Raises ``WagtailError`` if it ends too late."""
         timeout_s = min(head.timeout_s or route.timeout_s, route.timeout_s)
-        if now + timeout_s > self.ends_at:
+        if arrived_at + timeout_s > self.ends_at:
             detail = "the VM shuts down before the request's deadline"
             raise WagtailError(ErrorKind.DRAINING, detail)
         name = OPEN_ACCOUNT if account is None else account.id
@@ -241,8 +245,8 @@
             head,
             route,
             name,
-            now,
-            now + timeout_s,
+            arrived_at,
+            arrived_at + timeout_s,
             service=choose_service(route),
             rank=(account.priority if account else 0, route.priority),
         )
--- a/packages/node/tests/test_replica_control.py
+++ b/packages/node/tests/test_replica_control.py
@@ -138,6 +138,8 @@
 
 
 def test_only_open_routes_are_served_with_an_outdated_configuration(node):
+    """While the store answers, requests wait until the configuration is proven."""
+    node.on_read_failed(4.9, Collection.CONFIG)
     assert request(node, 5.0, "/book/a").kind is ErrorKind.NOT_FRESH
     assert request(node, 5.0, "/none/a").kind is ErrorKind.NOT_FRESH
     assert isinstance(request(node, 5.0, "/open/a", key=None, name="r2"), Dispatch)
--- a/packages/replica/src/wagtailpaddle_replica/own_reads.py
+++ b/packages/replica/src/wagtailpaddle_replica/own_reads.py
@@ -28,11 +28,15 @@
     All ages are fractions of ``apply_s``. A follower gets changes at once while its
     upstream is current, although its copy is proven current only later. It is an
     orphan if its upstream does not answer or has an old copy itself; then nothing
-    brings it changes, and it must read within the bound.
+    brings it changes, and it must read within the bound. So must a follower that is in
+    use: what its upstream stated of itself was true when it answered, and the next
+    answer may be late.
 
     >>> reads = OwnReads(Random(1), apply_s=2.0)
     >>> reads.is_due(Collection.CONFIG, 1.7, is_relay=False)
     False
+    >>> reads.is_due(Collection.CONFIG, 1.7, is_relay=False, is_in_use=True)
+    True
     >>> reads.on_follow_failed()
     >>> reads.is_due(Collection.CONFIG, 1.7, is_relay=False)
     True
@@ -45,12 +49,23 @@
         self._upstream_age = 0.0
         self._substituted: set[Collection] = set()
 
-    def is_due(self, collection: Collection, age_s: float, *, is_relay: bool) -> bool:
-        """Return whether a copy of ``age_s`` is too old to wait for the upstream."""
+    def is_due(
+        self,
+        collection: Collection,
+        age_s: float,
+        *,
+        is_relay: bool,
+        is_in_use: bool = False,
+    ) -> bool:
+        """Return whether a copy of ``age_s`` is too old to wait for the upstream.
+
+        ``is_in_use`` states that this VM decides for callers or for other VMs.
+        """
         age = age_s / self._apply_s
         if not is_relay:
             is_orphan = self._upstream_age > CURRENT_UPSTREAM_AGE
-            max_age = ORPHAN_MAX_AGE if is_orphan else FOLLOWER_MAX_AGE
+            must_read = is_orphan or is_in_use
+            max_age = ORPHAN_MAX_AGE if must_read else FOLLOWER_MAX_AGE
             return age > max_age + SPREAD * self._rng.random()
         is_reader_outdated = self._upstream_age > CURRENT_READER_AGE
         if age > RELAY_MAX_AGE or (is_reader_outdated and age > CURRENT_READER_AGE):
--- a/packages/replica/src/wagtailpaddle_replica/read_schedule.py
+++ b/packages/replica/src/wagtailpaddle_replica/read_schedule.py
@@ -14,6 +14,9 @@
 OVERDUE_READ_S = 0.4
 """A read without an answer for this time counts as failing."""
 
+FAILURE_TTL_S = 1.0
+"""The store counts as out of reach for this time after a read that failed."""
+
 
 class ReadSchedule:
     """Schedules reads of the store, at most one at a time for each collection.
@@ -31,6 +34,13 @@
         self._backoff_s: dict[Collection, float] = {}
         self._sent_at: dict[Collection, float] = {}
         self._has_failed = False
+        self._failed_at = float("-inf")
+
+    def is_store_reachable(self, now: float) -> bool:
+        """Return whether a read that is sent now is likely to be answered soon."""
+        if now - self._failed_at < FAILURE_TTL_S:
+            return False
+        return all(at >= now - OVERDUE_READ_S for at in self._sent_at.values())
 
     def is_failing(self, now: float) -> bool:
         """Return whether the last read failed or one is overdue."""
@@ -53,6 +63,7 @@
         )
         self._next_at[collection] = now + interval_s
         self._has_failed = False
+        self._failed_at = float("-inf")
 
     def record_failure(
         self, now: float, collection: Collection, *, is_urgent: bool
@@ -60,6 +71,7 @@
         """Record a failed read and schedule the retry."""
         self._sent_at.pop(collection, None)
         self._has_failed = True
+        self._failed_at = now
         backoff_s = self._backoff_s.get(collection, READ_INTERVAL_S / 2)
         max_backoff = URGENT_MAX_BACKOFF if is_urgent else MAX_BACKOFF
         backoff_s = min(max_backoff * self._apply_s, backoff_s)
--- a/packages/replica/src/wagtailpaddle_replica/replica.py
+++ b/packages/replica/src/wagtailpaddle_replica/replica.py
@@ -53,6 +53,12 @@
 REGISTER_BACKOFF_S = 1.0
 
 
+USE_TTL_S = 5.0
+"""A VM is in use for this time after it decided for a caller or another VM."""
+
+PROVEN_COLLECTIONS = (Collection.CONFIG, Collection.SERVERS)
+"""The collections that must be known within ``apply_s``."""
+
 DatedBatch = tuple[Batch, float]
 """A batch, and the time at which it was current."""
 
@@ -115,6 +121,7 @@
         self._grace_ends_at = float("-inf")
         self._servers_known_at: float | None = None
         self._stalled_s = 0.0
+        self._used_at = float("-inf")
 
     @property
     def own(self) -> Member:
@@ -134,8 +141,33 @@
         """When live servers have registered again after the last outage."""
         return self._grace_ends_at
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether a copy is not proven to be current within ``apply_s``."""
+        return any(
+            self.copies[item].is_known and self.age_s(now, item) > self._apply_s
+            for item in PROVEN_COLLECTIONS
+        )
+
+    def may_confirm(self, now: float) -> bool:
+        """Return whether a read of the store would soon prove the copies current."""
+        return self.read_schedule.is_store_reachable(now)
+
+    def confirm(self, now: float) -> StepResult:
+        """Read the outdated copies from the store, unless reads are in flight."""
+        reads = [
+            self._read_store(item)
+            for item in PROVEN_COLLECTIONS
+            if self.age_s(now, item) > self._apply_s
+            and self.read_schedule.begin_if_due(now, item)
+        ]
+        return StepResult(tuple(reads))
+
     # Events reported by the host
 
+    def record_use(self, now: float) -> None:
+        """This VM decides for a caller or another VM."""
+        self._used_at = now
+
     def on_stall(self, now: float, stalled_s: float) -> None:
         """This process stood still: for that time it knows nothing of the others."""
         self._stalled_s += stalled_s
@@ -254,14 +286,17 @@
 
     def _read(self, now: float, candidates: tuple[Member, ...]) -> list[ReplicaAction]:
         reads: list[ReplicaAction] = []
-        for collection, copy in self.copies.items():
+        for collection in self.copies:
             if not self._should_read(now, collection, candidates):
                 continue
             if self.read_schedule.begin_if_due(now, collection):
-                whole = not copy.is_known
-                reads.append(ReadStore(collection, copy.next_offset, whole))
+                reads.append(self._read_store(collection))
         return reads
 
+    def _read_store(self, collection: Collection) -> ReadStore:
+        copy = self.copies[collection]
+        return ReadStore(collection, copy.next_offset, whole=not copy.is_known)
+
     def _should_read(
         self, now: float, collection: Collection, candidates: tuple[Member, ...]
     ) -> bool:
@@ -271,8 +306,12 @@
         if collection is Collection.VMS:
             return False
         age_s = self.age_s(now, collection)
-        is_relay = self._is_relay(candidates)
-        return self._own_reads.is_due(collection, age_s, is_relay=is_relay)
+        return self._own_reads.is_due(
+            collection,
+            age_s,
+            is_relay=self._is_relay(candidates),
+            is_in_use=now - self._used_at <= USE_TTL_S,
+        )
 
     def _is_relay(self, candidates: tuple[Member, ...]) -> bool:
         """Return whether this VM has no upstream in its own zone."""
