Leave no sound server without requests while many requests fail

Cause: a server that failed once was suspect on all VMs for 8 s, and only idempotent requests tested it; the service has none. Beside that, servers without a success in 2 s are passed over while others have room. Each reason was sound for itself, and nothing held the floor over all of them: it was asserted for ejections only. Class: an exclusion on old evidence that nothing can disprove, and a floor that counts one reason of many.

Change: while more than 0.05 of the latest attempts of a service fail on a VM, its requests first go to servers that are assigned to it (each server to one of the VMs that use it) and got none for 1 s, and test those that failed 2 s ago, then every 3 s. In calm nothing changes: concentration goes on for as long as it protects callers.

--- a/packages/node/src/wagtailpaddle_node/backends.py
+++ b/packages/node/src/wagtailpaddle_node/backends.py
@@ -217,6 +217,7 @@
                 evacuated=server.zone in self._evacuated,
                 cold_until=self._cold_servers.until((name, server.id)),
                 warmup_per_s=service.warmup_per_s or server.warmup_per_s,
+                assigned=shares is None or shares.is_assigned(server.id),
             )
             for server in service.servers
             if server.id in health_by_id and connections[server.id]
--- a/packages/routing/src/wagtailpaddle_routing/connection_shares.py
+++ b/packages/routing/src/wagtailpaddle_routing/connection_shares.py
@@ -69,6 +69,7 @@
         self._own_servers: frozenset[ServerId] = frozenset()
         self._n_sharing_vms: Counter[ServerId] = Counter()
         self._n_outranking: Counter[ServerId] = Counter()
+        self._is_first: dict[ServerId, bool] = {}
         self.set_vms(vms)
 
     def set_vms(self, vms: frozenset[VmId]) -> None:
@@ -87,6 +88,7 @@
             for vm in self._vms - vms:
                 self._count_vm(vm, -1)
         self._vms = vms
+        self._is_first.clear()
 
     @property
     def is_full_mesh(self) -> bool:
@@ -114,6 +116,14 @@
         )
         return allowed
 
+    def is_assigned(self, server: ServerId) -> bool:
+        """Return whether this VM ranks first among the VMs that use a server."""
+        is_first = self._is_first.get(server)
+        if is_first is None:
+            is_first = self._n_vms_outranking(server) == 0
+            self._is_first[server] = is_first
+        return is_first
+
     def request_connections(self, server: LimitedServer) -> int:
         """Return how many of a server's connections are not reserved for probes."""
         return max(1, server.connections - PROBE_CONNECTIONS)
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -53,7 +53,8 @@
     VM has none in flight there, regardless of its weight. An ``evacuated`` server
     gets no new requests either, and its attempts are no evidence on the service.
     A server is cold until ``cold_until``; it then tolerates ``warmup_per_s``
-    requests per second from all VMs together, 0 for any number.
+    requests per second from all VMs together, 0 for any number. One of the VMs that
+    use a server has it ``assigned``: this VM sees to it that it gets requests.
     """
 
     id: ServerId
@@ -67,6 +68,7 @@
     evacuated: bool = False
     cold_until: float = float("-inf")
     warmup_per_s: float = 0.0
+    assigned: bool = True
 
 
 class AttemptOutcome(StrEnum):
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -6,6 +6,7 @@
 from wagtailpaddle_core import RequestId, ServerId, ZoneId, ensure
 
 from wagtailpaddle_routing.choosers import ZoneSplit
+from wagtailpaddle_routing.coverage import MAX_FAILURE_SHARE, FailureShare
 from wagtailpaddle_routing.idle_servers import group_idle_servers
 from wagtailpaddle_routing.inspection import Candidate, Inspection, inspect_server
 from wagtailpaddle_routing.limits import Limiter, ServiceLimiter
@@ -19,7 +20,7 @@
 from wagtailpaddle_routing.pickers import Candidates, Picker, may_serve
 from wagtailpaddle_routing.retry import PendingRequest
 from wagtailpaddle_routing.server import Server
-from wagtailpaddle_routing.suspects import SuspectTracker
+from wagtailpaddle_routing.suspects import SuspectTracker, is_failure
 from wagtailpaddle_routing.warmup import WarmupSharers
 from wagtailpaddle_routing.zone_overflow import Crossing
 
@@ -69,6 +70,7 @@
         self._to_verify: tuple[Server, ...] = ()
         self._zone_split = ZoneSplit()
         self._total_limit = 0.0
+        self._failure_share = FailureShare()
 
     @property
     def views(self) -> tuple[ServerView, ...]:
@@ -269,6 +271,7 @@
         is_slow_start = is_late and server.was_cold(now - result.latency_s)
         if not server.view.evacuated and not is_slow_start:
             self.suspects.record_attempt(now, server.id, result)
+            self._failure_share.record(now, failed=is_failure(result))
         if result.rest_s is not None:
             spread_s = REST_SPREAD_S * self._random.random()
             server.record_rest(now, result.rest_s, spread_s=spread_s)
@@ -341,6 +344,7 @@
             may_probe,
             self._crossing,
             mean_s,
+            self._failure_share.value(now) > MAX_FAILURE_SHARE,
         )
 
     def _refresh(self) -> None:
--- a/packages/routing/src/wagtailpaddle_routing/suspects.py
+++ b/packages/routing/src/wagtailpaddle_routing/suspects.py
@@ -21,6 +21,12 @@
 REPROBE_INTERVAL_S = 0.05
 """Time until the probe that confirms a first success."""
 
+MIN_RETEST_S = 2.0
+MAX_RETEST_S = 3.0
+"""Time until a suspect server gets a non-idempotent request while many requests fail.
+It increases with each failure of one. A server that recovered counts as sound after
+2 s and must get a request within 2 s more."""
+
 MAX_QUEUED_NOTICES = 64
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
@@ -63,13 +69,20 @@
     (False, True, False)
     """
 
-    __slots__ = ("last_failure_at", "last_success_at", "n_successes", "probed_at")
+    __slots__ = (
+        "_retest_s",
+        "last_failure_at",
+        "last_success_at",
+        "n_successes",
+        "probed_at",
+    )
 
     def __init__(self) -> None:
         self.last_failure_at = float("-inf")
         self.last_success_at = float("-inf")
         self.probed_at = float("-inf")
         self.n_successes = N_SUCCESSES_TO_CLEAR
+        self._retest_s = MIN_RETEST_S
 
     def is_suspect(self, now: float) -> bool:
         """Return whether the server failed lately and is not cleared yet."""
@@ -81,6 +94,10 @@
     def fail(self, now: float) -> bool:
         """Record a failure; return whether it made the server suspect."""
         is_new = not self.is_suspect(now)
+        if is_new:
+            self._retest_s = MIN_RETEST_S
+        elif now - self.last_failure_at >= MIN_RETEST_S:
+            self._retest_s = MAX_RETEST_S
         self.last_failure_at = now
         self.n_successes = 0
         return is_new
@@ -103,6 +120,13 @@
         """Clear the server, since another VM found that it recovered."""
         self.n_successes = N_SUCCESSES_TO_CLEAR
 
+    def needs_retest(self, now: float) -> bool:
+        """Return whether any request may test the server, also a non-idempotent one."""
+        if not self.is_suspect(now):
+            return False
+        tested_at = max(self.last_failure_at, self.probed_at)
+        return self.n_successes > 0 or now - tested_at >= self._retest_s
+
     def needs_probe(self, now: float, *, is_local: bool) -> bool:
         """Return whether the server should be tested with an idempotent request."""
         if not self.is_suspect(now):
