--- a/packages/standins/tests/test_platform_settings.py
+++ b/packages/standins/tests/test_platform_settings.py
@@ -60,6 +60,13 @@
     assert cfg.control.apply_s == apply_s
 
 
+@pytest.mark.parametrize(("drain_s", "apply_s"), [("2.5", 2.5), ("9", 7.0), ("", 7.0)])
+def test_records_are_known_in_time_for_a_leaving_server(text, drain_s, apply_s):
+    """Guards against requests to a leaving server while configurations may be late."""
+    cfg = daemon_settings(decode_settings(text(bounds__drainS=drain_s)))
+    assert cfg.control.apply_s == apply_s
+
+
 def test_bound_of_cold_servers_is_in_the_settings(text):
     control = daemon_settings(decode_settings(text())).control
     assert (control.warmup_excess, control.warmup_slack) == (1.5, 8.0)
