Hold the floor where servers are chosen, for every picker

The step that covers servers moves from "freshest" to ServerSet.choose, before any picker, and looks at the servers that can take the request.

--- a/packages/routing/src/wagtailpaddle_routing/coverage.py
+++ b/packages/routing/src/wagtailpaddle_routing/coverage.py
@@ -7,11 +7,14 @@
 also to servers that failed, at increasing intervals.
 """
 
-from collections.abc import Iterable
 from math import exp
 
+from wagtailpaddle_core import ServerId
+
+from wagtailpaddle_routing.pickers import Candidates
+from wagtailpaddle_routing.retry import PendingRequest
 from wagtailpaddle_routing.server import Server
-from wagtailpaddle_routing.suspects import SuspectTracker
+from wagtailpaddle_routing.suspects import SuspectState, SuspectTracker
 
 COVER_INTERVAL_S = 1.0
 """Half of the time in which sound servers must get a request, in seconds."""
@@ -58,25 +61,30 @@
 
 
 def find_uncovered(
-    now: float, servers: Iterable[Server], suspects: SuspectTracker
+    candidates: Candidates, pending: PendingRequest, suspects: SuspectTracker
 ) -> Server | None:
     """Return the assigned server that has been without a request longest, or None.
 
     A server counts only after ``COVER_INTERVAL_S``, a suspect one when it is to be
-    tested again.
+    tested again. A request that was tried before goes where the picker sends it.
     """
+    if pending.n_attempts:
+        return None
     uncovered = [
         server
-        for server in servers
-        if server.view.assigned and _is_uncovered(now, server, suspects)
+        for server in candidates.usable
+        if server.view.assigned
+        and candidates.is_responsive(server, pending)
+        and _is_uncovered(candidates.now, server, suspects[server.id])
     ]
-    return min(
-        uncovered, key=lambda item: (item.last_started_at, item.id), default=None
-    )
+    return min(uncovered, key=_longest_without_request, default=None)
+
+
+def _longest_without_request(server: Server) -> tuple[float, ServerId]:
+    return server.last_started_at, server.id
 
 
-def _is_uncovered(now: float, server: Server, suspects: SuspectTracker) -> bool:
-    state = suspects[server.id]
+def _is_uncovered(now: float, server: Server, state: SuspectState) -> bool:
     if state.is_suspect(now):
         return not server.in_flight and state.needs_retest(now)
     return now - server.last_started_at >= COVER_INTERVAL_S
--- a/packages/routing/src/wagtailpaddle_routing/pickers.py
+++ b/packages/routing/src/wagtailpaddle_routing/pickers.py
@@ -8,7 +8,6 @@
 from wagtailpaddle_core import Registry, ZoneId
 
 from wagtailpaddle_routing.choosers import Chooser, ZoneSplit
-from wagtailpaddle_routing.coverage import find_uncovered
 from wagtailpaddle_routing.messages import FULL_LOAD
 from wagtailpaddle_routing.retry import PendingRequest
 from wagtailpaddle_routing.server import Server
@@ -30,8 +29,7 @@
     A server with requests in flight that has answered none of them for
     ``silence_timeout_s`` is silent, that is, it may hang. ``may_probe`` says whether
     the retry budget suffices to retry a request that fails. ``crossing`` is what
-    another zone costs, and ``mean_s`` the mean service time. ``must_cover`` states that
-    so many requests fail that no server may be left out.
+    another zone costs, and ``mean_s`` the mean service time.
     """
 
     now: float
@@ -43,7 +41,6 @@
     may_probe: bool = True
     crossing: Crossing = Crossing(latency_s=0.0, byte_s=0.0)
     mean_s: float = 0.0
-    must_cover: bool = False
 
     def is_available(self, server: Server, pending: PendingRequest) -> bool:
         """Return whether a server is eligible and has a free slot now."""
@@ -164,8 +161,7 @@
     one cannot be retried. So non-idempotent requests use few servers: those with
     the most recent successful answer, as long as they have free slots. Idempotent
     requests do the detection: they go to the servers with the oldest
-    information, and they test suspect servers. While many requests fail all the same,
-    each server gets requests of both kinds.
+    information, and they test suspect servers.
     """
 
     def __init__(self, *, chooser: Chooser, suspects: SuspectTracker, random: Random):
@@ -195,11 +191,6 @@
             if probe is not None:
                 self._suspects[probe.id].probed_at = candidates.now
                 return probe
-        if candidates.must_cover and not pending.n_attempts:
-            uncovered = find_uncovered(candidates.now, available, self._suspects)
-            if uncovered is not None:
-                self._suspects[uncovered.id].probed_at = candidates.now
-                return uncovered
         cleared = [
             item
             for item in available
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -6,7 +6,11 @@
 from wagtailpaddle_core import RequestId, ServerId, ZoneId, ensure
 
 from wagtailpaddle_routing.choosers import ZoneSplit
-from wagtailpaddle_routing.coverage import MAX_FAILURE_SHARE, FailureShare
+from wagtailpaddle_routing.coverage import (
+    MAX_FAILURE_SHARE,
+    FailureShare,
+    find_uncovered,
+)
 from wagtailpaddle_routing.idle_servers import group_idle_servers
 from wagtailpaddle_routing.inspection import Candidate, Inspection, inspect_server
 from wagtailpaddle_routing.limits import Limiter, ServiceLimiter
@@ -205,11 +209,17 @@
         """Return a server with a free slot for the request, or None.
 
         A server with requests in flight that has answered none of them for
-        ``silence_timeout_s`` may hang, and is chosen last.
+        ``silence_timeout_s`` may hang, and is chosen last. While many requests fail,
+        servers that were left without requests come before the picker's choice.
         """
         candidates = self._candidates(
             now, silence_timeout_s, may_probe=may_probe, mean_s=mean_s
         )
+        if self._failure_share.value(now) > MAX_FAILURE_SHARE:
+            uncovered = find_uncovered(candidates, pending, self.suspects)
+            if uncovered is not None:
+                self.suspects[uncovered.id].probed_at = now
+                return uncovered
         return self._picker.pick(candidates, pending)
 
     def has_other(
@@ -344,7 +354,6 @@
             may_probe,
             self._crossing,
             mean_s,
-            self._failure_share.value(now) > MAX_FAILURE_SHARE,
         )
 
     def _refresh(self) -> None:
--- a/packages/routing/tests/test_floor.py
+++ b/packages/routing/tests/test_floor.py
@@ -43,11 +43,13 @@
     others fail with the probability ``error_share``.
     """
 
-    def __init__(self, *, per_s, seed, error_share=0.0, outages=None):
+    def __init__(
+        self, *, per_s, seed, error_share=0.0, outages=None, picker="zone-shares"
+    ):
         self.per_s, self.error_share = per_s, error_share
         self.outages = outages or {}
         self.random = Random(seed)
-        self.dispatcher = Dispatcher(picker="zone-shares", zone="a", seed=seed)
+        self.dispatcher = Dispatcher(picker=picker, zone="a", seed=seed)
         self.views = tuple(
             ServerView(f"s{n}", "ab"[n % 2], slots=6, connections=300)
             for n in range(N_SERVERS)
@@ -127,9 +129,10 @@
     assert not market.windows_below_floor(begin=6.0, until=12.0)
 
 
+@pytest.mark.parametrize("picker", ["zone-shares", "freshest", "balanced"])
 @pytest.mark.parametrize("per_s", [20, 60])
 @pytest.mark.parametrize("seed", range(3))
-def test_servers_without_a_recent_success_are_not_passed_over(per_s, seed):
-    market = Market(per_s=per_s, seed=seed, error_share=0.15)
+def test_servers_without_a_recent_success_are_not_passed_over(per_s, seed, picker):
+    market = Market(per_s=per_s, seed=seed, error_share=0.15, picker=picker)
     market.run(12.0)
     assert not market.windows_below_floor(begin=4.0, until=12.0)
