--- a/packages/routing/src/wagtailpaddle_routing/coverage.py
+++ b/packages/routing/src/wagtailpaddle_routing/coverage.py
@@ -14,14 +14,17 @@
 from wagtailpaddle_routing.pickers import Candidates
 from wagtailpaddle_routing.retry import PendingRequest
 from wagtailpaddle_routing.server import Server
-from wagtailpaddle_routing.suspects import SuspectState, SuspectTracker
+from wagtailpaddle_routing.suspects import SuspectTracker
 
-COVER_INTERVAL_S = 1.0
-"""Half of the time in which sound servers must get a request, in seconds."""
+COVER_INTERVAL_S = 1.5
+"""Sound servers must get a request within 2 s."""
 
-MAX_FAILURE_SHARE = 0.05
-"""Half of the share of failures from which on all sound servers must get requests: a VM
-sees only its own part of the requests."""
+MAX_FAILURE_SHARE = 0.08
+"""Less than the share of failures, 0.1, from which on all sound servers must get
+requests: a VM sees only its own part of the requests."""
+
+IDEMPOTENT_TTL_S = 2.0
+"""Idempotent requests alone cover the servers for this time after one arrived."""
 
 DECAY_S = 1.0
 PRIOR_ATTEMPTS = 2.0
@@ -60,31 +63,53 @@
         return exp(-max(0.0, now - self._updated_at) / DECAY_S)
 
 
-def find_uncovered(
-    candidates: Candidates, pending: PendingRequest, suspects: SuspectTracker
-) -> Server | None:
-    """Return the assigned server that has been without a request longest, or None.
+class Coverage:
+    """Chooses servers that were left without requests while many requests fail.
 
-    A server counts only after ``COVER_INTERVAL_S``, a suspect one when it is to be
-    tested again. A request that was tried before goes where the picker sends it.
+    Where idempotent requests arrive, they alone are sent to such servers: a failure
+    loses none of them.
     """
-    if pending.n_attempts:
-        return None
-    uncovered = [
-        server
-        for server in candidates.usable
-        if server.view.assigned
-        and candidates.is_responsive(server, pending)
-        and _is_uncovered(candidates.now, server, suspects[server.id])
-    ]
-    return min(uncovered, key=_longest_without_request, default=None)
-
-
-def _longest_without_request(server: Server) -> tuple[float, ServerId]:
-    return server.last_started_at, server.id
 
+    def __init__(self, suspects: SuspectTracker) -> None:
+        self._suspects = suspects
+        self._failure_share = FailureShare()
+        self._idempotent_at = float("-inf")
 
-def _is_uncovered(now: float, server: Server, state: SuspectState) -> bool:
-    if state.is_suspect(now):
-        return not server.in_flight and state.needs_retest(now)
-    return now - server.last_started_at >= COVER_INTERVAL_S
+    def record_attempt(self, now: float, *, failed: bool) -> None:
+        """Count an attempt that ended."""
+        self._failure_share.record(now, failed=failed)
+
+    def choose(self, candidates: Candidates, pending: PendingRequest) -> Server | None:
+        """Return the assigned server that has been without a request longest, or None.
+
+        A server counts only after ``COVER_INTERVAL_S``, a suspect one when it is to be
+        tested again. A request that was tried before goes where the picker sends it.
+        """
+        now = candidates.now
+        if pending.job.idempotent:
+            self._idempotent_at = now
+        elif now - self._idempotent_at < IDEMPOTENT_TTL_S:
+            return None
+        if pending.n_attempts or self._failure_share.value(now) <= MAX_FAILURE_SHARE:
+            return None
+        uncovered = [
+            server
+            for server in candidates.usable
+            if server.view.assigned
+            and candidates.is_responsive(server, pending)
+            and self._is_uncovered(now, server)
+        ]
+        chosen = min(uncovered, key=_last_started_at, default=None)
+        if chosen is not None:
+            self._suspects[chosen.id].probed_at = now
+        return chosen
+
+    def _is_uncovered(self, now: float, server: Server) -> bool:
+        state = self._suspects[server.id]
+        if state.is_suspect(now):
+            return not server.in_flight and state.needs_retest(now)
+        return now - server.last_started_at >= COVER_INTERVAL_S
+
+
+def _last_started_at(server: Server) -> tuple[float, ServerId]:
+    return server.last_started_at, server.id
--- a/packages/routing/src/wagtailpaddle_routing/serverset.py
+++ b/packages/routing/src/wagtailpaddle_routing/serverset.py
@@ -6,11 +6,7 @@
 from wagtailpaddle_core import RequestId, ServerId, ZoneId, ensure
 
 from wagtailpaddle_routing.choosers import ZoneSplit
-from wagtailpaddle_routing.coverage import (
-    MAX_FAILURE_SHARE,
-    FailureShare,
-    find_uncovered,
-)
+from wagtailpaddle_routing.coverage import Coverage
 from wagtailpaddle_routing.idle_servers import group_idle_servers
 from wagtailpaddle_routing.inspection import Candidate, Inspection, inspect_server
 from wagtailpaddle_routing.limits import Limiter, ServiceLimiter
@@ -74,7 +70,7 @@
         self._to_verify: tuple[Server, ...] = ()
         self._zone_split = ZoneSplit()
         self._total_limit = 0.0
-        self._failure_share = FailureShare()
+        self._coverage = Coverage(suspects)
 
     @property
     def views(self) -> tuple[ServerView, ...]:
@@ -215,11 +211,9 @@
         candidates = self._candidates(
             now, silence_timeout_s, may_probe=may_probe, mean_s=mean_s
         )
-        if self._failure_share.value(now) > MAX_FAILURE_SHARE:
-            uncovered = find_uncovered(candidates, pending, self.suspects)
-            if uncovered is not None:
-                self.suspects[uncovered.id].probed_at = now
-                return uncovered
+        uncovered = self._coverage.choose(candidates, pending)
+        if uncovered is not None:
+            return uncovered
         return self._picker.pick(candidates, pending)
 
     def has_other(
@@ -281,7 +275,7 @@
         is_slow_start = is_late and server.was_cold(now - result.latency_s)
         if not server.view.evacuated and not is_slow_start:
             self.suspects.record_attempt(now, server.id, result)
-            self._failure_share.record(now, failed=is_failure(result))
+            self._coverage.record_attempt(now, failed=is_failure(result))
         if result.rest_s is not None:
             spread_s = REST_SPREAD_S * self._random.random()
             server.record_rest(now, result.rest_s, spread_s=spread_s)
