Hold no request for the store between two reads of an outage

A failure counts for 2.5 s now.

Result: test_requests_of_an_outage_wait_only_once, with a request beside the next read, fails with 1.0 s and passes.

--- a/packages/node/tests/test_stale_copies.py
+++ b/packages/node/tests/test_stale_copies.py
@@ -126,8 +126,12 @@
 
 def test_requests_of_an_outage_wait_only_once(node):
     ask(node, AFTER_BOUND)
-    node.on_read_failed(AFTER_BOUND + 0.1, Collection.CONFIG)
+    for collection in (Collection.CONFIG, Collection.SERVERS):
+        node.on_read_failed(AFTER_BOUND + 0.1, collection)
     assert of_type(ask(node, AFTER_BOUND + 0.2, "r2"), Dispatch)
+    next_read_at = AFTER_BOUND + 1.9
+    assert of_type(node.on_tick(next_read_at), ReadStore)
+    assert of_type(ask(node, next_read_at, "r3"), Dispatch)
 
 
 def test_waiting_request_that_is_cancelled_reaches_no_server(node):
--- a/packages/replica/src/wagtailpaddle_replica/read_schedule.py
+++ b/packages/replica/src/wagtailpaddle_replica/read_schedule.py
@@ -14,8 +14,9 @@
 OVERDUE_READ_S = 0.4
 """A read without an answer for this time counts as failing."""
 
-FAILURE_TTL_S = 1.0
-"""The store counts as out of reach for this time after a read that failed."""
+FAILURE_TTL_S = 2.5
+"""The store counts as out of reach for this time after a read that failed. The next
+read fails within it, as a read takes 1 s at most."""
 
 
 class ReadSchedule:
