--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,10 +13,12 @@
     HELD,
     CannotRunError,
     Deployment,
+    Platform,
     Server,
     connected,
     encode_request,
     limits,
+    memory_mb,
     read_message,
     route,
     run_case,
@@ -33,37 +35,6 @@
 MAX_LOST = 3
 
 
-def memory_mb(process: int, field: str) -> float:
-    """Return the memory of a process in megabytes."""
-    for line in Path(f"/proc/{process}/status").read_text().splitlines():
-        if line.startswith(field):
-            return int(line.split()[1]) * 1024 / 1e6
-    return 0.0
-
-
-class Platform:
-    """Kills a process that exceeds the memory of its machine, as the pages say."""
-
-    def __init__(self, system: Deployment):
-        self._system = system
-        self.killed = False
-
-    async def watch(self) -> None:
-        """Look at the daemon's memory a hundred times a second."""
-        process = self._system.daemons[0]
-        while process.returncode is None:
-            with contextlib.suppress(OSError):
-                used_mb = memory_mb(process.pid, "VmRSS")
-                if used_mb > MEMORY_MB:
-                    self._system.record.write(
-                        f"daemon 0 uses {used_mb:.0f} MB of {MEMORY_MB}: it is killed"
-                    )
-                    self.killed = True
-                    process.kill()
-                    return
-            await asyncio.sleep(0.01)
-
-
 async def ask_kept(system: Deployment, counts: dict[str, int]) -> None:
     """Send two requests on one connection: the second one is on a kept connection."""
     with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
@@ -117,7 +88,7 @@
         limits(maxBodyBytes=MAX_BODY_BYTES),
     ]
     await system.start(document)
-    platform = Platform(system)
+    platform = Platform(system, memory_limit_mb=MEMORY_MB)
     watching = asyncio.ensure_future(platform.watch())
     for server in system.servers:
         server.work_s = WORK_S
--- a/review/kit_3/rig.py
+++ b/review/kit_3/rig.py
@@ -76,26 +76,34 @@
         return self.line.split(" ")[1]
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    """Read one message that has a length, is chunked, or has no body.
-
-    Raises ``asyncio.IncompleteReadError`` if it ends early.
-    """
+async def read_head(reader: asyncio.StreamReader) -> Message:
+    """Read the head of one message. Raises ``asyncio.IncompleteReadError``."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     line, *fields = head[:-4].split("\r\n")
     headers = {}
     for item in fields:
         name, _, value = item.partition(":")
         headers[name.strip().lower()] = value.strip()
+    return Message(line, headers, b"")
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """Read one message that has a length, is chunked, or has no body.
+
+    Raises ``asyncio.IncompleteReadError`` if it ends early.
+    """
+    message = await read_head(reader)
     body = b""
-    if headers.get("transfer-encoding", "").lower() == "chunked":
+    if message.headers.get("transfer-encoding", "").lower() == "chunked":
         while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
             body += await reader.readexactly(size)
             await reader.readexactly(2)
         await reader.readuntil(b"\r\n")
     else:
-        body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Message(line, headers, body)
+        length = int(message.headers.get("content-length", "0"))
+        body = await reader.readexactly(length)
+    message.body = body
+    return message
 
 
 def encode_answer(status: int, headers: Headers, body: bytes = b"") -> bytes:
@@ -518,6 +526,39 @@
         self.record.close()
 
 
+def memory_mb(process: int, field: str) -> float:
+    """Return the memory of a process in megabytes, 0 if it has ended."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{process}/status").read_text().splitlines():
+            if line.startswith(field):
+                return int(line.split()[1]) * 1024 / 1e6
+    return 0.0
+
+
+class Platform:
+    """Kills daemon 0 if it exceeds the memory of its machine, as the pages say."""
+
+    def __init__(self, system: Deployment, *, memory_limit_mb: float):
+        self._system = system
+        self._memory_limit_mb = memory_limit_mb
+        self.killed = False
+
+    async def watch(self) -> None:
+        """Look at the daemon's memory a hundred times a second."""
+        process = self._system.daemons[0]
+        while process.returncode is None:
+            used_mb = memory_mb(process.pid, "VmRSS")
+            if used_mb > self._memory_limit_mb:
+                limit_mb = self._memory_limit_mb
+                self._system.record.write(
+                    f"daemon 0 uses {used_mb:.0f} MB of {limit_mb:.0f}: it is killed"
+                )
+                self.killed = True
+                process.kill()
+                return
+            await asyncio.sleep(0.01)
+
+
 def encode_request(
     id: str, method: str, path: str, key: str, n_bytes: int, deadline_ms: int
 ) -> bytes:
