--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,7 +1,6 @@
-"""A crowd sends requests ahead whose heads are made of very many short fields."""
+"""The store comes back from a copy; later a server leaves, and its entry is removed."""
 
 import asyncio
-import contextlib
 import sys
 from pathlib import Path
 from typing import Any
@@ -11,13 +10,14 @@
 from rig import (
     BROKEN,
     HELD,
+    ZONES,
     CannotRunError,
     Deployment,
+    Headers,
+    Message,
+    Record,
     Server,
-    connected,
-    encode_request,
     limits,
-    read_message,
     route,
     run_case,
     service,
@@ -25,52 +25,36 @@
 )
 
 KEY = "2b9wu3fexd9dnn2ctnfz"
-MAX_BODY_BYTES = 67_108_864
-TIMEOUT_S = 3.0
-LATE_S = 0.5
-N_CROWD = 400
-N_AHEAD = 40
-N_FIELDS = 4_000
-PAUSE_S = 0.1
-WATCHED_S = 12.0
-MIN_UNANSWERED = 10
+N_SERVERS = 8
+DRAIN_S = 2.0
+COPY_AGE_S = 8.0
+AWAY_S = 1.0
+CALM_S = 4.0
+IDLE_S = 5.0
+ASKED_S = 8.0
+PAUSE_S = 0.15
 
 
-async def join_crowd(system: Deployment, fields: bytes, done: asyncio.Event) -> None:
-    """Send requests without reading their answers, and stay until ``done``."""
-    with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-        async with connected(system.front(0)) as (_, writer):
-            for _ in range(N_AHEAD):
-                head = encode_request(system.new_id(), "GET", "/none/x", "", 0, 3000)
-                writer.write(head[:-2] + fields + b"\r\n")
-                await writer.drain()
-            await done.wait()
+class LeavingServer(Server):
+    """A server that says so in all its answers once it leaves."""
 
-
-async def ask(system: Deployment, waits: list[float]) -> None:
-    """Send an ordinary request, and note how long its answer took."""
-    id = system.new_id()
-    began_at = system.record.now()
-    system.record.write(f"sent {id} to daemon 0: GET /read/x")
-    text = "nothing"
-    with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-        async with connected(system.front(0)) as (reader, writer):
-            writer.write(encode_request(id, "GET", "/read/x", KEY, 0, 3000))
-            answer = await asyncio.wait_for(read_message(reader), 30.0)
-            text = answer.line
-    waited_s = system.record.now() - began_at
-    waits.append(waited_s)
-    system.record.write(f"answered {id} after {waited_s:.2f} s: {text}")
+    def answer_headers(self, request: Message) -> Headers:
+        """Return the headers of the answer to a request that ran."""
+        leaving = {} if self.state else {"Server-Leaving": "1"}
+        return super().answer_headers(request) | leaving
 
 
 async def play(has_trouble: bool) -> int:
-    """Return whether ordinary requests stay without an answer at their time-out."""
+    """Return whether a server gets requests long after its entry was removed."""
+
+    def make_servers(record: Record) -> list[Server]:
+        return [
+            LeavingServer(record, f"i-{n}", "booking", ZONES[n % len(ZONES)])
+            for n in range(N_SERVERS)
+        ]
+
     system = Deployment(
-        Path(__file__).resolve().parent,
-        n_daemons=1,
-        servers=lambda record: [
-            Server(record, f"i-{n}", "booking", "namur-a") for n in range(3)
-        ],
+        Path(__file__).resolve().parent, n_daemons=2, servers=make_servers
     )
     try:
         return await play_on(system, has_trouble=has_trouble)
@@ -81,42 +65,42 @@
 async def play_on(system: Deployment, *, has_trouble: bool) -> int:
     """Play the case on a deployment that is not started yet."""
     document: list[dict[str, Any]] = [
-        route("read", "/read/", "booking", timeoutS=TIMEOUT_S),
-        route("open", "/open/", "booking", public=True, timeoutS=TIMEOUT_S),
+        route("read", "/read/", "booking"),
         service("booking"),
         tenant("acme", KEY),
-        limits(maxBodyBytes=MAX_BODY_BYTES, headerTimeoutS=3, idleTimeoutS=15),
+        limits(),
     ]
     await system.start(document)
-    await asyncio.sleep(1.0)
-    done = asyncio.Event()
-    waits: list[float] = []
-    # As many bytes, in very many fields or in a few.
-    fields = b"a:b\r\n" * N_FIELDS
-    if not has_trouble:
-        fields = b"a:%b\r\n" % (b"b" * 1000) * (len(fields) // 1004 // 2)
-    crowd = [
-        asyncio.ensure_future(join_crowd(system, fields, done)) for _ in range(N_CROWD)
-    ]
-    clients = []
-    until = system.record.now() + WATCHED_S
+    await asyncio.sleep(3.0)
+    copied = system.store.copy()
+    system.record.write("the store makes the copy")
+    await asyncio.sleep(COPY_AGE_S)
+    if has_trouble:
+        system.record.write("the store is away")
+        system.store.is_away = True
+        await asyncio.sleep(AWAY_S)
+        system.store.come_back(copied)
+        system.record.write(f"the store is back, era {system.store.era}")
+    await asyncio.sleep(CALM_S)
+    leaving = system.servers[-1]
+    leaving.state = ""
+    offset = system.store.put("keyed.servers", leaving.name, b"")
+    acknowledged_at = system.record.now()
+    system.record.write(f"acknowledged: {leaving.name} is removed, offset {offset}")
+    await asyncio.sleep(IDLE_S)
+    asked = []
+    until = system.record.now() + ASKED_S
     while system.record.now() < until:
-        clients.append(asyncio.ensure_future(ask(system, waits)))
+        asked.append(asyncio.ensure_future(system.ask(1, "GET", "/read/late", key=KEY)))
         await asyncio.sleep(PAUSE_S)
-    await asyncio.gather(*clients)
-    done.set()
-    await asyncio.gather(*crowd)
-    unanswered = [item for item in waits if item > TIMEOUT_S]
-    late = [item for item in unanswered if item > TIMEOUT_S + LATE_S]
-    print(
-        f"{len(waits)} ordinary requests: {len(unanswered)} unanswered at the time-out,"
-        f" {len(late)} of them half a second later; longest {max(waits):.1f} s;"
-        f" ended {system.ended()}"
-    )
-    if not waits:
-        raise CannotRunError("no request was sent")
-    is_broken = len(unanswered) >= MIN_UNANSWERED and 2 * len(late) > len(unanswered)
-    return BROKEN if is_broken else HELD
+    answers = await asyncio.gather(*asked)
+    if not any(answer.status == 200 for answer in answers):
+        raise CannotRunError("no request was served")
+    late = {item.id for item in answers if item.sent_at > acknowledged_at + DRAIN_S}
+    reached = [run.id for run in leaving.runs if run.id in late]
+    system.record.write(f"reached {leaving.name} too late: {reached}")
+    print(f"{len(reached)} of {len(late)} requests reached the server that had left")
+    return BROKEN if reached else HELD
 
 
 run_case(play)
