Log and count responses that belong to another request

Each response that does not match is logged with its status and the ids that it echoes, and counted on /metrics as wagtailpaddle_unmatched_responses by copy, foreign and unnamed. No decision changes.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
@@ -16,6 +16,7 @@
 from twisted.web._newclient import HEADER, STATUS
 from wagtailpaddle_routing import IdleBound
 
+from wagtailpaddle_daemon.echo import NO_ECHO, CarriedIds, Echo
 from wagtailpaddle_daemon.strict_client import StrictClientProtocol
 
 CONNECT_TIMEOUT_S = 1.0
@@ -28,14 +29,6 @@
 
 Address = tuple[str, int]
 
-AcceptsResponse = Callable[[Any], bool]
-"""Returns whether a response with these headers belongs to a request."""
-
-
-def accept_any(headers: Any) -> bool:
-    """Return True: every response belongs to the request before it."""
-    return True
-
 
 class OversizedHeadError(Exception):
     """The headers of a backend server's response exceed the limit."""
@@ -44,7 +37,7 @@
 class EncodedRequest:
     """An encoded request, with the interface that Twisted's client protocol needs.
 
-    From ``method`` the protocol knows whether the response has a body. ``accepts``
+    From ``method`` the protocol knows whether the response has a body. ``echo``
     tells from a response's headers whether it belongs to this request.
     """
 
@@ -58,10 +51,10 @@
         head: bytes,
         body: bytes = b"",
         *,
-        accepts: AcceptsResponse = accept_any,
+        echo: Echo = NO_ECHO,
     ):
         self.method = method
-        self.accepts = accepts
+        self.echo = echo
         self._head = head
         self._body = body
         self._writer: PieceWriter | None = None
@@ -134,6 +127,7 @@
         super().__init__(self._on_response_finished)
         self._pool = pool
         self.address = address
+        self.carried = CarriedIds()
 
     def send(self, req: EncodedRequest) -> Deferred[Any]:
         """Return the response to ``req``; its ``connection`` is this connection."""
@@ -142,6 +136,8 @@
             response.connection = self
             return response
 
+        if req.echo.request_id:
+            self.carried.add(req.echo.request_id)
         return self.request(req).addCallback(add_connection)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -182,7 +178,7 @@
     def _must_close(self, req: EncodedRequest) -> bool:
         if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
             return True
-        if not req.accepts(self._parser.response.headers):
+        if not req.echo.is_own(self._parser.response.headers):
             return True
         headers = self._parser.connHeaders
         if headers.hasHeader(b"Transfer-Encoding") and headers.hasHeader(
--- a/packages/daemon/src/wagtailpaddle_daemon/decisions.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/decisions.py
@@ -7,9 +7,11 @@
 from wagtailpaddle_node import ConfigState
 from wagtailpaddle_routing import AttemptOutcome, AttemptResult, Dispatch
 
+from wagtailpaddle_daemon.echo import Match
 from wagtailpaddle_daemon.logs import get_logger
 
 MAX_LOGGED_ID_BYTES = 128
+MAX_LOGGED_IDS = 4
 UNSAMPLED_LINES_PER_S = 100
 """Rate of log lines per second above which successful requests are sampled."""
 
@@ -74,6 +76,24 @@
             rest_s=result.rest_s,
         )
 
+    def unmatched(
+        self,
+        external_id: bytes,
+        server: str,
+        match: Match,
+        status: int,
+        echoed: tuple[bytes, ...],
+    ) -> None:
+        """Log a response that does not belong to the request it came for."""
+        log.warning(
+            "Response to another request.",
+            id=_text(external_id),
+            server=server,
+            match=match.value,
+            status=status,
+            echoed=[_text(value) for value in echoed[:MAX_LOGGED_IDS]],
+        )
+
     def refused(
         self,
         external_id: bytes,
--- a/packages/daemon/src/wagtailpaddle_daemon/exchange.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/exchange.py
@@ -8,7 +8,7 @@
 from wagtailpaddle_routing import AttemptOutcome
 
 from wagtailpaddle_daemon.caller import Caller
-from wagtailpaddle_daemon.dialect import DEFAULT_DIALECT, Dialect
+from wagtailpaddle_daemon.echo import Echo
 from wagtailpaddle_daemon.upstream import BodyReader, OutgoingRequest, ResponseHead
 
 
@@ -29,6 +29,7 @@
         "caller",
         "committed",
         "deadline_at",
+        "echo",
         "external_id",
         "head",
         "load",
@@ -50,11 +51,13 @@
         self,
         caller: Caller,
         outgoing: OutgoingRequest,
+        echo: Echo,
         external_id: bytes = b"",
         arrived_at: float = 0.0,
     ) -> None:
         self.caller = caller
         self.outgoing = outgoing
+        self.echo = echo
         self.external_id = external_id
         self.arrived_at = arrived_at
         self.deadline_at = arrived_at
@@ -88,17 +91,3 @@
         for name, value in exchange.head.headers
     )
     return StoredAnswer(exchange.head.status, headers, b"".join(exchange.buffer))
-
-
-def is_mismatched(
-    outgoing: OutgoingRequest, headers: Any, dialect: Dialect = DEFAULT_DIALECT
-) -> bool:
-    """Return whether the echoed request id of a response is not the one sent.
-
-    A response without a request id is a mismatch if the dialect requires it.
-    """
-    echoed = headers.getRawHeaders(dialect.request_id)
-    if not echoed:
-        return dialect.must_echo
-    sent = [value for name, value in outgoing.headers if name == dialect.request_id]
-    return bool(sent) and any(value != sent[0] for value in echoed)
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -31,7 +31,8 @@
 from wagtailpaddle_daemon.caller import Caller, DisconnectedCaller
 from wagtailpaddle_daemon.decisions import DecisionLog
 from wagtailpaddle_daemon.dialect import DEFAULT_DIALECT, Dialect
-from wagtailpaddle_daemon.exchange import Exchange, is_mismatched, stored_answer
+from wagtailpaddle_daemon.echo import Echo
+from wagtailpaddle_daemon.exchange import Exchange, stored_answer
 from wagtailpaddle_daemon.headers import Header, end_to_end
 from wagtailpaddle_daemon.logs import get_logger
 from wagtailpaddle_daemon.metrics import Metrics
@@ -98,9 +99,15 @@
     ) -> None:
         """Handle a request that a caller has sent completely."""
         now = self._reactor.seconds()
-        external_id = self._external_id(head, outgoing)
+        request_id = self._request_id(outgoing)
+        # The internal id stands in the log for one that may contain a key.
+        external_id = str(head.id).encode() if head.key_candidates else request_id
         self._exchanges[head.id] = Exchange(
-            caller, outgoing, external_id=external_id, arrived_at=now
+            caller,
+            outgoing,
+            Echo(self._dialect.request_id, request_id, self._dialect.must_echo),
+            external_id=external_id,
+            arrived_at=now,
         )
         self.carry_out(self._node.on_request(now, head))
 
@@ -185,9 +192,7 @@
             outgoing,
             max_open=action.connections,
             is_fresh=action.needs_fresh_connection,
-            accepts=lambda headers: (
-                not is_mismatched(exchange.outgoing, headers, self._dialect)
-            ),
+            echo=exchange.echo,
         )
         exchange.pending = pending
         pending.addCallbacks(
@@ -215,9 +220,10 @@
             return
         headers = tuple(end_to_end(iter_headers(response.headers)))
         # The body of a response without one ends as soon as it is asked for.
-        if is_mismatched(
-            exchange.outgoing, response.headers, self._dialect
-        ) or is_oversized(headers):
+        is_own = exchange.echo.is_own(response.headers)
+        if not is_own:
+            self._record_unmatched(exchange, response)
+        if not is_own or is_oversized(headers):
             log.warning("Response mismatched or oversized.", request=request)
             discard(response)
             self._finish_attempt(request, exchange, AttemptOutcome.FAILED)
@@ -231,6 +237,14 @@
         )
         response.deliverBody(exchange.reader)
 
+    def _record_unmatched(self, exchange: Exchange, response: Any) -> None:
+        match = exchange.echo.match(response.headers, response.connection.carried)
+        self._metrics.unmatched[match.value] += 1
+        echoed = exchange.echo.echoed(response.headers)
+        self._decisions.unmatched(
+            exchange.external_id, exchange.server[1], match, response.code, echoed
+        )
+
     def _on_body_data(self, request: RequestId, attempt: int, data: bytes) -> None:
         exchange = self._running_exchange(request, attempt)
         if exchange is None:
@@ -415,13 +429,8 @@
         elif exchange.pending is not None:
             exchange.pending.cancel()
 
-    def _external_id(self, head: RequestHead, outgoing: OutgoingRequest) -> bytes:
-        """Return the id for the decision log, which the caller sees too.
-
-        The request's internal id stands for one that may contain a key.
-        """
-        if head.key_candidates:
-            return str(head.id).encode()
+    def _request_id(self, outgoing: OutgoingRequest) -> bytes:
+        """Return the id that the server sees and echoes."""
         values = (v for name, v in outgoing.headers if name == self._dialect.request_id)
         return next(values, b"")
 
--- a/packages/daemon/src/wagtailpaddle_daemon/metrics.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/metrics.py
@@ -147,7 +147,8 @@
     Samples are buffered in a short list, because counting them takes longer
     than a request should wait. ``flush`` counts them. It is called by the
     periodic tick, and automatically when the list is full. ``clients`` is the account
-    of what clients hold, None if the daemon keeps none.
+    of what clients hold, None if the daemon keeps none. ``unmatched`` counts the
+    responses that do not belong to the request they came for, by what they are.
     """
 
     def __init__(
@@ -161,6 +162,7 @@
         self.routes = SeriesTable(Series, max_series=max_routes)
         self.servers = SeriesTable(ServerSeries, max_series=max_servers)
         self.refusals: Counter[str] = Counter()
+        self.unmatched: Counter[str] = Counter()
         self.clients: ConnectionLedger | None = None
         self.idle_servers: tuple[IdleServers, ...] = ()
         self._pending: list[_RequestSample | _WaitSample | _AttemptSample] = []
--- a/packages/daemon/src/wagtailpaddle_daemon/metrics_page.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/metrics_page.py
@@ -68,6 +68,7 @@
         _idle_servers_family(metrics.idle_servers),
         _gauge("requests_in_flight", "Requests not yet answered.", n_in_flight),
         refusals,
+        _unmatched_family(metrics.unmatched),
         *_client_families(metrics.clients),
     )
     yield from _request_families("account", [*metrics.accounts.items()])
@@ -106,6 +107,17 @@
     return family
 
 
+def _unmatched_family(counts: Counter[str]) -> Metric:
+    family = CounterMetricFamily(
+        "wagtailpaddle_unmatched_responses",
+        "Responses of servers to another request than the one they came for.",
+        labels=["match"],
+    )
+    for match, count in sorted(counts.items()):
+        family.add_metric([match], count)
+    return family
+
+
 def _client_families(clients: ConnectionLedger | None) -> Iterator[Metric]:
     if clients is None:
         return
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -18,11 +18,10 @@
 
 from wagtailpaddle_daemon.connections import (
     MAX_RESPONSE_HEAD_BYTES,
-    AcceptsResponse,
     ConnectionPool,
     EncodedRequest,
-    accept_any,
 )
+from wagtailpaddle_daemon.echo import NO_ECHO, Echo
 from wagtailpaddle_daemon.headers import Header
 
 MAX_SAFE_IDLE_S = 30.0
@@ -102,12 +101,12 @@
         *,
         max_open: int = 1,
         is_fresh: bool = False,
-        accepts: AcceptsResponse = accept_any,
+        echo: Echo = NO_ECHO,
     ) -> Deferred[Any]:
         """Return the next response to ``outgoing``; cancelling closes the connection.
 
-        A response that ``accepts`` does not accept is returned too, and its
-        connection is not used again.
+        A response that is not its own by ``echo`` is returned too, and its connection
+        is not used again.
         Connections to the server stay open for reuse up to ``max_open`` in number.
         With ``is_fresh`` a new connection is opened.
 
@@ -118,7 +117,7 @@
         except ValueError as exc:
             return fail(RequestNotSent(str(exc)))
         ensure(not outgoing.shows_key, "server-sees-no-key", server=(address, port))
-        req = EncodedRequest(outgoing.method, head, outgoing.body, accepts=accepts)
+        req = EncodedRequest(outgoing.method, head, outgoing.body, echo=echo)
         bound = self._safe if outgoing.method in SAFE_METHODS else self._unsafe
         idle_s = bound.max_idle_s(self._reactor.seconds())
         return self._connections.send(
--- a/packages/daemon/tests/test_response_bytes.py
+++ b/packages/daemon/tests/test_response_bytes.py
@@ -151,6 +151,30 @@
     assert not is_idle(conn)
 
 
+@pytest.mark.parametrize(
+    ("request_id", "more", "match"),
+    [
+        (b"earlier", b"", "copy"),
+        (b"other", b"", "foreign"),
+        (b"earlier", b"X-Request-Id: mine\r\n", "foreign"),
+    ],
+)
+def test_response_to_another_request_is_counted_by_what_it_is(
+    exchange, metrics, request_id, more, match
+):
+    """Copies of earlier responses must be told apart from all other surplus."""
+    conn, _ = exchange()
+    conn.carried.add(b"earlier")
+    conn.dataReceived(response(503, request_id, body=b"busy", more=more))
+    assert metrics.unmatched == {match: 1}
+
+
+def test_response_without_an_id_is_counted(exchange, metrics):
+    conn, _ = exchange()
+    conn.dataReceived(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+    assert metrics.unmatched == {"unnamed": 1}
+
+
 @pytest.mark.parametrize("status", [200, 204])
 def test_own_response_without_a_body_is_delivered(node, exchange, status):
     conn, caller = exchange()
