Never send a request twice on one connection

Callers got a refusal (not run) for a request that a server ran, or the request ran at a second server too (REFUSED, TWICE).

Cause: a server may send the copy of a refusal where the next response is due. The copy bears the id of the refused request, so on a connection that carries that request again it is taken for the new response. Dispatch asked for a fresh connection by the id of the server that had refused the pending request, while connections are kept by address. Two server ids at one address (421 from the one, the other next), and a caller that sends a refused request again with the same id, both passed the guard.

Change: each connection knows the hashes of the ids that it has carried, and the pool gives it none of them again; the connection asserts it. Dispatch.needs_fresh_connection is gone: the routing cannot know what the connections know.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from twisted.web._newclient import HEADER, STATUS
+from wagtailpaddle_core import ensure
 from wagtailpaddle_routing import IdleBound
 
 from wagtailpaddle_daemon.echo import NO_ECHO, CarriedIds, Echo
@@ -110,6 +111,8 @@
 class ClientConnection(StrictClientProtocol):
     """A connection that bounds the headers and rejects surplus bytes.
 
+    It carries no request id twice: a server may send a response once more, and the id
+    would not tell the copy from the response to the repeat.
     It is not reused after surplus bytes behind a response, after bytes that
     arrive without a request, or if the response states in any way that the
     server closes the connection, nor after a response to another request: the
@@ -136,8 +139,14 @@
             response.connection = self
             return response
 
-        if req.echo.request_id:
-            self.carried.add(req.echo.request_id)
+        request_id = req.echo.request_id
+        if request_id:
+            ensure(
+                request_id not in self.carried,
+                "connection-carries-id-once",
+                server=self.address,
+            )
+            self.carried.add(request_id)
         return self.request(req).addCallback(add_connection)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -178,7 +187,7 @@
     def _must_close(self, req: EncodedRequest) -> bool:
         if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
             return True
-        if not req.echo.is_own(self._parser.response.headers):
+        if not req.echo.is_own(self._parser.response.headers) or self.carried.is_full:
             return True
         headers = self._parser.connHeaders
         if headers.hasHeader(b"Transfer-Encoding") and headers.hasHeader(
@@ -232,19 +241,18 @@
         *,
         max_idle_s: float,
         max_open: int = MAX_IDLE_CONNECTIONS,
-        is_fresh: bool = False,
     ) -> Deferred[Any]:
         """Return the response to ``req``; cancelling closes the connection.
 
         A connection is reused only if it was idle for at most ``max_idle_s``
-        seconds, and never if ``is_fresh``.
+        seconds and has not carried the request's id.
         """
-        idle = self._idle.get(address)
-        min_idle_since = self._reactor.seconds() - max_idle_s
-        if idle and not is_fresh and idle[-1].idle_since >= min_idle_since:
-            conn = idle.pop()
-            conn.reused_at = self._reactor.seconds()
+        now = self._reactor.seconds()
+        conn = self._pop_idle(address, req.echo.request_id, now - max_idle_s)
+        if conn is not None:
+            conn.reused_at = now
             return conn.send(req)
+        idle = self._idle.get(address)
         if idle and self._n_open[address] >= max_open:
             idle[0].close()
         self._n_open[address] += 1
@@ -257,6 +265,19 @@
         )
         return connecting
 
+    def _pop_idle(
+        self, address: Address, request_id: bytes, min_idle_since: float
+    ) -> ClientConnection | None:
+        """Remove and return the connection used last that may carry the request."""
+        idle = self._idle.get(address, deque())
+        for conn in reversed(idle):
+            if conn.idle_since < min_idle_since:
+                return None
+            if request_id not in conn.carried:
+                idle.remove(conn)
+                return conn
+        return None
+
     def on_remote_close(self, conn: ClientConnection) -> None:
         """Handle a connection that the server closed.
 
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -191,7 +191,6 @@
             port,
             outgoing,
             max_open=action.connections,
-            is_fresh=action.needs_fresh_connection,
             echo=exchange.echo,
         )
         exchange.pending = pending
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -100,7 +100,6 @@
         outgoing: OutgoingRequest,
         *,
         max_open: int = 1,
-        is_fresh: bool = False,
         echo: Echo = NO_ECHO,
     ) -> Deferred[Any]:
         """Return the next response to ``outgoing``; cancelling closes the connection.
@@ -108,7 +107,6 @@
         A response that is not its own by ``echo`` is returned too, and its connection
         is not used again.
         Connections to the server stay open for reuse up to ``max_open`` in number.
-        With ``is_fresh`` a new connection is opened.
 
         Raises ``InvariantError`` if the request shows its caller's key.
         """
@@ -125,7 +123,6 @@
             req,
             max_idle_s=idle_s,
             max_open=max_open,
-            is_fresh=is_fresh,
         )
 
     def close_idle(self, now: float) -> None:
--- a/packages/daemon/tests/test_connections.py
+++ b/packages/daemon/tests/test_connections.py
@@ -11,6 +11,7 @@
     ConnectionPool,
     EncodedRequest,
 )
+from wagtailpaddle_daemon.echo import Echo
 from wagtailpaddle_daemon.upstream import BodyReader, OutgoingRequest, encode_head
 from wagtailpaddle_routing import IdleBound
 
@@ -123,8 +124,13 @@
 
     It bears the request's id, so a repeat there would be taken for refused again.
     """
-    deliver_response(conn.request(get()), conn, GOOD + b"\r\nok")
-    repeat = pool.send(ADDRESS, get(), max_idle_s=1.0, is_fresh=True)
+
+    def request():
+        return EncodedRequest(b"GET", DATA, echo=Echo(b"X-Request-Id", b"r1"))
+
+    refusal = GOOD.replace(b"200 OK", b"503 Busy") + b"X-Request-Id: r1\r\n\r\nok"
+    deliver_response(conn.send(request()), conn, refusal)
+    repeat = pool.send(ADDRESS, request(), max_idle_s=1.0)
     repeat.addErrback(lambda _: None)
     assert is_idle(pool, conn)
 
--- a/packages/routing/src/wagtailpaddle_routing/messages.py
+++ b/packages/routing/src/wagtailpaddle_routing/messages.py
@@ -132,9 +132,6 @@
 
     ``queued_s`` is how long the request was queued before this attempt;
     ``connections`` is how many connections this VM may have open to the server.
-    ``needs_fresh_connection`` is set if this server refused the request before: on
-    a kept connection the earlier refusal, sent once more, could not be told from
-    the answer.
     """
 
     request: RequestId
@@ -145,7 +142,6 @@
     deadline_at: float
     queued_s: float = 0.0
     connections: int = 1
-    needs_fresh_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/routing/src/wagtailpaddle_routing/pool.py
+++ b/packages/routing/src/wagtailpaddle_routing/pool.py
@@ -435,7 +435,6 @@
             job.deadline_at,
             queued_s,
             int(server.limiter.cap),
-            needs_fresh_connection=server.id in pending.shed_by,
         )
 
     def _can_replace(self, now: float, pending: PendingRequest) -> bool:
--- a/packages/routing/tests/test_shedding.py
+++ b/packages/routing/tests/test_shedding.py
@@ -124,21 +124,3 @@
         (action,) = dispatcher.finish(0.001, "r", SHED_WITH_ROOM)
         tried.append(action.server)
     assert len(set(tried)) == len(views)
-
-
-def test_repeat_at_a_server_that_shed_the_request_asks_for_a_fresh_connection():
-    dispatcher = Dispatcher(picker="freshest", seed=1)
-    views = tuple(ServerView(f"s{n}", "a", slots=4, connections=300) for n in range(2))
-    dispatcher.set_servers(0.0, SERVICE, views)
-    (action,) = dispatcher.arrive(0.0, Job("r1", "x", SERVICE, False, 0.0, 9.0))
-    tried = {}
-    now = 0.0
-    while len(tried) < 2 or action.server not in tried:
-        assert not action.needs_fresh_connection
-        tried[action.server] = action
-        actions = dispatcher.finish(now, "r1", SHED_WITH_ROOM)
-        while not actions:
-            now += 0.01
-            actions = dispatcher.tick(now)
-        (action,) = actions
-    assert action.needs_fresh_connection
