--- a/packages/standins/src/wagtailpaddle_standins/backend.py
+++ b/packages/standins/src/wagtailpaddle_standins/backend.py
@@ -16,7 +16,7 @@
 from twisted.web import resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-from wagtailpaddle_standins.faults import FAULTS, respond
+from wagtailpaddle_standins.faults import FAULTS, REFUSALS, respond
 from wagtailpaddle_standins.pages import HEALTH_PAGES
 
 CONTROL_PATH = "/_control"
@@ -24,7 +24,6 @@
 HEALTH_PATH = "/_health"
 HEALTH_CONTROL_PATH = "/_health_control"
 FAULT_PATH_SEGMENT = "fault"
-NOT_RUN_FAULTS = frozenset({"shed", "platform-shed", "platform-rest"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +94,7 @@
         body = json.dumps(asdict(received)).encode()
         request.setHeader(b"content-type", b"application/json")
         mode = self._select_mode(path)
-        if mode.fault not in NOT_RUN_FAULTS and self._records_requests:
+        if mode.fault not in REFUSALS and self._records_requests:
             self._received.append(received)
         if mode.fault:
             FAULTS[mode.fault](request, body, mode.parameter)
--- a/packages/standins/src/wagtailpaddle_standins/faults.py
+++ b/packages/standins/src/wagtailpaddle_standins/faults.py
@@ -10,6 +10,8 @@
 """Injects a fault: (request, the normal body, parameter)."""
 
 FAULTS: Registry[Fault] = Registry("fault")
+REFUSALS: Registry[Fault] = Registry("refusal")
+"""The faults that refuse a request before it runs, each also in ``FAULTS``."""
 
 
 def respond(request: Any, body: bytes, status: int = 200) -> None:
@@ -47,6 +49,7 @@
     respond(request, b"broken", 500)
 
 
+@REFUSALS.register("shed")
 @FAULTS.register("shed")
 def shed(request: Any, body: bytes, _: float) -> None:
     """Shed the request with 503 and a header saying that it did not run."""
