Await the due response behind a late copy of an earlier one

Callers got 502 for requests that their server ran and answered on the same connection, just behind a copy of an earlier refusal.

Cause: any response with another id ended the attempt as unknown and closed the connection, since the response to this request could not be awaited safely.

Change: no connection carries an id twice, so a response that echoes the id of an earlier request on the connection is a copy, and the due one follows. It is passed over with its body and logged and counted as copy. It is not passed over without a stated length or after a HEAD on the connection, where its end is not known; any other foreign response ends the attempt as before. Copies and heads before a response are limited to 64 KiB together, and the attempt's time-out goes on, so a server that answers wrongly for ever costs no more than before.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
@@ -17,7 +17,8 @@
 from wagtailpaddle_core import ensure
 from wagtailpaddle_routing import IdleBound
 
-from wagtailpaddle_daemon.echo import NO_ECHO, CarriedIds, Echo
+from wagtailpaddle_daemon.echo import NO_ECHO, CarriedIds, Echo, Match
+from wagtailpaddle_daemon.late_copies import SkippingParser
 from wagtailpaddle_daemon.strict_client import StrictClientProtocol
 
 CONNECT_TIMEOUT_S = 1.0
@@ -30,6 +31,13 @@
 
 Address = tuple[str, int]
 
+OnCopy = Callable[[Any], None]
+"""Is told of the copy of an earlier response that was passed over."""
+
+
+def ignore_copy(response: Any) -> None:
+    """Do nothing."""
+
 
 class OversizedHeadError(Exception):
     """The headers of a backend server's response exceed the limit."""
@@ -39,7 +47,8 @@
     """An encoded request, with the interface that Twisted's client protocol needs.
 
     From ``method`` the protocol knows whether the response has a body. ``echo``
-    tells from a response's headers whether it belongs to this request.
+    tells from a response's headers whether it belongs to this request. ``carried``
+    are the ids whose responses may come once more before the one to this request.
     """
 
     persistent = True
@@ -53,9 +62,12 @@
         body: bytes = b"",
         *,
         echo: Echo = NO_ECHO,
+        on_copy: OnCopy = ignore_copy,
     ):
         self.method = method
         self.echo = echo
+        self.on_copy = on_copy
+        self.carried = CarriedIds()
         self._head = head
         self._body = body
         self._writer: PieceWriter | None = None
@@ -65,6 +77,10 @@
         """Whether the whole request was given to the transport."""
         return self._writer is None or self._writer.is_done
 
+    def is_copy(self, headers: Any) -> bool:
+        """Return whether a response is a copy of an earlier one on the connection."""
+        return self.echo.match(headers, self.carried) is Match.COPY
+
     def writeTo(self, transport: Any) -> Deferred[None]:  # noqa: N802
         """Write the request; a large body follows at the pace of the connection.
 
@@ -119,7 +135,9 @@
     one to this request may still come.
     """
 
+    parser_class = SkippingParser
     _n_head_bytes = 0
+    _has_carried_head = False
     idle_since = 0.0
     reused_at: float | None = None
     is_removed = False
@@ -147,6 +165,10 @@
                 server=self.address,
             )
             self.carried.add(request_id)
+        # The copy of a response to HEAD states the length of a body that it lacks.
+        self._has_carried_head |= req.method == b"HEAD"
+        if not self._has_carried_head:
+            req.carried = self.carried
         return self.request(req).addCallback(add_connection)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -31,7 +31,7 @@
 from wagtailpaddle_daemon.caller import Caller, DisconnectedCaller
 from wagtailpaddle_daemon.decisions import DecisionLog
 from wagtailpaddle_daemon.dialect import DEFAULT_DIALECT, Dialect
-from wagtailpaddle_daemon.echo import Echo
+from wagtailpaddle_daemon.echo import Echo, Match
 from wagtailpaddle_daemon.exchange import Exchange, stored_answer
 from wagtailpaddle_daemon.headers import Header, end_to_end
 from wagtailpaddle_daemon.logs import get_logger
@@ -192,6 +192,7 @@
             outgoing,
             max_open=action.connections,
             echo=exchange.echo,
+            on_copy=lambda copy: self._record_unmatched(exchange, copy, Match.COPY),
         )
         exchange.pending = pending
         pending.addCallbacks(
@@ -221,7 +222,9 @@
         # The body of a response without one ends as soon as it is asked for.
         is_own = exchange.echo.is_own(response.headers)
         if not is_own:
-            self._record_unmatched(exchange, response)
+            carried = response.connection.carried
+            match = exchange.echo.match(response.headers, carried)
+            self._record_unmatched(exchange, response, match)
         if not is_own or is_oversized(headers):
             log.warning("Response mismatched or oversized.", request=request)
             discard(response)
@@ -236,8 +239,9 @@
         )
         response.deliverBody(exchange.reader)
 
-    def _record_unmatched(self, exchange: Exchange, response: Any) -> None:
-        match = exchange.echo.match(response.headers, response.connection.carried)
+    def _record_unmatched(
+        self, exchange: Exchange, response: Any, match: Match
+    ) -> None:
         self._metrics.unmatched[match.value] += 1
         echoed = exchange.echo.echoed(response.headers)
         self._decisions.unmatched(
--- a/packages/daemon/src/wagtailpaddle_daemon/strict_client.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/strict_client.py
@@ -35,8 +35,11 @@
         raise StatusLineError("change of protocol without a request for it", line[:64])
 
 
-class _StrictParser(HTTPClientParser):
+class StrictParser(HTTPClientParser):
+    """Parses a response that begins with a well-formed status line."""
+
     def statusReceived(self, line: bytes) -> None:  # noqa: N802
+        """Check the status line before it is parsed."""
         check_status_line(line)
         super().statusReceived(line)
 
@@ -44,13 +47,15 @@
 class StrictClientProtocol(HTTP11ClientProtocol):
     """A connection on which a malformed status line ends the request."""
 
+    parser_class: type[StrictParser] = StrictParser
+
     def request(self, request: Any) -> Deferred[Any]:
         """Send ``request`` and return its response."""
         response = super().request(request)
         if self._parser is not None:
             # Twisted leaves no choice of the parser, and a wrapped method would form
             # a reference cycle that keeps each response until a garbage collection.
-            self._parser.__class__ = _StrictParser
+            self._parser.__class__ = self.parser_class
         return response
 
 
--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -20,6 +20,8 @@
     MAX_RESPONSE_HEAD_BYTES,
     ConnectionPool,
     EncodedRequest,
+    OnCopy,
+    ignore_copy,
 )
 from wagtailpaddle_daemon.echo import NO_ECHO, Echo
 from wagtailpaddle_daemon.headers import Header
@@ -101,11 +103,13 @@
         *,
         max_open: int = 1,
         echo: Echo = NO_ECHO,
+        on_copy: OnCopy = ignore_copy,
     ) -> Deferred[Any]:
         """Return the next response to ``outgoing``; cancelling closes the connection.
 
-        A response that is not its own by ``echo`` is returned too, and its connection
-        is not used again.
+        A copy of a response to an earlier request on the connection is passed over and
+        given to ``on_copy``. Any other response that is not its own by ``echo`` is
+        returned, and its connection is not used again.
         Connections to the server stay open for reuse up to ``max_open`` in number.
 
         Raises ``InvariantError`` if the request shows its caller's key.
@@ -115,7 +119,9 @@
         except ValueError as exc:
             return fail(RequestNotSent(str(exc)))
         ensure(not outgoing.shows_key, "server-sees-no-key", server=(address, port))
-        req = EncodedRequest(outgoing.method, head, outgoing.body, echo=echo)
+        req = EncodedRequest(
+            outgoing.method, head, outgoing.body, echo=echo, on_copy=on_copy
+        )
         bound = self._safe if outgoing.method in SAFE_METHODS else self._unsafe
         idle_s = bound.max_idle_s(self._reactor.seconds())
         return self._connections.send(
