Let no health probe take the copy of a refusal for a health page

A sound server counted as failed, and the health page that was still due went to the next caller as its answer, while its request ran (found by the review of the fix; the daemon's own dialect, as the platform's daemon sends no such probes).

Probes share the connections of requests, bear no id, and took any response for their own.

Change: a response that echoes the id of an earlier request on the connection is a copy for a probe too, and passed over. The tests of the review run on a reactor that accepts new connections; their assertions are unchanged.

--- a/packages/daemon/src/wagtailpaddle_daemon/echo.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/echo.py
@@ -74,14 +74,18 @@
         return not self.request_id or set(echoed) == {self.request_id}
 
     def match(self, headers: Any, carried: CarriedIds) -> Match:
-        """Return what a response on a connection that carried these ids is."""
+        """Return what a response on a connection that carried these ids is.
+
+        A request without an id takes a response with any other id for its own.
+        """
+        echoed = set(self.echoed(headers))
+        if len(echoed) == 1 and self.request_id not in echoed:
+            (other_id,) = echoed
+            if other_id in carried:
+                return Match.COPY
         if self.is_own(headers):
             return Match.OWN
-        echoed = set(self.echoed(headers))
-        if not echoed:
-            return Match.UNNAMED
-        is_copy = len(echoed) == 1 and echoed.pop() in carried
-        return Match.COPY if is_copy else Match.FOREIGN
+        return Match.FOREIGN if echoed else Match.UNNAMED
 
     def echoed(self, headers: Any) -> tuple[bytes, ...]:
         """Return the ids that a response echoes."""
--- a/packages/daemon/tests/test_misattributed_responses.py
+++ b/packages/daemon/tests/test_misattributed_responses.py
@@ -1,8 +1,7 @@
 """Responses that nothing identifies must not end an attempt or a probe."""
 
 import pytest
-from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from wagtailpaddle_config import Configuration
 from wagtailpaddle_core import ErrorKind
 from wagtailpaddle_daemon.caller import DisconnectedCaller
@@ -83,7 +82,7 @@
 
 @pytest.fixture
 def clock():
-    return Clock()
+    return MemoryReactorClock()
 
 
 @pytest.fixture
