Close a connection after a refusal that names no request

A caller got "not run" for a request that its server ran, where servers echo no ids (the daemon's own dialect; found by the review of the fix).

The copy of a refusal without an id, late on the connection, was taken for the response to the request that came next.

Change: a connection is closed after a response without an id whose status may state that a request did not run (408, 421, 425, 429, 5xx). Where a server names the request, its connections are kept as before.

Not measured: what the new connections cost beside servers that echo no ids and refuse much. Left: a copy of a success without an id cannot be told apart.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -23,6 +23,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 16
+REFUSAL_STATUSES = frozenset({408, 421, 425, 429, *range(500, 600)})
+"""The statuses with which a server may state that a request did not run."""
+
 MAX_RESPONSE_HEAD_BYTES = 65536
 PIECE_BYTES = 262_144
 STALE_WITHIN_S = 0.1
@@ -209,7 +212,11 @@
     def _must_close(self, req: EncodedRequest) -> bool:
         if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
             return True
-        if not req.echo.is_own(self._parser.response.headers) or self.carried.is_full:
+        response = self._parser.response
+        if not req.echo.is_own(response.headers) or self.carried.is_full:
+            return True
+        if response.code in REFUSAL_STATUSES and not req.echo.echoed(response.headers):
+            # A late copy of it could not be told from the next response.
             return True
         headers = self._parser.connHeaders
         if headers.hasHeader(b"Transfer-Encoding") and headers.hasHeader(
