Count no byte of a response as part of the next one's head

Requests that servers ran ended as 502 (unknown) on VMs with a queue.

Cause: where requests wait for a server, the end of a response sends the next one on the same connection, within dataReceived. The whole piece of data, body included, was then counted as head bytes of the response that was due, and the sum went on until a response ended with no request behind it. Past 64 KiB the connection was given up (OversizedHeadError) with a request on it that the server had begun. With responses of 30 KB that takes three in a row.

Change: where the parser has changed, the count starts anew.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -180,8 +180,10 @@
         if self._parser is None:
             self.close()
             return
+        parser = self._parser
         super().dataReceived(data)
-        if self._parser is None or self._parser.state not in (STATUS, HEADER):
+        # The end of a response may send the next request, whose head is yet to come.
+        if self._parser is not parser or parser.state not in (STATUS, HEADER):
             self._n_head_bytes = 0
             return
         self._n_head_bytes += len(data)
