Close a full connection before its successor is opened

A server with as many connections as it takes could reset a request (502) where a connection had carried its 200 ids: it was closed gracefully, while the end of its last response already opened the next one (found by the review; 2, 5 and 17 connections instead of 1, 4 and 16 at a server on loopback).

Change: the pool closes such a connection when it becomes idle, before the end of the response is reported.

Left: the same overshoot after "Connection: close" of a server is older, read and not run.

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -215,7 +215,7 @@
         if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
             return True
         response = self._parser.response
-        if not req.echo.is_own(response.headers) or self.carried.is_full:
+        if not req.echo.is_own(response.headers):
             return True
         if response.code in REFUSAL_STATUSES and not req.echo.echoed(response.headers):
             # A late copy of it could not be told from the next response.
@@ -333,8 +333,12 @@
     def add_idle(self, conn: ClientConnection) -> None:
         """Add a connection whose response is complete to the idle ones.
 
-        They are ordered by the time of last use, the latest last.
+        One that has carried as many requests as it may is closed. The others are
+        ordered by the time of last use, the latest last.
         """
+        if conn.carried.is_full:
+            conn.close()
+            return
         idle = self._idle.setdefault(conn.address, deque())
         conn.idle_since = self._reactor.seconds()
         idle.append(conn)
