Let no copy reach a request, also where it cannot be passed over

A health probe took the copy of a refusal for the health page on a connection that had carried HEAD, as copies are not passed over there (found by the review).

--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -51,7 +51,8 @@
 
     From ``method`` the protocol knows whether the response has a body. ``echo``
     tells from a response's headers whether it belongs to this request. ``carried``
-    are the ids whose responses may come once more before the one to this request.
+    are the ids whose responses may come once more before the one to this request, and
+    ``may_skip`` states whether such copies can be passed over.
     """
 
     persistent = True
@@ -71,6 +72,7 @@
         self.echo = echo
         self.on_copy = on_copy
         self.carried = CarriedIds()
+        self.may_skip = True
         self._head = head
         self._body = body
         self._writer: PieceWriter | None = None
@@ -170,8 +172,8 @@
             self.carried.add(request_id)
         # The copy of a response to HEAD states the length of a body that it lacks.
         self._has_carried_head |= req.method == b"HEAD"
-        if not self._has_carried_head:
-            req.carried = self.carried
+        req.carried = self.carried
+        req.may_skip = not self._has_carried_head
         return self.request(req).addCallback(add_connection)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
