End the attempt whose request breaks an invariant

Cause: the error left carry_out, and the actions behind it were never carried out.

Change: such an error ends its own attempt as failed and is logged.

Evidence: the new test of test_gateway.py fails without the change; 490 tests of packages/daemon pass.

--- a/packages/daemon/src/wagtailpaddle_daemon/gateway.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/gateway.py
@@ -5,9 +5,10 @@
 from dataclasses import replace
 from typing import Any
 
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 from twisted.web.http import NO_BODY_CODES
-from wagtailpaddle_core import ErrorKind, RequestId
+from wagtailpaddle_core import ErrorKind, InvariantError, RequestId
 from wagtailpaddle_node import (
     NodeAction,
     Replay,
@@ -186,7 +187,8 @@
         request = action.request
         self._set_timeout(exchange, now, action.timeout_at, request, attempt)
         # The attempt may end before the callbacks are added.
-        pending = self._upstream.send(
+        pending = maybeDeferred(
+            self._upstream.send,
             address,
             port,
             outgoing,
@@ -313,6 +315,8 @@
     def _on_attempt_failed(
         self, request: RequestId, attempt: int, failure: Failure
     ) -> None:
+        if failure.check(InvariantError):
+            log.error("Attempt broke an invariant.", failure=failure.getTraceback())
         exchange = self._running_exchange(request, attempt)
         if exchange is not None:
             self._finish_attempt(request, exchange, classify_failure(failure))
--- a/packages/daemon/tests/test_gateway.py
+++ b/packages/daemon/tests/test_gateway.py
@@ -7,7 +7,7 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
 from wagtailpaddle_config import Configuration
-from wagtailpaddle_core import ErrorKind
+from wagtailpaddle_core import ErrorKind, InvariantError
 from wagtailpaddle_daemon.caller import DisconnectedCaller
 from wagtailpaddle_daemon.gateway import RESPONSE_BUFFER_BYTES, Gateway
 from wagtailpaddle_daemon.upstream import OutgoingRequest
@@ -78,6 +78,24 @@
     assert not clock.getDelayedCalls()
 
 
+class BrokenUpstream:
+    """An upstream that breaks an invariant with each request."""
+
+    def send(self, address, port, outgoing, **options):
+        raise InvariantError("an invariant does not hold")
+
+
+def test_attempt_that_breaks_an_invariant_ends_and_so_do_those_behind_it(node, metrics):
+    """Guards against requests of the same tick that are left without an answer."""
+    gateway = Gateway(Clock(), node, BrokenUpstream(), metrics)
+    caller = RecordingCaller()
+    outgoing = OutgoingRequest(b"POST", b"/", (), b"")
+    gateway.on_request(RequestHead("r", "", "/", "POST", None), outgoing, caller)
+    assert node.results == ["FAILED", "FAILED"]
+    assert caller.refusal_kind is ErrorKind.NO_HEALTHY_SERVER
+    assert gateway.n_in_flight == 0
+
+
 class SlowNode(TwoAttemptNode):
     """A node whose attempt times out after 1 s and may go on until its deadline."""
 
