--- a/packages/daemon/src/wagtailpaddle_daemon/upstream.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/upstream.py
@@ -18,11 +18,12 @@
 
 from wagtailpaddle_daemon.connections import (
     MAX_RESPONSE_HEAD_BYTES,
-    AcceptsResponse,
     ConnectionPool,
     EncodedRequest,
-    accept_any,
+    OnCopy,
+    ignore_copy,
 )
+from wagtailpaddle_daemon.echo import NO_ECHO, Echo
 from wagtailpaddle_daemon.headers import Header
 
 MAX_SAFE_IDLE_S = 30.0
@@ -101,15 +102,15 @@
         outgoing: OutgoingRequest,
         *,
         max_open: int = 1,
-        is_fresh: bool = False,
-        accepts: AcceptsResponse = accept_any,
+        echo: Echo = NO_ECHO,
+        on_copy: OnCopy = ignore_copy,
     ) -> Deferred[Any]:
         """Return the next response to ``outgoing``; cancelling closes the connection.
 
-        A response that ``accepts`` does not accept is returned too, and its
-        connection is not used again.
+        A copy of a response to an earlier request on the connection is passed over and
+        given to ``on_copy``. Any other response that is not its own by ``echo`` is
+        returned, and its connection is not used again.
         Connections to the server stay open for reuse up to ``max_open`` in number.
-        With ``is_fresh`` a new connection is opened.
 
         Raises ``InvariantError`` if the request shows its caller's key.
         """
@@ -118,7 +119,9 @@
         except ValueError as exc:
             return fail(RequestNotSent(str(exc)))
         ensure(not outgoing.shows_key, "server-sees-no-key", server=(address, port))
-        req = EncodedRequest(outgoing.method, head, outgoing.body, accepts=accepts)
+        req = EncodedRequest(
+            outgoing.method, head, outgoing.body, echo=echo, on_copy=on_copy
+        )
         bound = self._safe if outgoing.method in SAFE_METHODS else self._unsafe
         idle_s = bound.max_idle_s(self._reactor.seconds())
         return self._connections.send(
@@ -126,7 +129,6 @@
             req,
             max_idle_s=idle_s,
             max_open=max_open,
-            is_fresh=is_fresh,
         )
 
     def close_idle(self, now: float) -> None:
