--- a/packages/standins/tests/test_fault_soak.py
+++ b/packages/standins/tests/test_fault_soak.py
@@ -1,6 +1,6 @@
 """A short seeded run of the fault soak, and the seeds that ever broke a promise."""
 
-from wagtailpaddle_platform_standins.faultsoak import run
+from wagtailpaddle_platform_standins.faultsoak.runs import run
 
 SHORT_SEED = 1
 
