--- a/packages/standins/tests/test_lost_check.py
+++ b/packages/standins/tests/test_lost_check.py
@@ -5,7 +5,7 @@
 import pytest
 from wagtailpaddle_platform_standins.faultsoak.callers import CallerRequest
 from wagtailpaddle_platform_standins.faultsoak.lost import is_lost
-from wagtailpaddle_platform_standins.faultsoak.timeline import Timeline
+from wagtailpaddle_platform_standins.faultsoak.timeline import EventKind, Timeline
 
 UNANSWERED = CallerRequest("r1", "/book/r1", "key", 0, 10.0, 10.1, was_sent=True)
 
@@ -14,7 +14,7 @@
 def timeline():
     """A timeline with one planned stop, of daemon 0."""
     timeline = Timeline()
-    timeline.add("stop daemon-0", 9.0, 12.0)
+    timeline.add(EventKind.STOP, "daemon-0", 9.0, 12.0)
     return timeline
 
 
@@ -41,12 +41,18 @@
 
 
 @pytest.mark.parametrize(
-    "event",
-    ["kill daemon-0", "pause daemon-0", "cut store-0", "cut s0", "break s0"],
+    ("kind", "target"),
+    [
+        (EventKind.KILL, "daemon-0"),
+        (EventKind.PAUSE, "daemon-0"),
+        (EventKind.CUT, "store-0"),
+        (EventKind.CUT, "s0"),
+        (EventKind.BREAK, "s0"),
+    ],
 )
-def test_disruption_excuses_a_request_until_the_window_is_over(timeline, event):
-    timeline.begin(event, 6.0)
-    timeline.end(event, 7.5)
+def test_disruption_excuses_a_request_until_the_window_is_over(timeline, kind, target):
+    timeline.begin(kind, target, 6.0)
+    timeline.end(kind, target, 7.5)
     assert not is_lost(timeline, UNANSWERED, {"s0"})
     later = replace(UNANSWERED, sent_at=10.6, ended_at=10.7)
     assert is_lost(timeline, later, {"s0"})
