--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -12,6 +12,7 @@
 from wagtailpaddle_config import hash_secret
 from wagtailpaddle_daemon.admin import Admin
 from wagtailpaddle_daemon.client_guard import ClientGuard
+from wagtailpaddle_daemon.connections import ClientConnection
 from wagtailpaddle_daemon.frontend import FrontendFactory
 from wagtailpaddle_daemon.logclient import LogError, LogRead
 from wagtailpaddle_daemon.metrics import Metrics
@@ -238,3 +239,17 @@
 def published(operator):
     assert operator.send("PUT", "/v1/base", BASE).status == 200
     return operator
+
+
+@pytest.fixture
+def keep_connection():
+    """Add an open, idle connection to a pool, and return it."""
+
+    def keep(pool):
+        conn = ClientConnection(pool, ("127.0.0.1", 9))
+        conn.makeConnection(StringTransport())
+        pool._n_open[conn.address] += 1
+        pool.add_idle(conn)
+        return conn
+
+    return keep
--- a/packages/daemon/tests/test_carried_ids.py
+++ b/packages/daemon/tests/test_carried_ids.py
@@ -3,12 +3,11 @@
 from dataclasses import replace
 
 import pytest
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.testing import MemoryReactorClock
 from wagtailpaddle_config import Configuration
 from wagtailpaddle_core import ErrorKind, InvariantError
 from wagtailpaddle_daemon.caller import DisconnectedCaller
 from wagtailpaddle_daemon.connections import (
-    ClientConnection,
     ConnectionPool,
     EncodedRequest,
 )
@@ -37,14 +36,6 @@
     return ConnectionPool(reactor, max_idle_s=30.0)
 
 
-def add_connection(pool):
-    conn = ClientConnection(pool, ADDRESS)
-    conn.makeConnection(StringTransport())
-    pool._n_open[ADDRESS] += 1
-    pool.add_idle(conn)
-    return conn
-
-
 def send(pool, request_id):
     req = EncodedRequest(b"POST", b"POST / HTTP/1.1\r\n\r\n", echo=Echo(ID, request_id))
     pool.send(ADDRESS, req, max_idle_s=1.0).addErrback(lambda _: None)
@@ -56,8 +47,8 @@
     )
 
 
-def test_repeat_of_a_request_opens_another_connection(pool, reactor):
-    conn = add_connection(pool)
+def test_repeat_of_a_request_opens_another_connection(pool, reactor, keep_connection):
+    conn = keep_connection(pool)
     send(pool, b"r1")
     answer(conn, b"r1")
     n_bytes = len(conn.transport.value())
@@ -69,9 +60,9 @@
 
 
 def test_repeat_of_a_request_uses_a_kept_connection_that_has_not_carried_it(
-    pool, reactor
+    pool, reactor, keep_connection
 ):
-    older, newer = add_connection(pool), add_connection(pool)
+    older, newer = keep_connection(pool), keep_connection(pool)
     send(pool, b"r1")
     answer(newer, b"r1")
     send(pool, b"r1")
@@ -79,8 +70,8 @@
     assert not reactor.tcpClients
 
 
-def test_connection_refuses_to_carry_an_id_twice(pool):
-    conn = add_connection(pool)
+def test_connection_refuses_to_carry_an_id_twice(pool, keep_connection):
+    conn = keep_connection(pool)
     send(pool, b"r1")
     answer(conn, b"r1")
     req = EncodedRequest(b"POST", b"POST / HTTP/1.1\r\n\r\n", echo=Echo(ID, b"r1"))
@@ -88,8 +79,8 @@
         conn.send(req)
 
 
-def test_connection_that_cannot_keep_more_ids_is_closed(pool):
-    conn = add_connection(pool)
+def test_connection_that_cannot_keep_more_ids_is_closed(pool, keep_connection):
+    conn = keep_connection(pool)
     for number in range(MAX_CARRIED_IDS):
         assert not conn.transport.disconnecting
         send(pool, b"r%d" % number)
@@ -129,7 +120,7 @@
 
 @pytest.mark.parametrize("status", [421, 503])
 def test_copy_of_a_refusal_does_not_end_the_attempt_at_the_next_server_there(
-    reactor, metrics, status
+    reactor, metrics, keep_connection, status
 ):
     """Guards against "not run" for a request that the second server id runs.
 
@@ -137,7 +128,7 @@
     kept by address.
     """
     node, upstream = TwoServersNode(), Upstream(reactor)
-    conn = add_connection(upstream._connections)
+    conn = keep_connection(upstream._connections)
     dialect = replace(DEFAULT_DIALECT, must_echo=True)
     gateway = Gateway(reactor, node, upstream, metrics, dialect=dialect)
     outgoing = OutgoingRequest(b"POST", b"/", ((ID, b"r1"),), b"")
@@ -148,11 +139,13 @@
     assert node.outcomes == [AttemptOutcome.SHED]
 
 
-def test_copy_of_a_refusal_does_not_refuse_a_callers_own_repeat(reactor, metrics):
+def test_copy_of_a_refusal_does_not_refuse_a_callers_own_repeat(
+    reactor, metrics, keep_connection
+):
     """Guards against "not run" for a repeat with the same id, which the server runs."""
     node, upstream = TwoServersNode(), Upstream(reactor)
     node.outcomes.append(AttemptOutcome.SHED)
-    conn = add_connection(upstream._connections)
+    conn = keep_connection(upstream._connections)
     gateway = Gateway(reactor, node, upstream, metrics)
     outgoing = OutgoingRequest(b"POST", b"/", ((ID, b"r1"),), b"")
     for internal_id in ("first", "repeat"):
--- a/packages/daemon/tests/test_connection_count.py
+++ b/packages/daemon/tests/test_connection_count.py
@@ -1,9 +1,8 @@
 """The pool keeps to its number of connections when one of them is replaced."""
 
 import pytest
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.testing import MemoryReactorClock
 from wagtailpaddle_daemon.connections import (
-    ClientConnection,
     ConnectionPool,
     EncodedRequest,
 )
@@ -20,13 +19,9 @@
 
 
 @pytest.fixture
-def conn(pool):
+def conn(pool, keep_connection):
     """A kept connection to the server."""
-    conn = ClientConnection(pool, ADDRESS)
-    conn.makeConnection(StringTransport())
-    pool._n_open[ADDRESS] += 1
-    pool.add_idle(conn)
-    return conn
+    return keep_connection(pool)
 
 
 @pytest.fixture
--- a/packages/daemon/tests/test_head_bytes.py
+++ b/packages/daemon/tests/test_head_bytes.py
@@ -2,10 +2,8 @@
 
 import pytest
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
 from wagtailpaddle_daemon.connections import (
     MAX_RESPONSE_HEAD_BYTES,
-    ClientConnection,
     ConnectionPool,
     EncodedRequest,
 )
@@ -23,13 +21,9 @@
 
 
 @pytest.fixture
-def conn(pool):
+def conn(pool, keep_connection):
     """A kept connection to the server."""
-    conn = ClientConnection(pool, ADDRESS)
-    conn.makeConnection(StringTransport())
-    pool._n_open[ADDRESS] += 1
-    pool.add_idle(conn)
-    return conn
+    return keep_connection(pool)
 
 
 @pytest.fixture
--- a/packages/daemon/tests/test_misattributed_responses.py
+++ b/packages/daemon/tests/test_misattributed_responses.py
@@ -1,11 +1,10 @@
 """Responses that nothing identifies must not end an attempt or a probe."""
 
 import pytest
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.testing import MemoryReactorClock
 from wagtailpaddle_config import Configuration
 from wagtailpaddle_core import ErrorKind
 from wagtailpaddle_daemon.caller import DisconnectedCaller
-from wagtailpaddle_daemon.connections import ClientConnection
 from wagtailpaddle_daemon.gateway import Gateway
 from wagtailpaddle_daemon.prober import Prober
 from wagtailpaddle_daemon.upstream import OutgoingRequest, Upstream
@@ -96,14 +95,9 @@
 
 
 @pytest.fixture
-def conn(upstream):
+def conn(upstream, keep_connection):
     """A kept connection to the server."""
-    pool = upstream._connections
-    conn = ClientConnection(pool, ADDRESS)
-    conn.makeConnection(StringTransport())
-    pool._n_open[ADDRESS] += 1
-    pool.add_idle(conn)
-    return conn
+    return keep_connection(upstream._connections)
 
 
 @pytest.fixture
