--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -14,12 +14,18 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from twisted.web._newclient import HEADER, STATUS
+from wagtailpaddle_core import ensure
 from wagtailpaddle_routing import IdleBound
 
+from wagtailpaddle_daemon.echo import NO_ECHO, CarriedIds, Echo, Match
+from wagtailpaddle_daemon.late_copies import SkippingParser
 from wagtailpaddle_daemon.strict_client import StrictClientProtocol
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 16
+REFUSAL_STATUSES = frozenset({408, 421, 425, 429, *range(500, 600)})
+"""The statuses with which a server may state that a request did not run."""
+
 MAX_RESPONSE_HEAD_BYTES = 65536
 PIECE_BYTES = 262_144
 STALE_WITHIN_S = 0.1
@@ -28,13 +34,12 @@
 
 Address = tuple[str, int]
 
-AcceptsResponse = Callable[[Any], bool]
-"""Returns whether a response with these headers belongs to a request."""
+OnCopy = Callable[[Any], None]
+"""Is told of the copy of an earlier response that was passed over."""
 
 
-def accept_any(headers: Any) -> bool:
-    """Return True: every response belongs to the request before it."""
-    return True
+def ignore_copy(response: Any) -> None:
+    """Do nothing."""
 
 
 class OversizedHeadError(Exception):
@@ -44,8 +49,9 @@
 class EncodedRequest:
     """An encoded request, with the interface that Twisted's client protocol needs.
 
-    From ``method`` the protocol knows whether the response has a body. ``accepts``
-    tells from a response's headers whether it belongs to this request.
+    From ``method`` the protocol knows whether the response has a body. ``echo``
+    tells from a response's headers whether it belongs to this request. ``carried``
+    are the ids whose responses may come once more before the one to this request.
     """
 
     persistent = True
@@ -58,10 +64,13 @@
         head: bytes,
         body: bytes = b"",
         *,
-        accepts: AcceptsResponse = accept_any,
+        echo: Echo = NO_ECHO,
+        on_copy: OnCopy = ignore_copy,
     ):
         self.method = method
-        self.accepts = accepts
+        self.echo = echo
+        self.on_copy = on_copy
+        self.carried = CarriedIds()
         self._head = head
         self._body = body
         self._writer: PieceWriter | None = None
@@ -71,6 +80,10 @@
         """Whether the whole request was given to the transport."""
         return self._writer is None or self._writer.is_done
 
+    def is_copy(self, headers: Any) -> bool:
+        """Return whether a response is a copy of an earlier one on the connection."""
+        return self.echo.match(headers, self.carried) is Match.COPY
+
     def writeTo(self, transport: Any) -> Deferred[None]:  # noqa: N802
         """Write the request; a large body follows at the pace of the connection.
 
@@ -117,13 +130,17 @@
 class ClientConnection(StrictClientProtocol):
     """A connection that bounds the headers and rejects surplus bytes.
 
+    It carries no request id twice: a server may send a response once more, and the id
+    would not tell the copy from the response to the repeat.
     It is not reused after surplus bytes behind a response, after bytes that
     arrive without a request, or if the response states in any way that the
     server closes the connection, nor after a response to another request: the
     one to this request may still come.
     """
 
+    parser_class = SkippingParser
     _n_head_bytes = 0
+    _has_carried_head = False
     idle_since = 0.0
     reused_at: float | None = None
     is_removed = False
@@ -134,6 +151,7 @@
         super().__init__(self._on_response_finished)
         self._pool = pool
         self.address = address
+        self.carried = CarriedIds()
 
     def send(self, req: EncodedRequest) -> Deferred[Any]:
         """Return the response to ``req``; its ``connection`` is this connection."""
@@ -142,6 +160,18 @@
             response.connection = self
             return response
 
+        request_id = req.echo.request_id
+        if request_id:
+            ensure(
+                request_id not in self.carried,
+                "connection-carries-id-once",
+                server=self.address,
+            )
+            self.carried.add(request_id)
+        # The copy of a response to HEAD states the length of a body that it lacks.
+        self._has_carried_head |= req.method == b"HEAD"
+        if not self._has_carried_head:
+            req.carried = self.carried
         return self.request(req).addCallback(add_connection)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -182,7 +212,11 @@
     def _must_close(self, req: EncodedRequest) -> bool:
         if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
             return True
-        if not req.accepts(self._parser.response.headers):
+        response = self._parser.response
+        if not req.echo.is_own(response.headers) or self.carried.is_full:
+            return True
+        if response.code in REFUSAL_STATUSES and not req.echo.echoed(response.headers):
+            # A late copy of it could not be told from the next response.
             return True
         headers = self._parser.connHeaders
         if headers.hasHeader(b"Transfer-Encoding") and headers.hasHeader(
@@ -236,19 +270,18 @@
         *,
         max_idle_s: float,
         max_open: int = MAX_IDLE_CONNECTIONS,
-        is_fresh: bool = False,
     ) -> Deferred[Any]:
         """Return the response to ``req``; cancelling closes the connection.
 
         A connection is reused only if it was idle for at most ``max_idle_s``
-        seconds, and never if ``is_fresh``.
+        seconds and has not carried the request's id.
         """
-        idle = self._idle.get(address)
-        min_idle_since = self._reactor.seconds() - max_idle_s
-        if idle and not is_fresh and idle[-1].idle_since >= min_idle_since:
-            conn = idle.pop()
-            conn.reused_at = self._reactor.seconds()
+        now = self._reactor.seconds()
+        conn = self._pop_idle(address, req.echo.request_id, now - max_idle_s)
+        if conn is not None:
+            conn.reused_at = now
             return conn.send(req)
+        idle = self._idle.get(address)
         if idle and self._n_open[address] >= max_open:
             idle[0].close()
         self._n_open[address] += 1
@@ -261,6 +294,19 @@
         )
         return connecting
 
+    def _pop_idle(
+        self, address: Address, request_id: bytes, min_idle_since: float
+    ) -> ClientConnection | None:
+        """Remove and return the connection used last that may carry the request."""
+        idle = self._idle.get(address, deque())
+        for conn in reversed(idle):
+            if conn.idle_since < min_idle_since:
+                return None
+            if request_id not in conn.carried:
+                idle.remove(conn)
+                return conn
+        return None
+
     def on_remote_close(self, conn: ClientConnection) -> None:
         """Handle a connection that the server closed.
 
