--- a/packages/daemon/src/wagtailpaddle_daemon/connections.py
+++ b/packages/daemon/src/wagtailpaddle_daemon/connections.py
@@ -51,7 +51,8 @@
 
     From ``method`` the protocol knows whether the response has a body. ``echo``
     tells from a response's headers whether it belongs to this request. ``carried``
-    are the ids whose responses may come once more before the one to this request.
+    are the ids whose responses may come once more before the one to this request, and
+    ``may_skip`` states whether such copies can be passed over.
     """
 
     persistent = True
@@ -71,6 +72,7 @@
         self.echo = echo
         self.on_copy = on_copy
         self.carried = CarriedIds()
+        self.may_skip = True
         self._head = head
         self._body = body
         self._writer: PieceWriter | None = None
@@ -170,8 +172,8 @@
             self.carried.add(request_id)
         # The copy of a response to HEAD states the length of a body that it lacks.
         self._has_carried_head |= req.method == b"HEAD"
-        if not self._has_carried_head:
-            req.carried = self.carried
+        req.carried = self.carried
+        req.may_skip = not self._has_carried_head
         return self.request(req).addCallback(add_connection)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -180,8 +182,10 @@
         if self._parser is None:
             self.close()
             return
+        parser = self._parser
         super().dataReceived(data)
-        if self._parser is None or self._parser.state not in (STATUS, HEADER):
+        # The end of a response may send the next request, whose head is yet to come.
+        if self._parser is not parser or parser.state not in (STATUS, HEADER):
             self._n_head_bytes = 0
             return
         self._n_head_bytes += len(data)
@@ -213,7 +217,7 @@
         if self._parser is None or self._parser.response.version != (b"HTTP", 1, 1):
             return True
         response = self._parser.response
-        if not req.echo.is_own(response.headers) or self.carried.is_full:
+        if not req.echo.is_own(response.headers):
             return True
         if response.code in REFUSAL_STATUSES and not req.echo.echoed(response.headers):
             # A late copy of it could not be told from the next response.
@@ -331,8 +335,12 @@
     def add_idle(self, conn: ClientConnection) -> None:
         """Add a connection whose response is complete to the idle ones.
 
-        They are ordered by the time of last use, the latest last.
+        One that has carried as many requests as it may is closed. The others are
+        ordered by the time of last use, the latest last.
         """
+        if conn.carried.is_full:
+            conn.close()
+            return
         idle = self._idle.setdefault(conn.address, deque())
         conn.idle_since = self._reactor.seconds()
         idle.append(conn)
